--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+VENV ?= .venv
+PYTHON ?= python3
+DEPLOYMENT ?= ledger
+BIN = $(VENV)/bin
+
+.PHONY: setup run test lint format types lock
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $@
+
+setup: $(VENV)/.installed
+
+run: setup
+	$(BIN)/python -m standins.run_deployment $(DEPLOYMENT)
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/flake8 --jobs 4 peridotrill standins tests
+
+types: setup
+	$(BIN)/mypy
+
+format: setup
+	$(BIN)/ruff format .
+
+test: lint types
+	$(BIN)/python -m tests.known_red
+
+lock:
+	$(BIN)/pip freeze --exclude-editable > requirements.lock
--- /dev/null
+++ b/peridotrill/messages.py
@@ -0,0 +1,313 @@
+"""Messages between entries and agents.
+
+A transport message is a batch: MessagePack of ``[sequence, lamport,
+[[code, fields], ...]]``. Each message is a NamedTuple, encoded as the array
+of its fields. Instants are seconds of the monotonic clock of the agent.
+"""
+
+from typing import Any, Final, NamedTuple, TypeVar
+
+import msgspec
+
+from peridotrill.exceptions import MessageError
+
+PROTOCOL_VERSION: Final = 1
+MAX_BATCH_BYTES: Final = 16 * 1024 * 1024
+
+_Message = TypeVar('_Message', bound=type)
+
+_decoders: dict[int, msgspec.msgpack.Decoder[Any]] = {}
+_codes: dict[type, int] = {}
+
+
+def message(code: int):
+    """Return a decorator that registers a message type under a code.
+
+    :param code: number on the wire; raises KeyError if it is taken.
+    """
+
+    def decorate(message_type: _Message) -> _Message:  # noqa: WPS430
+        if code in _decoders:
+            raise KeyError(f'message code {code} is registered twice')
+        _decoders[code] = msgspec.msgpack.Decoder(message_type)
+        _codes[message_type] = code
+        return message_type
+
+    return decorate
+
+
+class EntryRef(NamedTuple):
+    """A registered entry."""
+
+    entry_id: str
+    incarnation: str
+
+
+class LostEntry(NamedTuple):
+    """An entry that ended without handing over its records."""
+
+    entry_id: str
+    incarnation: str
+    lost_age_s: float
+
+
+class ForwardedKey(NamedTuple):
+    """A non-idempotent request that an entry sent to a target."""
+
+    key_digest: bytes
+    request_digest: bytes
+    attempt_id: str
+    age_s: float
+    state: str  # 'sent', 'answered', 'refused' or 'unknown'
+
+
+@message(1)
+class Hello(NamedTuple):
+    """First message of an entry on a connection."""
+
+    protocol_version: int
+    entry_id: str
+    incarnation: str
+    zone: str
+    registered: list[EntryRef]
+    lost: list[LostEntry]
+    log_offset: int
+
+
+@message(2)
+class Welcome(NamedTuple):
+    """Answer of the agent to Hello."""
+
+    protocol_version: int
+    target_id: str
+    service: str
+    kind: str
+    zone: str
+    incarnation: str
+    clock_s: float
+    ready: bool
+    draining: bool
+    ledger: str  # 'recovering', 'complete' or 'incomplete'
+
+
+@message(3)
+class Heartbeat(NamedTuple):
+    """Sent both ways every HEARTBEAT_INTERVAL.
+
+    ``clock_s`` is the sender's monotonic clock and ``echo_clock_s`` the last
+    one received from the peer; ``log_offset`` and ``log_age_s`` are the
+    newest that the sender knows of itself or through its peers.
+    """
+
+    clock_s: float
+    echo_clock_s: float
+    log_offset: int
+    log_age_s: float
+
+
+@message(4)
+class ForwardedKeys(NamedTuple):
+    """Records for the ledger of an agent with a new incarnation."""
+
+    records: list[ForwardedKey]
+    is_last: bool
+
+
+@message(5)
+class StartAttempt(NamedTuple):
+    """Run a request at the target.
+
+    The agent refuses it when its clock is past ``start_before_s``.
+    ``key_digest`` is empty for idempotent requests. ``caller_key`` tells
+    that the key came from the caller, so that it may have been used before.
+    """
+
+    attempt_id: str
+    request_id: str
+    service: str
+    team: str
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    streaming: bool
+    idempotent: bool
+    key_digest: bytes
+    request_digest: bytes
+    caller_key: bool
+    retention_s: float
+    priority: int
+    start_before_s: float
+    timeout_s: float
+    resume_position: int
+
+
+@message(6)
+class CancelAttempt(NamedTuple):
+    """Stop an attempt; the agent confirms it."""
+
+    attempt_id: str
+    reason: str
+
+
+@message(7)
+class AcknowledgeBytes(NamedTuple):
+    """The entry holds all bytes of the answer before ``position``."""
+
+    attempt_id: str
+    position: int
+
+
+@message(8)
+class ResumeAttempt(NamedTuple):
+    """After a reconnect: send the answer again from ``position`` bytes."""
+
+    attempt_id: str
+    position: int
+
+
+@message(9)
+class LoadReport(NamedTuple):
+    """Load of the target as last seen by its agent."""
+
+    clock_s: float
+    ready: bool
+    draining: bool
+    running_requests: int
+    waiting_requests: int
+    running_tokens: int
+    waiting_tokens: int
+    free_pieces: int
+    total_pieces: int
+    piece_tokens: int
+    role: str
+    models: list[str]
+    adapters: list[str]
+    cached_prefixes: list[int]
+
+
+@message(10)
+class Draining(NamedTuple):
+    """The agent takes no new work from now on."""
+
+    reason: str
+
+
+@message(11)
+class AttemptRefused(NamedTuple):
+    """The attempt was not started; with ``not_run`` it never will be.
+
+    ``not_run`` is false where an earlier request with the same key may have
+    run.
+    """
+
+    attempt_id: str
+    code: str
+    detail: str
+    not_run: bool
+    retry_after_s: float
+
+
+@message(12)
+class AttemptStarted(NamedTuple):
+    """The attempt is running, or its stored answer follows."""
+
+    attempt_id: str
+    replayed: bool
+
+
+@message(13)
+class AttemptHead(NamedTuple):
+    """Status and headers of the answer."""
+
+    attempt_id: str
+    status: int
+    headers: list[tuple[str, str]]
+
+
+@message(14)
+class AttemptChunk(NamedTuple):
+    """Bytes of the answer from ``position`` on."""
+
+    attempt_id: str
+    position: int
+    payload: bytes
+
+
+@message(15)
+class AttemptEnd(NamedTuple):
+    """The answer is complete and has ``total_bytes``."""
+
+    attempt_id: str
+    total_bytes: int
+    prompt_tokens: int
+    output_tokens: int
+
+
+@message(16)
+class AttemptFailed(NamedTuple):
+    """The attempt ended without a whole answer.
+
+    ``outcome`` is ``not_run``, ``ran`` or ``unknown``.
+    """
+
+    attempt_id: str
+    code: str
+    detail: str
+    outcome: str
+    prompt_tokens: int
+    output_tokens: int
+
+
+@message(17)
+class CancelConfirmed(NamedTuple):
+    """The attempt was cancelled; ``started`` tells if it reached a target."""
+
+    attempt_id: str
+    started: bool
+    prompt_tokens: int
+    output_tokens: int
+
+
+class Batch(NamedTuple):
+    """Messages that travel together.
+
+    ``sequence`` counts the batches of one connection from 1; a gap means
+    that the transport dropped one.
+    """
+
+    sequence: int
+    lamport: int
+    messages: list[Any]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_batch_decoder = msgspec.msgpack.Decoder(
+    tuple[int, int, list[tuple[int, msgspec.Raw]]],
+)
+
+
+def encode_batch(batch: Batch) -> bytes:
+    """Encode a batch.
+
+    :param batch: its messages have registered types.
+    :return: MessagePack.
+    """
+    rows = [(_codes[type(entry)], entry) for entry in batch.messages]
+    return _encoder.encode((batch.sequence, batch.lamport, rows))
+
+
+def decode_batch(payload: bytes) -> Batch:
+    """Decode a batch.
+
+    :param payload: raises MessageError if it is too large, malformed or
+        has a message of an unknown type.
+    """
+    if len(payload) > MAX_BATCH_BYTES:
+        raise MessageError(f'batch of {len(payload)} bytes is too large')
+    try:
+        sequence, lamport, rows = _batch_decoder.decode(payload)
+        messages = [_decoders[code].decode(raw) for code, raw in rows]
+    except (msgspec.MsgspecError, KeyError, RecursionError) as error:
+        raise MessageError(f'malformed batch: {error}') from error
+    return Batch(sequence, lamport, messages)
--- /dev/null
+++ b/peridotrill/settings.py
@@ -0,0 +1,207 @@
+"""Settings of a program, from flags and environment variables.
+
+A flag goes before the environment variable of the same setting. All
+findings are reported together.
+"""
+
+import argparse
+import ipaddress
+import re
+import sys
+from collections.abc import Callable, Mapping, Sequence
+from datetime import timedelta
+from typing import Any, Final, NamedTuple
+from urllib.parse import urlsplit
+
+from expression import Error, Ok, Result
+
+from peridotrill.findings import Finding, format_findings
+from peridotrill.registry import Registry
+
+ENVIRONMENT_PREFIX: Final = 'PERIDOTRILL_'
+EXIT_USAGE: Final = 2
+_MAX_PORT: Final = 65535
+_DURATION: Final = re.compile(r'(\d+(?:\.\d+)?)(ms|s|m|h)')
+_UNITS: Final = {
+    'ms': 'milliseconds',
+    's': 'seconds',
+    'm': 'minutes',
+    'h': 'hours',
+}
+
+setting_kinds: Registry[str, Callable[[str], Any]] = Registry('setting kind')
+
+
+class Address(NamedTuple):
+    """An IP address and a TCP port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return ``host:port``."""
+        return f'{self.host}:{self.port}'
+
+
+class Setting(NamedTuple):
+    """One setting; ``name`` in snake case gives flag and variable."""
+
+    name: str
+    kind: str
+    help_text: str
+    default: str | None = None
+
+    @property
+    def flag(self) -> str:
+        """Name of the flag."""
+        return '--{0}'.format(self.name.replace('_', '-'))
+
+    @property
+    def variable(self) -> str:
+        """Name of the environment variable."""
+        return ENVIRONMENT_PREFIX + self.name.upper()
+
+
+@setting_kinds.register('text')
+def parse_text(text: str) -> str:
+    """:param text: raises ValueError if empty."""
+    if not text.strip():
+        raise ValueError('must not be empty')
+    return text
+
+
+@setting_kinds.register('integer')
+def parse_integer(text: str) -> int:
+    """:param text: whole number, zero or more; raises ValueError."""
+    if not text.isdecimal():
+        raise ValueError('must be a whole number')
+    return int(text)
+
+
+@setting_kinds.register('address')
+def parse_address(text: str) -> Address:
+    """:param text: ``IP:port``; raises ValueError."""
+    host, separator, port = text.rpartition(':')
+    if not separator or not port.isdecimal() or int(port) > _MAX_PORT:
+        raise ValueError('must be an IP address and a port, IP:port')
+    ipaddress.ip_address(host)
+    return Address(host, int(port))
+
+
+@setting_kinds.register('url')
+def parse_url(text: str) -> str:
+    """:param text: ``http`` or ``https`` URL; raises ValueError."""
+    parts = urlsplit(text)
+    if parts.scheme not in {'http', 'https'} or not parts.netloc:
+        raise ValueError('must be a URL with http or https')
+    return text.rstrip('/')
+
+
+@setting_kinds.register('duration')
+def parse_duration(text: str) -> timedelta:
+    """:param text: such as ``250ms``, ``5s``, ``2m``; raises ValueError."""
+    match = _DURATION.fullmatch(text)
+    if match is None:
+        raise ValueError('must be a duration such as 250ms, 5s or 2m')
+    return timedelta(**{_UNITS[match[2]]: float(match[1])})
+
+
+@setting_kinds.register('log_level')
+def parse_log_level(text: str) -> str:
+    """:param text: name of a level; raises ValueError."""
+    level = text.upper()
+    if level not in {'DEBUG', 'INFO', 'WARNING', 'ERROR'}:
+        raise ValueError('must be DEBUG, INFO, WARNING or ERROR')
+    return level
+
+
+def parse_settings(
+    program: str,
+    settings: Sequence[Setting],
+    arguments: Sequence[str],
+    environment: Mapping[str, str],
+) -> Result[dict[str, Any], list[Finding]]:
+    """Read the settings of a program.
+
+    :param program: name for the help text.
+    :param arguments: command line without the program.
+    :param environment: environment variables.
+    :return: parsed values by name, or all findings.
+    """
+    parser = argparse.ArgumentParser(
+        prog=program,
+        allow_abbrev=False,
+        exit_on_error=False,
+    )
+    for setting in settings:
+        parser.add_argument(
+            setting.flag,
+            dest=setting.name,
+            help=_help_text(setting),
+        )
+    flags, unknown = parser.parse_known_args(list(arguments))
+    findings = [
+        Finding(flag, 0, 0, 'unknown_flag', 'there is no such flag')
+        for flag in unknown
+    ]
+    parsed: dict[str, Any] = {}
+    for setting in settings:
+        given = getattr(flags, setting.name)
+        match _read_setting(setting, given, environment):
+            case Result(tag='ok', ok=found):
+                parsed[setting.name] = found
+            case Result(error=finding):
+                findings.append(finding)
+    return Error(findings) if findings else Ok(parsed)
+
+
+def _help_text(setting: Setting) -> str:
+    default = '' if setting.default is None else f' [{setting.default}]'
+    text = f'{setting.help_text} ({setting.variable}){default}'
+    return text.replace('%', '%%')
+
+
+def _read_setting(
+    setting: Setting,
+    flag: str | None,
+    environment: Mapping[str, str],
+) -> Result[Any, Finding]:
+    place, text = setting.flag, flag
+    if text is None:
+        place, text = setting.variable, environment.get(setting.variable)
+    if text is None:
+        place, text = setting.flag, setting.default
+    if text is None:
+        return Error(Finding(place, 0, 0, 'missing', 'this setting is needed'))
+    parse = setting_kinds.get(setting.kind)
+    if parse is None:
+        raise KeyError(f'setting kind {setting.kind!r} is not registered')
+    if not text and setting.default == '':
+        return Ok('')
+    try:
+        return Ok(parse(text))
+    except ValueError as error:
+        return Error(Finding(place, 0, 0, 'invalid', str(error)))
+
+
+def load_settings(
+    program: str,
+    settings: Sequence[Setting],
+    arguments: Sequence[str],
+    environment: Mapping[str, str],
+) -> dict[str, Any]:
+    """Read the settings, or print all findings and exit with status 2.
+
+    :param program: name for the help text and the findings.
+    """
+    try:
+        outcome = parse_settings(program, settings, arguments, environment)
+    except argparse.ArgumentError as error:
+        sys.stderr.write(f'{program}: {error}\n')
+        sys.exit(EXIT_USAGE)
+    match outcome:
+        case Result(tag='ok', ok=parsed):
+            return parsed
+        case Result(error=findings):
+            sys.stderr.write(f'{format_findings(findings)}\n')
+    sys.exit(EXIT_USAGE)
--- /dev/null
+++ b/peridotrill/statechart.py
@@ -0,0 +1,109 @@
+"""State charts, read from TOML files and interpreted."""
+
+import tomllib
+from importlib import resources
+from typing import NamedTuple, final
+
+from peridotrill.exceptions import InvalidTransition, StateChartError
+
+
+class Chart(NamedTuple):
+    """A state chart: ``transitions`` maps (state, event) to a state."""
+
+    name: str
+    initial: str
+    states: frozenset[str]
+    final_states: frozenset[str]
+    transitions: dict[tuple[str, str], str]
+
+    @classmethod
+    def from_text(cls, text: str) -> 'Chart':
+        """Parse a chart.
+
+        :param text: TOML with ``name``, ``initial``, ``states``, ``final``
+            and a list ``transitions`` of ``from`` (a state, or a list of
+            states), ``event``, ``to``. Raises StateChartError.
+        """
+        document = tomllib.loads(text)
+        chart = cls(
+            name=document['name'],
+            initial=document['initial'],
+            states=frozenset(document['states']),
+            final_states=frozenset(document.get('final', ())),
+            transitions=_read_transitions(document['transitions']),
+        )
+        chart.check()
+        return chart
+
+    def check(self) -> None:
+        """Raise StateChartError if a transition names an unknown state."""
+        named = {self.initial, *self.final_states}
+        named.update(state for state, _ in self.transitions)
+        named.update(self.transitions.values())
+        unknown = named - self.states
+        if unknown:
+            raise StateChartError(
+                f'chart {self.name}: unknown states {sorted(unknown)}',
+            )
+        leaving = {state for state, _ in self.transitions}
+        if leaving & self.final_states:
+            raise StateChartError(
+                f'chart {self.name}: a final state has transitions',
+            )
+
+
+def _read_transitions(
+    rows: list[dict[str, str | list[str]]],
+) -> dict[tuple[str, str], str]:
+    transitions: dict[tuple[str, str], str] = {}
+    for row in rows:
+        sources = row['from']
+        if isinstance(sources, str):
+            sources = [sources]
+        for source in sources:
+            transitions[source, str(row['event'])] = str(row['to'])
+    return transitions
+
+
+def load_chart(name: str) -> Chart:
+    """Read a chart that is shipped with the package.
+
+    :param name: file name in ``statecharts`` without its suffix.
+    """
+    folder = resources.files('peridotrill') / 'statecharts'
+    return Chart.from_text((folder / f'{name}.toml').read_text('utf-8'))
+
+
+@final
+class Machine:
+    """The current state of one object in a chart."""
+
+    __slots__ = ('_chart', 'state')
+
+    def __init__(self, chart: Chart) -> None:
+        """:param chart: the machine starts in its initial state."""
+        self._chart = chart
+        self.state = chart.initial
+
+    @property
+    def is_final(self) -> bool:
+        """Tell whether no event can follow."""
+        return self.state in self._chart.final_states
+
+    def allows(self, event: str) -> bool:
+        """Tell whether the event has a transition in this state."""
+        return (self.state, event) in self._chart.transitions
+
+    def fire(self, event: str) -> str:
+        """Follow the transition of an event.
+
+        :param event: raises InvalidTransition if it is not allowed.
+        :return: the new state.
+        """
+        target = self._chart.transitions.get((self.state, event))
+        if target is None:
+            raise InvalidTransition(
+                f'{self._chart.name}: {event} is not allowed in {self.state}',
+            )
+        self.state = target
+        return target
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of peridotrill."""
