--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,174 @@
+"""Real programs for tests, on loopback ports, ended by process id."""
+
+import atexit
+import ctypes
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+from contextlib import contextmanager
+from itertools import count
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+BIN = Path(sys.executable).parent
+PR_SET_PDEATHSIG = 1
+# Below the range from which Linux takes ports of outgoing connections, which
+# could otherwise occupy a port between its choice and its use.
+FIRST_PORT, LAST_PORT = 12000, 32000
+_LIBC = ctypes.CDLL(None)
+_ports = count(FIRST_PORT + os.getpid() * 97 % (LAST_PORT - FIRST_PORT))
+
+
+def free_port():
+    while True:
+        span = LAST_PORT - FIRST_PORT
+        port = FIRST_PORT + (next(_ports) - FIRST_PORT) % span
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            return port
+
+
+def wait_for(condition, timeout_s=15.0, what='condition', interval_s=0.02):
+    """Return the first true value of ``condition()``."""
+    deadline_s = time.monotonic() + timeout_s
+    while True:
+        found = condition()
+        if found:
+            return found
+        if time.monotonic() > deadline_s:
+            raise TimeoutError(f'{what} did not hold within {timeout_s} s')
+        time.sleep(interval_s)
+
+
+def program(name):
+    """Command of a stand-in module or of a program of the package."""
+    if name.startswith('standins.'):
+        return [sys.executable, '-m', name]
+    return [str(BIN / name)]
+
+
+def flags(**settings):
+    return [
+        f'--{name.replace("_", "-")}={setting}'
+        for name, setting in settings.items()
+    ]
+
+
+class Process:
+    """One started program; its output goes to ``NAME.log``."""
+
+    def __init__(self, name, command, folder):
+        self.name = name
+        self.command = command
+        self.log_path = folder / f'{name}.log'
+        self._popen = None
+
+    def start(self):
+        environment = os.environ | {
+            'PYTHONPATH': str(ROOT),
+            'PYTHONUNBUFFERED': '1',
+        }
+        with self.log_path.open('ab') as output:
+            self._popen = subprocess.Popen(
+                self.command,
+                cwd=ROOT,
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+                preexec_fn=_end_with_parent,
+            )
+        return self
+
+    @property
+    def is_running(self):
+        return self._popen is not None and self._popen.poll() is None
+
+    @property
+    def pid(self):
+        return self._popen.pid
+
+    def output(self):
+        return self.log_path.read_text('utf-8', errors='replace')
+
+    def check_running(self):
+        if not self.is_running:
+            raise RuntimeError(
+                f'{self.name} ended with {self._popen.returncode}; '
+                f'{self.log_path}:\n{self.output()[-4000:]}'
+            )
+
+    def wait_address(self):
+        """Return ``IP:port`` from the line ``ready address=IP:port``."""
+
+        def find():
+            self.check_running()
+            return re.search(r'ready address=(\S+)', self.output())
+
+        return wait_for(find, what=f'{self.name} ready')[1]
+
+    def kill(self):
+        self._signal(signal.SIGKILL)
+        self._popen.wait()
+
+    def pause(self):
+        self._signal(signal.SIGSTOP)
+
+    def resume(self):
+        self._signal(signal.SIGCONT)
+
+    def terminate(self):
+        self._signal(signal.SIGTERM)
+
+    def interrupt(self):
+        self._signal(signal.SIGINT)
+
+    def wait(self, timeout_s=15.0):
+        return self._popen.wait(timeout_s)
+
+    def _signal(self, number):
+        if self.is_running:
+            os.kill(self._popen.pid, number)
+
+
+class ProcessGroup:
+    """All processes of one test."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self._processes = {}
+
+    def start(self, name, command):
+        """Start a program, or start it again under the same name."""
+        process = Process(name, command, self.folder).start()
+        self._processes.setdefault(name, []).append(process)
+        return process
+
+    def kill_all(self):
+        for runs in self._processes.values():
+            for process in runs:
+                process.kill()
+
+
+@contextmanager
+def run_processes(folder):
+    group = ProcessGroup(folder)
+    atexit.register(group.kill_all)
+    try:
+        yield group
+    finally:
+        group.kill_all()
+        atexit.unregister(group.kill_all)
+
+
+def _end_with_parent():
+    # A test run that is itself killed leaves no process behind.
+    _LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
