--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,407 @@
+"""Stand-in for the platform: log, VM list, targets, usage, weights."""
+
+import sys
+import time
+from base64 import b64encode
+from collections import Counter, deque
+from collections.abc import AsyncGenerator
+from datetime import timedelta
+from functools import wraps
+from typing import Any, Final, NamedTuple
+
+import anyio
+
+from peridotrill.records import MAX_RECORD_BYTES
+from peridotrill.registry import Registry
+from peridotrill.settings import Setting, load_settings
+from standins import web
+
+_MAX_READ_RECORDS: Final = 5000
+_PIECE_BYTES: Final = 64 * 1024
+_MODES: Final = frozenset(('up', 'down', 'slow', 'lose_answers'))
+
+SETTINGS: Final = (
+    *web.COMMON_SETTINGS,
+    Setting('log_retention', 'duration', 'age of the oldest record', '1h'),
+    Setting('log_retention_records', 'integer', 'records kept', '100000'),
+    Setting('log_appends_per_s', 'factor', 'rate of the log', '400'),
+    Setting('vms_lag', 'duration', 'delay of the VM list', '2s'),
+    Setting('slow_delay', 'duration', 'delay in the mode slow', '2s'),
+    Setting('weights_bytes', 'integer', 'size of each weight', '8388608'),
+    Setting('weights_bytes_per_s', 'factor', 'rate of all', '67108864'),
+)
+
+routes: web.Routes = Registry('route')
+
+
+class LogRow(NamedTuple):
+    """One record of the log."""
+
+    offset: int
+    appended_at_s: float
+    payload: bytes
+
+
+class RateLimiter:
+    """Spaces calls so that they pass at a fixed rate."""
+
+    def __init__(self, rate_per_s: float) -> None:
+        """:param rate_per_s: units per second; 0 for no limit."""
+        self._unit_s = 1 / rate_per_s if rate_per_s else 0
+        self._free_at_s = time.monotonic()
+
+    async def wait(self, units: int = 1) -> None:
+        """Wait for the turn of this many units."""
+        now_s = time.monotonic()
+        start_s = max(now_s, self._free_at_s)
+        self._free_at_s = start_s + units * self._unit_s
+        await anyio.sleep(self._free_at_s - now_s)
+
+
+class Log:
+    """Append-only log with offsets from 1 and bounded retention."""
+
+    def __init__(self, retention: timedelta, max_records: int) -> None:
+        """:param max_records: older records are dropped."""
+        self.appended = 0
+        self._rows: deque[LogRow] = deque(maxlen=max_records)
+        self._retention_s = retention.total_seconds()
+        self._changed = anyio.Event()
+
+    @property
+    def next_offset(self) -> int:
+        """Offset of the next record."""
+        return self.appended + 1
+
+    @property
+    def first_offset(self) -> int:
+        """Offset of the oldest record kept."""
+        oldest_s = time.time() - self._retention_s
+        while self._rows and self._rows[0].appended_at_s < oldest_s:
+            self._rows.popleft()
+        return self.next_offset - len(self._rows)
+
+    def append(self, payload: bytes) -> int:
+        """:return: the offset of the record."""
+        self.appended += 1
+        self._rows.append(LogRow(self.appended, time.time(), payload))
+        self._changed.set()
+        self._changed = anyio.Event()
+        return self.appended
+
+    def read(self, from_offset: int, limit: int) -> list[LogRow]:
+        """:return: records from that offset on, at most ``limit``."""
+        skip = max(0, from_offset - self.first_offset)
+        end = min(skip + limit, len(self._rows))
+        return [self._rows[index] for index in range(skip, end)]
+
+    async def wait_for(self, offset: int, timeout_s: float) -> None:
+        """Wait until the offset exists, at most for the time given."""
+        with anyio.move_on_after(timeout_s):
+            while offset >= self.next_offset:
+                await self._changed.wait()
+
+
+class Platform:
+    """State of the platform."""
+
+    def __init__(self, settings: dict[str, Any]) -> None:
+        """:param settings: values of SETTINGS."""
+        scale = settings['time_scale']
+        self.log = Log(
+            settings['log_retention'] * scale,
+            settings['log_retention_records'],
+        )
+        self.log_limiter = RateLimiter(settings['log_appends_per_s'])
+        self.weights_limiter = RateLimiter(settings['weights_bytes_per_s'])
+        self.weights_bytes: int = settings['weights_bytes']
+        self.modes = dict.fromkeys(('log', 'vms', 'targets', 'usage'), 'up')
+        self.vms_lag_s = (settings['vms_lag'] * scale).total_seconds()
+        self.slow_s = (settings['slow_delay'] * scale).total_seconds()
+        self.vms: dict[str, dict[str, Any]] = {}
+        self.vm_changes: deque[tuple[float, str, dict[str, Any] | None]]
+        self.vm_changes = deque()
+        self.targets: dict[str, dict[str, Any]] = {}
+        self.orders: dict[str, dict[str, Any]] = {}
+        self.usage: dict[tuple[str, int], dict[str, Any]] = {}
+        self.order_counts: Counter[str] = Counter()
+        self.weight_counts: Counter[str] = Counter()
+
+    def change_vm(self, vm_id: str, vm: dict[str, Any] | None) -> None:
+        """Change the VM list, visible after the lag."""
+        self.vm_changes.append((time.monotonic(), vm_id, vm))
+        if vm and vm.get('kind') == 'target':
+            state = 'running' if vm['state'] == 'live' else 'stopping'
+            self.targets[vm['target_id']] = {
+                'target_id': vm['target_id'],
+                'vm_id': vm_id,
+                'zone': vm['zone'],
+                'service': vm['service'],
+                'state': state,
+            }
+        for target in self.targets.values():
+            if vm is None and target.get('vm_id') == vm_id:
+                target['state'] = 'stopped'
+
+    def visible_vms(self) -> list[dict[str, Any]]:
+        """:return: the VM list as it was before the lag."""
+        visible_s = time.monotonic() - self.vms_lag_s
+        while self.vm_changes and self.vm_changes[0][0] <= visible_s:
+            _, vm_id, vm = self.vm_changes.popleft()
+            self.vms.pop(vm_id, None)
+            if vm is not None:
+                self.vms[vm_id] = vm
+        return list(self.vms.values())
+
+
+def faulty(area: str):
+    """Return a decorator that applies the fault mode of an area.
+
+    Answers are lost only to calls that have an effect.
+    """
+
+    def decorate(handler: web.Handler) -> web.Handler:  # noqa: WPS430
+        @wraps(handler)
+        async def apply(  # noqa: WPS430
+            platform: Platform,
+            request: web.Request,
+        ) -> web.Response:
+            _refuse_if_down(platform, area)
+            if platform.modes[area] == 'slow':
+                await anyio.sleep(platform.slow_s)
+            response = await handler(platform, request)
+            if request.method == 'GET':
+                _refuse_if_down(platform, area)
+            elif platform.modes[area] == 'lose_answers':
+                raise web.ConnectionDropped
+            return response
+
+        return apply
+
+    return decorate
+
+
+def _refuse_if_down(platform: Platform, area: str) -> None:
+    if platform.modes[area] == 'down':
+        raise web.HttpError(503, 'unavailable')
+
+
+@routes.register('POST /log/append')
+@faulty('log')
+async def append(platform: Platform, request: web.Request) -> web.Response:
+    """Append one record at the rate of the log."""
+    if len(request.body) > MAX_RECORD_BYTES:
+        raise web.HttpError(413, 'record_too_large')
+    await platform.log_limiter.wait()
+    _refuse_if_down(platform, 'log')
+    return web.json_response({'offset': platform.log.append(request.body)})
+
+
+@routes.register('GET /log/read')
+@faulty('log')
+async def read(platform: Platform, request: web.Request) -> web.Response:
+    """Read records; waits if there is none yet."""
+    log = platform.log
+    from_offset = max(1, request.integer('from', 1))
+    limit = min(request.integer('limit', 500), _MAX_READ_RECORDS)
+    await log.wait_for(from_offset, request.integer('wait_ms', 0) / 1000)
+    first_offset = log.first_offset
+    if from_offset < first_offset:
+        raise web.HttpError(410, 'records_expired', first_offset=first_offset)
+    rows = log.read(from_offset, limit)
+    return web.json_response(
+        {
+            'records': [
+                {
+                    'offset': row.offset,
+                    'appended_at_s': row.appended_at_s,
+                    'payload': b64encode(row.payload).decode(),
+                }
+                for row in rows
+            ],
+            'first_offset': first_offset,
+            'next_offset': rows[-1].offset + 1 if rows else from_offset,
+            'now_s': time.time(),
+        },
+    )
+
+
+@routes.register('GET /vms')
+@faulty('vms')
+async def list_vms(platform: Platform, _: web.Request) -> web.Response:
+    """List live and leaving VMs, with a lag."""
+    return web.json_response({'vms': platform.visible_vms()})
+
+
+@routes.register('PUT /vms/{vm_id}')
+async def put_vm(platform: Platform, request: web.Request) -> web.Response:
+    """Add or change a VM; used by the deployment."""
+    vm = request.json()
+    needed = {'kind', 'state', 'zone'}
+    if vm.get('kind') == 'target':
+        needed |= {'service', 'target_id', 'target_kind', 'address'}
+    if needed - vm.keys():
+        raise web.HttpError(400, 'missing_fields')
+    vm_id = request.parameters['vm_id']
+    platform.change_vm(vm_id, {**vm, 'vm_id': vm_id})
+    return web.json_response({})
+
+
+@routes.register('DELETE /vms/{vm_id}')
+async def delete_vm(platform: Platform, request: web.Request) -> web.Response:
+    """Remove a VM; used by the deployment."""
+    platform.change_vm(request.parameters['vm_id'], None)
+    return web.json_response({})
+
+
+@routes.register('GET /targets')
+@faulty('targets')
+async def list_targets(platform: Platform, _: web.Request) -> web.Response:
+    """List the targets and their states."""
+    return web.json_response({'targets': list(platform.targets.values())})
+
+
+@routes.register('PUT /targets/{target_id}')
+async def put_target(platform: Platform, request: web.Request) -> web.Response:
+    """Declare a target that may be started; used by the deployment."""
+    target = request.json()
+    target_id = request.parameters['target_id']
+    platform.targets[target_id] = {
+        'target_id': target_id,
+        'zone': str(target.get('zone')),
+        'service': str(target.get('service')),
+        'state': target.get('state', 'stopped'),
+    }
+    return web.json_response({})
+
+
+@routes.register('POST /targets/{target_id}/start')
+@faulty('targets')
+async def start(platform: Platform, request: web.Request) -> web.Response:
+    """Order a start; the deployment carries it out."""
+    return _order(platform, request, 'starting', without_effect='running')
+
+
+@routes.register('POST /targets/{target_id}/stop')
+@faulty('targets')
+async def stop(platform: Platform, request: web.Request) -> web.Response:
+    """Order a stop; the deployment carries it out."""
+    return _order(platform, request, 'stopping', without_effect='stopped')
+
+
+def _order(
+    platform: Platform,
+    request: web.Request,
+    state: str,
+    without_effect: str,
+) -> web.Response:
+    target = platform.targets.get(request.parameters['target_id'])
+    order = request.json()
+    order_id = str(order.get('order_id', ''))
+    if target is None or not order_id:
+        raise web.HttpError(404 if target is None else 400, 'invalid_order')
+    if order.get('zone') != target['zone']:
+        raise web.HttpError(409, 'zone_mismatch')
+    sender = request.headers.get('x-sender', 'unknown')
+    platform.order_counts[sender] += 1
+    if order_id not in platform.orders:
+        platform.orders[order_id] = {
+            'order_id': order_id,
+            'sender': sender,
+            'target_id': target['target_id'],
+            'state': state,
+        }
+        if target['state'] != without_effect:
+            target['state'] = state
+    return web.json_response({}, status=202)
+
+
+@routes.register('POST /usage')
+@faulty('usage')
+async def report(platform: Platform, request: web.Request) -> web.Response:
+    """Accept one figure for each team and window."""
+    body = request.json()
+    names = ('window_end_s', 'requests', 'prompt_tokens', 'output_tokens')
+    if {'team', 'window_start_s', *names} - body.keys():
+        raise web.HttpError(400, 'missing_fields')
+    figure = [body[name] for name in names]
+    window = platform.usage.setdefault(
+        (body['team'], body['window_start_s']),
+        {'figure': figure, 'reports': 0, 'conflicts': 0, 'senders': []},
+    )
+    window['senders'].append(request.headers.get('x-sender', 'unknown'))
+    if window['figure'] != figure:
+        window['conflicts'] += 1
+        raise web.HttpError(409, 'figure_conflict')
+    window['reports'] += 1
+    return web.json_response({'accepted': True})
+
+
+@routes.register('GET /weights/{name:path}')
+async def weights(platform: Platform, request: web.Request) -> web.Response:
+    """Send weights at the rate that all readers share."""
+    platform.weight_counts[request.parameters['name']] += 1
+    return web.Response(_weight_pieces(platform), content_type=web.BYTES_TYPE)
+
+
+async def _weight_pieces(platform: Platform) -> AsyncGenerator[bytes, None]:
+    left = platform.weights_bytes
+    while left > 0:
+        size = min(left, _PIECE_BYTES)
+        await platform.weights_limiter.wait(size)
+        yield bytes(size)
+        left -= size
+
+
+@routes.register('POST /faults')
+async def switch_faults(
+    platform: Platform,
+    request: web.Request,
+) -> web.Response:
+    """Switch modes by area, and the delays."""
+    faults = request.json()
+    modes = {
+        area: mode
+        for area, mode in faults.items()
+        if area in platform.modes and mode in _MODES
+    }
+    delays = {
+        name: float(faults[name])
+        for name in ('vms_lag_s', 'slow_s')
+        if name in faults
+    }
+    if faults.keys() - modes.keys() - delays.keys():
+        raise web.HttpError(400, 'unknown_fault')
+    platform.modes |= modes
+    platform.vms_lag_s = delays.get('vms_lag_s', platform.vms_lag_s)
+    platform.slow_s = delays.get('slow_s', platform.slow_s)
+    return web.json_response(platform.modes)
+
+
+@routes.register('GET /observations')
+async def observe(platform: Platform, _: web.Request) -> web.Response:
+    """Report what arrived, for tests."""
+    usage = [
+        {'team': team, 'window_start_s': window_start_s, **window}
+        for (team, window_start_s), window in platform.usage.items()
+    ]
+    return web.json_response(
+        {
+            'appends': platform.log.appended,
+            'orders_by_sender': platform.order_counts,
+            'orders': list(platform.orders.values()),
+            'usage': usage,
+            'weights': platform.weight_counts,
+        },
+    )
+
+
+def main() -> None:
+    """Run the program."""
+    settings = load_settings('standins.platform', SETTINGS, sys.argv[1:], {})
+    app = web.App(routes, Platform(settings))
+    anyio.run(web.serve, app, settings['listen'])
+
+
+if __name__ == '__main__':
+    main()
