--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,433 @@
+"""Stand-in for a model engine."""
+
+import os
+import sys
+import time
+from collections import Counter
+from collections.abc import AsyncGenerator
+from contextlib import aclosing
+from functools import partial
+from typing import Any, Final, NamedTuple
+from uuid import uuid4
+
+import anyio
+import httpx
+
+from peridotrill.registry import Registry
+from peridotrill.settings import Setting, load_settings
+from standins import web
+from standins.batching import (
+    CANCELLED,
+    CUT,
+    ROLE_COSTS,
+    STOPPED,
+    Batcher,
+    Memory,
+    Sequence,
+)
+from standins.completions import (
+    BLOCK_TOKENS,
+    Completion,
+    Formatter,
+    answer_token,
+    digest_prompt,
+    parse_completion,
+)
+from standins.prefix_cache import CacheLimits, PrefixCache
+
+SETTINGS: Final = (
+    *web.COMMON_SETTINGS,
+    Setting('models', 'text', 'loaded models, comma-separated', 'summariser'),
+    Setting('role', 'text', 'mixed, prefill or decode', 'mixed'),
+    Setting('total_pieces', 'integer', 'KV memory in pieces', '32'),
+    Setting('piece_tokens', 'integer', 'tokens of a piece', '2000'),
+    Setting('max_running', 'integer', 'sequences run at a time', '32'),
+    Setting('max_waiting', 'integer', 'sequences that may wait', '256'),
+    Setting('cache_tokens', 'integer', 'memory of the prefix cache', '65536'),
+    Setting('cache_event_delay', 'duration', 'delay of events', '500ms'),
+    Setting('cache_event_drop_every', 'integer', '0 drops no events', '10'),
+    Setting('load_lag', 'duration', 'age of load reports', '200ms'),
+    Setting('role_change', 'duration', 'time out of service', '3s'),
+    Setting('load_time', 'duration', 'load without a platform', '1s'),
+    Setting('checks_fencing', 'switch', 'reject old numbers', 'on'),
+    Setting('platform_url', 'url', 'has the weight store', ''),
+)
+KV_BYTES_PER_TOKEN: Final = 16
+_KV_HEAD_BYTES: Final = 12
+_NUMBER_BYTES: Final = 8
+_EXIT_CRASH: Final = 1
+_KINDS: Final = frozenset(('role', 'load_model', 'load_adapter'))
+_FAULTS: Final = frozenset(('crash', 'crash_after_tokens', 'crash_in_order'))
+
+routes: web.Routes = Registry('route')
+
+
+class Order(NamedTuple):
+    """A change that the engine is told to make."""
+
+    order_id: str
+    fencing_number: int
+    kind: str
+    argument: str
+
+
+class Engine:
+    """State of one engine."""
+
+    def __init__(self, settings: dict[str, Any]) -> None:
+        """:param settings: values of SETTINGS."""
+        scale = settings['time_scale']
+        self.cache = PrefixCache(
+            CacheLimits(
+                settings['cache_tokens'] // BLOCK_TOKENS,
+                (settings['cache_event_delay'] * scale).total_seconds(),
+                settings['cache_event_drop_every'],
+            ),
+        )
+        memory = Memory(
+            settings['total_pieces'],
+            settings['piece_tokens'],
+            settings['max_running'],
+            settings['max_waiting'],
+        )
+        self.batcher = Batcher(memory, self.cache, scale)
+        self.batcher.role = settings['role']
+        self.ready = True
+        self.loaded: dict[str, list[str]] = {
+            'models': settings['models'].split(','),
+            'adapters': [],
+        }
+        self.attempts: dict[str, dict[str, Any]] = {}
+        self.orders = Orders(self, settings)
+        self.tokens_until_crash = -1
+        self._load_lag_s = (settings['load_lag'] * scale).total_seconds()
+        self._sampled = self.load()
+        self._reported = self._sampled
+
+    def load(self) -> dict[str, Any]:
+        """:return: the load of this moment."""
+        return {
+            'ready': self.ready,
+            **self.batcher.load(),
+            'role': self.batcher.role,
+            **{kind: list(names) for kind, names in self.loaded.items()},
+        }
+
+    def reported_load(self) -> dict[str, Any]:
+        """:return: the load of up to ``load_lag`` ago."""
+        return self._reported if self._load_lag_s else self.load()
+
+    async def report_load(self) -> None:
+        """Take load reports; one becomes visible when the next is taken."""
+        while self._load_lag_s:
+            self._reported, self._sampled = self._sampled, self.load()
+            await anyio.sleep(self._load_lag_s / 2)
+
+    def end(self, sequence: Sequence) -> None:
+        """Free a sequence that nobody reads any more."""
+        self.batcher.remove(sequence, CANCELLED)
+        self.attempts[sequence.attempt_id] |= {
+            'end': sequence.end,
+            'output_tokens': sequence.output_tokens,
+        }
+
+    def count_token(self) -> None:
+        """Crash if the switch is set and its tokens are used up."""
+        self.tokens_until_crash -= 1
+        if self.tokens_until_crash == 0:
+            crash()
+
+
+class Orders:
+    """Carries out orders, one at a time."""
+
+    def __init__(self, engine: Engine, settings: dict[str, Any]) -> None:
+        """:param settings: values of SETTINGS."""
+        self.fencing_number = 0
+        self.received: list[dict[str, Any]] = []
+        self.crashes = False
+        self._engine = engine
+        scale = settings['time_scale']
+        self._role_change_s = (settings['role_change'] * scale).total_seconds()
+        self._load_s = (settings['load_time'] * scale).total_seconds()
+        self._checks_fencing: bool = settings['checks_fencing']
+        self._platform_url: str = settings['platform_url']
+        self._known: set[str] = set()
+        send, receive = anyio.create_memory_object_stream[Order](1000)
+        self._send, self._receive = send, receive
+
+    def submit(self, order: Order) -> None:
+        """Accept an order; raises HttpError for an old fencing number."""
+        is_old = order.fencing_number < self.fencing_number
+        accepted = not (is_old and self._checks_fencing)
+        self.received.append({**order._asdict(), 'accepted': accepted})
+        if not accepted:
+            raise web.HttpError(
+                409, 'old_fencing_number', fencing_number=self.fencing_number
+            )
+        self.fencing_number = max(self.fencing_number, order.fencing_number)
+        if order.order_id not in self._known:
+            self._known.add(order.order_id)
+            self._send.send_nowait(order)
+
+    async def run(self) -> None:
+        """Carry out orders in the order of their arrival."""
+        async for order in self._receive:
+            if self.crashes:
+                crash()
+            if order.kind == 'role':
+                await self._change_role(order.argument)
+            else:
+                await self._load(order)
+
+    async def _change_role(self, role: str) -> None:
+        self._engine.ready = False
+        self._engine.batcher.cut_all()
+        await anyio.sleep(self._role_change_s)
+        self._engine.batcher.role = role
+        self._engine.ready = True
+
+    async def _load(self, order: Order) -> None:
+        names = self._engine.loaded[f'{order.kind.removeprefix("load_")}s']
+        if order.argument in names:
+            return
+        if self._platform_url:
+            loaded = await self._fetch(order.argument)
+        else:
+            await anyio.sleep(self._load_s)
+            loaded = True
+        if loaded:
+            names.append(order.argument)
+
+    async def _fetch(self, name: str) -> bool:
+        url = f'{self._platform_url}/weights/{name}'
+        try:
+            async with (
+                httpx.AsyncClient(timeout=None) as client,  # noqa: S113
+                client.stream('GET', url) as answer,
+            ):
+                sizes = [len(piece) async for piece in answer.aiter_raw()]
+                return answer.is_success and sum(sizes) > 0
+        except httpx.HTTPError as error:
+            sys.stderr.write(f'{name} was not loaded: {error!r}\n')
+        return False
+
+
+def crash() -> None:
+    """End the process at once, as a fault."""
+    os._exit(_EXIT_CRASH)
+
+
+@routes.register('POST /v1/chat/completions')
+async def chat(engine: Engine, request: web.Request) -> web.Response:
+    """Answer a chat call."""
+    call = parse_completion(request.json(), is_chat=True)
+    return await _complete(engine, request, call)
+
+
+@routes.register('POST /v1/completions')
+async def complete(engine: Engine, request: web.Request) -> web.Response:
+    """Answer a completion call."""
+    call = parse_completion(request.json(), is_chat=False)
+    return await _complete(engine, request, call)
+
+
+async def _complete(
+    engine: Engine,
+    request: web.Request,
+    call: Completion,
+) -> web.Response:
+    headers = request.headers
+    attempt_id = headers.get('x-attempt-id') or uuid4().hex
+    attempt = engine.attempts.setdefault(
+        attempt_id, {'received': 0, 'run': 0, 'end': ''}
+    )
+    attempt['received'] += 1
+    sequence = Sequence(
+        attempt_id,
+        call,
+        web.parse_number('priority', headers.get('x-priority', 0)),
+        web.parse_number('resume', headers.get('x-resume-tokens', 0)),
+    )
+    _refuse(engine, call, sequence)
+    attempt['run'] += 1
+    engine.batcher.submit(sequence)
+    formatter = Formatter(call, attempt_id, int(time.time()))
+    texts = _run(engine, call, sequence)
+    if call.is_streaming:
+        return web.Response(
+            _stream(texts, call, sequence, formatter),
+            content_type='text/event-stream',
+        )
+    text = ''.join([token async for token in texts])
+    if sequence.end != STOPPED:
+        raise web.HttpError(409, sequence.end)
+    return web.Response(formatter.answer(text, sequence.output_tokens))
+
+
+def _refuse(engine: Engine, call: Completion, sequence: Sequence) -> None:
+    names = engine.loaded['models'] + engine.loaded['adapters']
+    batcher = engine.batcher
+    checks = (
+        (call.model in names, 404, 'model_not_found'),
+        (engine.ready, 503, 'not_ready'),
+        (batcher.can_hold(sequence), 400, 'context_length_exceeded'),
+        (not batcher.is_full, 503, 'overloaded'),
+    )
+    for passed, status, code in checks:
+        if not passed:
+            raise web.HttpError(status, code)
+
+
+async def _run(
+    engine: Engine,
+    call: Completion,
+    sequence: Sequence,
+) -> AsyncGenerator[str, None]:
+    digest = digest_prompt(call.prompt)
+    try:
+        async for position in sequence.positions:
+            yield answer_token(digest, position)
+            engine.count_token()
+    finally:
+        # Reached early if the caller disconnects.
+        engine.end(sequence)
+    if sequence.end == CUT:
+        raise web.ConnectionDropped
+
+
+async def _stream(
+    texts: AsyncGenerator[str, None],
+    call: Completion,
+    sequence: Sequence,
+    formatter: Formatter,
+) -> AsyncGenerator[bytes, None]:
+    if call.is_chat and not sequence.first_position:
+        yield formatter.role_event()
+    async with aclosing(texts):
+        async for text in texts:
+            yield formatter.token_event(text)
+    yield formatter.end_events(sequence.end, sequence.output_tokens)
+
+
+@routes.register('GET /v1/models')
+async def list_models(engine: Engine, _: web.Request) -> web.Response:
+    """List loaded models and adapters."""
+    names = engine.loaded['models'] + engine.loaded['adapters']
+    models = [{'id': name, 'object': 'model'} for name in names]
+    return web.json_response({'object': 'list', 'data': models})
+
+
+@routes.register('POST /attempts/{attempt_id}/cancel')
+async def cancel(engine: Engine, request: web.Request) -> web.Response:
+    """Cancel an attempt; the answer tells what it produced."""
+    cancelled = engine.batcher.cancel(request.parameters['attempt_id'])
+    prompt_tokens = sum(sequence.prompt_tokens for sequence in cancelled)
+    output_tokens = sum(sequence.output_tokens for sequence in cancelled)
+    return web.json_response(
+        {
+            'cancelled': bool(cancelled),
+            'prompt_tokens': prompt_tokens,
+            'output_tokens': output_tokens,
+        },
+    )
+
+
+@routes.register('GET /load')
+async def load(engine: Engine, _: web.Request) -> web.Response:
+    """Report the load, with a lag."""
+    return web.json_response(engine.reported_load())
+
+
+@routes.register('GET /cache-events')
+async def cache_events(engine: Engine, request: web.Request) -> web.Response:
+    """Report cache events, late and with gaps."""
+    return web.json_response(engine.cache.events(request.integer('from', 1)))
+
+
+@routes.register('POST /orders')
+async def take_order(engine: Engine, request: web.Request) -> web.Response:
+    """Accept an order, carried out later."""
+    body = request.json()
+    kind, argument = body.get('kind'), str(body.get('argument', ''))
+    is_known = argument in ROLE_COSTS if kind == 'role' else bool(argument)
+    if kind not in _KINDS or not is_known or not body.get('order_id'):
+        raise web.HttpError(400, 'invalid_order')
+    number = web.parse_number('fencing_number', body.get('fencing_number'))
+    engine.orders.submit(Order(str(body['order_id']), number, kind, argument))
+    return web.json_response({}, status=202)
+
+
+@routes.register('POST /kv/export')
+async def export_kv(engine: Engine, request: web.Request) -> web.Response:
+    """Send the KV cache of a prefix."""
+    prefix = web.parse_number('prefix', request.json().get('prefix'))
+    tokens = engine.cache.get(prefix)
+    if tokens is None:
+        raise web.HttpError(404, 'not_cached')
+    head = prefix.to_bytes(_NUMBER_BYTES, 'big')
+    head += tokens.to_bytes(_KV_HEAD_BYTES - _NUMBER_BYTES, 'big')
+    body = head + bytes(tokens * KV_BYTES_PER_TOKEN)
+    return web.Response(body, content_type=web.BYTES_TYPE)
+
+
+@routes.register('POST /kv/import')
+async def import_kv(engine: Engine, request: web.Request) -> web.Response:
+    """Store the KV cache of a prefix, unless it is cut short."""
+    body = request.body
+    prefix = int.from_bytes(body[:_NUMBER_BYTES], 'big')
+    tokens = int.from_bytes(body[_NUMBER_BYTES:_KV_HEAD_BYTES], 'big')
+    if len(body) != _KV_HEAD_BYTES + tokens * KV_BYTES_PER_TOKEN:
+        raise web.HttpError(400, 'invalid_kv')
+    engine.cache.store_prefix(prefix, tokens)
+    return web.json_response({'prefix': prefix, 'tokens': tokens})
+
+
+@routes.register('POST /faults')
+async def switch_faults(engine: Engine, request: web.Request) -> web.Response:
+    """Crash at once, after some tokens, or during the next order."""
+    faults = request.json()
+    if faults.keys() - _FAULTS:
+        raise web.HttpError(400, 'unknown_fault')
+    if faults.get('crash'):
+        crash()
+    engine.tokens_until_crash = faults.get('crash_after_tokens', -1)
+    engine.orders.crashes = bool(faults.get('crash_in_order'))
+    return web.json_response({})
+
+
+@routes.register('GET /observations')
+async def observe(engine: Engine, _: web.Request) -> web.Response:
+    """Report attempts and orders, for tests."""
+    numbers = Counter(
+        str(order['fencing_number']) for order in engine.orders.received
+    )
+    return web.json_response(
+        {
+            'attempts': engine.attempts,
+            'orders': engine.orders.received,
+            'orders_by_fencing_number': numbers,
+            'load': engine.load(),
+        },
+    )
+
+
+async def run(settings: dict[str, Any]) -> None:
+    """Serve until a signal arrives."""
+    engine = Engine(settings)
+    app = web.App(routes, engine, cancels_on_disconnect=True)
+    await web.serve(
+        app,
+        settings['listen'],
+        (engine.batcher.run, engine.orders.run, engine.report_load),
+    )
+
+
+def main() -> None:
+    """Run the program."""
+    settings = load_settings('standins.engine', SETTINGS, sys.argv[1:], {})
+    anyio.run(partial(run, settings))
+
+
+if __name__ == '__main__':
+    main()
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -111,7 +111,7 @@
     service.received[request.headers.get('x-attempt-id', '')] += 1
     await service.run()
     query = dict(request.query)
-    size = web.to_integer('answer_bytes', query.pop('answer_bytes', 0))
+    size = web.parse_number('answer_bytes', query.pop('answer_bytes', 0))
     answer: dict[str, Any] = {
         'path': request.path,
         'answer': digest_lookup(request.path, query),
--- a/standins/web.py
+++ b/standins/web.py
@@ -81,10 +81,10 @@
 
     def integer(self, name: str, default: int) -> int:
         """Return a query parameter; raises HttpError if not a number."""
-        return to_integer(name, self.query.get(name, default))
+        return parse_number(name, self.query.get(name, default))
 
 
-def to_integer(name: str, given: Any) -> int:
+def parse_number(name: str, given: Any) -> int:
     """Return a whole number, zero or more; raises HttpError."""
     if not str(given).isdecimal():
         raise HttpError(400, f'invalid_{name}')
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -3,11 +3,19 @@
 import subprocess
 import sys
 import time
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack, contextmanager
 
 import httpx
 import pytest
 
+from peridotrill.codec import decode_json
+from standins.completions import (
+    DEFAULT_OUTPUT_TOKENS,
+    answer_text,
+    prefix_numbers,
+)
+
 
 @contextmanager
 def run_program(module, *flags):
@@ -35,6 +43,13 @@
         )
 
 
+def wait_for(condition, timeout_s=5):
+    end_s = time.monotonic() + timeout_s
+    while not condition():
+        assert time.monotonic() < end_s
+        time.sleep(0.005)
+
+
 def read_log(client, from_offset, wait_ms=0):
     return client.get(
         '/log/read', params={'from': from_offset, 'wait_ms': wait_ms}
@@ -114,3 +129,118 @@
     assert service.post('/receipts', headers=headers).status_code == 201
     executions = service.get('/observations').json()['executions']
     assert executions == {'attempt-1': 2}
+
+
+def stream_tokens(client, prompt, max_tokens, attempt_id='a', resume=0):
+    body = {'model': 'summariser', 'prompt': prompt, 'stream': True}
+    headers = {'X-Attempt-Id': attempt_id, 'X-Resume-Tokens': str(resume)}
+    with client.stream(
+        'POST',
+        '/v1/completions',
+        json={**body, 'max_tokens': max_tokens},
+        headers=headers,
+    ) as answer:
+        lines = [line for line in answer.iter_lines() if line]
+    assert lines.pop() == 'data: [DONE]'
+    events = [decode_json(line.removeprefix('data: ')) for line in lines]
+    return [event['choices'][0]['text'] for event in events[:-1]]
+
+
+def test_engine_streams_the_answer_of_its_prompt(start):
+    # Guards against tokens that belong to another caller's prompt.
+    engine = start('engine')
+    prompts = [f'prompt {number}' for number in range(8)]
+    with ThreadPoolExecutor() as pool:
+        answers = pool.map(
+            lambda prompt: stream_tokens(engine, prompt, 20), prompts
+        )
+        texts = [''.join(tokens) for tokens in answers]
+    assert texts == [answer_text(prompt, 20) for prompt in prompts]
+    chat = {
+        'model': 'summariser',
+        'messages': [{'role': 'user', 'content': 'hello'}],
+    }
+    answer = engine.post('/v1/chat/completions', json=chat).json()
+    text = answer['choices'][0]['message']['content']
+    assert text == answer_text('user\nhello\n', DEFAULT_OUTPUT_TOKENS)
+
+
+def test_resumed_stream_repeats_and_skips_nothing(start):
+    # Guards against a resume position that is off by some tokens.
+    engine = start('engine')
+    whole = stream_tokens(engine, 'p', 12)
+    for position in (1, 7, 12):
+        resumed = stream_tokens(engine, 'p', 12, resume=position)
+        assert whole[:position] + resumed == whole
+
+
+def test_full_kv_memory_makes_requests_wait(start):
+    # Guards against a batch that holds more tokens than the KV memory, and
+    # against memory that a cancelled attempt keeps.
+    engine = start('engine', '--total-pieces', '1', '--load-lag', '0s')
+    with ThreadPoolExecutor() as pool:
+        first = pool.submit(stream_tokens, engine, 'p', 1500, 'first')
+        wait_for(lambda: engine.get('/load').json()['free_pieces'] == 0)
+        second = pool.submit(stream_tokens, engine, 'p', 3, 'second')
+        wait_for(lambda: engine.get('/load').json()['waiting_requests'] == 1)
+        assert engine.get('/load').json()['running_requests'] == 1
+        assert engine.post('/attempts/first/cancel').json()['cancelled']
+        assert len(second.result(timeout=5)) == 3
+        assert len(first.result(timeout=5)) < 1500
+    assert engine.get('/load').json()['free_pieces'] == 1
+
+
+@pytest.mark.parametrize(('checks', 'status'), [('on', 409), ('off', 202)])
+def test_old_fencing_numbers_are_checked_or_ignored(start, checks, status):
+    # Guards against tests of fencing that pass because of the engine.
+    engine = start('engine', '--checks-fencing', checks, '--load-lag', '0s')
+    order = {'kind': 'load_adapter', 'argument': 'x'}
+    statuses = [
+        engine.post(
+            '/orders', json={**order, 'order_id': str(n), 'fencing_number': n}
+        ).status_code
+        for n in (7, 6)
+    ]
+    assert statuses == [202, status]
+
+
+def test_engine_loads_weights_at_the_rate_of_the_store(start):
+    # Guards against load times that do not depend on the weight store, and
+    # against a role change during which the engine takes requests.
+    platform = start(
+        'platform', '--weights-bytes', '300000', '--weights-bytes-per-s', '1e6'
+    )
+    url = str(platform.base_url)
+    flags = ('--load-lag', '0s', '--role-change', '200ms')
+    engine = start('engine', '--platform-url', url, *flags)
+    started_s = time.monotonic()
+    order = {'fencing_number': 1, 'kind': 'load_model', 'argument': 'm/2'}
+    engine.post('/orders', json={**order, 'order_id': 'a'})
+    wait_for(lambda: 'm/2' in engine.get('/load').json()['models'])
+    assert time.monotonic() - started_s >= 0.29
+    order |= {'order_id': 'b', 'kind': 'role', 'argument': 'decode'}
+    engine.post('/orders', json=order)
+    wait_for(lambda: not engine.get('/load').json()['ready'])
+    call = {'model': 'm/2', 'prompt': 'p'}
+    assert engine.post('/v1/completions', json=call).status_code == 503
+    wait_for(lambda: engine.get('/load').json()['role'] == 'decode')
+    assert engine.post('/v1/completions', json=call).status_code == 200
+
+
+def test_exported_kv_saves_prefill_at_the_importer(start):
+    # Guards against imports that have no effect, and against cache events
+    # that are never sent or never dropped.
+    flags = ('--cache-event-delay', '0s', '--cache-event-drop-every', '4')
+    sender, receiver = start('engine', *flags), start('engine', *flags)
+    prompt = 'x' * 40 * 1024
+    prefix = prefix_numbers(prompt)[-1]
+    stream_tokens(sender, prompt, 1)
+    events = sender.get('/cache-events').json()['events']
+    assert prefix in {event['prefix'] for event in events}
+    assert len(events) == 30
+    exported = sender.post('/kv/export', json={'prefix': prefix}).content
+    assert receiver.post('/kv/import', content=exported[:-1]).is_error
+    assert receiver.post('/kv/import', content=exported).is_success
+    started_s = time.monotonic()
+    stream_tokens(receiver, prompt, 1)
+    assert time.monotonic() - started_s < 0.4
