--- /dev/null
+++ b/peridotrill/link_listener.py
@@ -0,0 +1,297 @@
+"""The agent's end of its links: one socket for all entries."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any, Final, NamedTuple, Self, final
+
+import anyio
+import pynng
+from anyio.streams.memory import MemoryObjectReceiveStream
+
+from peridotrill import messages
+from peridotrill.channel import (
+    HEARTBEAT_INTERVAL,
+    MAX_EVENTS,
+    Channel,
+    LogPosition,
+    describe_failure,
+    open_socket,
+)
+from peridotrill.clock import Clock
+from peridotrill.exceptions import LinkClosed, LinkError, MessageError
+from peridotrill.settings import Address
+from peridotrill.timeline import Recorder
+
+# A polyamorous socket holds two messages per connection and silently drops
+# the next; with less spacing a burst would lose batches.
+BATCH_SPACING: Final = timedelta(milliseconds=1)
+# Messages read in a row before other tasks run.
+MAX_READ: Final = 64
+
+
+class PeerUp(NamedTuple):
+    """An entry has connected and was welcomed."""
+
+    peer_id: int
+    hello: messages.Hello
+
+
+class PeerDown(NamedTuple):
+    """The connection of a peer has ended."""
+
+    peer_id: int
+    reason: str
+
+
+class PeerMessage(NamedTuple):
+    """A message of a connected peer."""
+
+    peer_id: int
+    message: Any
+
+
+@final
+class LinkListener:
+    """Accepts the connections of entries."""
+
+    def __init__(
+        self,
+        address: Address,
+        welcome: Callable[[], messages.Welcome],
+        clock: Clock,
+        recorder: Recorder,
+    ) -> None:
+        """:param welcome: called for each Hello."""
+        sending, receiving = anyio.create_memory_object_stream[Any](MAX_EVENTS)
+        self.events: MemoryObjectReceiveStream[Any] = receiving
+        self._sending = sending
+        self._address = address
+        self._welcome = welcome
+        self._clock = clock
+        self._recorder = recorder
+        self._peers: dict[int, _Peer] = {}
+        self._position = (0, float('-inf'))
+
+    @classmethod
+    def from_config(
+        cls,
+        address: Address,
+        welcome: Callable[[], messages.Welcome],
+        clock: Clock,
+        recorder: Recorder,
+    ) -> Self:
+        """Create a listener that does not listen yet.
+
+        :param address: where entries connect to.
+        """
+        return cls(address, welcome, clock, recorder)
+
+    @property
+    def peer_ids(self) -> list[int]:
+        """Connections that were welcomed and have not ended."""
+        return [key for key, peer in self._peers.items() if peer.is_usable]
+
+    def send(self, peer_id: int, message: Any) -> None:
+        """Send to a peer on its connection.
+
+        :param peer_id: from PeerUp; one value per connection.
+        :param message: raises LinkClosed if that connection has ended.
+        """
+        peer = self._peers.get(peer_id)
+        if peer is None or not peer.is_usable:
+            raise LinkClosed('no such connection')
+        peer.channel.send(message)
+
+    def log_position(self) -> LogPosition:
+        """Return the newest log position that any entry has reported."""
+        offset, read_s = self._position
+        return LogPosition(offset, self._clock.monotonic_s() - read_s)
+
+    async def run(self) -> None:
+        """Listen until cancelled; raises LinkError if it cannot."""
+        socket = open_socket(polyamorous=True)
+        loop = asyncio.get_running_loop()
+        # The callbacks run in threads of nng, hold a lock that reading needs,
+        # and must therefore not wait for the event loop.
+        socket.add_post_pipe_connect_cb(
+            lambda pipe: loop.call_soon_threadsafe(self._add_peer, pipe),
+        )
+        socket.add_post_pipe_remove_cb(
+            lambda pipe: loop.call_soon_threadsafe(self._on_removed, pipe.id),
+        )
+        try:
+            socket.listen(f'tcp://{self._address}')
+        except pynng.NNGException as error:
+            socket.close()
+            raise LinkError(f'cannot listen: {error}') from error
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._watch_peers)
+                await self._read(socket)
+        finally:
+            socket.close()
+            self._peers.clear()
+
+    async def _read(self, socket: pynng.Socket) -> None:
+        while True:
+            await anyio.wait_readable(socket.recv_fd)
+            for pipe, payload in _read_socket(socket):
+                await self._receive(pipe, payload)
+            await anyio.lowlevel.checkpoint()
+
+    async def _receive(self, pipe: pynng.Pipe, payload: bytes) -> None:
+        peer = self._add_peer(pipe)
+        if peer.channel.close_reason:
+            return
+        try:
+            received = peer.channel.receive(payload)
+        except (LinkError, MessageError) as error:
+            peer.channel.close(describe_failure(error))
+            await self._retire(peer)
+            return
+        for entry in received:
+            await self._deliver(peer, entry)
+
+    async def _deliver(self, peer: '_Peer', entry: Any) -> None:
+        if peer.channel.close_reason:
+            return
+        if peer.hello is None:
+            await self._accept(peer, entry)
+            return
+        if isinstance(entry, messages.Heartbeat):
+            self._observe_log(entry.log_offset, entry.log_age_s)
+            return
+        await self._sending.send(PeerMessage(peer.peer_id, entry))
+
+    async def _accept(self, peer: '_Peer', entry: Any) -> None:
+        if not isinstance(entry, messages.Hello):
+            peer.channel.close('unexpected message before Hello')
+            await self._retire(peer)
+            return
+        if entry.protocol_version != messages.PROTOCOL_VERSION:
+            peer.channel.close('protocol version')
+            await self._retire(peer)
+            return
+        for older in list(self._peers.values()):
+            if older.is_of(entry):
+                older.channel.close('replaced by a newer connection')
+                await self._retire(older)
+        peer.hello = entry
+        peer.channel.send(self._welcome())
+        self._recorder.emit(
+            'peer_up',
+            peer=peer.peer_id,
+            entry=entry.entry_id,
+            incarnation=entry.incarnation,
+        )
+        await self._sending.send(PeerUp(peer.peer_id, entry))
+
+    def _add_peer(self, pipe: pynng.Pipe) -> '_Peer':
+        known = self._peers.get(pipe.id)
+        if known is not None:
+            return known
+        peer = _Peer(pipe, self._clock, self._recorder)
+        self._peers[peer.peer_id] = peer
+        return peer
+
+    def _on_removed(self, peer_id: int) -> None:
+        peer = self._peers.get(peer_id)
+        if peer is not None:
+            peer.channel.close('closed')
+
+    async def _watch_peers(self) -> None:
+        while True:
+            await anyio.sleep(HEARTBEAT_INTERVAL.total_seconds())
+            position = self.log_position()
+            for peer in list(self._peers.values()):
+                await self._watch_peer(peer, position)
+
+    async def _watch_peer(self, peer: '_Peer', position: LogPosition) -> None:
+        is_silent = peer.channel.is_silent()
+        if peer.retired:
+            # Kept until now because messages may arrive after the closing.
+            if is_silent:
+                self._peers.pop(peer.peer_id, None)
+            return
+        if is_silent:
+            peer.channel.close('silent')
+        if peer.hello is not None:
+            peer.channel.heartbeat(position)
+        if peer.channel.close_reason:
+            await self._retire(peer)
+
+    async def _retire(self, peer: '_Peer') -> None:
+        if peer.retired:
+            return
+        peer.retire()
+        self._recorder.emit(
+            'peer_down',
+            peer=peer.peer_id,
+            entry=peer.hello.entry_id if peer.hello else None,
+            reason=peer.channel.close_reason,
+        )
+        if peer.hello is not None:
+            await self._sending.send(
+                PeerDown(peer.peer_id, peer.channel.close_reason),
+            )
+
+    def _observe_log(self, offset: int, age_s: float) -> None:
+        read_s = self._clock.monotonic_s() - age_s
+        known_offset, known_s = self._position
+        self._position = (max(known_offset, offset), max(known_s, read_s))
+
+
+@final
+class _Peer:
+    """One connection of an entry."""
+
+    def __init__(
+        self,
+        pipe: pynng.Pipe,
+        clock: Clock,
+        recorder: Recorder,
+    ) -> None:
+        self.peer_id: int = pipe.id
+        self.hello: messages.Hello | None = None
+        self.retired = False
+        self._pipe = pipe
+        self.channel = Channel(self._transmit, clock, recorder, BATCH_SPACING)
+
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether a message can be sent."""
+        return self.hello is not None and not self.channel.close_reason
+
+    def is_of(self, hello: messages.Hello) -> bool:
+        """Tell whether this is a connection of the same entry process."""
+        own = self.hello
+        return (
+            own is not None
+            and own.entry_id == hello.entry_id
+            and own.incarnation == hello.incarnation
+        )
+
+    def retire(self) -> None:
+        """Close the connection; the transport may have closed it already."""
+        self.retired = True
+        try:
+            self._pipe.close()
+        except pynng.NNGException:
+            return
+
+    def _transmit(self, payload: bytes) -> None:
+        outgoing = pynng.Message(payload, self._pipe)
+        self._pipe.socket.send_msg(outgoing, block=False)
+
+
+def _read_socket(socket: pynng.Socket) -> list[tuple[pynng.Pipe, bytes]]:
+    received: list[tuple[pynng.Pipe, bytes]] = []
+    while len(received) < MAX_READ:
+        try:
+            incoming = socket.recv_msg(block=False)
+        except pynng.NNGException:
+            break
+        if incoming.pipe is not None:
+            received.append((incoming.pipe, incoming.bytes))
+    return received
