Add a cluster of real processes and an observer for tests

The cluster starts platform, targets, agents and entries behind proxies; the observer compares what callers saw with what the stand-ins recorded.

--- /dev/null
+++ b/standins/topology.py
@@ -0,0 +1,137 @@
+"""The reference deployments of the design and the commands of their parts."""
+
+import sys
+from pathlib import Path
+from typing import Final, NamedTuple
+
+_BIN: Final = Path(sys.executable).parent
+
+
+class Group(NamedTuple):
+    """The targets of one service."""
+
+    service: str
+    kind: str
+    target_count: int
+    model: str = ''
+
+
+class Deployment(NamedTuple):
+    """Size of a reference deployment, see section 1.1 of the design."""
+
+    name: str
+    groups: tuple[Group, ...]
+    zones: tuple[str, ...]
+    entry_count: int
+
+
+class Target(NamedTuple):
+    """One target with the agent beside it."""
+
+    target_id: str
+    service: str
+    kind: str
+    zone: str
+    model: str = ''
+
+
+DEPLOYMENTS: Final = {
+    'ledger': Deployment(
+        name='ledger',
+        groups=(
+            Group('summariser', 'engine', 5, 'season-summariser'),
+            Group('receipts', 'plain', 4),
+        ),
+        zones=('nz-1', 'nz-2', 'nz-3', 'nz-4'),
+        entry_count=3,
+    ),
+    'saltbush': Deployment(
+        name='saltbush',
+        groups=(
+            Group('assistant', 'engine', 6, 'counter-assistant'),
+            Group('till', 'plain', 4),
+        ),
+        zones=('perth-1', 'perth-2', 'perth-3', 'perth-4'),
+        entry_count=3,
+    ),
+}
+
+
+def list_targets(deployment: Deployment) -> list[Target]:
+    """Return the targets of a deployment, spread over its zones."""
+    return [
+        Target(
+            f'{group.service}-{number}',
+            group.service,
+            group.kind,
+            deployment.zones[(number - 1) % len(deployment.zones)],
+            group.model,
+        )
+        for group in deployment.groups
+        for number in range(1, group.target_count + 1)
+    ]
+
+
+def build_command(program: str, **settings: object) -> list[str]:
+    """Return the command line of a program.
+
+    :param program: ``standins.…`` for a stand-in, else a program of the
+        package.
+    :param settings: flags in snake case.
+    """
+    start = [str(_BIN / program)]
+    if program.startswith('standins.'):
+        start = [sys.executable, '-m', program]
+    flags = [
+        '--{0}={1}'.format(name.replace('_', '-'), setting)
+        for name, setting in settings.items()
+    ]
+    return start + flags
+
+
+def target_command(target: Target, **settings: object) -> list[str]:
+    """Return the command line of a target."""
+    if target.kind == 'engine':
+        settings['models'] = target.model
+        return build_command('standins.engine', **settings)
+    return build_command('standins.plain_service', **settings)
+
+
+def agent_command(target: Target, **settings: object) -> list[str]:
+    """Return the command line of the agent beside a target."""
+    return build_command(
+        'peridotrill-agent',
+        target_id=target.target_id,
+        service=target.service,
+        kind=target.kind,
+        zone=target.zone,
+        **settings,
+    )
+
+
+def target_vm(target: Target, agent_address: str) -> dict[str, str]:
+    """Return the row of the VM list for a target and its agent."""
+    return {
+        'vm_id': f'vm-{target.target_id}',
+        'kind': 'target',
+        'state': 'live',
+        'zone': target.zone,
+        'service': target.service,
+        'target_id': target.target_id,
+        'target_kind': target.kind,
+        'address': agent_address,
+    }
+
+
+def entry_vm(entry_id: str, zone: str, address: str) -> dict[str, str]:
+    """Return the row of the VM list for an entry."""
+    return {
+        'vm_id': entry_id,
+        'kind': 'entry',
+        'state': 'live',
+        'zone': zone,
+        'service': '',
+        'target_id': '',
+        'target_kind': '',
+        'address': address,
+    }
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,245 @@
+"""A whole deployment of real processes behind fault-injecting proxies."""
+
+import uuid
+from contextlib import contextmanager
+
+import httpx
+
+from peridotrill.keys import create_key, digest_key
+from peridotrill.records import encode_record
+from standins import topology
+from tests.observer import Observer
+from tests.processes import free_port, run_processes, wait_for
+from tests.proxy import run_proxies
+
+MODEL = 'test-model'
+TEAMS = """
+teams:
+  alpha: {rate_per_s: 1000, burst: 1000, weight: 1}
+  beta: {rate_per_s: 1000, burst: 1000, weight: 1}
+targets: {min_per_zone: 0, max_total: 8}
+"""
+SERVICES = {
+    'assistant': f"""
+name: assistant
+kind: model
+model: {MODEL}
+deadline: 60s
+{TEAMS}""",
+    'till': f"""
+name: till
+kind: plain
+deadline: 10s
+idempotency_retention: 60s
+routes:
+  - {{path: /charges, methods: [POST], idempotent: false}}
+  - {{path: /stock/, methods: [GET], idempotent: true}}
+  - {{path: /health, methods: [GET], idempotent: true, open: true}}
+{TEAMS}""",
+}
+ZONES = ('zone-1', 'zone-2')
+
+
+def loopback():
+    return f'127.0.0.1:{free_port()}'
+
+
+def split(address):
+    host, port = address.removeprefix('http://').split(':')
+    return host, int(port)
+
+
+def join(address):
+    return '{0}:{1}'.format(*address)
+
+
+class Cluster:
+    """Platform, targets with agents, and entries; each by its id.
+
+    ``link_proxies[entry_id, target_id]`` stands between an entry and an
+    agent, ``target_proxies[target_id]`` between an agent and its target,
+    and ``log_proxies[entry_id]`` between an entry and the platform.
+    """
+
+    def __init__(self, processes, proxies, client):
+        self.processes = processes
+        self.proxies = proxies
+        self.client = client
+        self.targets = {}
+        self.target_urls = {}
+        self.agents = {}
+        self.agent_addresses = {}
+        self.entries = {}
+        self.entry_urls = {}
+        self.control_urls = {}
+        self.link_proxies = {}
+        self.target_proxies = {}
+        self.log_proxies = {}
+        self.entry_settings = {}
+        self._platform_url = ''
+
+    def start_platform(self, **settings):
+        command = topology.build_command('standins.platform', **settings)
+        process = self.processes.start('platform', command)
+        self._platform_url = f'http://{process.wait_address()}'
+
+    def start_targets(self, targets):
+        started = {
+            target.target_id: self.processes.start(
+                target.target_id, topology.target_command(target)
+            )
+            for target in targets
+        }
+        for target in targets:
+            target_id = target.target_id
+            address = started[target_id].wait_address()
+            self.targets[target_id] = target
+            self.target_urls[target_id] = f'http://{address}'
+            self.target_proxies[target_id] = self.proxies.start(split(address))
+            self.agent_addresses[target_id] = loopback()
+            self.start_agent(target_id)
+            self.put_vm(
+                topology.target_vm(target, self.agent_addresses[target_id])
+            )
+
+    def start_agent(self, target_id):
+        target_address = self.target_proxies[target_id].address
+        command = topology.agent_command(
+            self.targets[target_id],
+            listen=self.agent_addresses[target_id],
+            control_listen=loopback(),
+            target_url=f'http://{join(target_address)}',
+        )
+        self.agents[target_id] = self.processes.start(
+            f'agent-{target_id}', command
+        )
+
+    def start_entry(self, entry_id, zone=ZONES[0]):
+        """Start an entry, or start it again at the same addresses."""
+        if entry_id not in self.entry_urls:
+            self._place_entry(entry_id, zone)
+        overrides = ','.join(
+            f'{target_id}={join(self.link_proxies[entry_id, target_id].address)}'
+            for target_id in self.targets
+        )
+        command = topology.build_command(
+            'peridotrill-entry',
+            entry_id=entry_id,
+            zone=zone,
+            listen=join(split(self.entry_urls[entry_id])),
+            control_listen=join(split(self.control_urls[entry_id])),
+            platform_url=f'http://{join(self.log_proxies[entry_id].address)}',
+            address_overrides=overrides,
+            **self.entry_settings,
+        )
+        self.entries[entry_id] = self.processes.start(entry_id, command)
+
+    def _place_entry(self, entry_id, zone):
+        self.entry_urls[entry_id] = f'http://{loopback()}'
+        self.control_urls[entry_id] = f'http://{loopback()}'
+        platform = split(self._platform_url)
+        self.log_proxies[entry_id] = self.proxies.start(platform)
+        for target_id, address in self.agent_addresses.items():
+            proxy = self.proxies.start(split(address))
+            self.link_proxies[entry_id, target_id] = proxy
+        address = join(split(self.entry_urls[entry_id]))
+        self.put_vm(topology.entry_vm(entry_id, zone, address))
+
+    def wait_ready(self, timeout_s=30.0):
+        for entry_id in self.entries:
+            wait_for(
+                lambda entry=entry_id: self.is_ready(entry),
+                timeout_s,
+                f'{entry_id} ready',
+            )
+
+    def is_ready(self, entry_id):
+        self.entries[entry_id].check_running()
+        try:
+            url = f'{self.control_urls[entry_id]}/readyz'
+            return self.client.get(url).is_success
+        except httpx.TransportError:
+            return False
+
+    def append(self, record):
+        self.client.post(
+            f'{self._platform_url}/log/append', content=encode_record(record)
+        ).raise_for_status()
+
+    def publish(self, texts, base_version=0):
+        self.append(
+            {
+                'kind': 'config_published',
+                'publish_id': uuid.uuid4().hex,
+                'base_version': base_version,
+                'changed': texts,
+                'removed': [],
+                'author': 'test',
+            }
+        )
+
+    def grant(self, team, name=None):
+        key = create_key()
+        self.append(
+            {
+                'kind': 'key_granted',
+                'name': name or f'{team}-key',
+                'team': team,
+                'digest': digest_key(key),
+            }
+        )
+        return key
+
+    def withdraw(self, name):
+        self.append({'kind': 'key_withdrawn', 'name': name})
+
+    def put_vm(self, vm):
+        url = f'{self._platform_url}/vms/{vm["vm_id"]}'
+        self.client.put(url, json=vm).raise_for_status()
+
+    def switch_platform(self, **faults):
+        self.client.post(f'{self._platform_url}/faults', json=faults)
+
+    def observe_platform(self):
+        return self.client.get(f'{self._platform_url}/observations').json()
+
+    def observer(self):
+        urls = [
+            url
+            for target_id, url in self.target_urls.items()
+            if self.targets[target_id].kind == 'plain'
+        ]
+        return Observer(self.client, urls)
+
+
+@contextmanager
+def run_cluster(folder, engines=2, plain=2, entries=2, **entry_settings):
+    """Run a deployment that is ready to serve; yields a Cluster."""
+    targets = [
+        topology.Target(
+            f'{service}-{number}',
+            service,
+            kind,
+            ZONES[number % len(ZONES)],
+            MODEL,
+        )
+        for service, kind, count in (
+            ('assistant', 'engine', engines),
+            ('till', 'plain', plain),
+        )
+        for number in range(1, count + 1)
+    ]
+    with (
+        httpx.Client(timeout=30.0) as client,
+        run_proxies() as proxies,
+        run_processes(folder) as processes,
+    ):
+        cluster = Cluster(processes, proxies, client)
+        cluster.entry_settings = {'drain_delay': '300ms', **entry_settings}
+        cluster.start_platform(vms_lag='100ms')
+        cluster.publish(SERVICES)
+        cluster.start_targets(targets)
+        for number in range(1, entries + 1):
+            cluster.start_entry(f'entry-{number}', ZONES[number % len(ZONES)])
+        cluster.wait_ready()
+        yield cluster
