--- /dev/null
+++ b/standins/prepare_deployment.py
@@ -0,0 +1,222 @@
+"""Makes a started deployment ready and prints how to call it.
+
+Enters the VMs into the platform's list, publishes the service files and
+grants a key to each team through the program ``peridotrill``, and waits for
+the entries. It stays until it is told to end, because honcho stops all
+processes when one ends.
+"""
+
+import json
+import shlex
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any, Final
+
+import httpx
+from expression import Result
+
+from peridotrill.catalog import Catalog, build_catalog
+from peridotrill.findings import format_findings
+from peridotrill.services import FILE_SUFFIX, Service
+from peridotrill.settings import Setting, load_settings, setting_kinds
+from standins import topology
+
+DEPLOYMENTS_FOLDER: Final = Path(__file__).parent.parent / 'deployments'
+START_TIMEOUT_S: Final = 60.0
+_POLL_S: Final = 0.1
+_MAX_TOKENS: Final = 24
+
+
+@setting_kinds.register('pairs')
+def parse_pairs(text: str) -> dict[str, str]:
+    """:param text: ``name=address,…``; raises ValueError."""
+    return dict(pair.split('=') for pair in text.split(','))  # type: ignore[misc]
+
+
+SETTINGS: Final = (
+    Setting('deployment', 'text', 'name of the deployment'),
+    Setting('platform_url', 'url', 'platform'),
+    Setting('entries', 'pairs', 'addresses for callers'),
+    Setting('controls', 'pairs', 'control addresses of the entries'),
+    Setting('agents', 'pairs', 'addresses of the agents by target'),
+)
+
+
+class Preparation:
+    """Makes one deployment ready."""
+
+    def __init__(self, settings: dict[str, Any], http: httpx.Client) -> None:
+        """:param settings: values of SETTINGS."""
+        self.deployment = topology.DEPLOYMENTS[settings['deployment']]
+        self.folder = DEPLOYMENTS_FOLDER / self.deployment.name
+        self.entries: dict[str, str] = settings['entries']
+        self._controls: dict[str, str] = settings['controls']
+        self._agents: dict[str, str] = settings['agents']
+        self._platform_url: str = settings['platform_url']
+        self._http = http
+
+    def list_vms(self) -> None:
+        """Enter agents and entries into the VM list."""
+        zones = self.deployment.zones
+        rows = [
+            topology.target_vm(target, self._agents[target.target_id])
+            for target in topology.list_targets(self.deployment)
+        ]
+        rows += [
+            topology.entry_vm(entry_id, zones[number % len(zones)], address)
+            for number, (entry_id, address) in enumerate(self.entries.items())
+        ]
+        for row in rows:
+            url = f'{self._platform_url}/vms/{row["vm_id"]}'
+            self._http.put(url, json=row).raise_for_status()
+
+    def publish(self) -> None:
+        """Publish the service files of the deployment."""
+        self._operate('publish', str(self.folder))
+
+    def grant_keys(self, catalog: Catalog) -> dict[str, str]:
+        """:return: a key for each team."""
+        teams = {
+            team
+            for service in catalog.services.values()
+            for team in service.teams
+        }
+        return {
+            team: self._operate('keys', 'grant', f'{team}-1', team).split()[-1]
+            for team in sorted(teams)
+        }
+
+    def wait_platform(self) -> None:
+        """Wait until the platform answers."""
+        self._wait(f'{self._platform_url}/vms')
+
+    def wait_entries(self) -> None:
+        """Wait until all entries are ready."""
+        for address in self._controls.values():
+            self._wait(f'http://{address}/readyz')
+
+    def _operate(self, *arguments: str) -> str:
+        command = topology.build_command('peridotrill') + list(arguments)
+        command.append(f'--platform-url={self._platform_url}')
+        done = subprocess.run(
+            command, check=False, capture_output=True, text=True
+        )
+        if done.returncode:
+            sys.exit(f'{shlex.join(command)}: {done.stderr}')
+        return done.stdout
+
+    def _wait(self, url: str) -> None:
+        deadline_s = time.monotonic() + START_TIMEOUT_S
+        while not self._is_up(url):
+            if time.monotonic() > deadline_s:
+                sys.exit(f'{url} is not ready in {START_TIMEOUT_S} s')
+            time.sleep(_POLL_S)
+
+    def _is_up(self, url: str) -> bool:
+        try:
+            return self._http.get(url).is_success
+        except httpx.TransportError:
+            return False
+
+
+def load_catalog(folder: Path) -> Catalog:
+    """Read the service files below a folder."""
+    texts = {
+        path.name.removesuffix(FILE_SUFFIX): path.read_text('utf-8')
+        for path in sorted(folder.rglob(f'*{FILE_SUFFIX}'))
+    }
+    match build_catalog(1, texts):
+        case Result(tag='ok', ok=catalog):
+            return catalog
+        case Result(error=findings):
+            sys.stderr.write(f'{format_findings(findings)}\n')
+    sys.exit(1)
+
+
+def format_call(
+    url: str,
+    key: str,
+    body: dict[str, Any],
+    *headers: str,
+) -> str:
+    """Return a curl command line for a JSON body."""
+    names = ('Content-Type: application/json', *headers)
+    parts = ['curl', '-sN', url, '-H', f'Authorization: Bearer {key}']
+    for header in names:
+        parts += ['-H', header]
+    return shlex.join([*parts, '-d', json.dumps(body)])
+
+
+def list_calls(catalog: Catalog, address: str, key: str) -> dict[str, str]:
+    """Return command lines that call each service, by what they show."""
+    formats = {'model': _model_calls, 'plain': _plain_calls}
+    return {
+        title: call
+        for service in catalog.services.values()
+        for title, call in formats[service.kind](
+            service, f'http://{address}', key
+        ).items()
+    }
+
+
+def _model_calls(service: Service, url: str, key: str) -> dict[str, str]:
+    path = f'{url}/v1/chat/completions'
+    body = {
+        'model': service.model,
+        'messages': [{'role': 'user', 'content': 'Sum up the season.'}],
+        'max_tokens': _MAX_TOKENS,
+    }
+    return {
+        f'{service.name}, streamed': format_call(
+            path, key, {**body, 'stream': True}
+        ),
+        f'{service.name}, plain': format_call(path, key, body),
+    }
+
+
+def _plain_calls(service: Service, url: str, key: str) -> dict[str, str]:
+    return {
+        f'{service.name}, runs once however often it is sent': format_call(
+            f'{url}{route.path}',
+            key,
+            {'amount': 12, 'for': service.name},
+            f'Idempotency-Key: {service.name}-1',
+        )
+        for route in service.routes
+        if not route.idempotent and 'POST' in route.methods
+    }
+
+
+def main() -> None:
+    """Run the program."""
+    settings = load_settings(
+        'standins.prepare_deployment', SETTINGS, sys.argv[1:], {}
+    )
+    with httpx.Client() as http:
+        preparation = Preparation(settings, http)
+        preparation.wait_platform()
+        preparation.list_vms()
+        preparation.publish()
+        catalog = load_catalog(preparation.folder)
+        keys = preparation.grant_keys(catalog)
+        preparation.wait_entries()
+    address = next(iter(preparation.entries.values()))
+    team, key = next(iter(keys.items()))
+    calls = list_calls(catalog, address, key).items()
+    lines = [
+        f'\nentry: http://{address}',
+        f'key of {team}: {key}',
+        *(f'\n# {title}\n{call}' for title, call in calls),
+        '\nCtrl-C stops all processes.\n',
+    ]
+    sys.stdout.write('\n'.join(lines))
+    sys.stdout.flush()
+    signal.sigwait({signal.SIGTERM, signal.SIGINT})
+
+
+if __name__ == '__main__':
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGINT})
+    main()
--- /dev/null
+++ b/standins/run_deployment.py
@@ -0,0 +1,191 @@
+"""Runs a reference deployment on this machine.
+
+Writes a Procfile for the deployment below ``.run/`` and hands it to honcho,
+which starts all processes and stops them together. The process ``prepare``
+publishes the service files, grants keys and prints how to call an entry; the
+output of the others goes to a file.
+"""
+
+import os
+import signal
+import socket
+import sys
+from collections.abc import Iterator
+from contextlib import suppress
+from pathlib import Path
+from typing import Final, TextIO
+
+from honcho.environ import parse_procfile
+from honcho.manager import SIGNALS, Manager
+from honcho.printer import Message, Printer
+
+from standins import topology
+
+RUN_FOLDER: Final = Path('.run')
+FIRST_PORT: Final = 8100
+LAST_PORT: Final = 8999
+PREPARE: Final = 'prepare'
+# Shorter than the time after which honcho kills what has not ended.
+_DRAIN_DELAY: Final = '1s'
+_DRAIN_TIMEOUT: Final = '3s'
+_EXIT_FAILURE: Final = 1
+_EXIT_USAGE: Final = 2
+_STOPPED_BY_SIGNAL: Final = frozenset(entry['rc'] for entry in SIGNALS.values())
+
+
+class DeploymentPrinter(Printer):
+    """Prints the lines of one process as they are, others to a file."""
+
+    def __init__(self, log: TextIO) -> None:
+        """:param log: for the output of all other processes."""
+        super().__init__(output=log, colour=False)
+        self.first_stopped = ''
+
+    def write(self, message: Message) -> None:
+        """Print one message of a process or of honcho."""
+        text = message.data
+        if isinstance(text, bytes):
+            text = text.decode('utf-8', 'replace')
+        if message.name == PREPARE:
+            sys.stdout.write(text)
+            sys.stdout.flush()
+            return
+        if not self.first_stopped and 'stopped (rc=' in text:
+            self.first_stopped = text.strip()
+        super().write(message)
+
+
+def free_addresses() -> Iterator[str]:
+    """Iterate over loopback addresses that are free now."""
+    for port in range(FIRST_PORT, LAST_PORT + 1):
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            with suppress(OSError):
+                probe.bind(('127.0.0.1', port))
+                yield f'127.0.0.1:{port}'
+
+
+def plan_commands(
+    deployment: topology.Deployment,
+    addresses: Iterator[str],
+) -> dict[str, list[str]]:
+    """Return the command line of each process by its name.
+
+    :param addresses: taken in order, entries first.
+    """
+    entries = {
+        f'entry-{number}': next(addresses)
+        for number in range(1, deployment.entry_count + 1)
+    }
+    controls = {entry_id: next(addresses) for entry_id in entries}
+    platform = next(addresses)
+    platform_url = f'http://{platform}'
+    commands = {
+        'platform': topology.build_command(
+            'standins.platform',
+            listen=platform,
+        ),
+    }
+    agents = {}
+    for target in topology.list_targets(deployment):
+        target_address, agents[target.target_id] = (
+            next(addresses),
+            next(addresses),
+        )
+        commands[target.target_id] = topology.target_command(
+            target,
+            listen=target_address,
+        )
+        commands[f'agent-{target.target_id}'] = topology.agent_command(
+            target,
+            listen=agents[target.target_id],
+            control_listen=next(addresses),
+            target_url=f'http://{target_address}',
+            drain_timeout=_DRAIN_TIMEOUT,
+        )
+    for number, (entry_id, address) in enumerate(entries.items()):
+        commands[entry_id] = topology.build_command(
+            'peridotrill-entry',
+            entry_id=entry_id,
+            zone=deployment.zones[number % len(deployment.zones)],
+            listen=address,
+            control_listen=controls[entry_id],
+            platform_url=platform_url,
+            drain_delay=_DRAIN_DELAY,
+        )
+    commands[PREPARE] = topology.build_command(
+        'standins.prepare_deployment',
+        deployment=deployment.name,
+        platform_url=platform_url,
+        entries=format_pairs(entries),
+        controls=format_pairs(controls),
+        agents=format_pairs(agents),
+    )
+    return commands
+
+
+def format_pairs(pairs: dict[str, str]) -> str:
+    """Return ``name=address,…``."""
+    return ','.join(f'{name}={address}' for name, address in pairs.items())
+
+
+def run(deployment: topology.Deployment) -> int:
+    """Run the deployment until a signal arrives or a process ends.
+
+    :return: exit status, 0 after a signal.
+    """
+    folder = RUN_FOLDER / deployment.name
+    folder.mkdir(parents=True, exist_ok=True)
+    commands = plan_commands(deployment, free_addresses())
+    procfile = folder / 'Procfile'
+    procfile.write_text(topology.format_procfile(commands), 'utf-8')
+    log_path = folder / 'output.log'
+    sys.stdout.write(
+        f'starting {len(commands)} processes of {procfile}; '
+        f'their output goes to {log_path}\n',
+    )
+    sys.stdout.flush()
+    with log_path.open('w', encoding='utf-8') as log:
+        printer = DeploymentPrinter(log)
+        manager = Manager(printer)
+        parsed = parse_procfile(procfile.read_text('utf-8'))
+        for name, command in parsed.processes.items():
+            environment = {**os.environ, 'PYTHONUNBUFFERED': '1'}
+            manager.add_process(name, command, env=environment)
+        manager.loop()
+    if manager.returncode in _STOPPED_BY_SIGNAL:
+        sys.stdout.write('stopped\n')
+        return 0
+    sys.stdout.write(f'{printer.first_stopped}; see {log_path}\n')
+    return _EXIT_FAILURE
+
+
+def take_terminal() -> None:
+    """Become the foreground process group of the terminal, if there is one.
+
+    Ctrl-C then reaches this program alone, which stops the others in order,
+    and make reports its exit status instead of the signal.
+    """
+    with suppress(OSError):
+        terminal = sys.stdin.fileno()
+        if os.tcgetpgrp(terminal) != os.getpgrp():
+            return
+        os.setpgid(0, 0)
+        signal.signal(signal.SIGTTOU, signal.SIG_IGN)
+        os.tcsetpgrp(terminal, os.getpgrp())
+
+
+def main() -> int:
+    """Run the program; its argument is the name of a deployment."""
+    name = ' '.join(sys.argv[1:])
+    deployment = topology.DEPLOYMENTS.get(name)
+    if deployment is None:
+        names = ' or '.join(topology.DEPLOYMENTS)
+        sys.stderr.write(f'the argument must be {names}\n')
+        return _EXIT_USAGE
+    take_terminal()
+    return run(deployment)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/standins/topology.py
+++ b/standins/topology.py
@@ -1,5 +1,6 @@
 """The reference deployments of the design and the commands of their parts."""
 
+import shlex
 import sys
 from pathlib import Path
 from typing import Final, NamedTuple
@@ -135,3 +136,11 @@
         'target_kind': '',
         'address': address,
     }
+
+
+def format_procfile(commands: dict[str, list[str]]) -> str:
+    """Return a Procfile of command lines by the name of their process."""
+    return ''.join(
+        f'{name}: exec {shlex.join(command)}\n'
+        for name, command in commands.items()
+    )
--- /dev/null
+++ b/tests/callers.py
@@ -0,0 +1,92 @@
+"""Callers of a cluster: completions, streams and background threads."""
+
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+
+import httpx
+
+from tests.cluster import MODEL
+from tests.observer import Stream, read_stream
+from tests.processes import wait_for
+
+PROMPT = 'Sum up the season. '
+
+
+def bearer(key):
+    return {'Authorization': f'Bearer {key}'}
+
+
+def completion(prompt=PROMPT, max_tokens=16, stream=False):
+    return {
+        'model': MODEL,
+        'prompt': prompt,
+        'max_tokens': max_tokens,
+        'stream': stream,
+    }
+
+
+class StreamCall:
+    """A streamed completion that is read in a thread."""
+
+    def __init__(self, url, key, prompt, max_tokens):
+        self.prompt = prompt
+        self.max_tokens = max_tokens
+        self.status = 0
+        self.token_count = 0
+        self.result = None
+        self._url = url
+        self._key = key
+        self._thread = threading.Thread(target=self._read, daemon=True)
+        self._thread.start()
+
+    def wait_tokens(self, count):
+        wait_for(
+            lambda: self.token_count >= count or self.result,
+            what=f'{count} tokens, status {self.status}',
+        )
+        assert self.result is None, self.result
+
+    def wait_end(self, timeout_s=40.0):
+        self._thread.join(timeout_s)
+        assert self.result is not None, 'the stream did not end'
+        return self.result
+
+    def _read(self):
+        call = completion(self.prompt, self.max_tokens, stream=True)
+        try:
+            with httpx.stream(
+                'POST',
+                f'{self._url}/v1/completions',
+                json=call,
+                headers=bearer(self._key),
+                timeout=40.0,
+            ) as response:
+                self.status = response.status_code
+                self.result = read_stream(response, self._count)
+        except httpx.TransportError:
+            self.result = Stream('', ended=False, code='', broken=True)
+
+    def _count(self, token_count):
+        self.token_count = token_count
+
+
+@contextmanager
+def background(call, worker_count=4):
+    """Call ``call(number)`` again and again; yields its results."""
+    results, stop = [], threading.Event()
+
+    def repeat(worker):
+        number = worker
+        while not stop.is_set():
+            results.append(call(number))
+            number += worker_count
+
+    with ThreadPoolExecutor(worker_count) as pool:
+        futures = [pool.submit(repeat, it) for it in range(worker_count)]
+        try:
+            yield results
+        finally:
+            stop.set()
+    for future in futures:
+        future.result()
--- a/tests/proxy.py
+++ b/tests/proxy.py
@@ -41,6 +41,7 @@
 class Proxy:
     """Forwards connections to ``target``, a ``(host, port)`` pair.
 
+    While ``recording``, it keeps what clients sent in ``recorded``.
     Held bytes are neither lost nor reordered: they arrive when the direction
     is released, as retransmitted segments do after a partition.
     """
@@ -52,6 +53,8 @@
         self.refusing = False
         self.dropping_answers = False
         self.dropped_answers = 0
+        self.recording = False
+        self.recorded = bytearray()
         self._held_new = set()
         self._connections = set()
         self._portal = portal
@@ -125,6 +128,8 @@
             try:
                 while True:
                     chunk = await source.receive(CHUNK_BYTES)
+                    if self.recording and direction == TO_TARGET:
+                        self.recorded += chunk
                     due_s = anyio.current_time() + self.delay_s
                     send.send_nowait((due_s, chunk))
             except _CLOSED:
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,217 @@
+"""Requests through real entries and agents to stand-in targets."""
+
+import time
+import uuid
+
+import httpx
+import openai
+import pytest
+
+from standins.completions import answer_text
+from tests.callers import PROMPT, StreamCall, bearer, completion
+from tests.cluster import MODEL, run_cluster
+from tests.observer import Counts, is_short, read_error
+from tests.processes import wait_for
+
+WITHDRAWAL_S = 5.0
+
+
+@pytest.fixture(scope='module')
+def cluster(tmp_path_factory):
+    with run_cluster(
+        tmp_path_factory.mktemp('cluster'),
+        usage_window='4s',
+        usage_grace='1s',
+        usage_flush='500ms',
+    ) as running:
+        for proxy in running.target_proxies.values():
+            proxy.recording = True
+        running.key = running.grant('alpha')
+        for url in running.entry_urls.values():
+            wait_for(lambda entry=url: accepts(running, entry, running.key))
+        yield running
+
+
+def accepts(cluster, url, key):
+    return cluster.client.get(f'{url}/stock/1', headers=bearer(key)).is_success
+
+
+def test_plain_answer_is_that_of_the_prompt(cluster):
+    # Guards against cut, crossed or altered answers.
+    for number, url in enumerate(cluster.entry_urls.values()):
+        prompt = f'{PROMPT} {number}'
+        response = cluster.client.post(
+            f'{url}/v1/completions',
+            json=completion(prompt),
+            headers=bearer(cluster.key),
+        )
+        assert response.status_code == 200, response.text
+        assert response.headers['x-request-id']
+        choice = response.json()['choices'][0]
+        assert choice['text'] == answer_text(prompt, 16)
+
+
+def test_streams_at_the_same_time_are_whole(cluster):
+    # Guards against lost or repeated pieces and crossed streams.
+    calls = [
+        StreamCall(url, cluster.key, f'{PROMPT} {number}', 200)
+        for number in range(6)
+        for url in cluster.entry_urls.values()
+    ]
+    for call in calls:
+        stream = call.wait_end()
+        assert stream.ended
+        assert stream.text == answer_text(call.prompt, 200)
+
+
+def test_openai_client_works_unchanged(cluster):
+    client = openai.OpenAI(
+        base_url=f'{cluster.entry_urls["entry-1"]}/v1',
+        api_key=cluster.key,
+        max_retries=0,
+    )
+    chat = {
+        'model': MODEL,
+        'messages': [{'role': 'user', 'content': 'hello'}],
+        'max_tokens': 12,
+    }
+    expected = answer_text('user\nhello\n', 12)
+    with client:
+        answer = client.chat.completions.create(**chat)
+        pieces = [
+            piece.choices[0].delta.content or ''
+            for piece in client.chat.completions.create(**chat, stream=True)
+        ]
+        assert MODEL in [model.id for model in client.models.list()]
+    assert answer.choices[0].message.content == expected
+    assert ''.join(pieces) == expected
+
+
+@pytest.mark.parametrize('authorization', [None, 'Bearer wrong', 'Basic eDp5'])
+def test_request_without_a_valid_key_does_not_run(cluster, authorization):
+    headers = {'Authorization': authorization} if authorization else {}
+    observer = cluster.observer()
+    before = observer.runs()
+    for url in cluster.entry_urls.values():
+        response = cluster.client.post(f'{url}/charges', headers=headers)
+        assert response.status_code == 401
+        assert read_error(response.json())['outcome'] == 'not_run'
+    assert observer.runs() == before
+
+
+def test_open_route_needs_no_key(cluster):
+    for url in cluster.entry_urls.values():
+        assert cluster.client.get(f'{url}/health').is_success
+        assert cluster.client.get(f'{url}/stock/1').status_code == 401
+
+
+def test_charges_run_once_and_answers_are_not_crossed(cluster):
+    # Guards against a repeated key running again and crossed answers.
+    observer = cluster.observer()
+    for number in range(6):
+        body = b'charge %d' % number
+        for url in cluster.entry_urls.values():
+            result = observer.post(
+                f'{url}/charges', body, cluster.key, f'charge-{number}'
+            )
+            assert result.status == 201, result
+    other_body = observer.post(
+        f'{url}/charges', b'other', cluster.key, 'charge-0'
+    )
+    assert other_body.code == 'idempotency_key_reused'
+    assert observer.counts() == Counts()
+
+
+def test_withdrawn_key_ends_requests_and_streams(cluster):
+    # Guards against a withdrawn key that still works, also while connected.
+    key = cluster.grant('beta', 'withdrawn')
+    urls = cluster.entry_urls.values()
+    for url in urls:
+        wait_for(lambda entry=url: accepts(cluster, entry, key))
+    calls = [StreamCall(url, key, PROMPT, 4000) for url in urls]
+    for call in calls:
+        call.wait_tokens(10)
+    cluster.withdraw('withdrawn')
+    withdrawn_s = time.monotonic()
+    for call in calls:
+        stream = call.wait_end()
+        assert not stream.ended
+        assert not is_short(stream, call.prompt, call.max_tokens)
+    for url in urls:
+        wait_for(lambda entry=url: not accepts(cluster, entry, key))
+    assert time.monotonic() - withdrawn_s < WITHDRAWAL_S
+    assert accepts(cluster, url, cluster.key)
+
+
+def test_targets_and_logs_never_see_a_key(cluster):
+    # Guards against forwarding or logging a caller's key.
+    marker = uuid.uuid4().hex
+    for url in cluster.entry_urls.values():
+        for path in ('charges', 'v1/completions'):
+            cluster.client.post(
+                f'{url}/{path}',
+                json=completion(marker),
+                headers=bearer(cluster.key),
+            ).raise_for_status()
+    proxies = cluster.target_proxies.values()
+    seen = b''.join(bytes(proxy.recorded) for proxy in proxies)
+    seen += b''.join(
+        path.read_bytes() for path in cluster.processes.folder.iterdir()
+    )
+    assert marker.encode() in seen
+    assert b'ptk_' not in seen
+    assert b'Bearer' not in seen
+
+
+def test_usage_is_reported_once_with_the_right_figure(cluster):
+    # Guards against lost, doubled or misattributed usage.
+    key = cluster.grant('beta', 'usage')
+    urls = list(cluster.entry_urls.values())
+    for url in urls:
+        wait_for(
+            lambda entry=url: (
+                cluster.client.get(
+                    f'{entry}/v1/models', headers=bearer(key)
+                ).is_success
+            )
+        )
+    before = reported(cluster, 'beta')
+    for number in range(10):
+        cluster.client.post(
+            f'{urls[number % len(urls)]}/v1/completions',
+            json=completion('x' * 40, max_tokens=7),
+            headers=bearer(key),
+        ).raise_for_status()
+    expected = [total + added for total, added in zip(before, (10, 100, 70))]
+    wait_for(
+        lambda: reported(cluster, 'beta')[0] >= expected[0],
+        timeout_s=20,
+        what='usage reports',
+    )
+    assert reported(cluster, 'beta') == expected
+    windows = cluster.observe_platform()['usage']
+    assert all(window['reports'] == 1 for window in windows)
+    assert not any(window['conflicts'] for window in windows)
+
+
+def reported(cluster, team):
+    """Sum the reported requests, prompt tokens and output tokens."""
+    figures = [
+        window['figure'][1:]
+        for window in cluster.observe_platform()['usage']
+        if window['team'] == team
+    ]
+    return [sum(column) for column in zip(*figures)] or [0, 0, 0]
+
+
+def test_unknown_path_and_model_do_not_run(cluster):
+    url = cluster.entry_urls['entry-1']
+    for path, call in (
+        ('nowhere', {}),
+        ('v1/completions', completion() | {'model': 'other'}),
+    ):
+        response = httpx.post(
+            f'{url}/{path}', json=call, headers=bearer(cluster.key)
+        )
+        assert response.status_code == 404
+        assert read_error(response.json())['outcome'] == 'not_run'
