Add the log client, the control state, leases and usage reports

Cause: everything that has to be agreed needs one fold of the log that all readers share. A first version of the claim named only the epoch that it replaces; a renewal that reached the log between the claimant's last read and its claim then left two holders. The claim now names the last record that counted.

Seen to fail on a scratch copy: claims accepted over an unread renewal, validity counted from the time of reading back, a candidate that ignores clock drift, counts that are added without the difference to the earlier record, late counts added to a closed window. Random steps alone reached only the second and fourth, so the others have tests of their own.

--- /dev/null
+++ b/peridotrill/control_state.py
@@ -0,0 +1,335 @@
+"""The state that all processes agree on, folded from the log.
+
+The fold depends only on the records and their order, so that every reader
+holds the same state at the same offset.
+"""
+
+from collections.abc import Callable
+from typing import Any, Final, NamedTuple, final
+
+from expression import Result
+
+from peridotrill.catalog import Catalog, build_catalog
+from peridotrill.keys import KeyTable
+from peridotrill.records import (
+    ConfigPublished,
+    EntryExpired,
+    EntryLeft,
+    EntryRegistered,
+    EntryRenewed,
+    KeyGranted,
+    KeyWithdrawn,
+    LeaseClaimed,
+    LeaseReleased,
+    LeaseRenewed,
+    UsageAcknowledged,
+    UsageClosed,
+    UsageCounted,
+)
+from peridotrill.registry import Registry
+from peridotrill.usage_windows import UsageWindows
+
+USAGE_LEASE: Final = 'usage'
+_KEPT_PUBLISH_RESULTS: Final = 256
+# Longest idempotency retention that a service file can ask for.
+_KEPT_LOST_ENTRIES_S: Final = 86_400
+
+
+class PublishResult(NamedTuple):
+    """What became of a published change."""
+
+    offset: int
+    accepted: bool
+    version: int
+    base_version: int
+    changed: tuple[str, ...]
+    author: str
+    findings_count: int
+
+
+class EntryState(NamedTuple):
+    """A registered entry; times are the platform's."""
+
+    entry_id: str
+    incarnation: str
+    zone: str
+    offset: int
+    renewed_at_s: float
+
+
+class LostEntryState(NamedTuple):
+    """An incarnation that ended without ``entry_left``."""
+
+    entry_id: str
+    incarnation: str
+    lost_at_s: float
+
+
+class LeaseState(NamedTuple):
+    """A lease; ``holder`` is empty after a release."""
+
+    holder: str
+    epoch: int
+    ttl_s: float
+    last_offset: int
+    sequence: int
+
+
+_appliers: Registry[str, Callable[['ControlState', int, Any, float], None]]
+_appliers = Registry('applier')
+
+
+@final
+class ControlState:
+    """Configuration, keys, entries, leases and usage windows."""
+
+    def __init__(self) -> None:
+        """Start as before the first record."""
+        self.offset = 0
+        self.skipped_records = 0
+        self.catalog = Catalog(version=0, services={})
+        self.texts: dict[str, str] = {}
+        self.publish_results: dict[str, PublishResult] = {}
+        self.keys = KeyTable()
+        self.entries: dict[str, EntryState] = {}
+        self.lost: list[LostEntryState] = []
+        self.leases: dict[str, LeaseState] = {}
+        self.usage = UsageWindows()
+
+    def apply(self, offset: int, record: Any, appended_at_s: float) -> None:
+        """Apply the record at the next offset.
+
+        :param appended_at_s: the platform's time of the append.
+        """
+        self.offset = offset
+        applier = _appliers.get(record['kind'])
+        if applier is None:
+            self.skipped_records += 1
+        else:
+            applier(self, offset, record, appended_at_s)
+
+    def skip(self, offset: int) -> None:
+        """Pass over a record that cannot be decoded."""
+        self.offset = offset
+        self.skipped_records += 1
+
+    def drop_entry(self, entry_id: str, lost_at_s: float) -> None:
+        """Remove an entry that ended without ``entry_left``."""
+        entry = self.entries.pop(entry_id)
+        kept_since_s = lost_at_s - _KEPT_LOST_ENTRIES_S
+        self.lost = [old for old in self.lost if old.lost_at_s > kept_since_s]
+        self.lost.append(
+            LostEntryState(entry_id, entry.incarnation, lost_at_s),
+        )
+
+
+@_appliers.register('config_published')
+def _apply_config(
+    state: ControlState,
+    offset: int,
+    record: ConfigPublished,
+    _appended_at_s: float,
+) -> None:
+    texts = {**state.texts, **record['changed']}
+    for name in record['removed']:
+        texts.pop(name, None)
+    findings_count = 0
+    accepted = record['base_version'] == state.catalog.version
+    if accepted:
+        match build_catalog(offset, texts):
+            case Result(tag='ok', ok=catalog):
+                state.catalog, state.texts = catalog, texts
+            case Result(error=findings):
+                accepted, findings_count = False, len(findings)
+    _remember_publish(
+        state,
+        record['publish_id'],
+        PublishResult(
+            offset,
+            accepted,
+            state.catalog.version,
+            record['base_version'],
+            tuple(sorted({*record['changed'], *record['removed']})),
+            record['author'],
+            findings_count,
+        ),
+    )
+
+
+def _remember_publish(
+    state: ControlState,
+    publish_id: str,
+    outcome: PublishResult,
+) -> None:
+    # A repeated record must not turn an accepted change into a lost race.
+    state.publish_results.setdefault(publish_id, outcome)
+    if len(state.publish_results) > _KEPT_PUBLISH_RESULTS:
+        state.publish_results.pop(next(iter(state.publish_results)))
+
+
+@_appliers.register('key_granted')
+def _apply_key_granted(
+    state: ControlState,
+    _offset: int,
+    record: KeyGranted,
+    _appended_at_s: float,
+) -> None:
+    state.keys.grant(record['name'], record['team'], record['digest'])
+
+
+@_appliers.register('key_withdrawn')
+def _apply_key_withdrawn(
+    state: ControlState,
+    _offset: int,
+    record: KeyWithdrawn,
+    _appended_at_s: float,
+) -> None:
+    state.keys.withdraw(record['name'])
+
+
+@_appliers.register('entry_registered')
+def _apply_entry_registered(
+    state: ControlState,
+    offset: int,
+    record: EntryRegistered,
+    appended_at_s: float,
+) -> None:
+    known = state.entries.get(record['entry_id'])
+    if known is not None and known.incarnation != record['incarnation']:
+        state.drop_entry(known.entry_id, appended_at_s)
+    state.entries[record['entry_id']] = EntryState(
+        record['entry_id'],
+        record['incarnation'],
+        record['zone'],
+        offset,
+        appended_at_s,
+    )
+
+
+@_appliers.register('entry_renewed')
+def _apply_entry_renewed(
+    state: ControlState,
+    _offset: int,
+    record: EntryRenewed,
+    appended_at_s: float,
+) -> None:
+    known = state.entries.get(record['entry_id'])
+    if known is not None and known.incarnation == record['incarnation']:
+        state.entries[known.entry_id] = known._replace(
+            renewed_at_s=appended_at_s,
+        )
+
+
+@_appliers.register('entry_left')
+def _apply_entry_left(
+    state: ControlState,
+    _offset: int,
+    record: EntryLeft,
+    _appended_at_s: float,
+) -> None:
+    known = state.entries.get(record['entry_id'])
+    if known is not None and known.incarnation == record['incarnation']:
+        state.entries.pop(known.entry_id)
+
+
+@_appliers.register('entry_expired')
+def _apply_entry_expired(
+    state: ControlState,
+    _offset: int,
+    record: EntryExpired,
+    appended_at_s: float,
+) -> None:
+    known = state.entries.get(record['entry_id'])
+    if known is not None and known.incarnation == record['incarnation']:
+        state.drop_entry(known.entry_id, appended_at_s)
+
+
+@_appliers.register('lease_claimed')
+def _apply_lease_claimed(
+    state: ControlState,
+    offset: int,
+    record: LeaseClaimed,
+    _appended_at_s: float,
+) -> None:
+    known = state.leases.get(record['lease'])
+    last_offset = 0 if known is None else known.last_offset
+    if record['previous_offset'] == last_offset:
+        state.leases[record['lease']] = LeaseState(
+            holder=record['holder'],
+            epoch=offset,
+            ttl_s=record['ttl_s'],
+            last_offset=offset,
+            sequence=record['sequence'],
+        )
+
+
+@_appliers.register('lease_renewed')
+def _apply_lease_renewed(
+    state: ControlState,
+    offset: int,
+    record: LeaseRenewed,
+    _appended_at_s: float,
+) -> None:
+    known = _current_lease(state, record)
+    if known is not None:
+        state.leases[record['lease']] = known._replace(
+            last_offset=offset,
+            sequence=record['sequence'],
+        )
+
+
+@_appliers.register('lease_released')
+def _apply_lease_released(
+    state: ControlState,
+    offset: int,
+    record: LeaseReleased,
+    _appended_at_s: float,
+) -> None:
+    known = _current_lease(state, record)
+    if known is not None:
+        state.leases[record['lease']] = known._replace(
+            holder='',
+            last_offset=offset,
+        )
+
+
+def _current_lease(
+    state: ControlState,
+    record: LeaseRenewed | LeaseReleased,
+) -> LeaseState | None:
+    known = state.leases.get(record['lease'])
+    if known is None or known.epoch != record['epoch']:
+        return None
+    return known if known.holder == record['holder'] else None
+
+
+@_appliers.register('usage_counted')
+def _apply_usage_counted(
+    state: ControlState,
+    _offset: int,
+    record: UsageCounted,
+    _appended_at_s: float,
+) -> None:
+    state.usage.count(record)
+
+
+@_appliers.register('usage_closed')
+def _apply_usage_closed(
+    state: ControlState,
+    _offset: int,
+    record: UsageClosed,
+    _appended_at_s: float,
+) -> None:
+    lease = state.leases.get(USAGE_LEASE)
+    if lease is not None and lease.epoch == record['epoch']:
+        state.usage.close(record)
+
+
+@_appliers.register('usage_acknowledged')
+def _apply_usage_acknowledged(
+    state: ControlState,
+    _offset: int,
+    record: UsageAcknowledged,
+    _appended_at_s: float,
+) -> None:
+    state.usage.acknowledge(record)
--- a/peridotrill/records.py
+++ b/peridotrill/records.py
@@ -84,31 +84,49 @@
 
 @record_types.register('lease_claimed')
 class LeaseClaimed(TypedDict):
-    """Claim of a lease; counts if ``previous_epoch`` is still current."""
+    """Claim of a lease.
+
+    Counts only if ``previous_offset`` is the offset of the last record that
+    counted for this lease (0 if there is none), so that a renewal which the
+    claimant has not read defeats the claim.
+    """
 
     kind: Literal['lease_claimed']
     lease: str
     holder: str
     ttl_s: float
-    previous_epoch: int
+    previous_offset: int
+    sequence: int
 
 
 @record_types.register('lease_renewed')
 class LeaseRenewed(TypedDict):
-    """The holder of this epoch keeps the lease."""
+    """The holder keeps the lease; counts only in the current epoch."""
 
     kind: Literal['lease_renewed']
     lease: str
+    holder: str
     epoch: int
+    sequence: int
+
+
+@record_types.register('lease_released')
+class LeaseReleased(TypedDict):
+    """The holder gives the lease up; it can be claimed at once."""
+
+    kind: Literal['lease_released']
+    lease: str
     holder: str
+    epoch: int
 
 
 @record_types.register('usage_counted')
 class UsageCounted(TypedDict):
-    """Counts of one process and window, cumulative.
+    """Counts of one process for one window, cumulative.
 
-    ``counts`` maps a team to requests, prompt tokens and output tokens. Of
-    several records the one with the highest sequence counts.
+    ``counts`` maps a team to requests, prompt tokens and output tokens, for
+    the teams that changed. Of several records of a process and window a
+    later one replaces an earlier one by its sequence.
     """
 
     kind: Literal['usage_counted']
@@ -119,23 +137,31 @@
     counts: dict[str, list[int]]
 
 
-@record_types.register('usage_fixed')
-class UsageFixed(TypedDict):
-    """The figures of a window; the first record of a window counts."""
+@record_types.register('usage_closed')
+class UsageClosed(TypedDict):
+    """Fixes the figures of a window as counted up to this record.
+
+    Counts only in the current epoch of the lease of usage reports, and once
+    for each window.
+    """
 
-    kind: Literal['usage_fixed']
+    kind: Literal['usage_closed']
     window_start_s: int
+    window_end_s: int
     epoch: int
-    figures: dict[str, list[int]]
 
 
 @record_types.register('usage_acknowledged')
 class UsageAcknowledged(TypedDict):
-    """The platform accepted the figure of this team and window."""
+    """The platform answered for these teams of a window.
+
+    ``conflicts`` lists the teams for which it holds another figure.
+    """
 
     kind: Literal['usage_acknowledged']
     window_start_s: int
-    team: str
+    teams: list[str]
+    conflicts: list[str]
 
 
 def encode_record(record: Any) -> bytes:
--- /dev/null
+++ b/peridotrill/usage.py
@@ -0,0 +1,278 @@
+"""Usage: counted per window, kept in the log, reported once."""
+
+from datetime import timedelta
+from typing import Any, Final, NamedTuple, Protocol, final
+
+import anyio
+import httpx
+
+from peridotrill.control_state import ControlState
+from peridotrill.exceptions import AppendUnknown, LogError
+from peridotrill.leases import Appender, Lease
+from peridotrill.records import UsageAcknowledged, UsageClosed, UsageCounted
+from peridotrill.timeline import Recorder
+from peridotrill.usage_windows import NO_USAGE, UsageFigure, UsageWindow
+
+REPORT_TIMEOUT: Final = timedelta(seconds=2)
+_TICK: Final = timedelta(milliseconds=500)
+
+
+class UsageSettings(NamedTuple):
+    """When usage is written, closed and how long a window is."""
+
+    flush: timedelta
+    window: timedelta
+    grace: timedelta
+
+
+class PlatformTime(Protocol):
+    """Source of the platform's time."""
+
+    def platform_time_s(self) -> float | None:
+        """Return seconds, or None while it is not known."""
+
+
+@final
+class UsageCounter:
+    """Counts of this process, cumulative for each window."""
+
+    def __init__(
+        self,
+        entry_id: str,
+        incarnation: str,
+        window: timedelta,
+        time: PlatformTime,
+    ) -> None:
+        """:param time: assigns a count to its window."""
+        self._entry_id = entry_id
+        self._incarnation = incarnation
+        self._window_s = int(window.total_seconds())
+        self._time = time
+        self._counts: dict[int, dict[str, UsageFigure]] = {}
+        self._changed: dict[int, set[str]] = {}
+        self._sequence = 0
+        self._early: list[tuple[str, UsageFigure]] = []
+
+    def count(
+        self,
+        team: str,
+        requests: int,
+        prompt_tokens: int,
+        output_tokens: int,
+    ) -> None:
+        """Count usage of a team in the current window.
+
+        :param team: empty for open routes, which are not counted.
+        """
+        if not team:
+            return
+        figure = UsageFigure(requests, prompt_tokens, output_tokens)
+        now_s = self._time.platform_time_s()
+        if now_s is None:
+            self._early.append((team, figure))
+        else:
+            self._add(now_s, team, figure)
+
+    def take_records(self) -> list[UsageCounted]:
+        """Return one record for each window with counts not yet written.
+
+        The caller appends them, and calls ``put_back`` for those that
+        failed; counts are cumulative, so appending twice does no harm.
+        """
+        now_s = self._time.platform_time_s()
+        if now_s is not None:
+            for team, figure in self._early:
+                self._add(now_s, team, figure)
+            self._early.clear()
+        changed, self._changed = self._changed, {}
+        self._forget_written(set(changed))
+        return [
+            self._record(start_s, teams)
+            for start_s, teams in sorted(changed.items())
+        ]
+
+    def put_back(self, record: UsageCounted) -> None:
+        """Have the teams of a record written again."""
+        teams = self._changed.setdefault(record['window_start_s'], set())
+        teams.update(record['counts'])
+
+    @property
+    def is_written(self) -> bool:
+        """Tell whether all counts were handed out by ``take_records``."""
+        return not self._changed and not self._early
+
+    def _add(self, now_s: float, team: str, figure: UsageFigure) -> None:
+        start_s = int(now_s // self._window_s) * self._window_s
+        counts = self._counts.setdefault(start_s, {})
+        counts[team] = counts.get(team, NO_USAGE).plus(figure)
+        self._changed.setdefault(start_s, set()).add(team)
+
+    def _record(self, start_s: int, teams: set[str]) -> UsageCounted:
+        self._sequence += 1
+        return UsageCounted(
+            kind='usage_counted',
+            entry_id=self._entry_id,
+            incarnation=self._incarnation,
+            window_start_s=start_s,
+            sequence=self._sequence,
+            counts={
+                team: list(self._counts[start_s][team])
+                for team in sorted(teams)
+            },
+        )
+
+    def _forget_written(self, changed: set[int]) -> None:
+        # A window gets no counts after the next one has some; its counts
+        # are needed only while a record of it may have to be repeated.
+        newest = max(self._counts, default=0)
+        for start_s in list(self._counts):
+            old = start_s < newest - 2 * self._window_s
+            if old and start_s not in changed:
+                self._counts.pop(start_s)
+
+
+async def flush_usage(
+    counter: UsageCounter,
+    log: Appender,
+    recorder: Recorder,
+) -> bool:
+    """Append all counts that are not yet in the log.
+
+    :return: whether all were appended; the rest is kept for the next call.
+    """
+    complete = True
+    for record in counter.take_records():
+        try:
+            await log.append(record)
+        except LogError as error:
+            complete = False
+            counter.put_back(record)
+            recorder.emit('usage_flush_failed', detail=str(error))
+    return complete
+
+
+@final
+class UsageReporter:
+    """Closes windows and reports their figures while it holds the lease."""
+
+    def __init__(  # noqa: WPS211
+        self,
+        url: str,
+        http: httpx.AsyncClient,
+        log: Appender,
+        lease: Lease,
+        state: ControlState,
+        time: PlatformTime,
+        settings: UsageSettings,
+        recorder: Recorder,
+    ) -> None:
+        """:param url: base URL of the platform."""
+        self._url = url
+        self._http = http
+        self._log = log
+        self._lease = lease
+        self._state = state
+        self._time = time
+        self._window_s = int(settings.window.total_seconds())
+        self._grace_s = settings.grace.total_seconds()
+        self._recorder = recorder
+
+    async def run(self) -> None:
+        """Close and report windows until cancelled."""
+        while True:
+            await self.step()
+            await anyio.sleep(_TICK.total_seconds())
+
+    async def step(self) -> None:
+        """Close the windows that are due and send figures not accepted."""
+        if not self._lease.is_held(REPORT_TIMEOUT):
+            return
+        for start_s in self._due_windows():
+            await self._append(
+                UsageClosed(
+                    kind='usage_closed',
+                    window_start_s=start_s,
+                    window_end_s=start_s + self._window_s,
+                    epoch=self._lease.epoch,
+                ),
+            )
+        for window in list(self._state.usage.windows.values()):
+            if window.state == 'closed':
+                await self._report(window)
+
+    def _due_windows(self) -> list[int]:
+        now_s = self._time.platform_time_s()
+        if now_s is None:
+            return []
+        latest_s = now_s - self._grace_s - self._window_s
+        windows = self._state.usage.windows
+        due = [
+            start_s
+            for start_s, window in sorted(windows.items())
+            if window.state == 'open' and start_s <= latest_s
+        ]
+        if self._state.usage.carried and not due:
+            start_s = int(latest_s // self._window_s) * self._window_s
+            if start_s not in windows:
+                due.append(start_s)
+        return due
+
+    async def _report(self, window: UsageWindow) -> None:
+        accepted: list[str] = []
+        conflicts: list[str] = []
+        for team in sorted(window.unacknowledged):
+            if not self._lease.is_held(REPORT_TIMEOUT):
+                break
+            status = await self._send(window, team)
+            if status == httpx.codes.OK:
+                accepted.append(team)
+            elif status == httpx.codes.CONFLICT:
+                conflicts.append(team)
+                self._recorder.emit(
+                    'usage_conflict',
+                    team=team,
+                    window_start_s=window.start_s,
+                )
+        if accepted or conflicts:
+            await self._append(
+                UsageAcknowledged(
+                    kind='usage_acknowledged',
+                    window_start_s=window.start_s,
+                    teams=accepted,
+                    conflicts=conflicts,
+                ),
+            )
+
+    async def _send(self, window: UsageWindow, team: str) -> int:
+        figure = window.figures[team]
+        try:
+            answer = await self._http.post(
+                f'{self._url}/usage',
+                json={
+                    'team': team,
+                    'window_start_s': window.start_s,
+                    'window_end_s': window.end_s,
+                    'epoch': self._lease.epoch,
+                    **figure._asdict(),
+                },
+                timeout=REPORT_TIMEOUT.total_seconds(),
+            )
+        except httpx.TransportError as error:
+            self._recorder.emit('usage_report_failed', detail=repr(error))
+            return 0
+        self._recorder.emit(
+            'usage_reported',
+            team=team,
+            window_start_s=window.start_s,
+            status=answer.status_code,
+        )
+        return answer.status_code
+
+    async def _append(self, record: Any) -> None:
+        try:
+            await self._log.append(record)
+        except AppendUnknown:
+            # Read back by the follower; repeating the record has no effect.
+            return
+        except LogError as error:
+            self._recorder.emit('usage_append_failed', detail=str(error))
--- /dev/null
+++ b/peridotrill/usage_windows.py
@@ -0,0 +1,158 @@
+"""Usage windows as folded from the log: the same for every reader."""
+
+from typing import Final, NamedTuple, final
+
+from peridotrill.records import UsageAcknowledged, UsageClosed, UsageCounted
+from peridotrill.statechart import Machine, load_chart
+
+KEPT_WINDOWS: Final = 240
+
+_chart: Final = load_chart('usage_window')
+
+
+class UsageFigure(NamedTuple):
+    """Usage of one team."""
+
+    requests: int
+    prompt_tokens: int
+    output_tokens: int
+
+    def plus(self, other: 'UsageFigure') -> 'UsageFigure':
+        """Return the sum."""
+        return UsageFigure(
+            *(one + two for one, two in zip(self, other, strict=True))
+        )
+
+    def minus(self, other: 'UsageFigure') -> 'UsageFigure':
+        """Return the difference."""
+        return UsageFigure(
+            *(one - two for one, two in zip(self, other, strict=True))
+        )
+
+
+NO_USAGE: Final = UsageFigure(0, 0, 0)
+
+
+@final
+class UsageWindow:
+    """One window: figures by team, fixed once it is closed."""
+
+    def __init__(self, start_s: int) -> None:
+        """:param start_s: start in seconds of the platform's time."""
+        self.start_s = start_s
+        self.end_s = start_s
+        self.figures: dict[str, UsageFigure] = {}
+        self.unacknowledged: set[str] = set()
+        self.conflicts: set[str] = set()
+        self._machine = Machine(_chart)
+
+    @property
+    def state(self) -> str:
+        """State of the chart ``usage_window``."""
+        return self._machine.state
+
+    def add(self, team: str, figure: UsageFigure) -> None:
+        """Add usage of a team to an open window."""
+        self.figures[team] = self.figures.get(team, NO_USAGE).plus(figure)
+
+    def close(self, end_s: int) -> None:
+        """Fix the figures.
+
+        :param end_s: end in seconds of the platform's time.
+        """
+        self._machine.fire('close')
+        self.end_s = end_s
+        self.unacknowledged = set(self.figures)
+        if not self.unacknowledged:
+            self._machine.fire('acknowledge_last')
+
+    def acknowledge(self, teams: list[str], conflicts: list[str]) -> None:
+        """Note that the platform answered for these teams."""
+        if not self._machine.allows('acknowledge'):
+            return
+        self.conflicts.update(conflicts)
+        self.unacknowledged.difference_update(teams, conflicts)
+        last = not self.unacknowledged
+        self._machine.fire('acknowledge_last' if last else 'acknowledge')
+
+
+class _Counted(NamedTuple):
+    sequence: int
+    figures: dict[str, UsageFigure]
+
+
+@final
+class UsageWindows:
+    """All windows that are still kept, oldest first."""
+
+    def __init__(self) -> None:
+        """Start without windows."""
+        self.windows: dict[int, UsageWindow] = {}
+        self.carried: dict[str, UsageFigure] = {}
+        self.dropped_records = 0
+        self._counted: dict[tuple[str, int], _Counted] = {}
+        self._forgotten_before_s = 0
+
+    def count(self, record: UsageCounted) -> None:
+        """Apply counts; repeated and older records change nothing."""
+        start_s = record['window_start_s']
+        if start_s < self._forgotten_before_s:
+            # What was already counted for it is no longer known, so that
+            # adding the record could bill its usage twice.
+            self.dropped_records += 1
+            return
+        source = (record['incarnation'], start_s)
+        seen = self._counted.get(source, _Counted(0, {}))
+        if record['sequence'] <= seen.sequence:
+            return
+        for team, numbers in record['counts'].items():
+            figure = UsageFigure(*numbers)
+            self._add(
+                start_s, team, figure.minus(seen.figures.get(team, NO_USAGE))
+            )
+            seen.figures[team] = figure
+        self._counted[source] = _Counted(record['sequence'], seen.figures)
+
+    def close(self, record: UsageClosed) -> None:
+        """Close a window with what was carried over; once per window."""
+        window = self._window(record['window_start_s'])
+        if window.state != 'open':
+            return
+        for team, figure in self.carried.items():
+            window.add(team, figure)
+        self.carried = {}
+        window.close(record['window_end_s'])
+        self._forget_old()
+
+    def acknowledge(self, record: UsageAcknowledged) -> None:
+        """Apply the platform's answers for a window."""
+        window = self.windows.get(record['window_start_s'])
+        if window is not None:
+            window.acknowledge(record['teams'], record['conflicts'])
+
+    def _add(self, start_s: int, team: str, figure: UsageFigure) -> None:
+        window = self._window(start_s)
+        if window.state == 'open':
+            window.add(team, figure)
+        else:
+            self.carried[team] = self.carried.get(team, NO_USAGE).plus(figure)
+
+    def _window(self, start_s: int) -> UsageWindow:
+        if start_s not in self.windows:
+            self.windows[start_s] = UsageWindow(start_s)
+        return self.windows[start_s]
+
+    def _forget_old(self) -> None:
+        done = sorted(
+            start_s
+            for start_s, window in self.windows.items()
+            if window.state == 'acknowledged'
+        )
+        for start_s in done[:-KEPT_WINDOWS]:
+            self.windows.pop(start_s)
+            self._forgotten_before_s = start_s + 1
+        self._counted = {
+            source: counted
+            for source, counted in self._counted.items()
+            if source[1] >= self._forgotten_before_s
+        }
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,173 @@
+from datetime import timedelta
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from peridotrill.clock import MAX_CLOCK_DRIFT, ManualClock
+from peridotrill.control_state import ControlState
+from peridotrill.leases import Lease
+from peridotrill.timeline import Recorder
+from tests.memory_log import MemoryLog
+
+TTL = timedelta(seconds=6)
+PROCESSES = st.integers(0, 1)
+RATES = (1 - MAX_CLOCK_DRIFT / 2, 1 + MAX_CLOCK_DRIFT / 2)
+
+
+class _Process:
+    def __init__(self, name: str, rate: float) -> None:
+        self.rate = rate
+        self.clock = ManualClock()
+        self.state = ControlState()
+        self.in_flight: list = []
+        self.start(name)
+
+    def start(self, name: str) -> None:
+        recorder = Recorder(name, self.clock)
+        self.lease = Lease('usage', name, TTL, self.state, self.clock, recorder)
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Guards against two holders under pauses, drift, lost answers,
+    appends that take effect late, lagging readers and restarts."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.log = MemoryLog()
+        self.restarts = 0
+        self.processes = [
+            _Process(f'p{index}', rate) for index, rate in enumerate(RATES)
+        ]
+
+    # Durations around the time to live, where the two sides must not meet.
+    @rule(duration_ms=st.sampled_from([100, 2100, 3900, 5900, 5994, 6007]))
+    def advance(self, duration_ms):
+        for process in self.processes:
+            process.clock.advance(
+                timedelta(milliseconds=duration_ms * process.rate)
+            )
+
+    @rule(index=PROCESSES)
+    def read(self, index):
+        process = self.processes[index]
+        self.log.read_into(process.state)
+        process.lease.observe()
+
+    @rule(index=PROCESSES, mode=st.sampled_from(['in_time', 'late', 'read']))
+    def append(self, index, mode):
+        process = self.processes[index]
+        process.lease.observe()
+        record = process.lease.next_record()
+        if record is None:
+            return
+        if mode == 'late':
+            process.in_flight.append(record)
+            return
+        self.log.store(record)
+        if mode == 'read':
+            self.read(index)
+
+    @rule(index=PROCESSES)
+    def deliver_late(self, index):
+        process = self.processes[index]
+        if process.in_flight:
+            self.log.store(process.in_flight.pop())
+
+    @rule(index=PROCESSES)
+    def restart(self, index):
+        self.restarts += 1
+        self.processes[index].state = ControlState()
+        self.processes[index].start(f'p{index}-{self.restarts}')
+
+    @invariant()
+    def at_most_one_holder(self):
+        holders = [
+            process for process in self.processes if process.lease.is_held()
+        ]
+        assert len(holders) <= 1
+
+
+TestLeases = LeaseMachine.TestCase
+TestLeases.settings = settings(
+    max_examples=600, stateful_step_count=20, deadline=None, derandomize=True
+)
+
+
+def test_a_lease_is_taken_over_after_its_holder_stops():
+    # Guards against a lease that nobody can claim any more.
+    log = MemoryLog()
+    one, two = _Process('one', 1), _Process('two', 1)
+
+    def step(process):
+        process.lease.observe()
+        record = process.lease.next_record()
+        if record:
+            log.store(record)
+        log.read_into(process.state)
+        process.lease.observe()
+
+    step(one)
+    assert one.lease.is_held()
+    for _ in range(20):
+        for process in (one, two):
+            process.clock.advance(timedelta(seconds=1))
+        step(one)
+        step(two)
+        assert one.lease.is_held()
+        assert not two.lease.is_held()
+    epoch = one.lease.epoch
+    for _ in range(8):
+        for process in (one, two):
+            process.clock.advance(timedelta(seconds=1))
+        step(two)
+    assert two.lease.is_held()
+    assert not one.lease.is_held()
+    assert two.lease.epoch > epoch
+
+
+def _hold(process, log):
+    log.store(process.lease.next_record())
+    log.read_into(process.state)
+    process.lease.observe()
+    assert process.lease.is_held()
+
+
+def test_a_renewal_that_was_not_read_defeats_the_claim():
+    # Guards against two holders when a slow renewal reaches the log just
+    # before the claim of another process.
+    log = MemoryLog()
+    one, two = _Process('one', 1), _Process('two', 1)
+    _hold(one, log)
+    log.read_into(two.state)
+    two.lease.observe()
+    for process in (one, two):
+        process.clock.advance(TTL * 0.9)
+    renewal = one.lease.next_record()
+    for process in (one, two):
+        process.clock.advance(TTL * 0.2)
+    claim = two.lease.next_record()
+    log.store(renewal)
+    log.store(claim)
+    for process in (one, two):
+        log.read_into(process.state)
+        process.lease.observe()
+    assert one.lease.is_held()
+    assert not two.lease.is_held()
+
+
+def test_no_claim_while_a_slow_clock_still_holds():
+    # Guards against a lease time that ignores the drift of clocks.
+    log = MemoryLog()
+    slow, fast = (_Process(f'rate {rate}', rate) for rate in RATES)
+    _hold(slow, log)
+    log.read_into(fast.state)
+    fast.lease.observe()
+    step = timedelta(milliseconds=2)
+    for _ in range(int(TTL / step) + 10):
+        for process in (slow, fast):
+            process.clock.advance(step * process.rate)
+            process.lease.observe()
+        if slow.lease.is_held():
+            assert fast.lease.next_record() is None
+    assert fast.lease.next_record() is not None
--- /dev/null
+++ b/tests/test_usage.py
@@ -0,0 +1,204 @@
+from datetime import timedelta
+
+import anyio
+import httpx
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from peridotrill.clock import ManualClock
+from peridotrill.codec import decode_json
+from peridotrill.control_state import USAGE_LEASE, ControlState
+from peridotrill.leases import DEFAULT_TTL, Lease
+from peridotrill.timeline import Recorder
+from peridotrill.usage import (
+    UsageCounter,
+    UsageReporter,
+    UsageSettings,
+    flush_usage,
+)
+from tests.memory_log import MemoryLog
+
+WINDOW = timedelta(seconds=60)
+SETTINGS = UsageSettings(timedelta(seconds=5), WINDOW, timedelta(seconds=10))
+ENTRIES = st.integers(0, 1)
+
+
+class _Platform:
+    """Keeps the first figure of each team and window."""
+
+    def __init__(self) -> None:
+        self.figures: dict[tuple[str, int], dict] = {}
+        self.conflicts = 0
+        self.fault = ''
+
+    def answer(self, request: httpx.Request) -> httpx.Response:
+        if self.fault == 'down':
+            raise httpx.ConnectError('down')
+        body = decode_json(request.content)
+        body.pop('epoch')
+        place = body['team'], body['window_start_s']
+        if self.figures.setdefault(place, body) != body:
+            self.conflicts += 1
+            return httpx.Response(409)
+        if self.fault == 'lose_answer':
+            raise httpx.ReadTimeout('lost')
+        return httpx.Response(200, json={'accepted': True})
+
+
+class _Entry:
+    def __init__(self, name, clock, log, platform) -> None:
+        self.state = ControlState()
+        recorder = Recorder(name, clock)
+        self.recorder = recorder
+        self.counter = UsageCounter(name, name, WINDOW, self)
+        self.clock = clock
+        self.lease = Lease(
+            USAGE_LEASE, name, DEFAULT_TTL, self.state, clock, recorder
+        )
+        http = httpx.AsyncClient(transport=httpx.MockTransport(platform.answer))
+        self.reporter = UsageReporter(
+            'http://platform',
+            http,
+            log,
+            self.lease,
+            self.state,
+            self,
+            SETTINGS,
+            recorder,
+        )
+
+    def platform_time_s(self) -> float:
+        return self.clock.monotonic_s()
+
+
+class UsageMachine(RuleBasedStateMachine):
+    """Guards against usage that is lost, billed twice or reported with two
+    figures, under lost answers, outages and killed entries."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = ManualClock()
+        self.log = MemoryLog()
+        self.platform = _Platform()
+        self.started = 0
+        self.written = 0
+        self.unwritten = [0, 0]
+        self.entries = [self._new_entry(), self._new_entry()]
+
+    def _new_entry(self):
+        self.started += 1
+        return _Entry(f'e{self.started}', self.clock, self.log, self.platform)
+
+    @rule(index=ENTRIES, team=st.sampled_from('ab'), tokens=st.integers(0, 9))
+    def count(self, index, team, tokens):
+        self.entries[index].counter.count(team, 1, tokens, 0)
+        self.unwritten[index] += 1
+
+    @rule(index=ENTRIES, fault=st.sampled_from(['', 'down', 'lose_answer']))
+    def flush(self, index, fault):
+        entry = self.entries[index]
+        self.log.fault = fault
+        anyio.run(flush_usage, entry.counter, self.log, entry.recorder)
+        self.log.fault = ''
+        if fault != 'down':
+            self.written += self.unwritten[index]
+            self.unwritten[index] = 0
+
+    @rule(
+        index=ENTRIES,
+        log_fault=st.sampled_from(['', '', 'down', 'lose_answer']),
+        fault=st.sampled_from(['', '', 'down', 'lose_answer']),
+    )
+    def report(self, index, log_fault, fault):
+        entry = self.entries[index]
+        self.log.read_into(entry.state)
+        entry.lease.observe()
+        record = entry.lease.next_record()
+        if record is not None:
+            self.log.store(record)
+            self.log.read_into(entry.state)
+            entry.lease.observe()
+        self.log.fault, self.platform.fault = log_fault, fault
+        anyio.run(entry.reporter.step)
+        self.log.fault = self.platform.fault = ''
+
+    @rule(duration_s=st.sampled_from([1, 7, 75]))
+    def advance(self, duration_s):
+        self.clock.advance(timedelta(seconds=duration_s))
+
+    @rule(index=ENTRIES)
+    def kill(self, index):
+        self.entries[index] = self._new_entry()
+        self.unwritten[index] = 0
+
+    @invariant()
+    def every_written_request_is_in_one_place(self):
+        state = ControlState()
+        self.log.read_into(state)
+        placed = sum(
+            figure.requests
+            for window in state.usage.windows.values()
+            for figure in window.figures.values()
+        )
+        placed += sum(fig.requests for fig in state.usage.carried.values())
+        assert placed == self.written
+        assert not self.platform.conflicts
+        for (team, start_s), body in self.platform.figures.items():
+            figure = state.usage.windows[start_s].figures[team]
+            assert body['requests'] == figure.requests
+
+
+TestUsage = UsageMachine.TestCase
+TestUsage.settings = settings(
+    max_examples=150, stateful_step_count=30, deadline=None, derandomize=True
+)
+
+
+def test_a_failed_flush_is_repeated_with_the_same_counts():
+    # Guards against counts that are dropped when the log is down.
+    clock, log = ManualClock(), MemoryLog()
+    entry = _Entry('e', clock, log, _Platform())
+    entry.counter.count('a', 1, 2, 3)
+    log.fault = 'down'
+    assert not anyio.run(flush_usage, entry.counter, log, entry.recorder)
+    log.fault = ''
+    assert anyio.run(flush_usage, entry.counter, log, entry.recorder)
+    log.read_into(entry.state)
+    assert entry.state.usage.windows[0].figures['a'] == (1, 2, 3)
+    assert entry.counter.is_written
+
+
+def test_counts_that_come_late_go_into_the_next_window():
+    # Guards against a figure that changes after it was fixed, and against
+    # usage that is lost because it was written late.
+    clock, log, platform = ManualClock(), MemoryLog(), _Platform()
+    prompt, slow = (_Entry(name, clock, log, platform) for name in 'ab')
+
+    def work():
+        log.read_into(prompt.state)
+        prompt.lease.observe()
+        record = prompt.lease.next_record()
+        if record:
+            log.store(record)
+            log.read_into(prompt.state)
+            prompt.lease.observe()
+        for _ in range(2):
+            anyio.run(prompt.reporter.step)
+            log.read_into(prompt.state)
+
+    slow.counter.count('a', 1, 0, 0)
+    prompt.counter.count('a', 1, 0, 0)
+    anyio.run(flush_usage, prompt.counter, log, prompt.recorder)
+    clock.advance(timedelta(seconds=75))
+    work()
+    anyio.run(flush_usage, slow.counter, log, slow.recorder)
+    for _ in range(2):
+        clock.advance(timedelta(seconds=75))
+        work()
+    reported = {
+        place: body['requests'] for place, body in platform.figures.items()
+    }
+    assert reported[('a', 0)] == 1
+    assert sum(reported.values()) == 2
+    assert not platform.conflicts
