--- /dev/null
+++ b/tests/test_publishing.py
@@ -0,0 +1,237 @@
+import anyio
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from peridotrill import publishing
+from peridotrill.clock import ManualClock
+from peridotrill.exceptions import LogUnavailable, RecordError
+from peridotrill.publishing import Publisher, compute_change, load_folder
+from tests.builders import model_document, plain_document, service_text
+from tests.fake_log import FakeLog, FakeOperatorLog
+
+FOLDERS = st.dictionaries(
+    st.sampled_from(('a', 'b', 'c')),
+    st.integers(0, 2),
+    min_size=1,
+).map(
+    lambda priorities: {
+        name: service_text(plain_document(name, priority=priority))
+        for name, priority in priorities.items()
+    },
+)
+FAULTS = st.sampled_from(
+    ('none', 'none', 'unavailable', 'answer_lost', 'lost', 'late'),
+)
+
+
+def run_publish(log, texts, author='ann', base_version=None):
+    clock = ManualClock()
+    publisher = Publisher(FakeOperatorLog(log, clock), clock)
+    return anyio.run(publisher.publish, texts, author, base_version)
+
+
+def naive_history(records):
+    """Return configurations by version and the accepted authors."""
+    history, version, authors = {0: {}}, 0, {}
+    for offset, record in enumerate(records, start=1):
+        if record['base_version'] == version:
+            texts = {**history[version], **record['changed']}
+            for name in record['removed']:
+                del texts[name]
+            history[offset], version = texts, offset
+            authors[record['author']] = offset
+    return history, authors
+
+
+class RacingOperators(RuleBasedStateMachine):
+    """Operators publish from racing bases; answers and records get lost."""
+
+    def __init__(self):
+        super().__init__()
+        self.log = FakeLog()
+        self.outcomes = {}
+        self.wanted = {}
+
+    async def publish(self, texts, base_version=None):
+        author = f'call-{len(self.wanted)}'
+        self.wanted[author] = texts
+        clock = ManualClock()
+        publisher = Publisher(FakeOperatorLog(self.log, clock), clock)
+        try:
+            outcome = await publisher.publish(texts, author, base_version)
+        except LogUnavailable as error:
+            outcome = error
+        self.outcomes[author] = outcome
+
+    @rule(
+        texts=FOLDERS,
+        fault=FAULTS,
+        rival=st.none() | FOLDERS,
+        base=st.none() | st.integers(0, 12),
+    )
+    def publish_with_a_rival(self, texts, fault, rival, base):
+        async def race():
+            # The rival's own append happens between read and append.
+            if rival is not None:
+                await self.publish(rival)
+
+        async def body():
+            self.log.before_append, self.log.fault = race, fault
+            await self.publish(texts, base)
+
+        anyio.run(body)
+        self.log.before_append, self.log.fault = None, 'none'
+
+    @rule()
+    def deliver_late(self):
+        self.log.deliver_late()
+
+    @invariant()
+    def outcomes_agree_with_the_log(self):
+        # Records still in flight must not change an outcome either.
+        history, authors = naive_history(self.log.records + self.log.late)
+        written = {record['author'] for record in self.log.records}
+        in_flight = {record['author'] for record in self.log.late}
+        for author, outcome in self.outcomes.items():
+            match outcome:
+                case publishing.Accepted(version=version):
+                    assert authors[author] == version
+                    assert history[version] == self.wanted[author]
+                case publishing.Unchanged(version=version):
+                    assert author not in written | in_flight
+                    assert history[version] == self.wanted[author]
+                case publishing.LostRace():
+                    assert author not in authors
+                    assert outcome.version > outcome.base_version or (
+                        author not in written
+                    )
+                case LogUnavailable():
+                    assert author not in written | in_flight
+
+
+RacingOperators.TestCase.settings = settings(
+    max_examples=60,
+    stateful_step_count=12,
+    deadline=None,
+)
+TestRacingOperators = RacingOperators.TestCase
+
+
+def test_lost_answer_is_settled_by_reading_back():
+    # Guards against a second append after an answer was lost.
+    log = FakeLog()
+    log.fault = 'answer_lost'
+    texts = {'a': service_text(plain_document('a'))}
+    assert run_publish(log, texts).version == 1
+    assert run_publish(log, texts, base_version=0).version == 1
+    assert len(log.records) == 1
+
+
+def test_outcome_stays_unknown_only_while_nobody_else_published():
+    log = FakeLog()
+    log.fault = 'late'
+    texts = {'a': service_text(plain_document('a'))}
+    outcome = run_publish(log, texts)
+    assert isinstance(outcome, publishing.OutcomeUnknown)
+    assert run_publish(log, texts).version == 1
+    log.deliver_late()
+    assert run_publish(log, texts) == publishing.Unchanged(1)
+
+
+def test_loser_is_told_who_changed_what():
+    log = FakeLog()
+    texts = {'a': service_text(plain_document('a'))}
+    both = {**texts, 'b': service_text(plain_document('b'))}
+    run_publish(log, texts, 'ann')
+    run_publish(log, both, 'ben')
+    outcome = run_publish(log, texts, 'cas', base_version=1)
+    assert outcome == publishing.LostRace(1, 2, ('b',), ('ben',))
+    assert len(log.records) == 2
+
+
+def test_readers_that_reject_a_catalog_are_reported():
+    outcome = run_publish(FakeLog(), {'a': 'not a service'})
+    assert outcome == publishing.Rejected(1)
+
+
+def test_a_change_above_the_size_of_a_record_is_not_appended():
+    log = FakeLog()
+    texts = {f's{number}': 'x' * 60_000 for number in range(20)}
+    with pytest.raises(RecordError):
+        run_publish(log, texts)
+    assert not log.records
+
+
+def test_a_publish_appends_only_what_changed():
+    # Guards against records that grow with the configuration.
+    log = FakeLog()
+    texts = {
+        'a': service_text(plain_document('a')),
+        'b': service_text(plain_document('b')),
+    }
+    run_publish(log, texts)
+    run_publish(log, {'a': service_text(plain_document('a', priority=9))})
+    assert log.records[1]['changed'].keys() == {'a'}
+    assert log.records[1]['removed'] == ['b']
+
+
+def test_read_back_continues_through_an_outage():
+    class Outage(FakeOperatorLog):
+        failures = 3
+
+        async def refresh(self, wait):
+            if self._log.records and self.failures:
+                self.failures -= 1
+                raise LogUnavailable('down')
+            await super().refresh(wait)
+
+    async def body():
+        slept = []
+
+        async def sleep(delay_s):
+            slept.append(delay_s)
+
+        clock = ManualClock()
+        publisher = Publisher(Outage(FakeLog(), clock), clock, sleep=sleep)
+        texts = {'a': service_text(plain_document('a'))}
+        assert isinstance(
+            await publisher.publish(texts, 'ann'), publishing.Accepted
+        )
+        assert len(slept) == 3
+
+    anyio.run(body)
+
+
+def test_folder_reports_the_findings_of_all_files(tmp_path):
+    def write(path, payload):
+        place = tmp_path / f'{path}.peridotrill.yaml'
+        place.parent.mkdir(exist_ok=True)
+        place.write_bytes(payload)
+
+    write('a/a', service_text(plain_document('a')).encode())
+    (tmp_path / 'a' / 'notes.yaml').write_text('ignored')
+    assert load_folder(tmp_path).ok.keys() == {'a'}
+    write('b/again', service_text(plain_document('a')).encode())
+    write('c/bytes', b'name: x\n# \xff\n')
+    write('d/broken', b'name: [')
+    write('e/model', service_text(model_document(model=1)).encode())
+    write('f/huge', b'x' * 300_000)
+    (tmp_path / 'g.peridotrill.yaml').mkdir()
+    findings = load_folder(tmp_path).error
+    assert {found.code for found in findings} == {
+        'duplicate',
+        'encoding',
+        'syntax',
+        'wrong_type',
+        'too_large',
+        'unreadable',
+    }
+    assert all(str(tmp_path) in found.place for found in findings)
+
+
+def test_an_empty_folder_does_not_remove_every_service(tmp_path):
+    assert load_folder(tmp_path).error[0].code == 'no_files'
+    assert load_folder(tmp_path / 'none').error[0].code == 'no_files'
+    assert compute_change({}, {'a': ''}).removed == ('a',)
