--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -149,24 +149,24 @@
     def wait_ready(self, timeout_s=30.0):
         for entry_id in self.entries:
             wait_for(
-                lambda entry=entry_id: self.is_ready(entry),
+                lambda entry=entry_id: self.check_ready(entry),
                 timeout_s,
                 f'{entry_id} ready',
             )
 
-    def is_ready(self, entry_id):
+    def check_ready(self, entry_id):
+        """Tell if the entry is ready; raises if it has ended."""
         self.entries[entry_id].check_running()
+        return self.is_serving(entry_id)
+
+    def is_serving(self, entry_id):
+        """Tell what the balancer of the platform sees."""
         try:
             url = f'{self.control_urls[entry_id]}/readyz'
             return self.client.get(url).is_success
         except httpx.TransportError:
             return False
 
-    def is_serving(self, entry_id):
-        """Tell what the balancer of the platform sees."""
-        running = self.entries[entry_id].is_running
-        return running and self.is_ready(entry_id)
-
     def append(self, record):
         self.client.post(
             f'{self._platform_url}/log/append', content=encode_record(record)
