--- a/standins/prepare_deployment.py
+++ b/standins/prepare_deployment.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import time
+from functools import partial
 from pathlib import Path
 from typing import Any, Final
 
@@ -20,7 +21,8 @@
 
 from peridotrill.catalog import Catalog, build_catalog
 from peridotrill.findings import format_findings
-from peridotrill.services import FILE_SUFFIX, Service
+from peridotrill.publishing import load_folder
+from peridotrill.services import Service
 from peridotrill.settings import Setting, load_settings, setting_kinds
 from standins import topology
 
@@ -131,11 +133,8 @@
 
 def load_catalog(folder: Path) -> Catalog:
     """Read the service files below a folder."""
-    texts = {
-        path.name.removesuffix(FILE_SUFFIX): path.read_text('utf-8')
-        for path in sorted(folder.rglob(f'*{FILE_SUFFIX}'))
-    }
-    match build_catalog(1, texts):
+    loaded = load_folder(folder).bind(partial(build_catalog, 1))
+    match loaded:
         case Result(tag='ok', ok=catalog):
             return catalog
         case Result(error=findings):
