Send dropped batches of a link again instead of reconnecting

Cause: the agent's polyamorous socket queues two messages for each connection and drops the next without notice. Ruled out: larger send buffers, which apply to the socket and not to its connections.

The agent's end keeps batches until they are acknowledged.

--- a/peridotrill/channel.py
+++ b/peridotrill/channel.py
@@ -1,6 +1,7 @@
 """One connection of a link: sequence numbers, outbox and liveness."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, Final, NamedTuple, final
@@ -15,11 +16,16 @@
 HEARTBEAT_INTERVAL: Final = timedelta(milliseconds=500)
 SILENCE_LIMIT: Final = timedelta(seconds=2)
 FLUSH_INTERVAL: Final = timedelta(milliseconds=5)
-NO_SPACING: Final = timedelta(0)
 # The peer's connection is closed when more than this waits for a flush.
 MAX_OUTBOX_BYTES: Final = 10 * 1024 * 1024
 MAX_OUTBOX_MESSAGES: Final = 4096
 BUFFER_MESSAGES: Final = 1024
+# Sent but not acknowledged; with more the peer is considered stalled.
+MAX_UNACKNOWLEDGED_BYTES: Final = 4 * 1024 * 1024
+MAX_UNACKNOWLEDGED_BATCHES: Final = 4096
+ACKNOWLEDGE_INTERVAL: Final = timedelta(milliseconds=50)
+ACKNOWLEDGE_BATCHES: Final = 32
+PROBE_DELAY: Final = timedelta(milliseconds=20)
 MAX_EVENTS: Final = 1024
 
 # They tolerate a short delay; every other message is sent at once.
@@ -50,12 +56,45 @@
     )
 
 
+class ChannelRole(NamedTuple):
+    """How the ends of a connection differ.
+
+    A polyamorous socket drops a message without notice when two wait for a
+    connection, for instance while the threads of the transport get no
+    processor time. Its end (``keeps_sent``) therefore keeps what it sent
+    until the other end (``requests_resend``) acknowledges it. ``spacing``
+    between batches makes drops rare.
+    """
+
+    keeps_sent: bool
+    requests_resend: bool
+    spacing: timedelta
+
+
+ENTRY_END: Final = ChannelRole(
+    keeps_sent=False,
+    requests_resend=True,
+    spacing=timedelta(0),
+)
+AGENT_END: Final = ChannelRole(
+    keeps_sent=True,
+    requests_resend=False,
+    spacing=timedelta(milliseconds=1),
+)
+
+
+class _SentBatch(NamedTuple):
+    sequence: int
+    messages: list[Any]
+    size_bytes: int
+
+
 @final
 class Channel:
     """State of one connection; it ends with the connection.
 
     Control messages are sent at once, unless the previous batch left less
-    than ``spacing`` ago. Answer chunks and acknowledgements wait up to
+    than the spacing of the role ago. Answer chunks and acknowledgements wait up to
     ``FLUSH_INTERVAL``. Messages keep their order.
     """
 
@@ -64,7 +103,7 @@
         transmit: Callable[[bytes], None],
         clock: Clock,
         recorder: Recorder,
-        spacing: timedelta = NO_SPACING,
+        role: ChannelRole,
     ) -> None:
         """:param transmit: hands bytes to the transport or raises."""
         self.received_s = clock.monotonic_s()
@@ -73,11 +112,17 @@
         self._transmit = transmit
         self._clock = clock
         self._recorder = recorder
-        self._spacing_s = spacing.total_seconds()
+        self._role = role
+        self._unacknowledged: deque[_SentBatch] = deque()
+        self._unacknowledged_bytes = 0
+        self._acknowledged = 0
+        self._acknowledged_s = self.received_s
+        self._resend_s = float('-inf')
+        self._probe: asyncio.TimerHandle | None = None
         self._outbox: list[Any] = []
         self._outbox_bytes = 0
         self._sent = 0
-        self._sent_s = self.received_s - self._spacing_s
+        self._sent_s = self.received_s - role.spacing.total_seconds()
         self._received = 0
         self._timer: asyncio.TimerHandle | None = None
         self._timer_due_s = 0.0
@@ -109,37 +154,27 @@
         self._cancel_timer()
         if self.close_reason or not self._outbox:
             return
-        batch = messages.Batch(
-            self._sent + 1,
-            self._recorder.lamport,
-            self._outbox,
-        )
+        pending, size_bytes = self._outbox, self._outbox_bytes
         self._outbox, self._outbox_bytes = [], 0
-        try:
-            self._transmit(messages.encode_batch(batch))
-        except pynng.TryAgain:
-            self.close('overflow')
-        except (pynng.NNGException, LinkClosed) as error:
-            self.close(f'transport: {error}')
-        self._sent += 1
-        self._sent_s = self._clock.monotonic_s()
+        self._send_batch(pending, size_bytes)
 
     def receive(self, payload: bytes) -> list[Any]:
         """Decode a batch.
 
         :param payload: raises MessageError if it is malformed, LinkError if
-            batches before it are missing.
+            batches before it are missing and cannot be sent again.
+        :return: its messages; none of a batch after a gap, which will be
+            sent again.
         """
         batch = messages.decode_batch(payload)
+        self.received_s = self._clock.monotonic_s()
         if batch.sequence != self._received + 1:
-            raise LinkError(f'gap: {batch.sequence} after {self._received}')
+            self._request_resend(batch.sequence)
+            return []
         self._received = batch.sequence
-        self.received_s = self._clock.monotonic_s()
         self._recorder.observe(batch.lamport)
-        for entry in batch.messages:
-            if isinstance(entry, messages.Heartbeat):
-                self.peer_clock_s = entry.clock_s
-        return batch.messages
+        self._acknowledge_batches()
+        return [entry for entry in batch.messages if not self._handle(entry)]
 
     def heartbeat(self, position: LogPosition) -> None:
         """Send a heartbeat; a failure closes the channel.
@@ -169,8 +204,100 @@
         """
         self.close_reason = self.close_reason or reason
         self._cancel_timer()
+        if self._probe is not None:
+            self._probe.cancel()
         self._outbox, self._outbox_bytes = [], 0
 
+    def _send_batch(self, pending: list[Any], size_bytes: int) -> None:
+        self._sent += 1
+        self._sent_s = self._clock.monotonic_s()
+        batch = messages.Batch(self._sent, self._recorder.lamport, pending)
+        if self._role.keeps_sent:
+            self._keep(_SentBatch(self._sent, pending, size_bytes))
+        try:
+            self._transmit(messages.encode_batch(batch))
+        except pynng.TryAgain:
+            self.close('overflow')
+        except (pynng.NNGException, LinkClosed) as error:
+            self.close(f'transport: {error}')
+
+    def _keep(self, sent: _SentBatch) -> None:
+        self._unacknowledged.append(sent)
+        self._unacknowledged_bytes += sent.size_bytes
+        if self._unacknowledged_bytes > MAX_UNACKNOWLEDGED_BYTES:
+            self.close('stalled')
+        if len(self._unacknowledged) > MAX_UNACKNOWLEDGED_BATCHES:
+            self.close('stalled')
+        if sent.messages:
+            self._schedule_probe()
+
+    def _schedule_probe(self) -> None:
+        if self._probe is not None:
+            self._probe.cancel()
+        loop = asyncio.get_running_loop()
+        self._probe = loop.call_later(
+            PROBE_DELAY.total_seconds(),
+            self._send_probe,
+        )
+
+    def _send_probe(self) -> None:
+        if self._unacknowledged and not self.close_reason:
+            self._send_batch([], 0)
+
+    def _handle(self, entry: Any) -> bool:
+        if isinstance(entry, messages.AcknowledgeBatches):
+            self._forget_sent(entry)
+            return True
+        if isinstance(entry, messages.Heartbeat):
+            self.peer_clock_s = entry.clock_s
+        return False
+
+    def _forget_sent(self, entry: messages.AcknowledgeBatches) -> None:
+        kept = self._unacknowledged
+        while kept and kept[0].sequence <= entry.received:
+            self._unacknowledged_bytes -= kept.popleft().size_bytes
+        if entry.resend and kept and kept[0].sequence == entry.received + 1:
+            self._resend()
+
+    def _resend(self) -> None:
+        # The peer takes nothing but the next sequence number, and the
+        # connection keeps the order, so all that is missing fits into one
+        # batch with that number.
+        kept = self._unacknowledged
+        missing = [entry for sent in kept for entry in sent.messages]
+        self._sent = kept[0].sequence - 1
+        size_bytes = self._unacknowledged_bytes
+        kept.clear()
+        self._unacknowledged_bytes = 0
+        self._recorder.emit('batches_sent_again', messages=len(missing))
+        self._send_batch(missing, size_bytes)
+
+    def _request_resend(self, sequence: int) -> None:
+        if not self._role.requests_resend:
+            raise LinkError(f'gap: {sequence} after {self._received}')
+        now_s = self._clock.monotonic_s()
+        recent = now_s - self._resend_s < ACKNOWLEDGE_INTERVAL.total_seconds()
+        if sequence <= self._received or recent:
+            return
+        self._resend_s = now_s
+        self._send_acknowledgement(resend=True)
+
+    def _acknowledge_batches(self) -> None:
+        if not self._role.requests_resend:
+            return
+        elapsed_s = self._clock.monotonic_s() - self._acknowledged_s
+        due = elapsed_s >= ACKNOWLEDGE_INTERVAL.total_seconds()
+        if due or self._received - self._acknowledged >= ACKNOWLEDGE_BATCHES:
+            self._send_acknowledgement(resend=False)
+
+    def _send_acknowledgement(self, resend: bool) -> None:
+        self._acknowledged = self._received
+        self._acknowledged_s = self._clock.monotonic_s()
+        try:
+            self.send(messages.AcknowledgeBatches(self._received, resend))
+        except LinkClosed:
+            return
+
     def _is_overfull(self) -> bool:
         return (
             self._outbox_bytes > MAX_OUTBOX_BYTES
@@ -180,7 +307,11 @@
     def _delay_s(self, message: Any) -> float:
         if isinstance(message, _DELAYED):
             return FLUSH_INTERVAL.total_seconds()
-        return self._sent_s + self._spacing_s - self._clock.monotonic_s()
+        return (
+            self._sent_s
+            + self._role.spacing.total_seconds()
+            - self._clock.monotonic_s()
+        )
 
     def _schedule(self, delay_s: float) -> None:
         loop = asyncio.get_running_loop()
--- a/peridotrill/link.py
+++ b/peridotrill/link.py
@@ -17,6 +17,7 @@
 
 from peridotrill import messages
 from peridotrill.channel import (
+    ENTRY_END,
     HEARTBEAT_INTERVAL,
     MAX_EVENTS,
     SILENCE_LIMIT,
@@ -236,7 +237,7 @@
         self.connected = anyio.Event()
         self.ended = anyio.Event()
         self.socket = open_socket(polyamorous=False)
-        self.channel = Channel(self._transmit, clock, recorder)
+        self.channel = Channel(self._transmit, clock, recorder, ENTRY_END)
         self._clock = clock
         self._beat_s = clock.monotonic_s()
         self._pipe_id: int | None = None
--- a/peridotrill/link_listener.py
+++ b/peridotrill/link_listener.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from datetime import timedelta
 from typing import Any, Final, NamedTuple, Self, final
 
 import anyio
@@ -11,6 +10,7 @@
 
 from peridotrill import messages
 from peridotrill.channel import (
+    AGENT_END,
     HEARTBEAT_INTERVAL,
     MAX_EVENTS,
     Channel,
@@ -23,9 +23,6 @@
 from peridotrill.settings import Address
 from peridotrill.timeline import Recorder
 
-# A polyamorous socket holds two messages per connection and silently drops
-# the next; with less spacing a burst would lose batches.
-BATCH_SPACING: Final = timedelta(milliseconds=1)
 # Messages read in a row before other tasks run.
 MAX_READ: Final = 64
 
@@ -256,7 +253,7 @@
         self.hello: messages.Hello | None = None
         self.retired = False
         self._pipe = pipe
-        self.channel = Channel(self._transmit, clock, recorder, BATCH_SPACING)
+        self.channel = Channel(self._transmit, clock, recorder, AGENT_END)
 
     @property
     def is_usable(self) -> bool:
--- a/peridotrill/messages.py
+++ b/peridotrill/messages.py
@@ -269,11 +269,23 @@
     output_tokens: int
 
 
+@message(18)
+class AcknowledgeBatches(NamedTuple):
+    """Sent by an entry: all batches up to ``received`` have arrived.
+
+    With ``resend`` it asks for all later ones again.
+    """
+
+    received: int
+    resend: bool
+
+
 class Batch(NamedTuple):
     """Messages that travel together.
 
     ``sequence`` counts the batches of one connection from 1; a gap means
-    that the transport dropped one.
+    that the transport dropped one. A batch without messages shows the peer
+    a gap at the end of a burst.
     """
 
     sequence: int
--- /dev/null
+++ b/tests/test_channel.py
@@ -0,0 +1,72 @@
+import asyncio
+import random
+
+import anyio
+import pytest
+
+from peridotrill import messages
+from peridotrill.channel import AGENT_END, ENTRY_END, Channel
+from peridotrill.clock import SystemClock
+from peridotrill.exceptions import LinkClosed
+from peridotrill.timeline import Recorder
+
+pytestmark = pytest.mark.anyio
+
+
+class _LossyPair:
+    """Two ends in one process; batches of the agent's end get lost."""
+
+    def __init__(self, seed: int, loss_ratio: float) -> None:
+        self.random = random.Random(seed)
+        self.loss_ratio = loss_ratio
+        self.received: list[int] = []
+        recorder = Recorder('test', SystemClock())
+        self.agent = Channel(self._to_entry, SystemClock(), recorder, AGENT_END)
+        self.entry = Channel(self._to_agent, SystemClock(), recorder, ENTRY_END)
+
+    def _to_entry(self, payload: bytes) -> None:
+        if self.random.random() >= self.loss_ratio:
+            asyncio.get_running_loop().call_soon(self._receive, payload)
+
+    def _to_agent(self, payload: bytes) -> None:
+        asyncio.get_running_loop().call_soon(self.agent.receive, payload)
+
+    def _receive(self, payload: bytes) -> None:
+        for entry in self.entry.receive(payload):
+            if isinstance(entry, messages.AttemptChunk):
+                self.received.append(entry.position)
+            elif isinstance(entry, messages.AttemptStarted):
+                self.received.append(int(entry.attempt_id))
+
+
+@pytest.mark.parametrize('seed', range(5))
+async def test_dropped_batches_arrive_once_and_in_order(seed):
+    # Guards against batches that the transport drops without notice, also
+    # the last of a burst and those that are sent again.
+    pair = _LossyPair(seed, loss_ratio=0.2)
+    for number in range(300):
+        if number % 7:
+            pair.agent.send(messages.AttemptChunk('x', number, b'y'))
+        else:
+            pair.agent.send(messages.AttemptStarted(str(number), False))
+        if number % 5 == 0:
+            await anyio.sleep(0.002)
+    with anyio.fail_after(20):
+        while len(pair.received) < 300:
+            # Heartbeats go on while a connection lasts.
+            pair.agent.send(messages.Heartbeat(0, 0, 0, 0))
+            await anyio.sleep(0.05)
+    assert pair.received == list(range(300))
+    assert not pair.agent.close_reason
+
+
+async def test_a_peer_that_acknowledges_nothing_is_dropped():
+    # Guards against memory that grows while an entry is paused.
+    recorder = Recorder('test', SystemClock())
+    channel = Channel(lambda payload: None, SystemClock(), recorder, AGENT_END)
+    chunk = messages.AttemptChunk('x', 0, bytes(64 * 1024))
+    with pytest.raises(LinkClosed):
+        for _ in range(200):
+            channel.send(chunk)
+            channel.flush()
+    assert channel.close_reason == 'stalled'
