--- a/peridotrill/control_state.py
+++ b/peridotrill/control_state.py
@@ -22,6 +22,7 @@
     LeaseClaimed,
     LeaseReleased,
     LeaseRenewed,
+    SnapshotPart,
     UsageAcknowledged,
     UsageClosed,
     UsageCounted,
@@ -95,6 +96,9 @@
         self.lost: list[LostEntryState] = []
         self.leases: dict[str, LeaseState] = {}
         self.usage = UsageWindows()
+        self.snapshot_offset = 0
+        self.snapshot_at_s = 0.0
+        self.applied_at_s = 0.0
 
     def apply(self, offset: int, record: Any, appended_at_s: float) -> None:
         """Apply the record at the next offset.
@@ -102,6 +106,7 @@
         :param appended_at_s: the platform's time of the append.
         """
         self.offset = offset
+        self.applied_at_s = appended_at_s
         applier = _appliers.get(record['kind'])
         if applier is None:
             self.skipped_records += 1
@@ -333,3 +338,16 @@
     _appended_at_s: float,
 ) -> None:
     state.usage.acknowledge(record)
+
+
+@_appliers.register('snapshot_part')
+def _apply_snapshot_part(
+    state: ControlState,
+    _offset: int,
+    record: SnapshotPart,
+    appended_at_s: float,
+) -> None:
+    is_last = record['part'] == record['parts'] - 1
+    if is_last and record['through_offset'] > state.snapshot_offset:
+        state.snapshot_offset = record['through_offset']
+        state.snapshot_at_s = appended_at_s
--- a/peridotrill/log_client.py
+++ b/peridotrill/log_client.py
@@ -2,6 +2,7 @@
 
 import base64
 import math
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, Final, NamedTuple, Protocol, TypedDict, final
 
@@ -28,6 +29,8 @@
 READ_WAIT: Final = timedelta(seconds=2)
 _READ_TIMEOUT_MARGIN: Final = timedelta(seconds=2)
 _PAGE_RECORDS: Final = 500
+_NO_WAIT: Final = timedelta(0)
+_BEYOND_END: Final = 2**53
 _BACKOFF_START: Final = timedelta(milliseconds=100)
 _BACKOFF_LIMIT: Final = timedelta(seconds=2)
 
@@ -61,6 +64,16 @@
         """Pass over a record that cannot be decoded."""
 
 
+class SnapshotSource(Protocol):
+    """Finds a snapshot among records, to start from it."""
+
+    def add(self, record: Any) -> None:
+        """Take one record."""
+
+    def restore(self) -> bool:
+        """Restore the state; False if no usable snapshot was found."""
+
+
 class _AppendAnswer(TypedDict):
     offset: int
 
@@ -138,6 +151,13 @@
         return _decode_page(answer.content)
 
 
+def _add_to_source(source: SnapshotSource, row: LogRow) -> None:
+    try:
+        source.add(decode_record(row.payload))
+    except RecordError:
+        return
+
+
 def _decode_append(answer: httpx.Response) -> int:
     status = answer.status_code
     if status == httpx.codes.SERVICE_UNAVAILABLE:
@@ -181,8 +201,13 @@
         state: Foldable,
         clock: Clock,
         recorder: Recorder,
+        snapshots: Callable[[], SnapshotSource] | None = None,
     ) -> None:
-        """:param state: owned by the follower; others only read it."""
+        """:param state: owned by the follower; others only read it.
+
+        :param snapshots: used when the next record is no longer kept.
+        """
+        self._snapshots = snapshots
         self._client = client
         self._state = state
         self._clock = clock
@@ -224,7 +249,7 @@
                 )
             except RecordsExpired as error:
                 self._recorder.emit('log_gap', detail=str(error))
-                await self._back_off()
+                await self._restore()
             except LogError as error:
                 if self._backoff == _BACKOFF_START:
                     self._recorder.emit('log_unreadable', detail=str(error))
@@ -233,6 +258,36 @@
                 self._backoff = _BACKOFF_START
                 self._apply_page(page)
 
+    async def _restore(self) -> None:
+        try:
+            restored = await self._find_snapshot()
+        except LogError as error:
+            self._recorder.emit('log_unreadable', detail=str(error))
+            restored = False
+        if restored:
+            self._recorder.emit('snapshot_restored', offset=self._state.offset)
+            self._notify()
+        else:
+            await self._back_off()
+
+    async def _find_snapshot(self) -> bool:
+        if self._snapshots is None:
+            return False
+        source = self._snapshots()
+        next_offset = await self._first_offset()
+        page = await self._client.read(next_offset, _NO_WAIT)
+        while page.records:
+            for row in page.records:
+                _add_to_source(source, row)
+                next_offset = row.offset + 1
+            page = await self._client.read(next_offset, _NO_WAIT)
+        return source.restore()
+
+    async def _first_offset(self) -> int:
+        # A read far beyond the end answers at once with the bounds.
+        page = await self._client.read(_BEYOND_END, _NO_WAIT)
+        return page.first_offset
+
     async def _back_off(self) -> None:
         await anyio.sleep(self._backoff.total_seconds())
         self._backoff = min(self._backoff * 2, _BACKOFF_LIMIT)
--- a/peridotrill/records.py
+++ b/peridotrill/records.py
@@ -164,6 +164,22 @@
     conflicts: list[str]
 
 
+@record_types.register('snapshot_part')
+class SnapshotPart(TypedDict):
+    """A part of the state as of ``through_offset``.
+
+    A snapshot is complete when all ``parts`` with its ``snapshot_id`` are
+    in the log; ``part`` counts from 0.
+    """
+
+    kind: Literal['snapshot_part']
+    snapshot_id: str
+    through_offset: int
+    part: int
+    parts: int
+    payload: bytes
+
+
 def encode_record(record: Any) -> bytes:
     """Encode a record.
 
--- /dev/null
+++ b/peridotrill/snapshots.py
@@ -0,0 +1,221 @@
+"""Snapshots of the control state, kept alive in the log.
+
+The log keeps records for a limited time. A snapshot lets a process that
+starts later build the state without the records that are gone.
+"""
+
+from datetime import timedelta
+from typing import Any, Final, NamedTuple, final
+from uuid import uuid4
+
+import anyio
+import msgspec
+
+from peridotrill.catalog import build_catalog
+from peridotrill.control_state import (
+    ControlState,
+    EntryState,
+    LeaseState,
+    LostEntryState,
+    PublishResult,
+)
+from peridotrill.exceptions import LogError, RecordError
+from peridotrill.keys import KeyGrant, KeyTable
+from peridotrill.leases import Appender, Lease
+from peridotrill.log_client import LogFollower
+from peridotrill.records import SnapshotPart
+from peridotrill.timeline import Recorder
+from peridotrill.usage_windows import UsageSnapshot, UsageWindows
+
+SNAPSHOT_LEASE: Final = 'snapshot'
+_PART_BYTES: Final = 512 * 1024
+_TICK_S: Final = 1
+
+
+class _Content(NamedTuple):
+    version: int
+    texts: dict[str, str]
+    publish_results: dict[str, PublishResult]
+    keys: list[KeyGrant]
+    entries: dict[str, EntryState]
+    lost: list[LostEntryState]
+    leases: dict[str, LeaseState]
+    usage: UsageSnapshot
+    written_at_s: float
+
+
+_decoder: Final = msgspec.msgpack.Decoder(_Content)
+
+
+def encode_snapshot(state: ControlState) -> list[SnapshotPart]:
+    """Return the records of a snapshot, to be appended in this order.
+
+    :param state: all that it holds goes into the snapshot.
+    """
+    payload = msgspec.msgpack.encode(
+        _Content(
+            state.catalog.version,
+            state.texts,
+            state.publish_results,
+            list(state.keys),
+            state.entries,
+            state.lost,
+            state.leases,
+            state.usage.to_snapshot(),
+            state.applied_at_s,
+        ),
+    )
+    starts = range(0, len(payload), _PART_BYTES)
+    snapshot_id = uuid4().hex
+    return [
+        SnapshotPart(
+            kind='snapshot_part',
+            snapshot_id=snapshot_id,
+            through_offset=state.offset,
+            part=part,
+            parts=len(starts),
+            payload=payload[start : start + _PART_BYTES],
+        )
+        for part, start in enumerate(starts)
+    ]
+
+
+def restore_snapshot(state: ControlState, parts: list[SnapshotPart]) -> None:
+    """Replace the content of a state by a snapshot.
+
+    :param state: unchanged if the snapshot cannot be used.
+    :param parts: all parts in order. Raises RecordError if they are
+        malformed or hold a configuration that is not valid.
+    """
+    payload = b''.join(part['payload'] for part in parts)
+    try:
+        content = _decoder.decode(payload)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise RecordError(f'malformed snapshot: {error}') from error
+    catalog = build_catalog(content.version, content.texts)
+    if catalog.is_error():
+        raise RecordError('the snapshot holds an invalid configuration')
+    state.offset = parts[0]['through_offset']
+    state.snapshot_offset = state.offset
+    state.snapshot_at_s = content.written_at_s
+    state.catalog, state.texts = catalog.ok, content.texts
+    state.publish_results = content.publish_results
+    _replace_keys(state.keys, content.keys)
+    state.entries, state.lost = content.entries, content.lost
+    state.leases = content.leases
+    state.usage = UsageWindows.from_snapshot(content.usage)
+
+
+def _replace_keys(table: KeyTable, grants: list[KeyGrant]) -> None:
+    for outdated in list(table):
+        table.withdraw(outdated.name)
+    for grant in grants:
+        table.grant(*grant)
+
+
+@final
+class SnapshotAssembler:
+    """Finds the newest complete snapshot among the records of the log."""
+
+    def __init__(self, state: ControlState) -> None:
+        """:param state: what ``restore`` writes to."""
+        self._state = state
+        self.newest: list[SnapshotPart] = []
+        self._parts: dict[str, dict[int, SnapshotPart]] = {}
+
+    def add(self, record: Any) -> None:
+        """Take a record of the log; others than parts are ignored."""
+        if record['kind'] != 'snapshot_part':
+            return
+        parts = self._parts.setdefault(record['snapshot_id'], {})
+        parts[record['part']] = record
+        if len(parts) == record['parts'] and self._is_newer(record):
+            self.newest = [parts[number] for number in sorted(parts)]
+            self._parts.clear()
+
+    def restore(self) -> bool:
+        """Restore the state from the newest snapshot.
+
+        :return: False if there is none that is newer than the state.
+        """
+        if not self.newest:
+            return False
+        if self.newest[0]['through_offset'] <= self._state.offset:
+            return False
+        try:
+            restore_snapshot(self._state, self.newest)
+        except RecordError:
+            return False
+        return True
+
+    def _is_newer(self, record: SnapshotPart) -> bool:
+        known = self.newest[0]['through_offset'] if self.newest else -1
+        return record['through_offset'] > known
+
+
+class SnapshotSettings(NamedTuple):
+    """When a snapshot is due.
+
+    ``interval`` is well below the retention of the log.
+    """
+
+    interval: timedelta = timedelta(minutes=10)
+    interval_records: int = 2000
+
+
+def snapshot_is_due(
+    state: ControlState,
+    platform_time_s: float | None,
+    settings: SnapshotSettings,
+) -> bool:
+    """Tell whether the newest snapshot is too old.
+
+    :param platform_time_s: None while it is not known.
+    """
+    records = state.offset - state.snapshot_offset
+    if records >= settings.interval_records:
+        return True
+    if platform_time_s is None or not records:
+        return False
+    age_s = platform_time_s - state.snapshot_at_s
+    return age_s >= settings.interval.total_seconds()
+
+
+async def keep_snapshots(
+    lease: Lease,
+    state: ControlState,
+    follower: LogFollower,
+    log: Appender,
+    recorder: Recorder,
+    settings: SnapshotSettings,
+) -> None:
+    """Append a snapshot whenever one is due, until cancelled.
+
+    :param lease: only its holder writes; a second writer would do no harm
+        but fill the log.
+    """
+    while True:
+        platform_time_s = follower.platform_time_s()
+        due = snapshot_is_due(state, platform_time_s, settings)
+        if due and lease.is_held():
+            await _append_snapshot(state, log, recorder)
+        await anyio.sleep(_TICK_S)
+
+
+async def _append_snapshot(
+    state: ControlState,
+    log: Appender,
+    recorder: Recorder,
+) -> None:
+    parts = encode_snapshot(state)
+    try:
+        for part in parts:
+            await log.append(part)
+    except LogError as error:
+        recorder.emit('snapshot_failed', detail=str(error))
+        return
+    recorder.emit(
+        'snapshot_written',
+        through_offset=parts[0]['through_offset'],
+        parts=len(parts),
+    )
--- a/peridotrill/statechart.py
+++ b/peridotrill/statechart.py
@@ -80,10 +80,15 @@
 
     __slots__ = ('_chart', 'state')
 
-    def __init__(self, chart: Chart) -> None:
-        """:param chart: the machine starts in its initial state."""
+    def __init__(self, chart: Chart, state: str | None = None) -> None:
+        """:param state: state of a restored object; else the initial one.
+
+        Raises StateChartError if the chart does not have the state.
+        """
+        if state is not None and state not in chart.states:
+            raise StateChartError(f'chart {chart.name}: no state {state!r}')
         self._chart = chart
-        self.state = chart.initial
+        self.state = chart.initial if state is None else state
 
     @property
     def is_final(self) -> bool:
--- a/peridotrill/usage_windows.py
+++ b/peridotrill/usage_windows.py
@@ -51,6 +51,28 @@
         """State of the chart ``usage_window``."""
         return self._machine.state
 
+    def to_snapshot(self) -> 'WindowSnapshot':
+        """Return the content, for a snapshot."""
+        return WindowSnapshot(
+            self.start_s,
+            self.end_s,
+            self.state,
+            self.figures,
+            sorted(self.unacknowledged),
+            sorted(self.conflicts),
+        )
+
+    @classmethod
+    def from_snapshot(cls, content: 'WindowSnapshot') -> 'UsageWindow':
+        """Restore from the content."""
+        window = cls(content.start_s)
+        window.end_s = content.end_s
+        window.figures = dict(content.figures)
+        window.unacknowledged = set(content.unacknowledged)
+        window.conflicts = set(content.conflicts)
+        window._machine = Machine(_chart, content.state)  # noqa: SLF001
+        return window
+
     def add(self, team: str, figure: UsageFigure) -> None:
         """Add usage of a team to an open window."""
         self.figures[team] = self.figures.get(team, NO_USAGE).plus(figure)
@@ -81,6 +103,35 @@
     figures: dict[str, UsageFigure]
 
 
+class WindowSnapshot(NamedTuple):
+    """Content of one window."""
+
+    start_s: int
+    end_s: int
+    state: str
+    figures: dict[str, UsageFigure]
+    unacknowledged: list[str]
+    conflicts: list[str]
+
+
+class CountedSnapshot(NamedTuple):
+    """What one process has counted for one window so far."""
+
+    incarnation: str
+    start_s: int
+    sequence: int
+    figures: dict[str, UsageFigure]
+
+
+class UsageSnapshot(NamedTuple):
+    """Content of all windows."""
+
+    windows: list[WindowSnapshot]
+    carried: dict[str, UsageFigure]
+    counted: list[CountedSnapshot]
+    forgotten_before_s: int
+
+
 @final
 class UsageWindows:
     """All windows that are still kept, oldest first."""
@@ -130,6 +181,37 @@
         if window is not None:
             window.acknowledge(record['teams'], record['conflicts'])
 
+    def to_snapshot(self) -> UsageSnapshot:
+        """Return the content, for a snapshot."""
+        return UsageSnapshot(
+            [window.to_snapshot() for window in self.windows.values()],
+            self.carried,
+            [
+                CountedSnapshot(*source, counted.sequence, counted.figures)
+                for source, counted in self._counted.items()
+            ],
+            self._forgotten_before_s,
+        )
+
+    @classmethod
+    def from_snapshot(cls, snapshot: UsageSnapshot) -> 'UsageWindows':
+        """Restore from the content."""
+        restored = cls()
+        for content in snapshot.windows:
+            window = UsageWindow.from_snapshot(content)
+            restored.windows[content.start_s] = window
+        restored.carried = dict(snapshot.carried)
+        for row in snapshot.counted:
+            source = (row.incarnation, row.start_s)
+            restored._counted[source] = _Counted(  # noqa: SLF001
+                row.sequence,
+                dict(row.figures),
+            )
+        restored._forgotten_before_s = (  # noqa: SLF001
+            snapshot.forgotten_before_s
+        )
+        return restored
+
     def _add(self, start_s: int, team: str, figure: UsageFigure) -> None:
         window = self._window(start_s)
         if window.state == 'open':
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -108,3 +108,19 @@
         'resume_position': 0,
     }
     return messages.StartAttempt(**(fields | changes))
+
+
+def usage_counted(
+    start_s: int,
+    counts: dict[str, list[int]],
+    sequence: int = 1,
+) -> dict[str, Any]:
+    """Return a record of counts for one window."""
+    return {
+        'kind': 'usage_counted',
+        'entry_id': 'e1',
+        'incarnation': 'i1',
+        'window_start_s': start_s,
+        'sequence': sequence,
+        'counts': counts,
+    }
