Agree on the home targets of keys through the log

Cause: each entry derived the homes from its own view of the VM list. An entry that starts after a target has joined counts it among the first homes, while older entries count it as a later one; the same key then has two homes and can run twice. Found by reading; ruled out: local rules on the time of joining, which depend on when an entry started. The set is now a record of the holder of a lease, so that entries differ only until they have read it.

--- a/peridotrill/control_state.py
+++ b/peridotrill/control_state.py
@@ -11,6 +11,11 @@
 
 from peridotrill.catalog import Catalog, build_catalog
 from peridotrill.keys import KeyTable
+from peridotrill.placement import (
+    PLACEMENT_LEASE,
+    Placement,
+    add_placement,
+)
 from peridotrill.records import (
     ConfigPublished,
     EntryExpired,
@@ -22,6 +27,7 @@
     LeaseClaimed,
     LeaseReleased,
     LeaseRenewed,
+    PlacementChanged,
     SnapshotPart,
     UsageAcknowledged,
     UsageClosed,
@@ -33,7 +39,7 @@
 USAGE_LEASE: Final = 'usage'
 _KEPT_PUBLISH_RESULTS: Final = 256
 # Longest idempotency retention that a service file can ask for.
-_KEPT_LOST_ENTRIES_S: Final = 86_400
+_MAX_RETENTION_S: Final = 86_400
 
 
 class PublishResult(NamedTuple):
@@ -96,6 +102,7 @@
         self.lost: list[LostEntryState] = []
         self.leases: dict[str, LeaseState] = {}
         self.usage = UsageWindows()
+        self.placements: dict[str, tuple[Placement, ...]] = {}
         self.snapshot_offset = 0
         self.snapshot_at_s = 0.0
         self.applied_at_s = 0.0
@@ -121,7 +128,7 @@
     def drop_entry(self, entry_id: str, lost_at_s: float) -> None:
         """Remove an entry that ended without ``entry_left``."""
         entry = self.entries.pop(entry_id)
-        kept_since_s = lost_at_s - _KEPT_LOST_ENTRIES_S
+        kept_since_s = lost_at_s - _MAX_RETENTION_S
         self.lost = [old for old in self.lost if old.lost_at_s > kept_since_s]
         self.lost.append(
             LostEntryState(entry_id, entry.incarnation, lost_at_s),
@@ -340,6 +347,31 @@
     state.usage.acknowledge(record)
 
 
+@_appliers.register('placement_changed')
+def _apply_placement_changed(
+    state: ControlState,
+    offset: int,
+    record: PlacementChanged,
+    appended_at_s: float,
+) -> None:
+    lease = state.leases.get(PLACEMENT_LEASE)
+    if lease is None or lease.epoch != record['epoch']:
+        return
+    service = record['service']
+    state.placements[service] = add_placement(
+        state.placements.get(service, ()),
+        Placement(offset, tuple(record['targets']), appended_at_s),
+        _retention_s(state, service),
+    )
+
+
+def _retention_s(state: ControlState, name: str) -> float:
+    service = state.catalog.services.get(name)
+    if service is None:
+        return _MAX_RETENTION_S
+    return service.idempotency_retention.total_seconds()
+
+
 @_appliers.register('snapshot_part')
 def _apply_snapshot_part(
     state: ControlState,
--- a/peridotrill/records.py
+++ b/peridotrill/records.py
@@ -164,6 +164,19 @@
     conflicts: list[str]
 
 
+@record_types.register('placement_changed')
+class PlacementChanged(TypedDict):
+    """The home targets of a service from this record on.
+
+    Counts only in the current epoch of the lease ``placement``.
+    """
+
+    kind: Literal['placement_changed']
+    service: str
+    targets: list[str]
+    epoch: int
+
+
 @record_types.register('snapshot_part')
 class SnapshotPart(TypedDict):
     """A part of the state as of ``through_offset``.
--- a/peridotrill/snapshots.py
+++ b/peridotrill/snapshots.py
@@ -23,6 +23,7 @@
 from peridotrill.keys import KeyGrant, KeyTable
 from peridotrill.leases import Appender, Lease
 from peridotrill.log_client import LogFollower
+from peridotrill.placement import Placement
 from peridotrill.records import SnapshotPart
 from peridotrill.timeline import Recorder
 from peridotrill.usage_windows import UsageSnapshot, UsageWindows
@@ -42,6 +43,7 @@
     leases: dict[str, LeaseState]
     usage: UsageSnapshot
     written_at_s: float
+    placements: dict[str, tuple[Placement, ...]]
 
 
 _decoder: Final = msgspec.msgpack.Decoder(_Content)
@@ -63,6 +65,7 @@
             state.leases,
             state.usage.to_snapshot(),
             state.applied_at_s,
+            state.placements,
         ),
     )
     starts = range(0, len(payload), _PART_BYTES)
@@ -103,6 +106,7 @@
     _replace_keys(state.keys, content.keys)
     state.entries, state.lost = content.entries, content.lost
     state.leases = content.leases
+    state.placements = content.placements
     state.usage = UsageWindows.from_snapshot(content.usage)
 
 
