--- /dev/null
+++ b/peridotrill/fair_queue.py
@@ -0,0 +1,291 @@
+"""Start-time fair queueing between the teams of one service.
+
+The first request of each team that waits has a start tag, the larger of the
+queue's virtual time and the finish tag of the team's previous request. The
+request with the lowest start tag is served next and sets the virtual time;
+its finish tag is the start tag plus cost divided by weight. Tags are given
+to the first request of a team only, so that requests which leave the queue
+unserved are not charged to their team.
+
+While two teams are backlogged, their served cost divided by weight differs
+by at most the sum of their largest cost divided by weight.
+"""
+
+import itertools
+from collections import deque
+from typing import Any, Final, NamedTuple, final
+
+from expression import Error, Ok, Result
+
+from peridotrill.clock import Clock
+
+# Span over which the rate of served cost is averaged. Shorter spans follow
+# single long requests.
+_RATE_SPAN_S: Final = 5.0
+
+
+class QueueBounds(NamedTuple):
+    """Largest content of a queue."""
+
+    max_requests: int
+    max_bytes: int
+
+
+class Ticket(NamedTuple):
+    """A queued request; ``deadline_s`` is monotonic time."""
+
+    number: int
+    item: Any
+    team: str
+    weight: float
+    cost_tokens: float
+    priority: int
+    deadline_s: float
+    size_bytes: int
+
+
+@final
+class _Lane:
+    """The waiting requests of one team in one priority class."""
+
+    __slots__ = ('start_tag', 'tickets', 'waiting_tokens', 'weight')
+
+    def __init__(self) -> None:
+        self.tickets: deque[Ticket] = deque()
+        self.start_tag = 0.0
+        self.waiting_tokens = 0.0
+        self.weight = 1.0
+
+
+@final
+class _PriorityClass:
+    """Fair queue of the teams that have the same priority."""
+
+    def __init__(self) -> None:
+        self.lanes: dict[str, _Lane] = {}
+        self._virtual_time = 0.0
+        self._finish_tags: dict[str, float] = {}
+
+    def push(self, ticket: Ticket) -> None:
+        """Add a request at the end of its team's lane."""
+        lane = self.lanes.get(ticket.team)
+        if lane is None:
+            lane = _Lane()
+            self.lanes[ticket.team] = lane
+            lane.start_tag = self._next_tag(ticket.team)
+        lane.weight = ticket.weight
+        lane.tickets.append(ticket)
+        lane.waiting_tokens += ticket.cost_tokens
+
+    def peek(self) -> Ticket | None:
+        """Return the request that is served next."""
+        if not self.lanes:
+            return None
+        return self._first_lane().tickets[0]
+
+    def pop(self) -> Ticket:
+        """Remove the request that is served next; there must be one."""
+        lane = self._first_lane()
+        ticket = lane.tickets[0]
+        self._virtual_time = lane.start_tag
+        finish_tag = lane.start_tag + ticket.cost_tokens / ticket.weight
+        self._finish_tags[ticket.team] = finish_tag
+        lane.start_tag = finish_tag
+        self.remove(ticket)
+        self._forget_idle_teams()
+        return ticket
+
+    def remove(self, ticket: Ticket) -> None:
+        """Remove a request that is in the queue."""
+        lane = self.lanes[ticket.team]
+        lane.tickets.remove(ticket)
+        lane.waiting_tokens -= ticket.cost_tokens
+        if not lane.tickets:
+            self.lanes.pop(ticket.team)
+
+    def cost_before(self, team: str, weight: float) -> float:
+        """Estimate the cost that is served before a new request.
+
+        :return: tokens; other teams count with at most what their weight
+            gives them while the team's own requests are served.
+        """
+        lane = self.lanes.get(team)
+        own_tokens = lane.waiting_tokens if lane else 0
+        return own_tokens + sum(
+            min(other.waiting_tokens, own_tokens * other.weight / weight)
+            for name, other in self.lanes.items()
+            if name != team
+        )
+
+    def _first_lane(self) -> _Lane:
+        return min(
+            self.lanes.values(),
+            key=lambda lane: (lane.start_tag, lane.tickets[0].number),
+        )
+
+    def _next_tag(self, team: str) -> float:
+        return max(self._virtual_time, self._finish_tags.get(team, 0))
+
+    def _forget_idle_teams(self) -> None:
+        # A finish tag at or before the virtual time has no effect.
+        idle = [
+            team
+            for team, tag in self._finish_tags.items()
+            if tag <= self._virtual_time
+        ]
+        for team in idle:
+            self._finish_tags.pop(team)
+
+
+@final
+class _ServedRate:
+    """Average of the cost that was served per second while some waited."""
+
+    def __init__(self) -> None:
+        self.tokens_per_s: float | None = None
+        self._since_s: float | None = None
+        self._tokens = 0.0
+
+    def served(self, cost_tokens: float, now_s: float) -> None:
+        if self._since_s is None:
+            self._since_s = now_s
+        self._tokens += cost_tokens
+        elapsed_s = now_s - self._since_s
+        if elapsed_s >= _RATE_SPAN_S:
+            self.tokens_per_s = self._tokens / elapsed_s
+            self._since_s, self._tokens = now_s, 0
+
+    def idle(self) -> None:
+        """Drop the running span, and the figure of the last backlog."""
+        self.tokens_per_s, self._since_s, self._tokens = None, None, 0
+
+
+@final
+class FairQueue:
+    """Requests of one service that wait for a target.
+
+    A class with a lower priority number is served first.
+    """
+
+    def __init__(self, clock: Clock, bounds: QueueBounds) -> None:
+        """:param bounds: requests beyond them are refused."""
+        self._clock = clock
+        self._bounds = bounds
+        self._numbers = itertools.count()
+        self._classes: dict[int, _PriorityClass] = {}
+        self._tickets: dict[int, Ticket] = {}
+        self._size_bytes = 0
+        self._rate = _ServedRate()
+
+    def __len__(self) -> int:
+        """Return the number of waiting requests."""
+        return len(self._tickets)
+
+    def push(  # noqa: WPS211
+        self,
+        item: Any,
+        team: str,
+        weight: float,
+        cost_tokens: float,
+        priority: int,
+        deadline_s: float,
+        size_bytes: int = 0,
+    ) -> Result[Ticket, str]:
+        """Add a request.
+
+        :param weight: more than zero.
+        :param deadline_s: monotonic time at which the request is useless.
+        :return: a ticket for ``remove``, or the code of the refusal:
+            ``queue_full`` or ``deadline_unreachable``.
+        """
+        if len(self) >= self._bounds.max_requests:
+            return Error('queue_full')
+        if self._size_bytes + size_bytes > self._bounds.max_bytes:
+            return Error('queue_full')
+        wait_s = self.estimate_wait_s(team, weight, priority)
+        if self._clock.monotonic_s() + wait_s >= deadline_s:
+            return Error('deadline_unreachable')
+        ticket = Ticket(
+            next(self._numbers),
+            item,
+            team,
+            weight,
+            max(1, cost_tokens),
+            priority,
+            deadline_s,
+            size_bytes,
+        )
+        self._classes.setdefault(priority, _PriorityClass()).push(ticket)
+        self._tickets[ticket.number] = ticket
+        self._size_bytes += size_bytes
+        return Ok(ticket)
+
+    def peek(self) -> Ticket | None:
+        """Return the request that ``pop`` would return."""
+        for priority in sorted(self._classes):
+            ticket = self._classes[priority].peek()
+            if ticket is not None:
+                return ticket
+        return None
+
+    def pop(self) -> Ticket | None:
+        """Remove and return the request that is served next."""
+        ticket = self.peek()
+        if ticket is None:
+            return None
+        self._classes[ticket.priority].pop()
+        self._forget(ticket)
+        if self._tickets:
+            self._rate.served(ticket.cost_tokens, self._clock.monotonic_s())
+        else:
+            self._rate.idle()
+        return ticket
+
+    def remove(self, ticket: Ticket) -> bool:
+        """Remove a request that is not served.
+
+        :return: whether it was still in the queue.
+        """
+        if ticket.number not in self._tickets:
+            return False
+        self._classes[ticket.priority].remove(ticket)
+        self._forget(ticket)
+        return True
+
+    def expire(self) -> list[Ticket]:
+        """Remove and return the requests whose deadline has passed."""
+        now_s = self._clock.monotonic_s()
+        late = [
+            ticket
+            for ticket in self._tickets.values()
+            if ticket.deadline_s <= now_s
+        ]
+        for ticket in late:
+            self.remove(ticket)
+        return late
+
+    def estimate_wait_s(
+        self,
+        team: str,
+        weight: float,
+        priority: int,
+    ) -> float:
+        """Estimate how long a new request of a team would wait.
+
+        :return: seconds; 0 while there is no recent rate to compare with.
+        """
+        if not self._rate.tokens_per_s:
+            return 0
+        cost_tokens: float = 0
+        for number, waiting in self._classes.items():
+            if number < priority:
+                cost_tokens += sum(
+                    lane.waiting_tokens for lane in waiting.lanes.values()
+                )
+            elif number == priority:
+                cost_tokens += waiting.cost_before(team, weight)
+        return cost_tokens / self._rate.tokens_per_s
+
+    def _forget(self, ticket: Ticket) -> None:
+        self._tickets.pop(ticket.number)
+        self._size_bytes -= ticket.size_bytes
--- /dev/null
+++ b/peridotrill/limits.py
@@ -0,0 +1,147 @@
+"""Rate limits of teams: this entry's share of each team's token bucket.
+
+Each of N registered entries owns ``rate / N`` and ``burst / N`` of a team's
+limit for a service. All buckets start empty, because the tokens that an
+earlier process of the same entry spent are not known.
+"""
+
+import math
+from typing import Final, Protocol, final
+
+from expression import Error, Ok, Result
+
+from peridotrill.clock import Clock
+
+# Added to the tokens when they are compared with one token, so that the sum
+# of many small refills is not refused for a rounding error.
+_ROUNDING_TOKENS: Final = 1e-9
+_MAX_RETRY_AFTER_S: Final = 60.0
+
+
+class RatePolicy(Protocol):
+    """The part of a team's policy that limits its rate."""
+
+    @property
+    def rate_per_s(self) -> float:
+        """Requests per second, of all entries together."""
+
+    @property
+    def burst(self) -> int:
+        """Requests at once, of all entries together."""
+
+
+@final
+class _Bucket:
+    """A token bucket; it is empty when it is created."""
+
+    __slots__ = ('capacity', 'filled_at_s', 'rate_per_s', 'tokens')
+
+    def __init__(self, now_s: float) -> None:
+        self.rate_per_s = 0.0
+        self.capacity = 0.0
+        self.tokens = 0.0
+        self.filled_at_s = now_s
+
+    def fill(self, now_s: float) -> None:
+        """Add the tokens since the last call."""
+        elapsed_s = max(0, now_s - self.filled_at_s)
+        self.filled_at_s = max(self.filled_at_s, now_s)
+        self.tokens = min(
+            self.capacity,
+            self.tokens + elapsed_s * self.rate_per_s,
+        )
+
+    def take(self) -> bool:
+        """Remove one token if there is one."""
+        if self.tokens + _ROUNDING_TOKENS < 1:
+            return False
+        self.tokens -= 1
+        return True
+
+    def wait_s(self) -> float:
+        """Return the time until the bucket has one token."""
+        if self.rate_per_s <= 0 or self.capacity + _ROUNDING_TOKENS < 1:
+            return _MAX_RETRY_AFTER_S
+        missing = max(0, 1 - self.tokens)
+        return min(_MAX_RETRY_AFTER_S, missing / self.rate_per_s)
+
+
+def divide_limit(
+    policy: RatePolicy,
+    shares: int,
+    position: int,
+) -> tuple[float, float]:
+    """Compute one entry's part of a limit.
+
+    A part of less than one request of burst could never admit anything.
+    If there are more entries than ``burst``, the first ``burst`` entries
+    therefore own one request each and the others own nothing.
+
+    :param shares: number of registered entries, one or more.
+    :param position: index of this entry in the order of registration.
+    :return: rate in requests per second, burst in requests.
+    """
+    owners = min(shares, policy.burst)
+    if owners < 1 or (owners < shares and position >= owners):
+        return 0.0, 0.0  # noqa: WPS358
+    return policy.rate_per_s / owners, policy.burst / owners
+
+
+@final
+class TeamLimiter:
+    """Admits requests within this entry's share of each team's limit."""
+
+    def __init__(self, clock: Clock) -> None:
+        """:param clock: its monotonic time fills the buckets."""
+        self._clock = clock
+        self._buckets: dict[tuple[str, str], _Bucket] = {}
+
+    def configure(
+        self,
+        service: str,
+        team: str,
+        policy: RatePolicy,
+        shares: int,
+        position: int = 0,
+    ) -> None:
+        """Apply a limit; it is in force for the next request.
+
+        Tokens above a lowered burst are lost, and a raised burst adds none.
+
+        :param shares: number of registered entries, one or more.
+        :param position: index of this entry in the order of registration.
+        """
+        now_s = self._clock.monotonic_s()
+        bucket = self._buckets.get((service, team))
+        if bucket is None:
+            bucket = _Bucket(now_s)
+            self._buckets[service, team] = bucket
+        bucket.fill(now_s)
+        bucket.rate_per_s, bucket.capacity = divide_limit(
+            policy,
+            shares,
+            position,
+        )
+        bucket.tokens = min(bucket.tokens, bucket.capacity)
+
+    def retain(self, limits: set[tuple[str, str]]) -> None:
+        """Remove the limits of other services and teams.
+
+        :param limits: pairs of service and team that stay.
+        """
+        for gone in self._buckets.keys() - limits:
+            self._buckets.pop(gone)
+
+    def admit(self, service: str, team: str) -> Result[None, float]:
+        """Take one request from the team's share.
+
+        :return: Ok, or the time in seconds after which to try again;
+            a team without a limit for the service is never admitted.
+        """
+        bucket = self._buckets.get((service, team))
+        if bucket is None:
+            return Error(_MAX_RETRY_AFTER_S)
+        bucket.fill(self._clock.monotonic_s())
+        if bucket.take():
+            return Ok(None)
+        return Error(math.ceil(bucket.wait_s() * 1000) / 1000)
--- /dev/null
+++ b/peridotrill/routing.py
@@ -0,0 +1,276 @@
+"""Choice of the target for a request."""
+
+import hashlib
+import itertools
+import math
+from collections.abc import Mapping, Sequence
+from random import Random
+from typing import Any, Final, NamedTuple, final
+
+from peridotrill.clock import Clock
+from peridotrill.messages import LoadReport
+
+PREFIX_CHARACTERS: Final = 1024
+CHARACTERS_PER_TOKEN: Final = 4
+_PREFIX_DIGEST_BYTES: Final = 8
+_DEFAULT_PIECE_TOKENS: Final = 2000
+
+# A report describes the target some time before it arrives. An attempt that
+# started or ended less than this before the report's arrival is corrected
+# for until the next report.
+REPORT_LAG_S: Final = 0.5
+
+# Cost of another zone, in units of load: about 3 ms of round trip against
+# the time an engine needs for a token or a plain service for a request.
+ZONE_TOKENS: Final = 64.0
+ZONE_REQUESTS: Final = 0.5
+_CANDIDATES: Final = 2
+
+
+class RequestCost(NamedTuple):
+    """What a request needs; ``prefixes`` are in order of their length."""
+
+    prompt_tokens: int
+    output_tokens: int
+    prefixes: tuple[int, ...] = ()
+
+    @property
+    def tokens(self) -> int:
+        """Tokens that the target computes, at least 1."""
+        return max(1, self.prompt_tokens + self.output_tokens)
+
+    def pieces(self, piece_tokens: int) -> int:
+        """Return the number of KV pieces that hold the request."""
+        return math.ceil(self.tokens / (piece_tokens or _DEFAULT_PIECE_TOKENS))
+
+
+class OwnLoad(NamedTuple):
+    """Difference between a load report and what this entry knows."""
+
+    requests: int = 0
+    tokens: int = 0
+    pieces: int = 0
+
+
+class TargetView(NamedTuple):
+    """A target as this entry sees it."""
+
+    target_id: str
+    service: str
+    zone: str
+    address: str
+    kind: str
+    ready: bool
+    draining: bool
+    linked: bool
+    load: LoadReport | None
+
+
+def join_prompt(document: Mapping[str, Any]) -> str:
+    """Return the text of a model request as the prefix numbers use it.
+
+    :param document: body of a completion or a chat completion.
+    """
+    prompt = document.get('prompt')
+    if isinstance(prompt, str):
+        return prompt
+    messages = document.get('messages')
+    if not isinstance(messages, list):
+        return ''
+    return ''.join(
+        '{0}\n{1}\n'.format(row.get('role', ''), row.get('content', ''))
+        for row in messages
+        if isinstance(row, dict)
+    )
+
+
+def number_prefixes(prompt: str) -> tuple[int, ...]:
+    """Return the prefix numbers of a prompt, shortest prefix first."""
+    digest = hashlib.sha256()
+    numbers = []
+    whole = len(prompt) - len(prompt) % PREFIX_CHARACTERS
+    for start in range(0, whole, PREFIX_CHARACTERS):
+        digest.update(prompt[start : start + PREFIX_CHARACTERS].encode())
+        head = digest.copy().digest()[:_PREFIX_DIGEST_BYTES]
+        numbers.append(int.from_bytes(head, 'big'))
+    return tuple(numbers)
+
+
+@final
+class _Attempt:
+    """An attempt of this entry, for the correction of load reports."""
+
+    __slots__ = ('cost', 'ended_at_s', 'reported', 'started_at_s', 'target_id')
+
+    def __init__(self, target_id: str, cost: RequestCost, now_s: float):
+        self.target_id = target_id
+        self.cost = cost
+        self.started_at_s = now_s
+        self.ended_at_s: float | None = None
+        self.reported = False
+
+
+@final
+class OwnAttempts:
+    """The attempts of this entry that load reports do not show yet."""
+
+    def __init__(self, clock: Clock) -> None:
+        """:param clock: its monotonic time compares with report arrivals."""
+        self._clock = clock
+        self._attempts: dict[str, dict[str, _Attempt]] = {}
+
+    def started(
+        self,
+        target_id: str,
+        attempt_id: str,
+        cost: RequestCost,
+    ) -> None:
+        """Count an attempt that is about to be sent."""
+        rows = self._attempts.setdefault(target_id, {})
+        rows[attempt_id] = _Attempt(target_id, cost, self._clock.monotonic_s())
+
+    def ended(self, target_id: str, attempt_id: str) -> None:
+        """Stop counting an attempt.
+
+        If the last report still shows it, it is subtracted until the next.
+        """
+        rows = self._attempts.get(target_id, {})
+        attempt = rows.get(attempt_id)
+        if attempt is None:
+            return
+        if attempt.reported:
+            attempt.ended_at_s = self._clock.monotonic_s()
+        else:
+            rows.pop(attempt_id)
+
+    def reported(self, target_id: str) -> None:
+        """Note that a load report of the target has arrived."""
+        seen_s = self._clock.monotonic_s() - REPORT_LAG_S
+        rows = self._attempts.get(target_id, {})
+        for attempt_id, attempt in list(rows.items()):
+            attempt.reported |= attempt.started_at_s <= seen_s
+            if attempt.ended_at_s is not None and attempt.ended_at_s <= seen_s:
+                rows.pop(attempt_id)
+
+    def running(self, target_id: str) -> int:
+        """Return the number of this entry's running attempts there."""
+        return sum(
+            attempt.ended_at_s is None
+            for attempt in self._attempts.get(target_id, {}).values()
+        )
+
+    def own_load(self, target_id: str, piece_tokens: int) -> OwnLoad:
+        """Return the correction of the last load report of a target.
+
+        :param piece_tokens: tokens in a KV piece of the target.
+        """
+        load = OwnLoad()
+        for attempt in self._attempts.get(target_id, {}).values():
+            sign = 0
+            if attempt.ended_at_s is not None:
+                sign = -1
+            elif not attempt.reported:
+                sign = 1
+            load = OwnLoad(
+                load.requests + sign,
+                load.tokens + sign * attempt.cost.tokens,
+                load.pieces + sign * attempt.cost.pieces(piece_tokens),
+            )
+        return load
+
+
+def matched_tokens(load: LoadReport, cost: RequestCost) -> int:
+    """Return the length of the longest cached prefix, in tokens."""
+    cached = set(load.cached_prefixes)
+    for length in range(len(cost.prefixes), 0, -1):
+        if cost.prefixes[length - 1] in cached:
+            tokens = length * PREFIX_CHARACTERS // CHARACTERS_PER_TOKEN
+            return min(tokens, cost.prompt_tokens)
+    return 0
+
+
+def fits(view: TargetView, cost: RequestCost, own: OwnLoad) -> bool:
+    """Tell whether the target takes work and its KV pieces hold the request.
+
+    Targets without KV memory hold any number of requests.
+    """
+    load = view.load
+    if load is None or not (view.ready and view.linked) or view.draining:
+        return False
+    if not load.total_pieces:
+        return True
+    needed = cost.pieces(load.piece_tokens)
+    return needed <= load.free_pieces - own.pieces
+
+
+def score_target(
+    view: TargetView,
+    cost: RequestCost,
+    own_zone: str,
+    own: OwnLoad,
+) -> float:
+    """Return the expected work before the answer; lower is better.
+
+    :param own: correction of the load report.
+    :return: tokens for an engine, requests for a plain service.
+    """
+    load = view.load
+    if load is None:
+        return math.inf
+    is_far = view.zone != own_zone
+    if not load.total_pieces:
+        waiting = load.running_requests + load.waiting_requests
+        return max(0, waiting + own.requests) + is_far * ZONE_REQUESTS
+    tokens = load.running_tokens + load.waiting_tokens + own.tokens
+    # Pieces above what is free would have to be taken from cached prefixes.
+    free_pieces = max(1, load.free_pieces - own.pieces)
+    fullness = cost.pieces(load.piece_tokens) / free_pieces
+    return (
+        max(0, tokens)
+        + fullness * load.piece_tokens
+        + is_far * ZONE_TOKENS
+        - matched_tokens(load, cost)
+    )
+
+
+def choose_target(
+    views: Sequence[TargetView],
+    cost: RequestCost,
+    own_zone: str,
+    own_load: Mapping[str, OwnLoad],
+    random: Random,
+) -> TargetView | None:
+    """Choose the better of two random targets that can take the request.
+
+    The target with the longest cached prefix is compared as well, so that
+    prefixes are found again although most pairs do not contain it.
+
+    :param own_load: corrections of the load reports, by target id.
+    :param random: source of the two candidates.
+    :return: None if no target can take the request now.
+    """
+    nothing = OwnLoad()
+    fitting = [
+        view
+        for view in views
+        if fits(view, cost, own_load.get(view.target_id, nothing))
+    ]
+    if not fitting:
+        return None
+    drawn = random.sample(fitting, min(_CANDIDATES, len(fitting)))
+    cached = [
+        (matched_tokens(view.load, cost), view.target_id, view)
+        for view in fitting
+        if view.load is not None
+    ]
+    longest, _, holder = max(cached)
+    candidates = itertools.chain(drawn, [holder] if longest else [])
+    return min(
+        candidates,
+        key=lambda view: score_target(
+            view,
+            cost,
+            own_zone,
+            own_load.get(view.target_id, nothing),
+        ),
+    )
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,112 @@
+from datetime import timedelta
+from typing import NamedTuple
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from peridotrill.clock import ManualClock
+from peridotrill.limits import TeamLimiter
+from peridotrill.retry_budget import RetryBudget
+
+
+class Policy(NamedTuple):
+    rate_per_s: float
+    burst: int
+
+
+steps = st.lists(
+    st.tuples(
+        st.integers(0, 3000),  # milliseconds before the step
+        st.integers(0, 4),  # entry that receives requests
+        st.integers(1, 8),  # number of requests
+    ),
+    max_size=60,
+)
+
+
+def admit(limiter):
+    return limiter.admit('s', 't').is_ok()
+
+
+@given(
+    steps,
+    st.floats(0.1, 20),
+    st.integers(1, 12),
+    st.integers(1, 5),
+    st.sets(st.integers(0, 4)),
+)
+def test_entries_together_stay_within_rate_and_burst(
+    script, rate, burst, shares, paused
+):
+    # Guards against a share that saves more than its part, such as while its
+    # entry is paused, and against parts that add up to more than the limit.
+    clock = ManualClock()
+    limiters = [TeamLimiter(clock) for _ in range(shares)]
+    for position, limiter in enumerate(limiters):
+        limiter.configure('s', 't', Policy(rate, burst), shares, position)
+    admitted = []
+    for number, (pause_ms, index, requests) in enumerate(script):
+        clock.advance(timedelta(milliseconds=pause_ms))
+        # A paused entry handles nothing in the first half of the script.
+        if index in paused and number < len(script) // 2:
+            continue
+        limiter = limiters[index % shares]
+        admitted += [
+            clock.monotonic_s() for _ in range(requests) if admit(limiter)
+        ]
+    for first, start_s in enumerate(admitted):
+        for last in range(first, len(admitted)):
+            window_s = admitted[last] - start_s
+            assert last - first + 1 <= rate * window_s + burst + 1e-6
+
+
+@given(steps, st.floats(0.1, 20), st.integers(1, 12))
+def test_one_entry_admits_what_a_naive_bucket_admits(script, rate, burst):
+    # Guards against wrongful refusals: a bucket computed from the start, in
+    # one pass over all earlier requests, admits the same requests.
+    clock = ManualClock()
+    limiter = TeamLimiter(clock)
+    limiter.configure('s', 't', Policy(rate, burst), 1)
+    history: list[float] = []
+    for pause_ms, _, requests in script:
+        clock.advance(timedelta(milliseconds=pause_ms))
+        for _ in range(requests):
+            tokens, before_s = 0.0, 0.0
+            for taken_s in [*history, clock.monotonic_s()]:
+                tokens = min(burst, tokens + (taken_s - before_s) * rate)
+                before_s = taken_s
+                tokens -= 1
+            tokens += 1
+            if abs(tokens - 1) < 1e-6:
+                return  # decided by rounding
+            assert admit(limiter) == (tokens >= 1)
+            if tokens >= 1:
+                history.append(clock.monotonic_s())
+
+
+def test_lowered_rate_and_more_entries_take_effect_at_once():
+    # Guards against tokens saved under an old limit being spent later.
+    clock = ManualClock()
+    limiter = TeamLimiter(clock)
+    limiter.configure('s', 't', Policy(10, 10), 1)
+    assert not admit(limiter)
+    clock.advance(timedelta(seconds=5))
+    limiter.configure('s', 't', Policy(2, 4), 2)
+    assert [admit(limiter) for _ in range(3)] == [True, True, False]
+    assert limiter.admit('s', 't').error == 1
+    limiter.retain(set())
+    assert not admit(limiter)
+
+
+@given(st.lists(st.booleans(), max_size=200))
+def test_retries_stay_a_part_of_the_requests(script):
+    # Guards against retries that multiply the load on failing targets.
+    budget = RetryBudget()
+    requests = retries = 0
+    for is_request in script:
+        if is_request:
+            budget.record_request('s')
+            requests += 1
+        else:
+            retries += budget.try_retry('s')
+        assert retries <= 10 + 0.1 * requests + 1e-6
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,133 @@
+import hashlib
+from collections import Counter
+from datetime import timedelta
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from peridotrill import routing
+from peridotrill.clock import ManualClock
+from peridotrill.messages import LoadReport
+from peridotrill.routing import OwnLoad, RequestCost, TargetView
+
+
+def view(name, tokens=0, free=100, zone='z1', prefixes=(), **changes):
+    load = LoadReport(
+        clock_s=0,
+        ready=True,
+        draining=False,
+        running_requests=0,
+        waiting_requests=0,
+        running_tokens=tokens,
+        waiting_tokens=0,
+        free_pieces=free,
+        total_pieces=100,
+        piece_tokens=2000,
+        role='',
+        models=[],
+        adapters=[],
+        cached_prefixes=list(prefixes),
+    )
+    return TargetView(
+        name, 's', zone, '', 'engine', True, False, True, load
+    )._replace(**changes)
+
+
+views = st.builds(
+    lambda name, tokens, free, ready, draining, linked: view(
+        name, tokens, free, ready=ready, draining=draining, linked=linked
+    ),
+    st.text('abcdef', min_size=1, max_size=3),
+    st.integers(0, 100_000),
+    st.integers(0, 10),
+    *[st.booleans()] * 3,
+)
+
+
+@given(
+    st.lists(views, max_size=6, unique_by=lambda row: row.target_id),
+    st.integers(1, 20_000),
+    st.integers(0, 5),
+)
+def test_choice_takes_only_targets_that_can_run_the_request(
+    rows, prompt, own_pieces
+):
+    # Guards against work for targets that drain, are unready or full, and
+    # against a refusal while a target could take the request.
+    own = {row.target_id: OwnLoad(1, 1, own_pieces) for row in rows}
+    needed = -(-(prompt + 100) // 2000)
+    usable = [
+        row
+        for row in rows
+        if row.ready and row.linked and not row.draining
+        if row.load.free_pieces - own_pieces >= needed
+    ]
+    chosen = routing.choose_target(
+        rows, RequestCost(prompt, 100), 'z1', own, Random(1)
+    )
+    assert (chosen in usable) if usable else (chosen is None)
+
+
+def test_choice_prefers_less_work_own_zone_and_cached_prefixes():
+    # Guards against a term of the score with the wrong sign.
+    cost = RequestCost(1024, 100, (5, 6))
+    busy, far = view('a', tokens=5000), view('b', zone='z2')
+    cached = view('c', tokens=300, prefixes=[5, 6])
+    near = view('d')
+
+    def best(*rows):
+        return routing.choose_target(rows, cost, 'z1', {}, Random(1))
+
+    assert best(busy, far) == far
+    assert best(far, near) == near
+    assert best(cached, near) == cached
+    loaded = {'d': OwnLoad(1, 6000, 1)}
+    assert (
+        routing.choose_target((busy, near), cost, 'z1', loaded, Random(1))
+        == busy
+    )
+
+
+def test_choices_spread_over_equal_targets():
+    # Guards against all entries sending to the same target at once.
+    random = Random(7)
+    rows = [view(name) for name in 'abcde']
+    counts = Counter(
+        routing.choose_target(
+            rows, RequestCost(10, 10), 'z1', {}, random
+        ).target_id
+        for _ in range(1000)
+    )
+    assert min(counts.values()) > 100
+
+
+@given(st.text(max_size=3000))
+def test_prefix_numbers_follow_the_protocol_page(prompt):
+    naive = [
+        int.from_bytes(
+            hashlib.sha256(prompt[:end].encode()).digest()[:8], 'big'
+        )
+        for end in range(1024, len(prompt) + 1, 1024)
+    ]
+    assert list(routing.number_prefixes(prompt)) == naive
+
+
+def test_own_attempts_correct_a_lagging_report():
+    # Guards against counting an attempt twice, or not at all, while the
+    # reports lag.
+    clock = ManualClock()
+    own = routing.OwnAttempts(clock)
+    own.started('a', '1', RequestCost(2500, 100))
+    assert own.own_load('a', 2000) == (1, 2600, 2)
+    own.reported('a')  # too early to show the attempt
+    assert own.own_load('a', 2000) == (1, 2600, 2)
+    clock.advance(timedelta(seconds=1))
+    own.reported('a')
+    assert own.own_load('a', 2000) == (0, 0, 0)
+    own.ended('a', '1')
+    assert own.own_load('a', 2000) == (-1, -2600, -2)
+    clock.advance(timedelta(seconds=1))
+    own.reported('a')
+    assert own.own_load('a', 2000) == (0, 0, 0)
+    assert own.running('a') == 0
