--- /dev/null
+++ b/peridotrill/inboxes.py
@@ -0,0 +1,73 @@
+"""Delivers link events to the tasks of the attempts they belong to."""
+
+import math
+from typing import Any, NamedTuple, final
+
+import anyio
+from anyio.streams.memory import (
+    MemoryObjectReceiveStream,
+    MemoryObjectSendStream,
+)
+
+
+class _Inbox(NamedTuple):
+    target_id: str
+    sender: MemoryObjectSendStream[Any]
+
+
+@final
+class Inboxes:
+    """One memory stream for each running attempt of this entry.
+
+    The streams have no bound of their own: the flow-control window bounds
+    the bytes that an agent sends for an attempt.
+    """
+
+    def __init__(self) -> None:
+        """There are no attempts at the start."""
+        self._inboxes: dict[str, _Inbox] = {}
+        self.dropped_messages = 0
+
+    def open(
+        self,
+        target_id: str,
+        attempt_id: str,
+    ) -> MemoryObjectReceiveStream[Any]:
+        """Return a stream of what arrives for an attempt from now on."""
+        sender, receiver = anyio.create_memory_object_stream[Any](math.inf)
+        self._inboxes[attempt_id] = _Inbox(target_id, sender)
+        return receiver
+
+    def close(self, attempt_id: str) -> None:
+        """End the stream of an attempt; later messages are dropped."""
+        inbox = self._inboxes.pop(attempt_id, None)
+        if inbox is not None:
+            inbox.sender.close()
+
+    def deliver(self, target_id: str, message: Any) -> None:
+        """Pass a message on; unknown attempts are counted and dropped.
+
+        :param target_id: an attempt takes messages of its own target only.
+        :param message: has the field ``attempt_id``.
+        """
+        inbox = self._inboxes.get(message.attempt_id)
+        if inbox is None or inbox.target_id != target_id:
+            self.dropped_messages += 1
+        else:
+            self._send(inbox, message)
+
+    def broadcast(self, target_id: str, event: Any) -> None:
+        """Pass an event of the link on to all attempts at its target."""
+        for inbox in list(self._inboxes.values()):
+            if inbox.target_id == target_id:
+                self._send(inbox, event)
+
+    def __len__(self) -> int:
+        """Return the number of open inboxes."""
+        return len(self._inboxes)
+
+    def _send(self, inbox: _Inbox, event: Any) -> None:
+        try:
+            inbox.sender.send_nowait(event)
+        except anyio.BrokenResourceError:
+            self.dropped_messages += 1
--- /dev/null
+++ b/peridotrill/target_links.py
@@ -0,0 +1,233 @@
+"""Polls the VM list and keeps a link to the agent of each target."""
+
+import random
+from collections.abc import Callable, Mapping
+from datetime import timedelta
+from typing import Any, Final, NamedTuple, final
+
+import anyio
+import httpx
+import msgspec
+from anyio.abc import TaskGroup
+
+from peridotrill.clock import Clock
+from peridotrill.exceptions import LinkClosed
+from peridotrill.forwarded_keys import ForwardedKeyBook
+from peridotrill.inboxes import Inboxes
+from peridotrill.link import AgentLink, LinkDown, LinkUp
+from peridotrill.messages import Draining, Heartbeat, LoadReport
+from peridotrill.registry import Registry
+from peridotrill.settings import Address, parse_address
+from peridotrill.targets import TargetTable, parse_vms
+from peridotrill.timeline import Recorder
+
+POLL_INTERVAL: Final = timedelta(seconds=1)
+POLL_TIMEOUT: Final = timedelta(seconds=2)
+MAX_POLL_BACK_OFF: Final = timedelta(seconds=10)
+
+_handlers: Registry[type, Callable[['TargetLinks', str, Any], None]]
+_handlers = Registry('link event')
+
+
+@final
+class _LinkTask(NamedTuple):
+    link: AgentLink
+    address: str
+    scope: anyio.CancelScope
+
+
+@final
+class PeerLogPosition:
+    """The newest log position that agents have passed on."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._heard_at_s: float | None = None
+        self.offset = 0
+
+    def observe(self, beat: Heartbeat) -> None:
+        """Take over the position in a heartbeat of an agent."""
+        self._heard_at_s = self._clock.monotonic_s()
+        self.offset = max(self.offset, beat.log_offset)
+
+    def age_s(self) -> float:
+        """Return the time since the last heartbeat; inf if none."""
+        if self._heard_at_s is None:
+            return float('inf')
+        return self._clock.monotonic_s() - self._heard_at_s
+
+
+@final
+class TargetLinks:
+    """The links of an entry; feeds the target table and the inboxes."""
+
+    def __init__(  # noqa: WPS211
+        self,
+        table: TargetTable,
+        inboxes: Inboxes,
+        book: ForwardedKeyBook,
+        clock: Clock,
+        recorder: Recorder,
+        open_link: Callable[[Address], AgentLink],
+        overrides: Mapping[str, str],
+    ) -> None:
+        """:param overrides: addresses by target id, instead of the list's."""
+        self.table = table
+        self.inboxes = inboxes
+        self.book = book
+        self.peer_log = PeerLogPosition(clock)
+        self.on_change: Callable[[], None] = lambda: None
+        self.on_report: Callable[[str], None] = lambda _target_id: None
+        self._recorder = recorder
+        self._open_link = open_link
+        self._overrides = overrides
+        self._tasks: dict[str, _LinkTask] = {}
+
+    def send(self, target_id: str, message: Any) -> None:
+        """Send to a target's agent.
+
+        :param message: raises LinkClosed if there is no usable connection;
+            then no byte of it has left.
+        """
+        task = self._tasks.get(target_id)
+        view = self.table.find(target_id)
+        if task is None or view is None or not view.linked:
+            raise LinkClosed(f'no connection to {target_id}')
+        task.link.send(message)
+
+    def agent_clock_s(self, target_id: str) -> float:
+        """Return the lowest value that the agent's clock can have now.
+
+        Raises LinkClosed if the agent has not been reached yet.
+        """
+        task = self._tasks.get(target_id)
+        if task is None:
+            raise LinkClosed(f'no connection to {target_id}')
+        return task.link.agent_clock_s()
+
+    async def run(self, url: str, http: httpx.AsyncClient) -> None:
+        """Poll the VM list and run the links until cancelled.
+
+        :param url: base URL of the platform.
+        """
+        pause_s = POLL_INTERVAL.total_seconds()
+        async with anyio.create_task_group() as tasks:
+            while True:
+                try:
+                    await self._poll(url, http)
+                except (httpx.HTTPError, msgspec.MsgspecError) as error:
+                    self._recorder.emit('vm_list_failed', detail=repr(error))
+                    limit_s = MAX_POLL_BACK_OFF.total_seconds()
+                    pause_s = min(pause_s * 2, limit_s)
+                else:
+                    pause_s = POLL_INTERVAL.total_seconds()
+                    self._update_links(tasks)
+                    self.on_change()
+                # Spreads the polls of many entries.
+                await anyio.sleep(pause_s * random.uniform(0.8, 1.2))
+
+    async def _poll(self, url: str, http: httpx.AsyncClient) -> None:
+        answer = await http.get(
+            f'{url}/vms',
+            timeout=POLL_TIMEOUT.total_seconds(),
+        )
+        answer.raise_for_status()
+        self.table.apply_vms(parse_vms(answer.content))
+
+    def _update_links(self, tasks: TaskGroup) -> None:
+        wanted = {
+            view.target_id: self._overrides.get(view.target_id, view.address)
+            for view in self.table.views()
+        }
+        for target_id, task in list(self._tasks.items()):
+            if wanted.get(target_id) != task.address:
+                task.scope.cancel()
+                self._tasks.pop(target_id)
+                self._end_link(target_id, 'address changed')
+        for target_id, address in wanted.items():
+            if target_id not in self._tasks:
+                self._start_link(tasks, target_id, address)
+
+    def _start_link(
+        self,
+        tasks: TaskGroup,
+        target_id: str,
+        address: str,
+    ) -> None:
+        try:
+            link = self._open_link(parse_address(address))
+        except ValueError as error:
+            self._recorder.emit(
+                'target_address_invalid',
+                target=target_id,
+                detail=str(error),
+            )
+            return
+        task = _LinkTask(link, address, anyio.CancelScope())
+        self._tasks[target_id] = task
+        tasks.start_soon(self._run_link, target_id, task)
+
+    async def _run_link(self, target_id: str, task: _LinkTask) -> None:
+        with task.scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(task.link.run)
+                async for event in task.link.events:
+                    self._handle(target_id, event)
+
+    def _handle(self, target_id: str, event: Any) -> None:
+        handler = _handlers.get(type(event))
+        if handler is not None:
+            handler(self, target_id, event)
+        elif hasattr(event, 'attempt_id'):  # noqa: WPS421
+            self.inboxes.deliver(target_id, event)
+
+    def _end_link(self, target_id: str, reason: str) -> None:
+        self.table.link_down(target_id)
+        self.inboxes.broadcast(target_id, LinkDown(reason))
+        self.on_change()
+
+    @_handlers.register(LinkUp)
+    def _handle_link_up(self, target_id: str, event: LinkUp) -> None:
+        if not self.table.link_up(target_id, event.welcome):
+            self._recorder.emit(
+                'target_mismatch',
+                target=target_id,
+                answered=event.welcome.target_id,
+            )
+            return
+        if event.is_new_incarnation:
+            self._push_keys(target_id)
+        self.inboxes.broadcast(target_id, event)
+        self.on_change()
+
+    def _push_keys(self, target_id: str) -> None:
+        # The records go first on the connection, before any attempt.
+        try:
+            for message in self.book.messages(target_id):
+                self.send(target_id, message)
+        except LinkClosed:
+            self.table.link_down(target_id)
+
+    @_handlers.register(LinkDown)
+    def _handle_link_down(self, target_id: str, event: LinkDown) -> None:
+        self._end_link(target_id, event.reason)
+
+    @_handlers.register(Heartbeat)
+    def _handle_heartbeat(self, _target_id: str, event: Heartbeat) -> None:
+        self.peer_log.observe(event)
+
+    @_handlers.register(Draining)
+    def _handle_draining(self, target_id: str, event: Draining) -> None:
+        self.table.drain(target_id)
+        self._recorder.emit(
+            'target_draining',
+            target=target_id,
+            reason=event.reason,
+        )
+        self.on_change()
+
+    @_handlers.register(LoadReport)
+    def _handle_load(self, target_id: str, event: LoadReport) -> None:
+        self.table.report(target_id, event)
+        self.on_report(target_id)
+        self.on_change()
