--- a/peridotrill/forwarded_keys.py
+++ b/peridotrill/forwarded_keys.py
@@ -52,8 +52,9 @@
     def mark(self, target_id: str, attempt_id: str, state: KeyState) -> None:
         """Note what became of an attempt."""
         rows = self._rows.get(target_id, {})
-        if attempt_id in rows:
-            rows[attempt_id] = rows[attempt_id]._replace(state=state)
+        row = rows.get(attempt_id)
+        if row is not None:
+            rows[attempt_id] = row._replace(state=state)
 
     def forget(self, target_id: str, attempt_id: str) -> None:
         """Remove the record of an attempt that has not run and never will."""
--- a/peridotrill/target_links.py
+++ b/peridotrill/target_links.py
@@ -29,7 +29,6 @@
 _handlers = Registry('link event')
 
 
-@final
 class _LinkTask(NamedTuple):
     link: AgentLink
     address: str
@@ -195,7 +194,9 @@
                 answered=event.welcome.target_id,
             )
             return
-        if event.is_new_incarnation:
+        # A ledger that is still recovering may have missed records that were
+        # sent on an earlier connection.
+        if event.is_new_incarnation or event.welcome.ledger == 'recovering':
             self._push_keys(target_id)
         self.inboxes.broadcast(target_id, event)
         self.on_change()
--- a/peridotrill/targets.py
+++ b/peridotrill/targets.py
@@ -106,6 +106,9 @@
         self._clock = clock
         self._retention_s = retention_s
         self._targets: dict[str, _Target] = {}
+        # Earlier stays of targets that left for good and came back; keys
+        # that moved away meanwhile do not move back.
+        self._left: list[_Target] = []
         self._first_list_s: float | None = None
         self.live_entries: frozenset[str] = frozenset()
 
@@ -187,8 +190,7 @@
         return [
             view
             for view in self.views()
-            if view.service == service and view.ready and view.linked
-            if not view.draining
+            if view.service == service and _takes_work(view)
         ]
 
     def home(self, service: str, key_digest: bytes) -> TargetView | None:
@@ -208,11 +210,9 @@
         """
         pool = [
             target
-            for target in self._targets.values()
+            for target in (*self._left, *self._targets.values())
             if target.row.service == service
         ]
-        if not pool:
-            return []
         home = _find_home(pool, key_digest)
         if home is None:
             return []
@@ -232,6 +232,8 @@
         target = self._targets.get(target_id)
         if target is None or target.gone_s is not None:
             joined_s = now_s if self.is_settled else float('-inf')
+            if target is not None:
+                self._left.append(target)
             self._targets[target_id] = _Target(row, joined_s)
             return
         if target.row.address != row.address:
@@ -248,37 +250,35 @@
             target.gone_s = now_s
 
 
+def _takes_work(view: TargetView) -> bool:
+    return view.ready and view.linked and not view.draining
+
+
 def rank_target(key_digest: bytes, target_id: str) -> bytes:
     """Return the rank of a target for a key; the highest one is the home."""
     return hashlib.sha256(key_digest + target_id.encode()).digest()
 
 
 def _find_home(pool: list[_Target], key_digest: bytes) -> _Target | None:
-    joined_by_s = min(target.joined_s for target in pool)
-    passed: set[str] = set()
-    while True:
-        ranked = [
-            target
-            for target in pool
-            if target.joined_s <= joined_by_s
-            and target.row.target_id not in passed
-        ]
-        if not ranked:
-            later = [
-                target.joined_s
-                for target in pool
-                if target.joined_s > joined_by_s
-            ]
-            if not later:
-                return None
-            joined_by_s = min(later)
-            continue
-        best = max(
-            ranked,
-            key=lambda one: rank_target(key_digest, one.row.target_id),
+    """Follow the key from its first home over the targets that left."""
+    known_by_s = float('-inf')
+    ranked = sorted(
+        pool,
+        key=lambda target: rank_target(key_digest, target.row.target_id),
+        reverse=True,
+    )
+    while ranked:
+        best = next(
+            (target for target in ranked if target.joined_s <= known_by_s),
+            None,
         )
-        if best.gone_s is None:
+        if best is None:
+            # All targets known by then have left; the next one to join
+            # became the home.
+            known_by_s = min(target.joined_s for target in ranked)
+        elif best.gone_s is None:
             return best
-        passed.add(best.row.target_id)
-        joined_by_s = max(joined_by_s, best.gone_s)
-
+        else:
+            ranked.remove(best)
+            known_by_s = max(known_by_s, best.gone_s)
+    return None
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -7,6 +7,7 @@
 
 from peridotrill import messages
 
+
 def plain_document(name: str = 'receipts', **changes: Any) -> dict[str, Any]:
     """Return the content of a valid file of a plain service."""
     document = {
