--- /dev/null
+++ b/peridotrill/dispatch.py
@@ -0,0 +1,257 @@
+"""Places requests on targets, in the order of each service's fair queue."""
+
+import secrets
+from collections.abc import Iterable
+from datetime import timedelta
+from random import Random
+from typing import Final, NamedTuple, final
+
+import anyio
+from expression import Result
+
+from peridotrill.clock import Clock
+from peridotrill.errors import UNKNOWN, RequestError
+from peridotrill.fair_queue import FairQueue, QueueBounds, Ticket
+from peridotrill.routing import (
+    OwnAttempts,
+    OwnLoad,
+    RequestCost,
+    TargetView,
+    choose_target,
+)
+from peridotrill.services import Service
+from peridotrill.targets import TargetTable
+
+# Sized so that the bodies of all queues stay within an entry's memory.
+DEFAULT_BOUNDS: Final = QueueBounds(1000, 32 * 1024 * 1024)
+# How long a request waits while no target of its service can be reached.
+NO_TARGET_WAIT: Final = timedelta(seconds=5)
+_RETRY_AFTER_S: Final = 1.0
+_OPEN_ROUTE_WEIGHT: Final = 1.0
+
+
+class Request(NamedTuple):
+    """An admitted request; ``deadline_s`` is monotonic time.
+
+    ``team`` is empty on open routes. ``caller_key`` tells that the
+    idempotency key came from the caller.
+    """
+
+    request_id: str
+    service: Service
+    team: str
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    streaming: bool
+    idempotent: bool
+    key_digest: bytes
+    request_digest: bytes
+    caller_key: bool
+    cost: RequestCost
+    deadline_s: float
+
+
+class Placement(NamedTuple):
+    """Where an attempt goes; counted as own load until it ends."""
+
+    target_id: str
+    attempt_id: str
+
+
+@final
+class _Waiter:
+    """A queued request and the target that it is given."""
+
+    def __init__(self, request: Request, avoided: frozenset[str]) -> None:
+        self.request = request
+        self.avoided = avoided
+        self.attempt_id = create_attempt_id()
+        self.granted = anyio.Event()
+        self.target_id = ''
+
+
+def create_attempt_id() -> str:
+    """Return a new id of 128 random bits."""
+    return secrets.token_hex(16)
+
+
+@final
+class Dispatcher:
+    """Queues and placement of all services."""
+
+    def __init__(
+        self,
+        table: TargetTable,
+        own: OwnAttempts,
+        zone: str,
+        clock: Clock,
+        random: Random,
+        bounds: QueueBounds = DEFAULT_BOUNDS,
+    ) -> None:
+        """:param zone: availability zone of this entry."""
+        self.own = own
+        self._table = table
+        self._zone = zone
+        self._clock = clock
+        self._random = random
+        self._bounds = bounds
+        self._queues: dict[str, FairQueue] = {}
+        self._changed = anyio.Event()
+
+    async def place(
+        self,
+        request: Request,
+        avoided: Iterable[str] = (),
+    ) -> Placement:
+        """Wait until a target takes the request.
+
+        :param avoided: targets that are taken only if there is no other.
+        :return: the caller ends its own load. Raises RequestError.
+        """
+        waiter = _Waiter(request, frozenset(avoided))
+        ticket = self._push(waiter)
+        try:
+            await self._wait(waiter)
+        except BaseException:
+            if waiter.target_id:
+                self.own.ended(waiter.target_id, waiter.attempt_id)
+            raise
+        finally:
+            self._queue(request.service.name).remove(ticket)
+        return Placement(waiter.target_id, waiter.attempt_id)
+
+    async def place_at_home(self, request: Request, index: int) -> Placement:
+        """Wait until the home target of a key can be reached.
+
+        :param index: number of homes that refused the key as not run.
+        :return: as ``place``. Raises RequestError with ``outcome_unknown``,
+            because an earlier request with the key may have run there, or
+            with ``no_target`` if all homes refused the key.
+        """
+        limit_s = self._limit_s(request)
+        with anyio.move_on_after(limit_s):
+            while True:
+                homes = self._table.homes(
+                    request.service.name,
+                    request.key_digest,
+                )
+                if 0 < len(homes) <= index:
+                    raise RequestError('no_target', retry_after_s=_RETRY_AFTER_S)
+                if index < len(homes) and homes[index].linked:
+                    return self._grant(request, homes[index])
+                await self._changed.wait()
+        raise RequestError(
+            'outcome_unknown',
+            'The home target of the idempotency key cannot be reached.',
+            UNKNOWN,
+        )
+
+    def dispatch_all(self) -> None:
+        """Give targets to waiting requests after something changed."""
+        self._changed.set()
+        self._changed = anyio.Event()
+        for service in self._queues:
+            self._dispatch(service)
+
+    def waiting(self) -> dict[str, int]:
+        """Return the number of queued requests by service."""
+        return {name: len(queue) for name, queue in self._queues.items()}
+
+    def _grant(self, request: Request, view: TargetView) -> Placement:
+        placement = Placement(view.target_id, create_attempt_id())
+        self.own.started(*placement, request.cost)
+        return placement
+
+    def _push(self, waiter: _Waiter) -> Ticket:
+        request = waiter.request
+        policy = request.service.teams.get(request.team)
+        queue = self._queue(request.service.name)
+        weight = policy.weight if policy else _OPEN_ROUTE_WEIGHT
+        outcome = queue.push(
+            waiter,
+            request.team,
+            weight,
+            request.cost.tokens,
+            request.service.priority,
+            request.deadline_s,
+            len(request.body),
+        )
+        match outcome:
+            case Result(tag='ok', ok=ticket):
+                self._dispatch(request.service.name)
+                return ticket
+            case Result(error=code):
+                wait_s = queue.estimate_wait_s(
+                    request.team,
+                    weight,
+                    request.service.priority,
+                )
+                raise RequestError(
+                    code,
+                    retry_after_s=max(_RETRY_AFTER_S, wait_s),
+                )
+        raise AssertionError('a Result is Ok or Error')
+
+    async def _wait(self, waiter: _Waiter) -> None:
+        request = waiter.request
+        with anyio.move_on_after(self._limit_s(request)):
+            await waiter.granted.wait()
+        if waiter.target_id:
+            return
+        if not self._table.candidates(request.service.name):
+            raise RequestError('no_target', retry_after_s=_RETRY_AFTER_S)
+        remaining_s = request.deadline_s - self._clock.monotonic_s()
+        with anyio.move_on_after(remaining_s):
+            await waiter.granted.wait()
+        if not waiter.target_id:
+            raise RequestError(
+                'deadline_unreachable',
+                retry_after_s=_RETRY_AFTER_S,
+            )
+
+    def _limit_s(self, request: Request) -> float:
+        remaining_s = request.deadline_s - self._clock.monotonic_s()
+        return min(remaining_s, NO_TARGET_WAIT.total_seconds())
+
+    def _queue(self, service: str) -> FairQueue:
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = FairQueue(self._clock, self._bounds)
+            self._queues[service] = queue
+        return queue
+
+    def _dispatch(self, service: str) -> None:
+        queue = self._queues[service]
+        queue.expire()
+        while (ticket := queue.peek()) is not None:  # noqa: WPS332
+            waiter: _Waiter = ticket.item
+            view = self._choose(waiter)
+            if view is None:
+                return
+            queue.pop()
+            waiter.target_id = view.target_id
+            self.own.started(
+                view.target_id,
+                waiter.attempt_id,
+                waiter.request.cost,
+            )
+            waiter.granted.set()
+
+    def _choose(self, waiter: _Waiter) -> TargetView | None:
+        views = self._table.candidates(waiter.request.service.name)
+        preferred = [
+            view for view in views if view.target_id not in waiter.avoided
+        ]
+        return choose_target(
+            preferred or views,
+            waiter.request.cost,
+            self._zone,
+            {view.target_id: self._own_load(view) for view in views},
+            self._random,
+        )
+
+    def _own_load(self, view: TargetView) -> OwnLoad:
+        piece_tokens = view.load.piece_tokens if view.load else 0
+        return self.own.own_load(view.target_id, piece_tokens)
--- a/peridotrill/targets.py
+++ b/peridotrill/targets.py
@@ -67,6 +67,7 @@
         self.load: LoadReport | None = None
         self.ready = False
         self.draining = False
+        self.draining_since_s: float | None = None
 
     @property
     def is_listed(self) -> bool:
@@ -149,7 +150,7 @@
             return False
         target.welcome = welcome
         target.ready = welcome.ready
-        target.draining = welcome.draining
+        self._set_draining(target, welcome.draining)
         return True
 
     def link_down(self, target_id: str) -> None:
@@ -162,7 +163,7 @@
         """Note that the agent takes no new work."""
         target = self._targets.get(target_id)
         if target is not None:
-            target.draining = True
+            self._set_draining(target, draining=True)
 
     def report(self, target_id: str, load: LoadReport) -> None:
         """Take over a load report."""
@@ -170,7 +171,7 @@
         if target is not None:
             target.load = load
             target.ready = load.ready
-            target.draining = load.draining
+            self._set_draining(target, load.draining)
 
     def find(self, target_id: str) -> TargetView | None:
         """Return a target, or None if it is not known."""
@@ -206,7 +207,8 @@
         """Return the home target of a key and those that come after it.
 
         A later one may run the key only if all before it refused the key
-        as not run.
+        as not run. A target that joined after the home began to drain is
+        not among them: the key may have run at one that came before it.
         """
         pool = [
             target
@@ -216,8 +218,13 @@
         home = _find_home(pool, key_digest)
         if home is None:
             return []
-        others = sorted(
-            (rest for rest in pool if rest is not home and rest.is_listed),
+        since_s = home.draining_since_s or self._clock.monotonic_s()
+        others = [
+            rest
+            for rest in pool
+            if rest is not home and rest.is_listed and rest.joined_s <= since_s
+        ]
+        others.sort(
             key=lambda rest: rank_target(key_digest, rest.row.target_id),
             reverse=True,
         )
@@ -241,6 +248,13 @@
         target.row = row
         target.absent_since_s = None
 
+    def _set_draining(self, target: _Target, draining: bool) -> None:
+        target.draining = draining
+        if not draining:
+            target.draining_since_s = None
+        elif target.draining_since_s is None:
+            target.draining_since_s = self._clock.monotonic_s()
+
     def _note_absent(self, target: _Target, now_s: float) -> None:
         if target.absent_since_s is None:
             target.absent_since_s = now_s
