--- a/peridotrill/attempts.py
+++ b/peridotrill/attempts.py
@@ -440,11 +440,11 @@
     attempt: Attempt,
     message: messages.AttemptRefused,
 ) -> Answers:
-    if not attempt.machine.allows('refused'):
+    if attempt.machine.allows('refused'):
+        attempt.fail('refused', _read_refusal(message))
+    else:
         # The agent no longer knows an attempt that it had started.
         attempt.lose('The agent lost the attempt.')
-    else:
-        attempt.fail('refused', _read_refusal(message))
     return _NOTHING
 
 
--- a/peridotrill/dispatch.py
+++ b/peridotrill/dispatch.py
@@ -138,7 +138,9 @@
                     request.key_digest,
                 )
                 if 0 < len(homes) <= index:
-                    raise RequestError('no_target', retry_after_s=_RETRY_AFTER_S)
+                    raise RequestError(
+                        'no_target', retry_after_s=_RETRY_AFTER_S
+                    )
                 if index < len(homes) and homes[index].linked:
                     return self._grant(request, homes[index])
                 await self._changed.wait()
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -108,3 +108,23 @@
         'resume_position': 0,
     }
     return messages.StartAttempt(**(fields | changes))
+
+
+def load_report(**changes):
+    fields = {
+        'clock_s': 0.0,
+        'ready': True,
+        'draining': False,
+        'running_requests': 0,
+        'waiting_requests': 0,
+        'running_tokens': 0,
+        'waiting_tokens': 0,
+        'free_pieces': 0,
+        'total_pieces': 0,
+        'piece_tokens': 0,
+        'role': '',
+        'models': [],
+        'adapters': [],
+        'cached_prefixes': [],
+    }
+    return messages.LoadReport(**(fields | changes))
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -8,25 +8,16 @@
 
 from peridotrill import routing
 from peridotrill.clock import ManualClock
-from peridotrill.messages import LoadReport
 from peridotrill.routing import OwnLoad, RequestCost, TargetView
+from tests import builders
 
 
 def view(name, tokens=0, free=100, zone='z1', prefixes=(), **changes):
-    load = LoadReport(
-        clock_s=0,
-        ready=True,
-        draining=False,
-        running_requests=0,
-        waiting_requests=0,
+    load = builders.load_report(
         running_tokens=tokens,
-        waiting_tokens=0,
         free_pieces=free,
         total_pieces=100,
         piece_tokens=2000,
-        role='',
-        models=[],
-        adapters=[],
         cached_prefixes=list(prefixes),
     )
     return TargetView(
