--- /dev/null
+++ b/peridotrill/admission.py
@@ -0,0 +1,323 @@
+"""Admission: which service a request is for, its team, and its limits."""
+
+import hashlib
+import math
+from collections.abc import Callable, Iterator, Mapping
+from contextlib import contextmanager
+from typing import Any, Final, NamedTuple, final
+
+import anyio
+
+from peridotrill.clock import Clock
+from peridotrill.codec import decode_json
+from peridotrill.control_state import ControlState
+from peridotrill.dispatch import Request
+from peridotrill.errors import RequestError
+from peridotrill.exceptions import CodecError
+from peridotrill.keys import KeyGrant
+from peridotrill.limits import TeamLimiter
+from peridotrill.routing import (
+    CHARACTERS_PER_TOKEN,
+    RequestCost,
+    join_prompt,
+    number_prefixes,
+)
+from peridotrill.services import MODEL_PATHS, Service
+
+MODELS_PATH: Final = '/v1/models'
+MAX_IDEMPOTENCY_KEY_CHARACTERS: Final = 255
+# Assumed for requests that do not bound their output.
+DEFAULT_OUTPUT_TOKENS: Final = 256
+_BEARER: Final = 'bearer '
+
+# Headers that concern one connection, or that only this system sets.
+_HOP_HEADERS: Final = frozenset(
+    (
+        'accept-encoding',
+        'authorization',
+        'connection',
+        'content-length',
+        'expect',
+        'host',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'x-attempt-id',
+        'x-priority',
+        'x-request-id',
+        'x-resume-tokens',
+    ),
+)
+_OWN_PREFIX: Final = 'x-peridotrill-'
+
+
+class CallerRequest(NamedTuple):
+    """A request as a caller sent it; names of headers are lower case."""
+
+    request_id: str
+    method: str
+    path: str
+    raw_path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+    arrived_s: float
+
+    def header(self, name: str) -> str:
+        """Return the first header of this name, or an empty string."""
+        for found, text in self.headers:
+            if found == name:
+                return text
+        return ''
+
+
+class Admitted(NamedTuple):
+    """An admitted request and the key that it was admitted with."""
+
+    request: Request
+    grant: KeyGrant | None
+
+
+def forwarded_headers(
+    headers: list[tuple[str, str]],
+) -> list[tuple[str, str]]:
+    """Return the headers that are passed on, in both directions."""
+    dropped = _HOP_HEADERS.union(
+        part.strip().lower()
+        for header, listed in headers
+        if header == 'connection'
+        for part in listed.split(',')
+    )
+    return [
+        (name, text)
+        for name, text in headers
+        if name not in dropped and not name.startswith(_OWN_PREFIX)
+    ]
+
+
+def estimate_cost(document: Mapping[str, Any]) -> RequestCost:
+    """Estimate what a model request needs.
+
+    :param document: body of a completion or a chat completion.
+    """
+    prompt = join_prompt(document)
+    output_tokens = DEFAULT_OUTPUT_TOKENS
+    for field in ('max_completion_tokens', 'max_tokens'):
+        given = document.get(field)
+        if isinstance(given, int) and given > 0:
+            output_tokens = given
+            break
+    return RequestCost(
+        len(prompt) // CHARACTERS_PER_TOKEN + 1,
+        output_tokens,
+        number_prefixes(prompt),
+    )
+
+
+class _Running(NamedTuple):
+    grant: KeyGrant
+    scope: anyio.CancelScope
+
+
+@final
+class RunningRequests:
+    """Requests that are under way, by the key they were admitted with."""
+
+    def __init__(self, state: ControlState) -> None:
+        """:param state: has the keys that are valid now."""
+        self._state = state
+        self._running: dict[str, _Running] = {}
+
+    @contextmanager
+    def track(self, request_id: str, grant: KeyGrant | None) -> Iterator[None]:
+        """Run the body; end it when the key is withdrawn.
+
+        Raises RequestError with ``key_withdrawn`` in that case.
+        """
+        if grant is None:
+            yield
+            return
+        scope = anyio.CancelScope()
+        with scope:
+            self._running[request_id] = _Running(grant, scope)
+            try:
+                yield
+            finally:
+                self._running.pop(request_id, None)
+        if scope.cancelled_caught:
+            raise RequestError('key_withdrawn')
+
+    def end_withdrawn(self) -> int:
+        """Cancel the requests whose key is no longer valid.
+
+        :return: their number.
+        """
+        withdrawn = [
+            running
+            for running in self._running.values()
+            if self._state.keys.get(running.grant.name) != running.grant
+        ]
+        for running in withdrawn:
+            running.scope.cancel()
+        return len(withdrawn)
+
+
+@final
+class Admission:
+    """Finds the service of a request and applies keys and limits."""
+
+    def __init__(
+        self,
+        state: ControlState,
+        limiter: TeamLimiter,
+        clock: Clock,
+        refusal: Callable[[], str],
+    ) -> None:
+        """:param refusal: why keyed requests are refused now, or empty."""
+        self._state = state
+        self._limiter = limiter
+        self._clock = clock
+        self._refusal = refusal
+
+    def find_grant(self, caller: CallerRequest) -> KeyGrant:
+        """Return the key of a request; raises RequestError."""
+        refusal = self._refusal()
+        if refusal:
+            raise RequestError('entry_unavailable', refusal, retry_after_s=1)
+        given = caller.header('authorization')
+        if not given.lower().startswith(_BEARER):
+            raise RequestError('key_missing')
+        grant = self._state.keys.find(given[len(_BEARER) :].strip())
+        if grant is None:
+            raise RequestError('key_invalid')
+        return grant
+
+    def list_models(self, caller: CallerRequest) -> dict[str, Any]:
+        """Return the models that the key's team may use."""
+        grant = self.find_grant(caller)
+        models = [
+            {
+                'id': service.model,
+                'object': 'model',
+                'created': 0,
+                'owned_by': service.name,
+            }
+            for service in self._state.catalog.services.values()
+            if service.model and grant.team in service.teams
+        ]
+        return {'object': 'list', 'data': models}
+
+    def admit(self, caller: CallerRequest) -> Admitted:
+        """Admit a request for a service; raises RequestError."""
+        if caller.path in MODEL_PATHS and caller.method == 'POST':
+            return self._admit_model(caller)
+        return self._admit_plain(caller)
+
+    def _admit_model(self, caller: CallerRequest) -> Admitted:
+        grant = self.find_grant(caller)
+        document = _read_document(caller.body)
+        model = document.get('model')
+        if not isinstance(model, str):
+            raise RequestError(
+                'invalid_request', 'The field `model` is needed.'
+            )
+        service = self._state.catalog.find_model(model)
+        if service is None:
+            raise RequestError('model_not_found')
+        self._apply_limit(service, grant.team)
+        request = self._request(caller, service, grant.team)._replace(
+            path=caller.path,
+            streaming=document.get('stream') is True,
+            cost=estimate_cost(document),
+        )
+        return Admitted(request, grant)
+
+    def _admit_plain(self, caller: CallerRequest) -> Admitted:
+        found = self._state.catalog.find_plain(caller.path, caller.method)
+        if found is None:
+            raise RequestError('route_not_found')
+        service, route = found
+        grant = None
+        if not route.open:
+            grant = self.find_grant(caller)
+            self._apply_limit(service, grant.team)
+        team = grant.team if grant else ''
+        request = self._request(caller, service, team)
+        if not route.idempotent:
+            request = _add_key(request, caller)
+        return Admitted(request, grant)
+
+    def _apply_limit(self, service: Service, team: str) -> None:
+        if team not in service.teams:
+            raise RequestError('team_not_allowed')
+        admitted = self._limiter.admit(service.name, team)
+        if admitted.is_error():
+            raise RequestError('rate_limited', retry_after_s=admitted.error)
+
+    def _request(
+        self,
+        caller: CallerRequest,
+        service: Service,
+        team: str,
+    ) -> Request:
+        deadline_s = caller.arrived_s + service.deadline.total_seconds()
+        return Request(
+            request_id=caller.request_id,
+            service=service,
+            team=team,
+            method=caller.method,
+            path=caller.raw_path,
+            headers=forwarded_headers(caller.headers),
+            body=caller.body,
+            streaming=False,
+            idempotent=True,
+            key_digest=b'',
+            request_digest=b'',
+            caller_key=False,
+            cost=RequestCost(1, 0),
+            deadline_s=deadline_s,
+        )
+
+
+def _read_document(body: bytes) -> dict[str, Any]:
+    try:
+        document = decode_json(body)
+    except CodecError as error:
+        raise RequestError('invalid_request', str(error)) from error
+    if not isinstance(document, dict):
+        raise RequestError('invalid_request', 'The body is not an object.')
+    return document
+
+
+def _add_key(request: Request, caller: CallerRequest) -> Request:
+    """Add the idempotency key, scoped by service and team."""
+    given = caller.header('idempotency-key')
+    if len(given) > MAX_IDEMPOTENCY_KEY_CHARACTERS:
+        raise RequestError('invalid_request', 'Idempotency-Key is too long.')
+    key = given or request.request_id
+    scope = ('caller' if given else 'entry', request.service.name, request.team)
+    return request._replace(
+        idempotent=False,
+        key_digest=_digest(*scope, key),
+        request_digest=_digest(request.method, request.path, caller.body),
+        caller_key=bool(given),
+    )
+
+
+def _digest(*parts: str | bytes) -> bytes:
+    """Return the SHA-256 of parts, each with its length before it."""
+    digest = hashlib.sha256()
+    for part in parts:
+        encoded = part.encode() if isinstance(part, str) else part
+        digest.update(len(encoded).to_bytes(8, 'big'))
+        digest.update(encoded)
+    return digest.digest()
+
+
+def seconds_for_header(duration_s: float) -> str:
+    """Return a duration for ``Retry-After``: whole seconds, at least 1."""
+    return str(max(1, math.ceil(duration_s)))
--- /dev/null
+++ b/peridotrill/entry_metrics.py
@@ -0,0 +1,64 @@
+"""Metrics of an entry; labels take values of bounded sets only."""
+
+from typing import Final, final
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+_SECONDS: Final = (
+    0.001,
+    0.003,
+    0.01,
+    0.03,
+    0.1,
+    0.3,
+    1.0,
+    3.0,
+    10.0,
+    30.0,
+)
+
+
+@final
+class EntryMetrics:
+    """Counters of one entry.
+
+    ``service`` is the name of a service of the catalog or empty, ``code``
+    is ``ok`` or a registered error code. Teams and targets are not labels.
+    """
+
+    def __init__(self) -> None:
+        """Create the metrics in a registry of their own."""
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            'peridotrill_requests',
+            'Requests by service and result.',
+            ('service', 'code'),
+            registry=self.registry,
+        )
+        self.first_byte = Histogram(
+            'peridotrill_first_byte_seconds',
+            'Time from arrival to the first byte of the answer.',
+            ('service',),
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
+        self.running = Gauge(
+            'peridotrill_running_requests',
+            'Requests under way.',
+            registry=self.registry,
+        )
+        self.waiting = Gauge(
+            'peridotrill_waiting_requests',
+            'Queued requests.',
+            registry=self.registry,
+        )
+        self.dropped_messages = Gauge(
+            'peridotrill_dropped_messages',
+            'Messages of agents for attempts that are not running.',
+            registry=self.registry,
+        )
+        self.forwarded_keys = Gauge(
+            'peridotrill_forwarded_keys',
+            'Forwarded-key records.',
+            registry=self.registry,
+        )
