Add the operator's program

Text of files, findings and events is written raw or quoted, so that it is never taken for markup or terminal control. An interrupted publish or key change ends with the exit code for an unknown outcome. A key is shown once the log has its digest, and only then.

--- /dev/null
+++ b/peridotrill/cli.py
@@ -0,0 +1,308 @@
+"""The operator's program: publishes files, changes keys, reads processes."""
+
+import os
+import sys
+from pathlib import Path
+from typing import Any, ClassVar
+
+from cleo.application import Application
+from cleo.exceptions import CleoError
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.input import Input
+from cleo.io.inputs.option import Option
+from cleo.io.outputs.output import Output, Type
+
+from peridotrill import __version__, key_changes, publishing, replies
+from peridotrill.operator_command import (
+    AUTHOR,
+    BASE,
+    ENTRIES,
+    OUTPUT,
+    PLATFORM_URL,
+    PROGRAM,
+    FolderCommand,
+    OperatorCommand,
+    Surroundings,
+)
+from peridotrill.process_reports import (
+    fetch_reports,
+    find_differences,
+    read_events,
+)
+from peridotrill.read_back import ReadBack
+from peridotrill.settings import EXIT_USAGE
+from peridotrill.timeline import Event, merge_timelines
+from peridotrill.timeline_page import format_event, format_page
+
+
+class ValidateCommand(FolderCommand):
+    """Checks a folder without the platform."""
+
+    name = 'validate'
+    description = 'Checks all service files below a folder.'
+    help = """Example:
+  peridotrill validate deployments/ledger"""
+
+    async def reply_for(
+        self,
+        texts: dict[str, str],
+        settings: dict[str, Any],
+    ) -> replies.Reply:
+        """Report the names of the services."""
+        names = sorted(texts)
+        text = 'valid: {0}'.format(', '.join(names))
+        return replies.Reply(
+            replies.EXIT_OK, {'findings': [], 'services': names}, text
+        )
+
+
+class PublishCommand(FolderCommand):
+    """Makes a folder the configuration."""
+
+    name = 'publish'
+    description = 'Makes the service files below a folder the configuration.'
+    help = """Services that the folder does not contain are removed.
+
+Examples:
+  peridotrill publish deployments/ledger
+  peridotrill publish deployments/ledger --base 412 --author ann"""
+    settings = (OUTPUT, PLATFORM_URL, BASE, AUTHOR)
+    interrupted = replies.EXIT_UNKNOWN
+
+    async def reply_for(
+        self,
+        texts: dict[str, str],
+        settings: dict[str, Any],
+    ) -> replies.Reply:
+        """Publish and report what became of it."""
+        base = None if settings['base'] == '' else settings['base']
+        url = settings['platform_url']
+        async with self.surroundings.connect(url) as log:
+            read_back = ReadBack(log, self.surroundings.clock)
+            publisher = publishing.Publisher(log, read_back)
+            outcome = await publisher.publish(texts, settings['author'], base)
+        return replies.publish_reply(outcome)
+
+
+class DiffCommand(FolderCommand):
+    """Shows what publishing a folder would change."""
+
+    name = 'diff'
+    description = 'Shows what publishing a folder would change.'
+    help = """Example:
+  peridotrill diff deployments/ledger"""
+    settings = (OUTPUT, PLATFORM_URL)
+
+    async def reply_for(
+        self,
+        texts: dict[str, str],
+        settings: dict[str, Any],
+    ) -> replies.Reply:
+        """Compare with the current configuration."""
+        state = await self.read_state(settings['platform_url'])
+        change = publishing.compute_change(texts, state.texts)
+        return replies.diff_reply(state.catalog.version, change, state.texts)
+
+
+class KeysGrantCommand(OperatorCommand):
+    """Creates a key and shows it once."""
+
+    name = 'keys grant'
+    description = 'Creates a key for a team and shows it once.'
+    help = """The key is not kept anywhere and cannot be shown again.
+
+Example:
+  peridotrill keys grant --team growers-union --name weigh-station-3"""
+    options: ClassVar[list[Option]] = [
+        option('team', description='team of the key', flag=False),
+        option('name', description='name of the key', flag=False),
+    ]
+    settings = (OUTPUT, PLATFORM_URL)
+    interrupted = replies.EXIT_UNKNOWN
+
+    def run_async(self, settings: dict[str, Any]) -> replies.Reply:
+        """Check that both options are given."""
+        if self.option('team') and self.option('name'):
+            return super().run_async(settings)
+        message = '--team and --name are needed'
+        return replies.failure(EXIT_USAGE, 'usage', message)
+
+    async def reply(self, settings: dict[str, Any]) -> replies.Reply:
+        """Grant the key."""
+        async with self.surroundings.connect(settings['platform_url']) as log:
+            read_back = ReadBack(log, self.surroundings.clock)
+            changes = key_changes.KeyChanges(log, read_back)
+            outcome = await changes.grant(
+                self.option('name'),
+                self.option('team'),
+            )
+        if isinstance(outcome, key_changes.Granted):
+            name, team, _ = outcome.grant
+            text = f'key {name} of team {team}, not shown again:\n'
+            document = {'outcome': 'granted', 'name': name, 'team': team}
+            return replies.Reply(
+                replies.EXIT_OK,
+                {**document, 'key': outcome.key},
+                text + outcome.key,
+            )
+        return replies.key_failure(outcome)
+
+
+class KeysWithdrawCommand(OperatorCommand):
+    """Ends the validity of a key."""
+
+    name = 'keys withdraw'
+    description = 'Ends the validity of a key, also for running streams.'
+    help = """Example:
+  peridotrill keys withdraw weigh-station-3"""
+    arguments: ClassVar[list[Argument]] = [
+        argument('name', 'Name of the key.'),
+    ]
+    settings = (OUTPUT, PLATFORM_URL)
+    interrupted = replies.EXIT_UNKNOWN
+
+    async def reply(self, settings: dict[str, Any]) -> replies.Reply:
+        """Withdraw the key."""
+        async with self.surroundings.connect(settings['platform_url']) as log:
+            read_back = ReadBack(log, self.surroundings.clock)
+            changes = key_changes.KeyChanges(log, read_back)
+            outcome = await changes.withdraw(self.argument('name'))
+        if isinstance(outcome, key_changes.Withdrawn):
+            document = {'outcome': 'withdrawn', 'name': outcome.name}
+            return replies.Reply(
+                replies.EXIT_OK, document, f'withdrawn: {outcome.name}'
+            )
+        return replies.key_failure(outcome)
+
+
+class KeysListCommand(OperatorCommand):
+    """Lists the valid keys without the keys themselves."""
+
+    name = 'keys list'
+    description = 'Lists names and teams of the valid keys.'
+    help = """Example:
+  peridotrill keys list --output json"""
+    settings = (OUTPUT, PLATFORM_URL)
+
+    async def reply(self, settings: dict[str, Any]) -> replies.Reply:
+        """List names and teams."""
+        state = await self.read_state(settings['platform_url'])
+        rows = [
+            {'name': grant.name, 'team': grant.team} for grant in state.keys
+        ]
+        lines = ['{name}  {team}'.format_map(row) for row in rows]
+        return replies.Reply(
+            replies.EXIT_OK, {'keys': rows}, '\n'.join(lines) or 'no keys'
+        )
+
+
+class StatusCommand(OperatorCommand):
+    """Shows what processes report."""
+
+    name = 'status'
+    description = 'Shows what each process reports and where they differ.'
+    help = """Example:
+  peridotrill status --entries 10.0.0.4:9100,10.0.1.4:9100"""
+    settings = (OUTPUT, ENTRIES)
+
+    async def reply(self, settings: dict[str, Any]) -> replies.Reply:
+        """Ask all processes."""
+        reports = await fetch_reports(
+            settings['entries'],
+            '/status',
+            self.surroundings.transport,
+        )
+        return replies.status_reply(reports, find_differences(reports))
+
+
+class TimelineCommand(OperatorCommand):
+    """Merges the events of several processes."""
+
+    name = 'timeline'
+    description = 'Merges the events of processes into causal order.'
+    help = """Examples:
+  peridotrill timeline --entries 10.0.0.4:9100,10.0.1.4:9100
+  peridotrill timeline --html timeline.html"""
+    options: ClassVar[list[Option]] = [
+        option('html', description='write an HTML page here', flag=False),
+    ]
+    settings = (OUTPUT, ENTRIES)
+
+    async def reply(self, settings: dict[str, Any]) -> replies.Reply:
+        """Ask all processes, merge and write."""
+        answers = await fetch_reports(
+            settings['entries'],
+            '/timeline',
+            self.surroundings.transport,
+        )
+        checked = [read_events(answer) for answer in answers]
+        events = merge_timelines([rows for _, rows in checked])
+        try:
+            shown = self._write(events)
+        except OSError as error:
+            return replies.failure(EXIT_USAGE, 'usage', str(error))
+        return replies.timeline_reply(
+            [report for report, _ in checked],
+            events,
+            shown,
+        )
+
+    def _write(self, events: list[Event]) -> str:
+        page = self.option('html')
+        if not page:
+            return '\n'.join(format_event(event) for event in events)
+        Path(page).write_text(format_page(events), 'utf-8')
+        return f'{len(events)} events written to {page}'
+
+
+class OperatorApplication(Application):
+    """Application whose usage errors have their own exit code."""
+
+    def run(
+        self,
+        input: Input | None = None,  # noqa: WPS125
+        output: Output | None = None,
+        error_output: Output | None = None,
+    ) -> int:
+        """Run a command.
+
+        :return: the exit code.
+        """
+        try:
+            return super().run(input, output, error_output)
+        except CleoError as error:
+            stream = self.create_io(input, output, error_output).error_output
+            stream.write_line(f'{PROGRAM}: {error}', type=Type.RAW)
+            return EXIT_USAGE
+
+
+def create_application(surroundings: Surroundings) -> OperatorApplication:
+    """Create the program.
+
+    :param surroundings: what it reaches outside itself.
+    """
+    application = OperatorApplication(PROGRAM, __version__)
+    application.auto_exits(False)
+    application.catch_exceptions(False)
+    for command in (
+        ValidateCommand,
+        PublishCommand,
+        DiffCommand,
+        KeysGrantCommand,
+        KeysWithdrawCommand,
+        KeysListCommand,
+        StatusCommand,
+        TimelineCommand,
+    ):
+        application.add(command(surroundings))
+    return application
+
+
+def main() -> None:
+    """Run the operator's program and exit."""
+    for stream in (sys.stdout, sys.stderr):
+        # Names of files may not be encodable.
+        stream.reconfigure(errors='backslashreplace')  # type: ignore[union-attr]
+    surroundings = Surroundings.from_config(os.environ)
+    sys.exit(create_application(surroundings).run())
--- /dev/null
+++ b/peridotrill/key_changes.py
@@ -0,0 +1,163 @@
+"""Granting and withdrawing keys through the log."""
+
+import re
+from contextlib import suppress
+from datetime import timedelta
+from typing import Final, NamedTuple, Protocol, TypeAlias, final
+
+from peridotrill.catalog import Catalog
+from peridotrill.exceptions import AppendUnknown
+from peridotrill.keys import KeyGrant, KeyTable, create_key, digest_key
+from peridotrill.read_back import ReadBack, RecordLog
+from peridotrill.records import KeyGranted, KeyWithdrawn
+
+_NAME: Final = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
+
+
+class KeyState(Protocol):
+    """What key changes need of ``ControlState``."""
+
+    @property
+    def catalog(self) -> Catalog:
+        """Return the catalog of the current version."""
+
+    @property
+    def keys(self) -> KeyTable:
+        """Return the valid keys."""
+
+    @property
+    def offset(self) -> int:
+        """Return the offset of the newest record that was read."""
+
+
+class KeyLog(RecordLog, Protocol):
+    """The log and the state that was folded from it."""
+
+    @property
+    def state(self) -> KeyState:
+        """Return the state at the newest record that was read."""
+
+
+class Granted(NamedTuple):
+    """The key is valid; it is shown to the operator and kept nowhere."""
+
+    key: str
+    grant: KeyGrant
+
+
+class Withdrawn(NamedTuple):
+    """The key of this name is no longer valid."""
+
+    name: str
+
+
+class KeyRefused(NamedTuple):
+    """The change has no effect."""
+
+    code: str
+    message: str
+
+
+class KeyOutcomeUnknown(NamedTuple):
+    """The append may still take effect."""
+
+    name: str
+
+
+GrantOutcome: TypeAlias = Granted | KeyRefused | KeyOutcomeUnknown
+WithdrawOutcome: TypeAlias = Withdrawn | KeyRefused | KeyOutcomeUnknown
+
+
+@final
+class KeyChanges:
+    """Changes the key table and reads back whether that took effect."""
+
+    def __init__(self, log: KeyLog, read_back: ReadBack) -> None:
+        """:param read_back: reads the same log."""
+        self._log = log
+        self._read_back = read_back
+
+    async def grant(self, name: str, team: str) -> GrantOutcome:
+        """Create a key for a team.
+
+        :param name: names the key in ``keys list`` and ``keys withdraw``.
+        :param team: a team of the current configuration.
+        :return: what became of it. The key is only returned once the log
+            shows its digest. Raises LogError if nothing was appended.
+        """
+        await self._log.refresh(timedelta(0))
+        refusal = self._check_grant(name, team)
+        if refusal is not None:
+            return refusal
+        key = create_key()
+        grant = KeyGrant(name, team, digest_key(key))
+        offset = None
+        with suppress(AppendUnknown):
+            offset = await self._log.append(
+                KeyGranted(
+                    kind='key_granted',
+                    name=name,
+                    team=team,
+                    digest=grant.digest,
+                ),
+            )
+        outcome: GrantOutcome | None = await self._read_back.until(
+            lambda: self._find_grant(key, grant, offset),
+        )
+        return KeyOutcomeUnknown(name) if outcome is None else outcome
+
+    async def withdraw(self, name: str) -> WithdrawOutcome:
+        """Withdraw the key of a name.
+
+        :return: what became of it. Raises LogError if nothing was appended.
+        """
+        await self._log.refresh(timedelta(0))
+        grant = self._log.state.keys.get(name)
+        if grant is None:
+            return KeyRefused('no_such_key', f'there is no key {name!r}')
+        with suppress(AppendUnknown):
+            await self._log.append(
+                KeyWithdrawn(kind='key_withdrawn', name=name),
+            )
+        outcome = await self._read_back.until(
+            lambda: self._find_withdrawal(grant),
+        )
+        return outcome or KeyOutcomeUnknown(name)
+
+    def _check_grant(self, name: str, team: str) -> KeyRefused | None:
+        if not _NAME.fullmatch(name):
+            message = f'the name of a key must match {_NAME.pattern}'
+            return KeyRefused('invalid_name', message)
+        state = self._log.state
+        if state.keys.get(name) is not None:
+            return _name_taken(name)
+        services = state.catalog.services.values()
+        if not any(team in service.teams for service in services):
+            message = f'no service has a team {team!r}'
+            return KeyRefused('unknown_team', message)
+        return None
+
+    def _find_grant(
+        self,
+        key: str,
+        grant: KeyGrant,
+        offset: int | None,
+    ) -> Granted | KeyRefused | None:
+        state = self._log.state
+        found = state.keys.get(grant.name)
+        if found == grant:
+            return Granted(key, grant)
+        if found is not None:
+            return _name_taken(grant.name)
+        if offset is not None and state.offset >= offset:
+            message = f'{grant.name!r} was withdrawn by another operator'
+            return KeyRefused('withdrawn', message)
+        return None
+
+    def _find_withdrawal(self, grant: KeyGrant) -> Withdrawn | None:
+        found = self._log.state.keys.get(grant.name)
+        return None if found == grant else Withdrawn(grant.name)
+
+
+def _name_taken(name: str) -> KeyRefused:
+    return KeyRefused('name_taken', f'there is already a key {name!r}')
--- /dev/null
+++ b/peridotrill/operator_command.py
@@ -0,0 +1,217 @@
+"""Base of the operator's commands: settings, output and exit codes."""
+
+from collections.abc import Callable, Mapping, Sequence
+from contextlib import AbstractAsyncContextManager
+from datetime import timedelta
+from pathlib import Path
+from typing import Any, ClassVar, Final, NamedTuple
+
+import anyio
+import httpx
+from cleo.commands.command import Command
+from cleo.helpers import argument, option
+from cleo.io.inputs.argument import Argument
+from cleo.io.inputs.option import Option
+from cleo.io.outputs.output import Type
+from expression import Result
+
+from peridotrill import publishing, replies
+from peridotrill.clock import Clock, SystemClock
+from peridotrill.codec import encode_json
+from peridotrill.exceptions import LogError, RecordError
+from peridotrill.findings import Finding, format_findings
+from peridotrill.settings import (
+    EXIT_USAGE,
+    Address,
+    Setting,
+    parse_address,
+    parse_settings,
+    setting_kinds,
+)
+
+PROGRAM: Final = 'peridotrill'
+_EXIT_CODES: Final = """
+
+Exit codes:
+  0  done
+  1  findings, or refused
+  2  wrong usage
+  3  the platform or a process is not reachable; nothing was changed
+  4  outcome unknown: the change may still take effect"""
+
+OUTPUT: Final = Setting('output', 'output_format', 'json or text', 'text')
+PLATFORM_URL: Final = Setting('platform_url', 'url', 'URL of the platform')
+AUTHOR: Final = Setting('author', 'text', 'who publishes')
+BASE: Final = Setting(
+    'base',
+    'integer',
+    'version that the change was made for; the current one if not given',
+    '',
+)
+ENTRIES: Final = Setting(
+    'entries',
+    'addresses',
+    'control addresses of processes, IP:port,IP:port',
+)
+_NO_WAIT: Final = timedelta(0)
+_FOLDER: Final = argument('dir', 'Folder with service files.')
+
+
+@setting_kinds.register('addresses')
+def parse_addresses(text: str) -> tuple[Address, ...]:
+    """:param text: ``IP:port`` separated by commas; raises ValueError."""
+    return tuple(parse_address(part.strip()) for part in text.split(','))
+
+
+@setting_kinds.register('output_format')
+def parse_output_format(text: str) -> str:
+    """:param text: raises ValueError if it is not json or text."""
+    if text not in {'json', 'text'}:
+        raise ValueError('must be json or text')
+    return text
+
+
+class Surroundings(NamedTuple):
+    """What the program reaches outside itself; replaced in tests."""
+
+    environment: Mapping[str, str]
+    connect: Callable[[str], AbstractAsyncContextManager[Any]]
+    clock: Clock
+    transport: httpx.AsyncBaseTransport | None = None
+
+    @classmethod
+    def from_config(cls, environment: Mapping[str, str]) -> 'Surroundings':
+        """:param environment: environment variables."""
+        return cls(environment, _connect, SystemClock())
+
+
+def _connect(platform_url: str) -> AbstractAsyncContextManager[Any]:
+    # Imported on use: validate needs neither the log nor the network.
+    from peridotrill.operator_log import connect  # noqa: WPS433
+
+    return connect(platform_url)
+
+
+def _options(settings: Sequence[Setting]) -> list[Option]:
+    return [
+        option(
+            setting.flag.removeprefix('--'),
+            description=_describe(setting),
+            flag=False,
+        )
+        for setting in settings
+    ]
+
+
+def _describe(setting: Setting) -> str:
+    if setting is BASE:
+        return setting.help_text
+    return f'{setting.help_text} ({setting.variable})'
+
+
+class OperatorCommand(Command):
+    """Base of all commands: settings, output formats and exit codes."""
+
+    settings: ClassVar[tuple[Setting, ...]] = (OUTPUT,)
+    # What an interrupt in the middle of the command means.
+    interrupted: ClassVar[int] = replies.EXIT_UNREACHABLE
+
+    def __init__(self, surroundings: Surroundings) -> None:
+        """:param surroundings: what the command reaches."""
+        super().__init__()
+        self.surroundings = surroundings
+        for flag in _options(self.settings):
+            self._definition.add_option(flag)
+        self.help += _EXIT_CODES
+
+    def handle(self) -> int:
+        """Run the command and write its reply."""
+        outcome = self._read_settings()
+        if outcome.is_error():
+            shown = format_findings(outcome.error)
+            self.io.write_error_line(shown, type=Type.RAW)
+            return EXIT_USAGE
+        settings = outcome.ok
+        reply = self._run(settings)
+        # RAW: text from files and processes is not markup.
+        if settings['output'] == 'json':
+            shown = encode_json(reply.document).decode()
+            self.io.write_line(shown, type=Type.RAW)
+        elif reply.is_error:
+            self.io.write_error_line(reply.text, type=Type.RAW)
+        else:
+            self.io.write_line(reply.text, type=Type.RAW)
+        return reply.exit_code
+
+    def run_async(self, settings: dict[str, Any]) -> replies.Reply:
+        """Do what the command is for."""
+        return anyio.run(self.reply, settings)
+
+    async def reply(self, settings: dict[str, Any]) -> replies.Reply:
+        """Do what the command is for; overridden by each command."""
+        raise NotImplementedError
+
+    async def read_state(self, platform_url: str) -> Any:
+        """Return ``ControlState`` at the end of the log."""
+        async with self.surroundings.connect(platform_url) as log:
+            await log.refresh(_NO_WAIT)
+            return log.state
+
+    def _run(self, settings: dict[str, Any]) -> replies.Reply:
+        try:
+            return self.run_async(settings)
+        except LogError as error:
+            return replies.failure(
+                replies.EXIT_UNREACHABLE, 'unreachable', str(error)
+            )
+        except RecordError as error:
+            return replies.failure(replies.EXIT_REFUSED, 'refused', str(error))
+        except KeyboardInterrupt:
+            return replies.failure(
+                self.interrupted, 'interrupted', 'interrupted'
+            )
+
+    def _read_settings(self) -> Result[dict[str, Any], list[Finding]]:
+        flags = [
+            f'{setting.flag}={self.option(setting.flag.removeprefix("--"))}'
+            for setting in self.settings
+            if self.option(setting.flag.removeprefix('--')) is not None
+        ]
+        return parse_settings(
+            PROGRAM,
+            self.settings,
+            flags,
+            self._environment(),
+        )
+
+    def _environment(self) -> dict[str, str]:
+        environment = dict(self.surroundings.environment)
+        # A base belongs to one change; a variable would outlive it.
+        environment.pop(BASE.variable, None)
+        environment.setdefault(
+            AUTHOR.variable,
+            environment.get('USER') or 'unknown',
+        )
+        return environment
+
+
+class FolderCommand(OperatorCommand):
+    """Base of the commands that read a folder of service files."""
+
+    arguments: ClassVar[list[Argument]] = [_FOLDER]
+
+    async def reply(self, settings: dict[str, Any]) -> replies.Reply:
+        """Check the folder first; findings end the command."""
+        match publishing.load_folder(Path(self.argument('dir'))):
+            case Result(tag='ok', ok=texts):
+                return await self.reply_for(texts, settings)
+            case Result(error=findings):
+                return replies.findings_reply(findings)
+
+    async def reply_for(
+        self,
+        texts: dict[str, str],
+        settings: dict[str, Any],
+    ) -> replies.Reply:
+        """Continue with valid files; overridden by each command."""
+        raise NotImplementedError
--- /dev/null
+++ b/peridotrill/process_reports.py
@@ -0,0 +1,144 @@
+"""What the control ports of several processes report, and differences."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from datetime import timedelta
+from typing import Any, Final, NamedTuple
+
+import anyio
+import httpx
+import msgspec
+
+from peridotrill.codec import decode_json
+from peridotrill.exceptions import CodecError
+from peridotrill.settings import Address
+from peridotrill.timeline import Event
+
+_TIMEOUT: Final = timedelta(seconds=5)
+# Fields that name a process or depend on when it was asked.
+_OWN_FIELDS: Final = frozenset(
+    (
+        'process',
+        'program',
+        'entry_id',
+        'target_id',
+        'incarnation',
+        'zone',
+        'address',
+        'now',
+        'time',
+        'uptime_s',
+        'lamport',
+        'log_age_s',
+    ),
+)
+
+
+class ProcessReport(NamedTuple):
+    """Answer of one process; ``error`` is empty if there is one."""
+
+    address: str
+    body: Any
+    error: str
+
+
+async def fetch_reports(
+    addresses: Iterable[Address],
+    path: str,
+    transport: httpx.AsyncBaseTransport | None = None,
+) -> list[ProcessReport]:
+    """Ask all processes at the same time.
+
+    :param addresses: control addresses.
+    :param path: such as ``/status``.
+    :param transport: replaces the network in tests.
+    :return: one report per address, in order of the addresses.
+    """
+    unique = sorted(set(addresses))
+    reports: dict[Address, ProcessReport] = {}
+
+    async def ask(address: Address) -> None:  # noqa: WPS430
+        reports[address] = await _fetch(http, address, path)
+
+    timeout_s = _TIMEOUT.total_seconds()
+    async with (
+        httpx.AsyncClient(
+            timeout=timeout_s, transport=transport, trust_env=False
+        ) as http,
+        anyio.create_task_group() as group,
+    ):
+        for asked in unique:
+            group.start_soon(ask, asked)
+    return [reports[answered] for answered in unique]
+
+
+async def _fetch(
+    http: httpx.AsyncClient,
+    address: Address,
+    path: str,
+) -> ProcessReport:
+    host, port = address
+    url = httpx.URL(scheme='http', host=host, port=port, path=path)
+    try:
+        response = await http.get(url)
+        return ProcessReport(str(address), _decode_answer(response), '')
+    except (httpx.HTTPError, CodecError) as error:
+        message = str(error) or type(error).__name__
+        return ProcessReport(str(address), None, message)
+
+
+def _decode_answer(response: httpx.Response) -> Any:
+    response.raise_for_status()
+    return decode_json(response.content)
+
+
+def find_differences(
+    reports: Iterable[ProcessReport],
+) -> dict[str, dict[str, Any]]:
+    """Compare the fields that more than one process reports.
+
+    :return: values by address for each field whose values differ; nested
+        fields have dotted names.
+    """
+    columns: defaultdict[str, dict[str, Any]] = defaultdict(dict)
+    for report in reports:
+        shared = filter(_is_shared, flatten(report.body))
+        for name, found in shared:
+            columns[name][report.address] = found
+    return dict(filter(_differs, sorted(columns.items())))
+
+
+def flatten(body: Any, prefix: str = '') -> Iterator[tuple[str, Any]]:
+    """Iterate over the fields of nested mappings with dotted names."""
+    if not isinstance(body, dict):
+        if prefix:
+            yield prefix, body
+        return
+    for key, nested in body.items():
+        yield from flatten(nested, f'{prefix}.{key}' if prefix else key)
+
+
+def read_events(report: ProcessReport) -> tuple[ProcessReport, list[Event]]:
+    """Check the answer to ``/timeline``.
+
+    :param report: a list of events, or a mapping with a list ``events``.
+    :return: the report, with an error if it is malformed; its events.
+    """
+    if report.error:
+        return report, []
+    body = report.body
+    if isinstance(body, dict):
+        body = body.get('events')
+    try:
+        return report, msgspec.convert(body, list[Event])
+    except msgspec.ValidationError as error:
+        return report._replace(body=None, error=str(error)), []
+
+
+def _differs(row: tuple[str, dict[str, Any]]) -> bool:
+    values = list(row[1].values())
+    return any(found != values[0] for found in values)
+
+
+def _is_shared(field: tuple[str, Any]) -> bool:
+    return field[0].rpartition('.')[2] not in _OWN_FIELDS
--- a/peridotrill/publishing.py
+++ b/peridotrill/publishing.py
@@ -1,26 +1,22 @@
 """Publishing a folder of service files through the log."""
 
 import secrets
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Mapping
 from contextlib import suppress
 from datetime import timedelta
 from pathlib import Path
 from typing import Any, Final, NamedTuple, Protocol, TypeAlias, final
 
-import anyio
 from expression import Error, Ok, Result
 
 from peridotrill.catalog import Catalog, cross_check, read_files
-from peridotrill.clock import Clock
-from peridotrill.exceptions import AppendUnknown, LogError
+from peridotrill.exceptions import AppendUnknown
 from peridotrill.findings import Finding
+from peridotrill.read_back import ReadBack, RecordLog
 from peridotrill.records import ConfigPublished, encode_record
 from peridotrill.services import FILE_SUFFIX
 from peridotrill.yaml_nodes import MAX_FILE_CHARACTERS
 
-READ_BACK_TIMEOUT: Final = timedelta(seconds=15)
-_READ_WAIT: Final = timedelta(seconds=2)
-_RETRY_DELAY: Final = timedelta(milliseconds=200)
 _MAX_CHARACTER_BYTES: Final = 4
 _PUBLISH_ID_BYTES: Final = 16
 
@@ -41,19 +37,13 @@
         """Return ``PublishResult`` by publish id."""
 
 
-class ConfigLog(Protocol):
+class ConfigLog(RecordLog, Protocol):
     """The log and the state that was folded from it."""
 
     @property
     def state(self) -> ConfigState:
         """Return the state at the newest record that was read."""
 
-    async def append(self, record: Any) -> int:
-        """Append; raises LogUnavailable or AppendUnknown."""
-
-    async def refresh(self, wait: timedelta) -> None:
-        """Apply all new records; wait if there are none."""
-
 
 class Change(NamedTuple):
     """Difference between a folder and the current configuration."""
@@ -117,7 +107,7 @@
     findings.extend((*errors, *cross_check(files)))
     if not texts and not findings:
         message = f'there is no *{FILE_SUFFIX} below this folder'
-        findings.append(Finding(str(folder), 0, 0, 'no_files', message))
+        findings.append(Finding(_place(folder), 0, 0, 'no_files', message))
     if findings:
         return Error(sorted(findings))
     return Ok({found.service.name: texts[found.place] for found in files})
@@ -142,14 +132,19 @@
     for path in sorted(folder.rglob(f'*{FILE_SUFFIX}')):
         match _read_text(path):
             case Result(tag='ok', ok=text):
-                texts[str(path)] = text
+                texts[_place(path)] = text
             case Result(error=finding):
                 findings.append(finding)
     return texts, findings
 
 
+def _place(path: Path) -> str:
+    # Names of files need not be UTF-8; findings are.
+    return str(path).encode('utf-8', 'backslashreplace').decode()
+
+
 def _read_text(path: Path) -> Result[str, Finding]:
-    place = str(path)
+    place = _place(path)
     try:
         if not path.is_file():
             message = 'must be a regular file'
@@ -178,19 +173,10 @@
 class Publisher:
     """Publishes folders and reads back what became of them."""
 
-    def __init__(
-        self,
-        log: ConfigLog,
-        clock: Clock,
-        *,
-        timeout: timedelta = READ_BACK_TIMEOUT,
-        sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
-    ) -> None:
-        """:param timeout: how long to read back before giving up."""
+    def __init__(self, log: ConfigLog, read_back: ReadBack) -> None:
+        """:param read_back: reads the same log."""
         self._log = log
-        self._clock = clock
-        self._timeout_s = timeout.total_seconds()
-        self._sleep = sleep
+        self._read_back = read_back
 
     async def publish(
         self,
@@ -229,28 +215,13 @@
         encode_record(record)
         with suppress(AppendUnknown):
             await self._log.append(record)
-        return await self._read_back(record, change)
-
-    async def _read_back(
-        self,
-        record: ConfigPublished,
-        change: Change,
-    ) -> Outcome:
-        base_version, publish_id = record['base_version'], record['publish_id']
-        give_up_s = self._clock.monotonic_s() + self._timeout_s
-        while True:
-            outcome = self._find_outcome(publish_id, base_version, change)
-            if outcome is not None:
-                return outcome
-            if self._clock.monotonic_s() >= give_up_s:
-                return OutcomeUnknown(publish_id, base_version)
-            await self._refresh()
-
-    async def _refresh(self) -> None:
-        try:
-            await self._log.refresh(_READ_WAIT)
-        except LogError:
-            await self._sleep(_RETRY_DELAY.total_seconds())
+        publish_id = record['publish_id']
+        outcome: Outcome | None = await self._read_back.until(
+            lambda: self._find_outcome(publish_id, current, change),
+        )
+        if outcome is None:
+            return OutcomeUnknown(publish_id, current)
+        return outcome
 
     def _find_outcome(
         self,
--- /dev/null
+++ b/peridotrill/replies.py
@@ -0,0 +1,176 @@
+"""Replies of the operator's program: exit code, JSON document and text."""
+
+import difflib
+from collections.abc import Iterable
+from typing import Any, Final, NamedTuple
+
+from peridotrill import key_changes, publishing
+from peridotrill.codec import encode_json
+from peridotrill.findings import Finding, format_findings
+from peridotrill.process_reports import ProcessReport, flatten
+from peridotrill.timeline import Event
+
+EXIT_OK: Final = 0
+EXIT_REFUSED: Final = 1
+EXIT_UNREACHABLE: Final = 3
+EXIT_UNKNOWN: Final = 4
+
+
+class Reply(NamedTuple):
+    """Result of a command, for both output formats."""
+
+    exit_code: int
+    document: Any
+    text: str
+    is_error: bool = False
+
+
+def failure(exit_code: int, outcome: str, message: str) -> Reply:
+    """Reply that a command did not do what it is for."""
+    document = {'outcome': outcome, 'message': message}
+    return Reply(exit_code, document, message, is_error=True)
+
+
+def findings_reply(findings: list[Finding]) -> Reply:
+    """Reply with the findings of a folder."""
+    rows = [finding._asdict() for finding in sorted(findings)]
+    document = {'outcome': 'findings', 'findings': rows}
+    return Reply(EXIT_REFUSED, document, format_findings(findings))
+
+
+def publish_reply(outcome: publishing.Outcome) -> Reply:
+    """Reply with what became of a publish."""
+    match outcome:
+        case publishing.Accepted(version, change):
+            document = {
+                'outcome': 'accepted',
+                'version': version,
+                'changed': sorted(change.changed),
+                'removed': list(change.removed),
+            }
+            names = ', '.join((*change.changed, *change.removed))
+            text = f'accepted as version {version}: {names}'
+            return Reply(EXIT_OK, document, text)
+        case publishing.Unchanged(version):
+            document = {'outcome': 'unchanged', 'version': version}
+            text = f'unchanged: the folder is version {version}'
+            return Reply(EXIT_OK, document, text)
+        case publishing.LostRace():
+            return _lost_race_reply(outcome)
+        case publishing.Rejected(count):
+            message = f'the readers of the log have {count} findings'
+            return failure(EXIT_REFUSED, 'rejected', message)
+    message = (
+        'outcome unknown: the log did not show the change in time; '
+        'publish the folder again to settle it'
+    )
+    return failure(EXIT_UNKNOWN, 'unknown', message)
+
+
+def key_failure(
+    outcome: key_changes.KeyRefused | key_changes.KeyOutcomeUnknown,
+) -> Reply:
+    """Reply that a change of a key has no effect, or may have one."""
+    if isinstance(outcome, key_changes.KeyRefused):
+        return failure(EXIT_REFUSED, outcome.code, outcome.message)
+    message = (
+        'outcome unknown: the log did not show the change in time; '
+        f'withdraw {outcome.name!r} and use another name'
+    )
+    return failure(EXIT_UNKNOWN, 'unknown', message)
+
+
+def diff_reply(
+    version: int,
+    change: publishing.Change,
+    current: dict[str, str],
+) -> Reply:
+    """Reply with the lines that a change adds and removes."""
+    diffs = {
+        name: _diff(name, current.get(name, ''), change.changed.get(name, ''))
+        for name in sorted((*change.changed, *change.removed))
+    }
+    document = {
+        'version': version,
+        'removed': list(change.removed),
+        'services': diffs,
+    }
+    text = '\n'.join((f'current version {version}', *diffs.values()))
+    return Reply(EXIT_OK, document, text.rstrip('\n'))
+
+
+def status_reply(
+    reports: list[ProcessReport],
+    differences: dict[str, dict[str, Any]],
+) -> Reply:
+    """Reply with the reports of processes and where they differ."""
+    document = {
+        'processes': [report._asdict() for report in reports],
+        'differences': differences,
+    }
+    lines: list[str] = []
+    for report in reports:
+        lines.extend(_status_lines(report))
+    lines.append('differences:' if differences else 'no differences')
+    for name, column in differences.items():
+        shown = ' '.join(f'{at}={_show(found)}' for at, found in column.items())
+        lines.append(f'  {_show(name)}: {shown}')
+    return Reply(_reached(reports), document, '\n'.join(lines))
+
+
+def timeline_reply(
+    reports: list[ProcessReport],
+    events: list[Event],
+    shown: str,
+) -> Reply:
+    """Reply with merged events and the processes that did not answer."""
+    errors = {
+        report.address: report.error for report in reports if report.error
+    }
+    lines = [f'{at}: not reachable: {text}' for at, text in errors.items()]
+    document = {'events': events, 'errors': errors}
+    return Reply(_reached(reports), document, '\n'.join((*lines, shown)))
+
+
+def _reached(reports: Iterable[ProcessReport]) -> int:
+    is_failed = any(report.error for report in reports)
+    return EXIT_UNREACHABLE if is_failed else EXIT_OK
+
+
+def _lost_race_reply(outcome: publishing.LostRace) -> Reply:
+    base, version, services, authors = outcome
+    document = {'outcome': 'lost_race', **outcome._asdict()}
+    if version <= base:
+        message = f'there is no version {base} yet; current is {version}'
+        return Reply(EXIT_REFUSED, document, message, is_error=True)
+    message = (
+        f'lost the race: version {version} by {", ".join(authors)} came '
+        f'after {base} and changed {", ".join(services)}; see diff'
+    )
+    return Reply(EXIT_REFUSED, document, message, is_error=True)
+
+
+def _status_lines(report: ProcessReport) -> list[str]:
+    if report.error:
+        return [f'{report.address}: not reachable: {report.error}']
+    fields = flatten(report.body)
+    rows = [f'  {_show(name)}: {_show(found)}' for name, found in fields]
+    return [report.address, *rows]
+
+
+def _show(found: Any) -> str:
+    # Quoting makes control characters visible.
+    if isinstance(found, str) and found.isprintable():
+        return found
+    return encode_json(found).decode()
+
+
+def _diff(name: str, before: str, after: str) -> str:
+    lines = difflib.unified_diff(
+        before.splitlines(),
+        after.splitlines(),
+        f'current/{name}',
+        f'folder/{name}',
+        lineterm='',
+    )
+    return '\n'.join(lines)
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -8,6 +8,7 @@
 from peridotrill.clock import ManualClock
 from peridotrill.exceptions import LogUnavailable, RecordError
 from peridotrill.publishing import Publisher, compute_change, load_folder
+from peridotrill.read_back import ReadBack
 from tests.builders import model_document, plain_document, service_text
 from tests.fake_log import FakeLog, FakeOperatorLog
 
@@ -26,9 +27,14 @@
 )
 
 
-def run_publish(log, texts, author='ann', base_version=None):
+def create_publisher(log):
     clock = ManualClock()
-    publisher = Publisher(FakeOperatorLog(log, clock), clock)
+    view = FakeOperatorLog(log, clock)
+    return Publisher(view, ReadBack(view, clock))
+
+
+def run_publish(log, texts, author='ann', base_version=None):
+    publisher = create_publisher(log)
     return anyio.run(publisher.publish, texts, author, base_version)
 
 
@@ -57,8 +63,7 @@
     async def publish(self, texts, base_version=None):
         author = f'call-{len(self.wanted)}'
         self.wanted[author] = texts
-        clock = ManualClock()
-        publisher = Publisher(FakeOperatorLog(self.log, clock), clock)
+        publisher = create_publisher(self.log)
         try:
             outcome = await publisher.publish(texts, author, base_version)
         except LogUnavailable as error:
@@ -194,7 +199,8 @@
             slept.append(delay_s)
 
         clock = ManualClock()
-        publisher = Publisher(Outage(FakeLog(), clock), clock, sleep=sleep)
+        view = Outage(FakeLog(), clock)
+        publisher = Publisher(view, ReadBack(view, clock, sleep=sleep))
         texts = {'a': service_text(plain_document('a'))}
         assert isinstance(
             await publisher.publish(texts, 'ann'), publishing.Accepted
