--- a/peridotrill/attempts.py
+++ b/peridotrill/attempts.py
@@ -3,7 +3,7 @@
 from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 from datetime import timedelta
-from typing import Any, Final, NamedTuple, Protocol, final
+from typing import Any, Final, NamedTuple, Protocol, Self, final
 
 import anyio
 
@@ -115,6 +115,18 @@
     clock: Clock
     recorder: Recorder
 
+    @classmethod
+    def from_config(
+        cls,
+        links: Links,
+        dispatcher: Dispatcher,
+        usage: Counter,
+        clock: Clock,
+        recorder: Recorder,
+    ) -> Self:
+        """Return the ports with a new retry budget."""
+        return cls(links, dispatcher, RetryBudget(), usage, clock, recorder)
+
 
 @final
 class Attempt:
--- a/peridotrill/dispatch.py
+++ b/peridotrill/dispatch.py
@@ -84,14 +84,13 @@
     def __init__(
         self,
         table: TargetTable,
-        own: OwnAttempts,
         zone: str,
         clock: Clock,
         random: Random,
         bounds: QueueBounds = DEFAULT_BOUNDS,
     ) -> None:
         """:param zone: availability zone of this entry."""
-        self.own = own
+        self.own = OwnAttempts(clock)
         self._table = table
         self._zone = zone
         self._clock = clock
--- /dev/null
+++ b/peridotrill/entry_main.py
@@ -0,0 +1,164 @@
+"""The program ``peridotrill-entry``."""
+
+import os
+import signal
+import sys
+from typing import Any, Final
+
+import anyio
+import httpx
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+from peridotrill.callers import MAX_HEADER_BYTES
+from peridotrill.clock import SystemClock
+
+from peridotrill.entry import Entry, EntrySettings
+from peridotrill.logs import configure_logging
+from peridotrill.settings import (
+    Address,
+    Setting,
+    load_settings,
+    parse_address,
+    setting_kinds,
+)
+from peridotrill.timeline import Recorder
+from peridotrill.usage import UsageSettings
+
+PROGRAM: Final = 'peridotrill-entry'
+# Longest deadline of a service; requests in flight end before it.
+_GRACEFUL_TIMEOUT_S: Final = 3600
+_KEEP_ALIVE_S: Final = 75
+_BACKLOG: Final = 512
+_CHECK_S: Final = 1.0
+
+SETTINGS: Final = (
+    Setting('entry_id', 'text', 'name of this entry, as on the VM list'),
+    Setting('zone', 'text', 'availability zone of this VM'),
+    Setting('listen', 'address', 'address for callers'),
+    Setting('control_listen', 'address', 'address of the control port'),
+    Setting('platform_url', 'url', 'base URL of the platform'),
+    Setting(
+        'drain_delay',
+        'duration',
+        'how long callers are accepted after SIGTERM',
+        '5s',
+    ),
+    Setting('log_level', 'log_level', 'lowest level that is logged', 'INFO'),
+    Setting('usage_flush', 'duration', 'interval of usage records', '5s'),
+    Setting('usage_window', 'duration', 'length of a usage window', '60s'),
+    Setting('usage_grace', 'duration', 'wait before a window closes', '10s'),
+    Setting(
+        'address_overrides',
+        'address_overrides',
+        'addresses of agents instead of the VM list: target_id=IP:port,…',
+        '',
+    ),
+)
+
+
+@setting_kinds.register('address_overrides')
+def parse_overrides(text: str) -> dict[str, str]:
+    """:param text: ``target_id=IP:port,…``; raises ValueError."""
+    overrides = {}
+    for row in text.split(','):
+        target_id, separator, address = row.strip().partition('=')
+        if not (target_id and separator):
+            raise ValueError('must be target_id=IP:port, separated by commas')
+        overrides[target_id] = str(parse_address(address))
+    return overrides
+
+
+def make_config(address: Address) -> Config:
+    """Return the configuration of the server for callers."""
+    config = Config()
+    config.bind = [str(address)]
+    config.backlog = _BACKLOG
+    config.graceful_timeout = _GRACEFUL_TIMEOUT_S
+    config.keep_alive_timeout = _KEEP_ALIVE_S
+    config.h11_max_incomplete_size = MAX_HEADER_BYTES
+    config.h2_max_header_list_size = MAX_HEADER_BYTES
+    config.include_server_header = False
+    # The application records its own errors.
+    config.errorlog = None
+    return config
+
+
+async def run_entry(parsed: dict[str, Any], recorder: Recorder) -> None:
+    """Run an entry until SIGTERM or SIGINT, then drain.
+
+    :param parsed: the settings by name.
+    """
+    settings = EntrySettings(
+        parsed['entry_id'],
+        parsed['zone'],
+        parsed['platform_url'],
+        UsageSettings(
+            parsed['usage_flush'],
+            parsed['usage_window'],
+            parsed['usage_grace'],
+        ),
+        parsed['address_overrides'] or {},
+    )
+    stopping, finished = anyio.Event(), anyio.Event()
+    async with (
+        httpx.AsyncClient(trust_env=False) as http,
+        anyio.create_task_group() as tasks,
+    ):
+        entry = Entry.from_config(settings, http, SystemClock(), recorder)
+        drain_delay_s = parsed['drain_delay'].total_seconds()
+        tasks.start_soon(_wait_for_signal, entry, drain_delay_s, stopping)
+        tasks.start_soon(_watch_registration, entry, stopping)
+        tasks.start_soon(_serve, entry, parsed['listen'], stopping, finished)
+        tasks.start_soon(entry.run, tasks)
+        await finished.wait()
+        await entry.leave()
+        tasks.cancel_scope.cancel()
+
+
+async def _serve(
+    entry: Entry,
+    address: Address,
+    stopping: anyio.Event,
+    finished: anyio.Event,
+) -> None:
+    """Serve callers until the drain is over."""
+    await serve(
+        entry.app,  # type: ignore[arg-type]
+        make_config(address),
+        shutdown_trigger=stopping.wait,
+    )
+    finished.set()
+
+
+async def _wait_for_signal(
+    entry: Entry,
+    drain_delay_s: float,
+    stopping: anyio.Event,
+) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            if not entry.is_draining:
+                entry.begin_drain()
+                await anyio.sleep(drain_delay_s)
+                stopping.set()
+
+
+async def _watch_registration(entry: Entry, stopping: anyio.Event) -> None:
+    """Stop when another process has taken over this entry's id."""
+    while not entry.registration.is_replaced:
+        await anyio.sleep(_CHECK_S)
+    entry.begin_drain()
+    stopping.set()
+
+
+def main() -> None:
+    """Run the program."""
+    parsed = load_settings(PROGRAM, SETTINGS, sys.argv[1:], os.environ)
+    configure_logging(parsed['entry_id'], parsed['log_level'])
+    recorder = Recorder(parsed['entry_id'], SystemClock())
+    anyio.run(run_entry, parsed, recorder)
+
+
+if __name__ == '__main__':
+    main()
--- a/peridotrill/limits.py
+++ b/peridotrill/limits.py
@@ -6,6 +6,7 @@
 """
 
 import math
+from collections.abc import Mapping
 from typing import Final, Protocol, final
 
 from expression import Error, Ok, Result
@@ -124,6 +125,23 @@
         )
         bucket.tokens = min(bucket.tokens, bucket.capacity)
 
+    def configure_all(
+        self,
+        policies: Mapping[str, Mapping[str, RatePolicy]],
+        shares: int,
+        position: int,
+    ) -> None:
+        """Apply all limits; those of other services and teams end.
+
+        :param policies: by service and team.
+        """
+        kept: set[tuple[str, str]] = set()
+        for service, teams in policies.items():
+            for team, policy in teams.items():
+                self.configure(service, team, policy, shares, position)
+                kept.add((service, team))
+        self.retain(kept)
+
     def retain(self, limits: set[tuple[str, str]]) -> None:
         """Remove the limits of other services and teams.
 
--- a/peridotrill/target_links.py
+++ b/peridotrill/target_links.py
@@ -60,11 +60,9 @@
 class TargetLinks:
     """The links of an entry; feeds the target table and the inboxes."""
 
-    def __init__(  # noqa: WPS211
+    def __init__(
         self,
         table: TargetTable,
-        inboxes: Inboxes,
-        book: ForwardedKeyBook,
         clock: Clock,
         recorder: Recorder,
         open_link: Callable[[Address], AgentLink],
@@ -72,8 +70,8 @@
     ) -> None:
         """:param overrides: addresses by target id, instead of the list's."""
         self.table = table
-        self.inboxes = inboxes
-        self.book = book
+        self.inboxes = Inboxes()
+        self.book = ForwardedKeyBook(clock)
         self.peer_log = PeerLogPosition(clock)
         self.on_change: Callable[[], None] = lambda: None
         self.on_report: Callable[[str], None] = lambda _target_id: None
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,7 +5,7 @@
 
 import yaml
 
-from peridotrill import messages
+from peridotrill import messages, services
 
 
 def plain_document(name: str = 'receipts', **changes: Any) -> dict[str, Any]:
@@ -128,3 +128,8 @@
         'cached_prefixes': [],
     }
     return messages.LoadReport(**(fields | changes))
+
+
+def policy(**changes):
+    fields = {'rate_per_s': 1.0, 'burst': 1, 'weight': 1.0}
+    return services.TeamPolicy(**(fields | changes))
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -1,23 +1,28 @@
 from datetime import timedelta
-from random import Random
 
 import anyio
 import pytest
 
 from peridotrill import attempts, messages, services
 from peridotrill.attempts import AnswerEnd, AnswerHead
-from peridotrill.clock import SystemClock
-from peridotrill.dispatch import Dispatcher, Request
+from peridotrill.dispatch import Request
 from peridotrill.errors import RequestError
-from peridotrill.exceptions import LinkClosed
-from peridotrill.forwarded_keys import ForwardedKeyBook
-from peridotrill.inboxes import Inboxes
-from peridotrill.link import LinkDown, LinkUp
-from peridotrill.retry_budget import RetryBudget
-from peridotrill.routing import OwnAttempts, RequestCost
-from peridotrill.targets import TargetTable, VmRow
-from peridotrill.timeline import Recorder
+from peridotrill.routing import RequestCost
 from tests import builders
+from tests.scripted_agent import (
+    DOWN,
+    END,
+    HEAD,
+    START,
+    STARTED,
+    UP,
+    UP_NEW,
+    WHOLE,
+    ScriptedAgent,
+    chunk,
+    failed,
+    refused,
+)
 
 pytestmark = pytest.mark.anyio
 
@@ -31,72 +36,8 @@
     return 'asyncio'
 
 
-class ScriptedAgent:
-    """Answers each start with the next script, in place of links."""
-
-    def __init__(self, *scripts, targets=('t1', 't2')):
-        self.scripts = list(scripts)
-        self.sent = []
-        self.counted = []
-        self.clock = SystemClock()
-        self.inboxes = Inboxes()
-        self.book = ForwardedKeyBook(self.clock)
-        self.table = TargetTable(self.clock)
-        self.table.apply_vms(
-            VmRow(f'vm-{name}', 'target', 'live', 'z1', 'receipts', name)
-            for name in targets
-        )
-        for name in targets:
-            welcome = builders.welcome()._replace(target_id=name)
-            self.table.link_up(name, welcome)
-            self.table.report(name, builders.load_report())
-        self.own = OwnAttempts(self.clock)
-        self.ports = attempts.Ports(
-            self,
-            Dispatcher(self.table, self.own, 'z1', self.clock, Random(1)),
-            RetryBudget(),
-            self,
-            self.clock,
-            Recorder('entry', self.clock),
-        )
-
-    def count(self, *figures):
-        self.counted.append(figures)
-
-    def agent_clock_s(self, target_id):
-        return 100.0
-
-    def send(self, target_id, message):
-        if isinstance(message, messages.StartAttempt):
-            script = self.scripts.pop(0)
-            if script == 'closed':
-                raise LinkClosed('closed')
-            self.script = script
-        self.sent.append((target_id, message))
-        self.play(target_id, message)
-
-    def play(self, target_id, message):
-        """Play the script up to where it waits for another message."""
-        while self.script:
-            step = self.script[0]
-            if isinstance(step, type):
-                if not isinstance(message, step):
-                    return
-                message = None
-            elif isinstance(step, LinkUp | LinkDown):
-                self.inboxes.broadcast(target_id, step)
-            else:
-                attempt_id = self.attempt_ids()[-1]
-                self.inboxes.deliver(
-                    target_id, step._replace(attempt_id=attempt_id)
-                )
-            self.script = self.script[1:]
-
-    def of_type(self, kind):
-        return [entry for _, entry in self.sent if isinstance(entry, kind)]
-
-    def attempt_ids(self):
-        return [start.attempt_id for start in self.of_type(START)]
+class Agent(ScriptedAgent):
+    """Runs requests against a script and checks what is left behind."""
 
     async def run(self, **changes):
         """Return the whole answer, checked, or the error."""
@@ -143,28 +84,6 @@
 
 POST = {'idempotent': False, 'key_digest': b'g' * 32, 'streaming': False}
 KEYED = {**POST, 'key_digest': b'k' * 32, 'caller_key': True}
-START = messages.StartAttempt
-STARTED = messages.AttemptStarted('', replayed=False)
-HEAD = messages.AttemptHead('', 200, [])
-END = messages.AttemptEnd('', 6, 3, 2)
-DOWN = LinkDown('silent')
-UP = LinkUp(builders.welcome(), is_new_incarnation=False)
-UP_NEW = LinkUp(builders.welcome('a2'), is_new_incarnation=True)
-
-
-def chunk(position, payload):
-    return messages.AttemptChunk('', position, payload)
-
-
-def refused(code, not_run=True):
-    return messages.AttemptRefused('', code, '', not_run, 0)
-
-
-def failed(outcome):
-    return messages.AttemptFailed('', 'crashed', '', outcome, 0, 0)
-
-
-WHOLE = [STARTED, HEAD, chunk(0, b'abc'), chunk(3, b'def'), END]
 
 
 @pytest.mark.parametrize(
@@ -193,7 +112,7 @@
 async def test_the_answer_is_whole_in_any_order_of_messages(script, streaming):
     # Guards against missing, repeated or exchanged bytes, and against a
     # second count of the usage.
-    agent = ScriptedAgent(script)
+    agent = Agent(script)
     assert await agent.run(streaming=streaming) == b'abcdef'
     assert agent.counted == [('growers', 1, 3, 2)]
     assert len(agent.attempt_ids()) == 1
@@ -226,7 +145,7 @@
 ):
     # Guards against a second run, and against `not_run` said of a request
     # that may have run.
-    agent = ScriptedAgent(script, WHOLE)
+    agent = Agent(script, WHOLE)
     assert await agent.fail(**fields) == outcome
     assert len(agent.attempt_ids()) == 1
     records = [
@@ -245,7 +164,7 @@
 async def test_attempts_that_did_not_run_are_repeated(first, fields):
     # Guards against refusals of requests that another attempt can serve, and
     # against an attempt id that is used twice.
-    agent = ScriptedAgent(first, WHOLE)
+    agent = Agent(first, WHOLE)
     assert await agent.run(**fields) == b'abcdef'
     assert len(set(agent.attempt_ids())) == len(agent.attempt_ids())
     if fields is KEYED:
@@ -255,7 +174,7 @@
 
 async def test_a_draining_home_is_asked_before_the_next_one():
     # Guards against a run at the next home while the first may know the key.
-    agent = ScriptedAgent([refused('draining')], WHOLE)
+    agent = Agent([refused('draining')], WHOLE)
     await agent.run(**KEYED)
     homes = agent.table.homes('receipts', b'k' * 32)
     started = [name for name, sent in agent.sent if isinstance(sent, START)]
@@ -264,7 +183,7 @@
 
 async def test_an_unreachable_home_gives_outcome_unknown():
     # Guards against a run at another target for a key that may have run.
-    agent = ScriptedAgent()
+    agent = Agent()
     agent.table.link_down(agent.table.home('receipts', b'k' * 32).target_id)
     fields = {**KEYED, 'timeout_s': 0.1}
     assert await agent.fail(**fields) == ('outcome_unknown', 'unknown')
@@ -273,7 +192,7 @@
 
 async def test_idempotent_requests_are_retried_within_the_budget():
     # Guards against retries without bound while every target fails.
-    agent = ScriptedAgent(*[[failed('unknown')]] * 20)
+    agent = Agent(*[[failed('unknown')]] * 20)
     assert await agent.fail(timeout_s=60) == ('target_failed', 'unknown')
     assert len(agent.attempt_ids()) == 11
     assert {target_id for target_id, _ in agent.sent} == {'t1', 't2'}
@@ -281,7 +200,7 @@
 
 async def test_no_retry_after_a_part_of_the_answer():
     # Guards against two answers mixed into one.
-    agent = ScriptedAgent([*WHOLE[:3], failed('unknown')], WHOLE)
+    agent = Agent([*WHOLE[:3], failed('unknown')], WHOLE)
     assert await agent.fail() == ('target_failed', 'unknown')
     assert len(agent.attempt_ids()) == 1
 
@@ -303,7 +222,7 @@
 ):
     # Guards against work that goes on unseen, and against its usage being
     # lost or counted twice.
-    agent = ScriptedAgent([messages.CancelAttempt, confirmation, confirmation])
+    agent = Agent([messages.CancelAttempt, confirmation, confirmation])
     _, found = await agent.fail(timeout_s=0.1)
     assert found == outcome
     assert agent.counted == usage
@@ -312,7 +231,7 @@
 async def test_a_silent_agent_gives_unknown_at_the_deadline(monkeypatch):
     # Guards against `not_run` without the agent's word.
     monkeypatch.setattr(attempts, 'CANCEL_WAIT', timedelta(milliseconds=50))
-    agent = ScriptedAgent([STARTED])
+    agent = Agent([STARTED])
     fields = {**POST, 'timeout_s': 0.1}
     assert await agent.fail(**fields) == ('outcome_unknown', 'unknown')
 
@@ -321,18 +240,16 @@
     # Guards against an attempt that waits for a target which is gone.
     limit = timedelta(milliseconds=50)
     monkeypatch.setattr(attempts, 'TARGET_LOST_AFTER', limit)
-    agent = ScriptedAgent([DOWN], WHOLE)
+    agent = Agent([DOWN], WHOLE)
     assert await agent.run() == b'abcdef'
-    agent = ScriptedAgent([DOWN], WHOLE)
+    agent = Agent([DOWN], WHOLE)
     assert await agent.fail(**POST) == ('outcome_unknown', 'unknown')
 
 
 async def test_closing_the_answer_cancels_the_attempt():
     # Guards against targets that go on for callers who have hung up.
     confirmation = messages.CancelConfirmed('', True, 3, 1)
-    agent = ScriptedAgent(
-        [*WHOLE[:3], messages.CancelAttempt, confirmation, END]
-    )
+    agent = Agent([*WHOLE[:3], messages.CancelAttempt, confirmation, END])
     answers = attempts.run_request(make_request(agent.clock), agent.ports)
     await anext(answers)
     await answers.aclose()
@@ -345,7 +262,7 @@
     # Guards against unbounded memory for a caller who does not read.
     block = bytes(attempts.ACKNOWLEDGE_BYTES)
     total = 3 * len(block)
-    agent = ScriptedAgent(
+    agent = Agent(
         [HEAD, *[chunk(pos, block) for pos in range(0, total, len(block))]]
         + [END._replace(total_bytes=total)]
     )
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,349 @@
+import json
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import anyio
+import httpx
+import pytest
+from hypercorn.asyncio import serve
+
+from peridotrill import admission, callers, messages, records
+from peridotrill.control_state import ControlState
+from peridotrill.entry_main import make_config
+from peridotrill.entry_metrics import EntryMetrics
+from peridotrill.errors import describe_errors
+from peridotrill.keys import create_key, digest_key
+from peridotrill.limits import TeamLimiter
+from peridotrill.settings import Address
+from tests import builders
+from tests.scripted_agent import (
+    END,
+    HEAD,
+    STARTED,
+    WHOLE,
+    ScriptedAgent,
+    chunk,
+    failed,
+    refused,
+)
+
+pytestmark = pytest.mark.anyio
+CHAT = '/v1/chat/completions'
+STREAM_HEAD = HEAD._replace(headers=[('Content-Type', 'text/event-stream')])
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+class Setup:
+    """The application for callers, with a scripted agent behind it."""
+
+    def __init__(self, *scripts, service='receipts'):
+        self.agent = ScriptedAgent(*scripts, service=service)
+        self.state = ControlState()
+        self.key = create_key()
+        self.unavailable = ''
+        texts = {
+            document['name']: builders.service_text(document)
+            for document in (
+                builders.plain_document(),
+                builders.model_document(),
+            )
+        }
+        self.apply(
+            kind='config_published',
+            publish_id='p',
+            base_version=0,
+            changed=texts,
+            removed=[],
+            author='a',
+        )
+        self.apply(
+            kind='key_granted',
+            name='k1',
+            team='growers',
+            digest=digest_key(self.key),
+        )
+        limiter = TeamLimiter(self.agent.clock)
+        for one in self.state.catalog.services.values():
+            policy = one.teams['growers']._replace(rate_per_s=1e6, burst=2)
+            limiter.configure(one.name, 'growers', policy, 1)
+        self.limiter = limiter
+        self.running = admission.RunningRequests(self.state)
+        self.app = callers.CallerApp(
+            admission.Admission(
+                self.state, limiter, self.agent.clock, lambda: self.unavailable
+            ),
+            self.running,
+            self.agent.ports,
+            EntryMetrics(),
+            lambda: '',
+        )
+
+    def apply(self, **record):
+        payload = records.encode_record(record)
+        decoded = records.decode_record(payload)
+        self.state.apply(self.state.offset + 1, decoded, 0)
+
+    async def call(self, method, path, key=None, **options):
+        headers = {'Authorization': f'Bearer {key or self.key}'}
+        headers |= options.pop('headers', {})
+        transport = httpx.ASGITransport(self.app, raise_app_exceptions=False)
+        async with httpx.AsyncClient(
+            transport=transport, base_url='http://entry'
+        ) as client:
+            return await client.request(
+                method, path, headers=headers, **options
+            )
+
+    @asynccontextmanager
+    async def served(self):
+        """Serve on a socket; yields the port."""
+        address = Address('127.0.0.1', builders.free_port())
+        stopping = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                lambda: serve(
+                    self.app,
+                    make_config(address),
+                    shutdown_trigger=stopping.wait,
+                )
+            )
+            yield address.port
+            stopping.set()
+
+    async def read_raw(self, port, body, connection='keep-alive'):
+        """Return all bytes that a caller gets until the connection ends."""
+        with anyio.fail_after(10):
+            while True:
+                try:
+                    stream = await anyio.connect_tcp('127.0.0.1', port)
+                    break
+                except OSError:
+                    await anyio.sleep(0.01)
+            async with stream:
+                await stream.send(
+                    f'POST {CHAT} HTTP/1.1\r\nHost: e\r\n'
+                    f'Connection: {connection}\r\n'
+                    f'Authorization: Bearer {self.key}\r\n'
+                    f'Content-Length: {len(body)}\r\n\r\n'.encode()
+                    + body
+                )
+                return b''.join([part async for part in stream])
+
+
+def error_of(response):
+    error = response.json()['error']
+    assert error['request_id'] == response.headers['x-request-id']
+    return response.status_code, error['code'], error['outcome']
+
+
+def model_body(**changes):
+    fields = {'model': 'summariser-7b', 'messages': [], 'max_tokens': 5}
+    return json.dumps(fields | changes).encode()
+
+
+async def test_answers_pass_through_without_the_key_or_internal_headers():
+    # Guards against keys that reach targets, and against callers who set
+    # headers that only this system may set.
+    head = HEAD._replace(
+        headers=[('Content-Type', 'text/x'), ('Connection', 'close')]
+    )
+    setup = Setup([STARTED, head, *WHOLE[2:]])
+    response = await setup.call(
+        'POST',
+        '/receipts/posts?a=b',
+        content=b'{}',
+        headers={
+            'X-Peridotrill-Team': 'other',
+            'X-Attempt-Id': '1',
+            'Connection': 'x-secret',
+            'X-Secret': '1',
+            'X-Kept': '1',
+        },
+    )
+    assert (response.status_code, response.content) == (200, b'abcdef')
+    assert response.headers['content-type'] == 'text/x'
+    assert 'connection' not in response.headers
+    start = setup.agent.of_type(messages.StartAttempt)[0]
+    assert (start.team, start.path) == ('growers', '/receipts/posts?a=b')
+    assert dict(start.headers)['x-kept'] == '1'
+    assert setup.key not in str(start)
+    names = {name for name, _ in start.headers}
+    assert not names & {
+        'authorization',
+        'connection',
+        'host',
+        'x-attempt-id',
+        'x-peridotrill-team',
+        'x-secret',
+    }
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'options', 'expected'),
+    [
+        ('GET', '/none', {}, (404, 'route_not_found', 'not_run')),
+        ('POST', CHAT, {'content': b'x'}, (400, 'invalid_request', 'not_run')),
+        ('POST', CHAT, {'content': b'{}'}, (400, 'invalid_request', 'not_run')),
+        (
+            'POST',
+            CHAT,
+            {'content': model_body(model='x')},
+            (404, 'model_not_found', 'not_run'),
+        ),
+        (
+            'POST',
+            CHAT,
+            {'content': bytes(callers.MAX_BODY_BYTES + 1)},
+            (413, 'body_too_large', 'not_run'),
+        ),
+        (
+            'GET',
+            '/none',
+            {'headers': {'X': 'x' * callers.MAX_HEADER_BYTES}},
+            (431, 'header_too_large', 'not_run'),
+        ),
+        (
+            'POST',
+            '/receipts/posts',
+            {'key': 'ptk_other'},
+            (401, 'key_invalid', 'not_run'),
+        ),
+        (
+            'POST',
+            '/receipts/posts',
+            {'headers': {'Authorization': ''}},
+            (401, 'key_missing', 'not_run'),
+        ),
+        (
+            'POST',
+            '/receipts/posts',
+            {'headers': {'Idempotency-Key': 'x' * 256}},
+            (400, 'invalid_request', 'not_run'),
+        ),
+    ],
+)
+async def test_refused_requests_have_a_typed_error(
+    method, path, options, expected
+):
+    # Guards against requests that reach a target without a valid key.
+    setup = Setup()
+    assert error_of(await setup.call(method, path, **options)) == expected
+    assert setup.agent.sent == []
+
+
+async def test_limits_and_staleness_refuse_only_keyed_requests():
+    # Guards against requests over the rate, and against keys that a process
+    # cut off from the log still takes for valid.
+    setup = Setup(WHOLE, WHOLE)
+    policy = builders.policy(rate_per_s=0.5, burst=1)
+    setup.limiter.configure('receipts', 'growers', policy, 1)
+    assert (await setup.call('POST', '/receipts/posts')).status_code == 200
+    response = await setup.call('POST', '/receipts/posts')
+    assert error_of(response) == (429, 'rate_limited', 'not_run')
+    assert response.headers['retry-after'] == '2'
+    setup.unavailable = 'stale'
+    assert error_of(await setup.call('POST', '/receipts/posts'))[1:] == (
+        'entry_unavailable',
+        'not_run',
+    )
+    response = await setup.call('GET', '/receipts/x', key='none')
+    assert response.content == b'abcdef'
+
+
+async def test_idempotency_keys_are_scoped_and_replays_are_marked():
+    # Guards against two requests that share a key by chance, and against a
+    # repeated answer that looks like a second run.
+    replay = [STARTED._replace(replayed=True), *WHOLE[1:]]
+    setup = Setup(WHOLE, replay, WHOLE)
+    headers = {'Idempotency-Key': 'k'}
+    first, second, third = [
+        await setup.call(
+            'POST', '/receipts/posts', content=body, headers=headers
+        )
+        for body in (b'1', b'1', b'2')
+    ]
+    starts = setup.agent.of_type(messages.StartAttempt)
+    assert len({start.key_digest for start in starts}) == 1
+    digests = [start.request_digest for start in starts]
+    assert digests[0] == digests[1] != digests[2]
+    assert all(start.caller_key for start in starts)
+    assert 'idempotency-replayed' not in first.headers
+    assert second.headers['idempotency-replayed'] == 'true'
+    assert third.status_code == 200
+    assert setup.agent.counted == [('growers', 1, 3, 2)] * 2
+
+
+async def test_models_are_listed_for_the_team_of_the_key():
+    response = await Setup().call('GET', '/v1/models')
+    assert [row['id'] for row in response.json()['data']] == ['summariser-7b']
+
+
+async def test_outcomes_of_the_agent_reach_the_caller():
+    # Guards against an unknown outcome that looks like a safe retry.
+    setup = Setup([STARTED, failed('unknown')], [refused('x', not_run=False)])
+    for _ in range(2):
+        response = await setup.call('POST', '/receipts/posts')
+        assert error_of(response) == (502, 'outcome_unknown', 'unknown')
+
+
+async def test_a_whole_stream_ends_cleanly_on_the_wire():
+    setup = Setup(
+        [STARTED, STREAM_HEAD, chunk(0, b'data: x\n\n')]
+        + [END._replace(total_bytes=9)],
+        service='summariser',
+    )
+    async with setup.served() as port:
+        raw = await setup.read_raw(port, model_body(stream=True), 'close')
+    assert b'data: x' in raw
+    assert raw.endswith(b'0\r\n\r\n')
+
+
+@pytest.mark.parametrize('ending', ['failed', 'withdrawn'])
+async def test_a_broken_stream_never_ends_cleanly_on_the_wire(ending):
+    # Guards against a caller who takes a part of an answer for the whole,
+    # and against streams that go on after their key was withdrawn.
+    script = [STARTED, STREAM_HEAD, chunk(0, b'data: x\n\n')]
+    script += [failed('unknown')] if ending == 'failed' else []
+    script += [messages.CancelAttempt, messages.CancelConfirmed('', True, 1, 1)]
+    setup = Setup(script, service='summariser')
+    code = 'target_failed' if ending == 'failed' else 'key_withdrawn'
+
+    async def withdraw():
+        while not setup.agent.sent:
+            await anyio.sleep(0.01)
+        await anyio.sleep(0.1)
+        setup.apply(kind='key_withdrawn', name='k1')
+        setup.running.end_withdrawn()
+
+    async with setup.served() as port, anyio.create_task_group() as tasks:
+        if ending == 'withdrawn':
+            tasks.start_soon(withdraw)
+        raw = await setup.read_raw(port, model_body(stream=True))
+    assert b'transfer-encoding: chunked' in raw.lower()
+    assert f'"code":"{code}"'.encode() in raw
+    assert not raw.endswith(b'0\r\n\r\n')
+
+
+async def test_hanging_up_cancels_the_attempt():
+    # Guards against targets that work for callers who have gone.
+    script = [STARTED, STREAM_HEAD, chunk(0, b'data: x\n\n')]
+    script += [messages.CancelAttempt, messages.CancelConfirmed('', True, 3, 1)]
+    setup = Setup(script, service='summariser')
+    async with setup.served() as port:
+        with anyio.move_on_after(0.5):
+            await setup.read_raw(port, model_body(stream=True))
+        with anyio.fail_after(5):
+            while not setup.agent.counted:
+                await anyio.sleep(0.01)
+    assert setup.agent.counted == [('growers', 1, 3, 1)]
+    assert setup.app.in_flight == 0
+
+
+def test_the_page_of_error_codes_is_current():
+    # Guards against codes that callers cannot look up.
+    page = Path(__file__).parent.parent / 'docs' / 'errors.md'
+    assert describe_errors() in page.read_text('utf-8')
