--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,7 +5,7 @@
 
 import yaml
 
-from peridotrill import messages
+from peridotrill import messages, services
 
 
 def plain_document(name: str = 'receipts', **changes: Any) -> dict[str, Any]:
@@ -110,6 +110,31 @@
     return messages.StartAttempt(**(fields | changes))
 
 
+def load_report(**changes):
+    fields = {
+        'clock_s': 0.0,
+        'ready': True,
+        'draining': False,
+        'running_requests': 0,
+        'waiting_requests': 0,
+        'running_tokens': 0,
+        'waiting_tokens': 0,
+        'free_pieces': 0,
+        'total_pieces': 0,
+        'piece_tokens': 0,
+        'role': '',
+        'models': [],
+        'adapters': [],
+        'cached_prefixes': [],
+    }
+    return messages.LoadReport(**(fields | changes))
+
+
+def policy(**changes):
+    fields = {'rate_per_s': 1.0, 'burst': 1, 'weight': 1.0}
+    return services.TeamPolicy(**(fields | changes))
+
+
 def usage_counted(
     start_s: int,
     counts: dict[str, list[int]],
