--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -1,7 +1,8 @@
 """A whole deployment of real processes behind fault-injecting proxies."""
 
 import uuid
-from contextlib import contextmanager
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack, contextmanager
 
 import httpx
 
@@ -155,9 +156,18 @@
             )
 
     def check_ready(self, entry_id):
-        """Tell if the entry is ready; raises if it has ended."""
+        """Tell if the entry is ready and has links to all targets.
+
+        Raises RuntimeError if it has ended.
+        """
         self.entries[entry_id].check_running()
-        return self.is_serving(entry_id)
+        return self.is_serving(entry_id) and self.is_linked(entry_id)
+
+    def is_linked(self, entry_id):
+        url = f'{self.control_urls[entry_id]}/status'
+        targets = self.client.get(url).json()['targets']
+        linked = [it for it, view in targets.items() if view['linked']]
+        return set(linked) == set(self.targets)
 
     def is_serving(self, entry_id):
         """Tell what the balancer of the platform sees."""
@@ -249,3 +259,38 @@
             cluster.start_entry(f'entry-{number}', ZONES[number % len(ZONES)])
         cluster.wait_ready()
         yield cluster
+
+
+class ClusterSource:
+    """Starts clusters ahead, since an entry takes seconds to be ready.
+
+    A cluster is used by one test; its processes end with the thread that
+    started them, so the threads live as long as the source.
+    """
+
+    def __init__(self, make_folder, ahead=2, **settings):
+        self._make_folder = make_folder
+        self._settings = settings
+        self._pool = ThreadPoolExecutor(ahead)
+        self._stacks = []
+        self._next = [self._pool.submit(self._start) for _ in range(ahead)]
+
+    def _start(self):
+        stack = ExitStack()
+        self._stacks.append(stack)
+        running = run_cluster(self._make_folder(), **self._settings)
+        return stack.enter_context(running), stack
+
+    @contextmanager
+    def take(self):
+        cluster, stack = self._next.pop(0).result()
+        self._next.append(self._pool.submit(self._start))
+        with stack:
+            yield cluster
+
+    def close(self):
+        for future in self._next:
+            future.cancel()
+        self._pool.shutdown()
+        for stack in self._stacks:
+            stack.close()
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -10,7 +10,7 @@
 
 from standins.completions import answer_text
 from tests.callers import PROMPT, StreamCall, background, bearer
-from tests.cluster import run_cluster, split
+from tests.cluster import ClusterSource, split
 from tests.observer import ANSWERED, Counts, digest, is_short
 from tests.processes import wait_for
 from tests.proxy import TO_CLIENT
@@ -18,9 +18,18 @@
 LONG_TOKENS = 1000
 
 
+@pytest.fixture(scope='module')
+def source(tmp_path_factory):
+    clusters = ClusterSource(
+        lambda: tmp_path_factory.mktemp('cluster'), drain_delay='1s'
+    )
+    yield clusters
+    clusters.close()
+
+
 @pytest.fixture
-def cluster(tmp_path):
-    with run_cluster(tmp_path, drain_delay='1s') as running:
+def cluster(source):
+    with source.take() as running:
         running.key = running.grant('alpha')
         running.urls = list(running.entry_urls.values())
         for url in running.urls:
