--- a/standins/batching.py
+++ b/standins/batching.py
@@ -11,7 +11,7 @@
 
 import anyio
 
-from standins.completions import Completion, prefix_numbers
+from standins.completions import Completion, TokenCounts, prefix_numbers
 from standins.prefix_cache import PrefixCache
 
 STOPPED: Final = 'stop'
@@ -61,6 +61,7 @@
         self.position = position
         self.prefixes = prefix_numbers(call.prompt)
         self.prefill_left = call.prompt_tokens + position
+        self.cached_tokens = 0
         self.end = ''
         send, receive = anyio.create_memory_object_stream[int](math.inf)
         self.positions = receive
@@ -71,6 +72,13 @@
         """Tokens produced by this attempt."""
         return self.position - self.first_position
 
+    @property
+    def counts(self) -> TokenCounts:
+        """Token counts for the usage of the answer."""
+        return TokenCounts(
+            self.prompt_tokens, self.cached_tokens, self.output_tokens
+        )
+
     @property
     def held_tokens(self) -> int:
         """Tokens that KV memory is reserved for."""
@@ -188,8 +196,8 @@
             if self._pieces(self.waiting[0]) > self.free_pieces:
                 return
             sequence = self.waiting.pop(0)
-            matched = self._cache.match(sequence.prefixes)
-            sequence.prefill_left -= matched
+            sequence.cached_tokens = self._cache.match(sequence.prefixes)
+            sequence.prefill_left -= sequence.cached_tokens
             self.running.append(sequence)
 
     async def _step(self) -> None:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -64,6 +64,7 @@
     def __init__(self, retention: timedelta, max_records: int) -> None:
         """:param max_records: older records are dropped."""
         self.appended = 0
+        self.waiting_reads = 0
         self._rows: deque[LogRow] = deque(maxlen=max_records)
         self._retention_s = retention.total_seconds()
         self._changed = anyio.Event()
@@ -97,6 +98,13 @@
 
     async def wait_for(self, offset: int, timeout_s: float) -> None:
         """Wait until the offset exists, at most for the time given."""
+        self.waiting_reads += 1
+        try:
+            await self._wait_for(offset, timeout_s)
+        finally:
+            self.waiting_reads -= 1
+
+    async def _wait_for(self, offset: int, timeout_s: float) -> None:
         with anyio.move_on_after(timeout_s):
             while offset >= self.next_offset:
                 await self._changed.wait()
@@ -388,6 +396,7 @@
     return web.json_response(
         {
             'appends': platform.log.appended,
+            'waiting_reads': platform.log.waiting_reads,
             'orders_by_sender': platform.order_counts,
             'orders': list(platform.orders.values()),
             'usage': usage,
