--- a/standins/engine.py
+++ b/standins/engine.py
@@ -14,7 +14,7 @@
 import httpx
 
 from peridotrill.registry import Registry
-from peridotrill.settings import Setting, load_settings
+from peridotrill.settings import Setting, load_settings, setting_kinds
 from standins import web
 from standins.batching import (
     CANCELLED,
@@ -38,7 +38,7 @@
 SETTINGS: Final = (
     *web.COMMON_SETTINGS,
     Setting('models', 'text', 'loaded models, comma-separated', 'summariser'),
-    Setting('role', 'text', 'mixed, prefill or decode', 'mixed'),
+    Setting('role', 'engine_role', 'mixed, prefill or decode', 'mixed'),
     Setting('total_pieces', 'integer', 'KV memory in pieces', '32'),
     Setting('piece_tokens', 'integer', 'tokens of a piece', '2000'),
     Setting('max_running', 'integer', 'sequences run at a time', '32'),
@@ -62,6 +62,14 @@
 routes: web.Routes = Registry('route')
 
 
+@setting_kinds.register('engine_role')
+def parse_role(text: str) -> str:
+    """:param text: name of a role; raises ValueError."""
+    if text not in ROLE_COSTS:
+        raise ValueError('must be one of {0}'.format(', '.join(ROLE_COSTS)))
+    return text
+
+
 class Order(NamedTuple):
     """A change that the engine is told to make."""
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -138,19 +138,25 @@
     def change_vm(self, vm_id: str, vm: dict[str, Any] | None) -> None:
         """Change the VM list, visible after the lag."""
         self.vm_changes.append((time.monotonic(), vm_id, vm))
-        if vm and vm.get('kind') == 'target':
-            state = 'running' if vm['state'] == 'live' else 'stopping'
-            self.targets[vm['target_id']] = {
-                'target_id': vm['target_id'],
-                'vm_id': vm_id,
-                'zone': vm['zone'],
-                'service': vm['service'],
-                'state': state,
-            }
+        if vm and vm['kind'] == 'target':
+            self._update_target(vm)
         for target in self.targets.values():
             if vm is None and target.get('vm_id') == vm_id:
                 target['state'] = 'stopped'
 
+    def _update_target(self, vm: dict[str, Any]) -> None:
+        target_id = vm['target_id']
+        known_state = self.targets.get(target_id, {}).get('state')
+        # A stop that was ordered is not undone by an update of the VM.
+        is_stopping = vm['state'] != 'live' or known_state == 'stopping'
+        self.targets[target_id] = {
+            'target_id': target_id,
+            'vm_id': vm['vm_id'],
+            'zone': vm['zone'],
+            'service': vm['service'],
+            'state': 'stopping' if is_stopping else 'running',
+        }
+
     def visible_vms(self) -> list[dict[str, Any]]:
         """:return: the VM list as it was before the lag."""
         visible_s = time.monotonic() - self.vms_lag_s
--- a/standins/web.py
+++ b/standins/web.py
@@ -143,6 +143,8 @@
             await _serve_lifespan(receive, send)
             return
         body = await _read_body(receive)
+        if body is None:
+            return
         if self._is_closing:
             await send(_DROP)
             return
@@ -217,10 +219,14 @@
     return re.compile(''.join(parts))
 
 
-async def _read_body(receive: _Receive) -> bytes:
+async def _read_body(receive: _Receive) -> bytes | None:
+    # None if the caller disconnects early, so that a request whose body was
+    # cut short does not run.
     body = bytearray()
     while True:
         message = await receive()
+        if message['type'] == 'http.disconnect':
+            return None
         body += message.get('body', b'')
         if len(body) > MAX_BODY_BYTES:
             raise ValueError('the body of the request is too large')
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -123,6 +123,26 @@
     assert statuses == [200, 200, 409]
 
 
+def test_orders_to_targets_take_effect_once_and_in_their_zone(start):
+    # Guards against a repeated order that stops a target started again, and
+    # against a VM list without a lag.
+    platform = start('platform', '--vms-lag', '1s')
+    vm = {'kind': 'target', 'state': 'live', 'zone': 'a', 'service': 's'}
+    vm |= {'target_id': 't', 'target_kind': 'engine', 'address': '127.0.0.1:1'}
+    platform.put('/vms/v', json=vm)
+    assert platform.get('/vms').json()['vms'] == []
+    orders = [('stop', 'a', '1'), ('start', 'a', '2'), ('stop', 'a', '1')]
+    statuses = [
+        platform.post(
+            f'/targets/t/{verb}', json={'zone': zone, 'order_id': order_id}
+        ).status_code
+        for verb, zone, order_id in (*orders, ('stop', 'b', '3'))
+    ]
+    assert statuses == [202, 202, 202, 409]
+    assert platform.get('/targets').json()['targets'][0]['state'] == 'starting'
+    wait_for(lambda: platform.get('/vms').json()['vms'])
+
+
 def test_dropped_answer_of_a_plain_service_has_executed(start):
     # Guards against a fault switch that drops the execution as well.
     service = start('plain_service')
