--- a/peridotrill/operator_command.py
+++ b/peridotrill/operator_command.py
@@ -18,7 +18,12 @@
 from peridotrill import publishing, replies
 from peridotrill.clock import Clock, SystemClock
 from peridotrill.codec import encode_json
-from peridotrill.exceptions import LogError, RecordError
+from peridotrill.exceptions import (
+    LogError,
+    LogUnavailable,
+    RecordError,
+    RecordsExpired,
+)
 from peridotrill.findings import Finding, format_findings
 from peridotrill.settings import (
     EXIT_USAGE,
@@ -160,11 +165,12 @@
     def _run(self, settings: dict[str, Any]) -> replies.Reply:
         try:
             return self.run_async(settings)
-        except LogError as error:
-            return replies.failure(
-                replies.EXIT_UNREACHABLE, 'unreachable', str(error)
-            )
-        except RecordError as error:
+        except (LogUnavailable, RecordsExpired) as error:
+            message = str(error)
+            exit_code = replies.EXIT_UNREACHABLE
+            return replies.failure(exit_code, 'unreachable', message)
+        except (LogError, RecordError) as error:
+            # Too large, or rejected by the log; nothing was appended.
             return replies.failure(replies.EXIT_REFUSED, 'refused', str(error))
         except KeyboardInterrupt:
             return replies.failure(
--- a/peridotrill/operator_log.py
+++ b/peridotrill/operator_log.py
@@ -7,15 +7,15 @@
 
 import httpx
 
-from peridotrill.clock import SystemClock
 from peridotrill.control_state import ControlState
-from peridotrill.exceptions import RecordError
-from peridotrill.log_client import LogClient
+from peridotrill.exceptions import RecordError, RecordsExpired
+from peridotrill.log_client import LogClient, LogPage
 from peridotrill.records import decode_record
-from peridotrill.timeline import Recorder
+from peridotrill.snapshots import SnapshotAssembler
 
-# Above the time for which a read of the log waits for records.
-_HTTP_TIMEOUT: Final = timedelta(seconds=10)
+_NO_WAIT: Final = timedelta(0)
+# A read far beyond the end answers at once with the bounds of the log.
+_BEYOND_END: Final = 2**53
 
 
 @final
@@ -39,19 +39,41 @@
 
         :param wait: how long to wait if there are none. Raises LogError.
         """
-        page = await self._client.read(self.state.offset + 1, wait)
+        try:
+            page = await self._read(wait)
+        except RecordsExpired:
+            await self._restore()
+            page = await self._read(_NO_WAIT)
+        while page.records:
+            self._apply(page)
+            page = await self._read(_NO_WAIT)
+
+    async def _read(self, wait: timedelta) -> LogPage:
+        return await self._client.read(self.state.offset + 1, wait)
+
+    def _apply(self, page: LogPage) -> None:
+        for row in page.records:
+            record = _decode(row.payload)
+            if record is None:
+                self.state.skip(row.offset)
+            else:
+                self.state.apply(row.offset, record, row.appended_at_s)
+
+    async def _restore(self) -> None:
+        snapshots = SnapshotAssembler(self.state)
+        bounds = await self._client.read(_BEYOND_END, _NO_WAIT)
+        page = await self._client.read(bounds.first_offset, _NO_WAIT)
         while page.records:
             for row in page.records:
                 record = _decode(row.payload)
-                self.state.apply(row.offset, record, row.appended_at_s)
-            page = await self._client.read(
-                self.state.offset + 1,
-                timedelta(0),
-            )
+                if record is not None:
+                    snapshots.add(record)
+            page = await self._client.read(page.next_offset, _NO_WAIT)
+        if not snapshots.restore():
+            raise RecordsExpired('the log holds no snapshot to start from')
 
 
 def _decode(payload: bytes) -> Any:
-    # The state counts a malformed record, as every other reader does.
     try:
         return decode_record(payload)
     except RecordError:
@@ -64,7 +86,5 @@
 
     :param platform_url: without a final slash.
     """
-    recorder = Recorder('operator', SystemClock())
-    timeout_s = _HTTP_TIMEOUT.total_seconds()
-    async with httpx.AsyncClient(timeout=timeout_s, trust_env=False) as http:
-        yield OperatorLog(LogClient.from_config(platform_url, http, recorder))
+    async with httpx.AsyncClient(trust_env=False) as http:
+        yield OperatorLog(LogClient.from_config(platform_url, http))
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -119,7 +119,6 @@
 RacingOperators.TestCase.settings = settings(
     max_examples=60,
     stateful_step_count=12,
-    deadline=None,
 )
 TestRacingOperators = RacingOperators.TestCase
 
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -106,8 +106,7 @@
     return text
 
 
-# A limit of time per example would fail on a busy machine.
-@settings(deadline=None, max_examples=300)
+@settings(max_examples=300)
 @given(any_text(200) | mutated_texts())
 def test_any_text_gives_a_service_in_range_or_located_findings(text):
     # Guards against a file that stops the parser of every entry, and
@@ -297,7 +296,6 @@
 METHOD = st.sampled_from(('GET', 'POST'))
 
 
-@settings(deadline=None)
 @given(
     st.sets(st.tuples(ROUTE_PATHS, METHOD), min_size=1, max_size=12),
     ROUTE_PATHS,
