--- /dev/null
+++ b/peridotrill/ledger.py
@@ -0,0 +1,325 @@
+"""The idempotency keys of one target: each key runs at most once.
+
+The ledger lives in memory. After a restart of the agent it is rebuilt from
+the records that entries push; see ``ledger_recovery``.
+"""
+
+import heapq
+from typing import Final, NamedTuple, TypeAlias, final
+
+from peridotrill.clock import MAX_CLOCK_DRIFT, Clock
+from peridotrill.ledger_recovery import COMPLETE, RECOVERING, Recovery
+from peridotrill.messages import (
+    EntryRef,
+    ForwardedKey,
+    ForwardedKeys,
+    Hello,
+    StartAttempt,
+)
+from peridotrill.statechart import Chart, Machine, load_chart
+
+DEFAULT_CAPACITY_BYTES: Final = 12 * 1024 * 1024
+MAX_ANSWER_BYTES: Final = 64 * 1024
+DEFAULT_RETENTION_S: Final = 900.0
+# Longer than the deadline of any request; a start that arrives later than
+# its deadline is refused as expired without being remembered.
+ATTEMPT_RETENTION_S: Final = 900.0
+# Measured sizes of the objects of one key and one attempt id, rounded up.
+_KEY_BYTES: Final = 640
+_ATTEMPT_BYTES: Final = 320
+_HEADER_BYTES: Final = 192
+_RECOVERING_RETRY_S: Final = 0.25
+
+
+class StoredAnswer(NamedTuple):
+    """The answer to a request, kept for later requests with its key."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+    prompt_tokens: int
+    output_tokens: int
+
+
+class Run(NamedTuple):
+    """The key is new: the request may run."""
+
+
+class Join(NamedTuple):
+    """The request is running as another attempt."""
+
+    attempt_id: str
+
+
+class Replay(NamedTuple):
+    """The request was answered."""
+
+    answer: StoredAnswer
+
+
+class Failure(NamedTuple):
+    """The request ran, or may have run, without a whole answer."""
+
+    code: str
+    detail: str
+    outcome: str
+
+
+class Refusal(NamedTuple):
+    """Nothing was started; ``not_run`` as in ``AttemptRefused``."""
+
+    code: str
+    detail: str
+    not_run: bool
+    retry_after_s: float = 0.0
+
+
+Decision: TypeAlias = Run | Join | Replay | Failure | Refusal
+
+
+@final
+class Ledger:
+    """Decides whether a request with an idempotency key may run."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        capacity_bytes: int = DEFAULT_CAPACITY_BYTES,
+    ) -> None:
+        """:param capacity_bytes: bound of all keys, ids and answers."""
+        self.recovery = Recovery(clock.monotonic_s())
+        self.used_bytes = 0
+        self._clock = clock
+        self._capacity_bytes = capacity_bytes
+        self._answer_bytes = 0
+        # Not known before the first request; until then nothing expires.
+        self._retention_s: float | None = None
+        self._chart = load_chart('ledger_key')
+        self._keys: dict[bytes, _Key] = {}
+        self._ageing: list[tuple[float, bytes]] = []
+        self._refused: dict[str, float] = {}
+
+    def state(self) -> str:
+        """Return 'recovering', 'complete' or 'incomplete'."""
+        return self.recovery.state(
+            self._clock.monotonic_s(),
+            self._retention_s or DEFAULT_RETENTION_S,
+        )
+
+    def __len__(self) -> int:
+        """Return the number of keys."""
+        return len(self._keys)
+
+    def decide(self, start: StartAttempt) -> Decision:
+        """Tell what to do with a request; ``begin`` must follow on Run.
+
+        :param start: with a key.
+        """
+        self._retention_s = max(self._retention_s or 0, start.retention_s)
+        self.expire()
+        known = self._keys.get(start.key_digest)
+        if start.attempt_id in self._refused:
+            # An earlier attempt with this key may have run.
+            return Refusal('cancelled', '', known is None)
+        if known is not None:
+            return known.decide(start)
+        if start.caller_key and self.state() != COMPLETE:
+            return self._refuse_unknown_key()
+        if self.used_bytes + _KEY_BYTES > self._capacity_bytes:
+            return Refusal('ledger_full', '', True, self._next_expiry_s())
+        return Run()
+
+    def begin(self, start: StartAttempt) -> None:
+        """Record that a request is going to run.
+
+        :param start: ``decide`` has just returned Run for it.
+        """
+        # A running key has no age: it is kept until it settles.
+        key = self._add_key(start.key_digest, float('inf'))
+        key.request_digest = start.request_digest
+        key.attempt_id = start.attempt_id
+        key.machine.fire('begin')
+
+    def answer(self, key_digest: bytes, answer: StoredAnswer | None) -> None:
+        """Record the answer of a running request.
+
+        :param answer: None if it was too large to be kept.
+        """
+        key = self._settle(key_digest, 'answer')
+        if answer is None:
+            return
+        size_bytes = _size_bytes(answer)
+        # Half of the room is left for keys, which must not be forgotten.
+        limit_bytes = min(
+            self._capacity_bytes // 2 - self._answer_bytes,
+            self._capacity_bytes - self.used_bytes,
+        )
+        if size_bytes <= limit_bytes and len(answer.body) <= MAX_ANSWER_BYTES:
+            key.answer = answer
+            self._answer_bytes += size_bytes
+            self.used_bytes += size_bytes
+
+    def fail(self, key_digest: bytes, failure: Failure) -> None:
+        """Record that a running request ended without a whole answer.
+
+        :param failure: with the outcome 'not_run' the key is removed.
+        """
+        if failure.outcome == 'not_run':
+            self._keys[key_digest].machine.fire('refuse')
+            self._remove_key(key_digest)
+        elif failure.outcome == 'ran':
+            self._settle(key_digest, 'fail').failure = failure
+        else:
+            self._settle(key_digest, 'lose')
+
+    def refuse_attempt(self, attempt_id: str) -> bool:
+        """Remember an attempt id that must not start any more.
+
+        :return: False if there is no room, so that nothing was promised.
+        """
+        if attempt_id in self._refused:
+            return True
+        self.expire()
+        if self.used_bytes + _ATTEMPT_BYTES > self._capacity_bytes:
+            return False
+        self._refused[attempt_id] = self._clock.monotonic_s()
+        self.used_bytes += _ATTEMPT_BYTES
+        return True
+
+    def is_refused(self, attempt_id: str) -> bool:
+        """Tell whether an attempt id must not start."""
+        return attempt_id in self._refused
+
+    def observe(self, hello: Hello) -> None:
+        """:param hello: carries the lists of registered and lost entries."""
+        self.recovery.observe(hello, self._clock.monotonic_s())
+
+    def recover(self, entry: EntryRef, pushed: ForwardedKeys) -> None:
+        """Take over the records of an entry.
+
+        :param entry: its sender.
+        """
+        for record in pushed.records:
+            if record.state != 'refused':
+                self._recover_key(record)
+        if pushed.is_last:
+            self.recovery.mark_pushed(entry)
+
+    def expire(self) -> None:
+        """Forget keys and attempt ids past their retention."""
+        now_s = self._clock.monotonic_s()
+        self._expire_attempts(now_s)
+        if self._retention_s is None:
+            return
+        oldest_s = now_s - self._retention_s
+        while self._ageing and self._ageing[0][0] < oldest_s:
+            settled_s, key_digest = heapq.heappop(self._ageing)
+            key = self._keys.get(key_digest)
+            if key is not None and key.settled_s == settled_s:
+                self._remove_key(key_digest)
+
+    def _expire_attempts(self, now_s: float) -> None:
+        # A dict keeps the order of insertion, so the oldest come first.
+        oldest_s = now_s - ATTEMPT_RETENTION_S
+        for attempt_id, refused_s in list(self._refused.items()):
+            if refused_s >= oldest_s:
+                return
+            self._refused.pop(attempt_id)
+            self.used_bytes -= _ATTEMPT_BYTES
+
+    def _refuse_unknown_key(self) -> Refusal:
+        if self.state() == RECOVERING:
+            return Refusal('recovering', '', True, _RECOVERING_RETRY_S)
+        return Refusal('outcome_unknown', 'records of an entry are lost', False)
+
+    def _next_expiry_s(self) -> float:
+        if not self._ageing or self._retention_s is None:
+            return 1
+        elapsed_s = self._clock.monotonic_s() - self._ageing[0][0]
+        return max(self._retention_s - elapsed_s, 1)
+
+    def _recover_key(self, record: ForwardedKey) -> None:
+        event = 'recover_sent'
+        if record.state == 'answered':
+            event = 'recover_answered'
+        # The entry's clock may run faster by the drift.
+        age_s = record.age_s * (1 - MAX_CLOCK_DRIFT)
+        sent_s = self._clock.monotonic_s() - age_s
+        key = self._keys.get(record.key_digest)
+        if key is None:
+            if self.used_bytes + _KEY_BYTES > self._capacity_bytes:
+                self.recovery.mark_dropped(self._clock.monotonic_s())
+                return
+            key = self._add_key(record.key_digest, float('-inf'))
+            key.request_digest = record.request_digest
+            key.attempt_id = record.attempt_id
+        if key.machine.allows(event):
+            key.machine.fire(event)
+        if sent_s > key.settled_s:
+            key.settled_s = sent_s
+            self._age(record.key_digest, sent_s)
+
+    def _add_key(self, key_digest: bytes, now_s: float) -> '_Key':
+        key = _Key(self._chart, now_s)
+        self._keys[key_digest] = key
+        self.used_bytes += _KEY_BYTES
+        return key
+
+    def _settle(self, key_digest: bytes, event: str) -> '_Key':
+        key = self._keys[key_digest]
+        key.machine.fire(event)
+        key.settled_s = self._clock.monotonic_s()
+        self._age(key_digest, key.settled_s)
+        return key
+
+    def _age(self, key_digest: bytes, settled_s: float) -> None:
+        heapq.heappush(self._ageing, (settled_s, key_digest))
+
+    def _remove_key(self, key_digest: bytes) -> None:
+        key = self._keys.pop(key_digest)
+        self.used_bytes -= _KEY_BYTES
+        if key.answer is not None:
+            size_bytes = _size_bytes(key.answer)
+            self._answer_bytes -= size_bytes
+            self.used_bytes -= size_bytes
+
+
+@final
+class _Key:
+    __slots__ = (
+        'answer',
+        'attempt_id',
+        'failure',
+        'machine',
+        'request_digest',
+        'settled_s',
+    )
+
+    def __init__(self, chart: Chart, settled_s: float) -> None:
+        self.machine = Machine(chart)
+        self.settled_s = settled_s
+        self.request_digest = b''
+        self.attempt_id = ''
+        self.answer: StoredAnswer | None = None
+        self.failure: Failure | None = None
+
+    def decide(self, start: StartAttempt) -> Decision:
+        if start.request_digest != self.request_digest:
+            return Refusal('idempotency_key_reused', '', True)
+        match self.machine.state:
+            case 'running':
+                return Join(self.attempt_id)
+            case 'answered' if self.answer is not None:
+                return Replay(self.answer)
+            case 'answered':
+                return Refusal('answer_not_kept', '', False)
+            case 'failed' if self.failure is not None:
+                return self.failure
+        return Refusal('outcome_unknown', 'an earlier attempt was lost', False)
+
+
+def _size_bytes(answer: StoredAnswer) -> int:
+    return len(answer.body) + sum(
+        len(name) + len(content) + _HEADER_BYTES
+        for name, content in answer.headers
+    )
--- a/peridotrill/link.py
+++ b/peridotrill/link.py
@@ -171,7 +171,6 @@
             await anyio.wait_readable(connection.socket.recv_fd)
             for payload in connection.read():
                 await self._receive(connection, payload)
-            await anyio.lowlevel.checkpoint()
 
     async def _receive(self, connection: '_Connection', payload: bytes) -> None:
         if connection.channel.close_reason:
--- a/peridotrill/link_listener.py
+++ b/peridotrill/link_listener.py
@@ -138,7 +138,6 @@
             await anyio.wait_readable(socket.recv_fd)
             for pipe, payload in _read_socket(socket):
                 await self._receive(pipe, payload)
-            await anyio.lowlevel.checkpoint()
 
     async def _receive(self, pipe: pynng.Pipe, payload: bytes) -> None:
         peer = self._add_peer(pipe)
