--- /dev/null
+++ b/peridotrill/agent_main.py
@@ -0,0 +1,106 @@
+"""Program ``peridotrill-agent``."""
+
+import gc
+import os
+import signal
+import sys
+from functools import partial
+from typing import Any, Final
+
+import anyio
+from prometheus_client import Gauge
+
+from peridotrill.agent import Agent, AgentConfig
+from peridotrill.attempt_runner import TargetClient
+from peridotrill.clock import SystemClock
+from peridotrill.control_port import ControlSource, serve_control_port
+from peridotrill.engine_client import EngineClient
+from peridotrill.findings import Finding, format_findings
+from peridotrill.logs import configure_logging
+from peridotrill.plain_client import PlainClient
+from peridotrill.registry import Registry
+from peridotrill.settings import EXIT_USAGE, Setting, load_settings
+from peridotrill.target_client import create_http_client
+from peridotrill.timeline import Recorder
+
+PROGRAM: Final = 'peridotrill-agent'
+
+SETTINGS: Final = (
+    Setting('target_id', 'text', 'stable id of the target'),
+    Setting('service', 'text', 'name of the service'),
+    Setting('kind', 'text', 'engine or plain'),
+    Setting('zone', 'text', 'availability zone of this VM'),
+    Setting('listen', 'address', 'address for the links of entries'),
+    Setting('control_listen', 'address', 'address of the control port'),
+    Setting('target_url', 'url', 'URL of the target on this VM'),
+    Setting('drain_timeout', 'duration', 'bound of a graceful stop', '60s'),
+    Setting('log_level', 'log_level', 'lowest level that is logged', 'INFO'),
+)
+
+_clients: Registry[str, type] = Registry('kind of target')
+_clients.register('engine')(EngineClient)
+_clients.register('plain')(PlainClient)
+
+
+def main() -> None:
+    """Run the agent until SIGTERM or SIGINT."""
+    settings = load_settings(PROGRAM, SETTINGS, sys.argv[1:], os.environ)
+    if _clients.get(settings['kind']) is None:
+        finding = Finding('--kind', 0, 0, 'invalid', 'must be engine or plain')
+        sys.stderr.write(f'{format_findings([finding])}\n')
+        sys.exit(EXIT_USAGE)
+    configure_logging(settings['target_id'], settings['log_level'])
+    # What was imported lives as long as the process.
+    gc.freeze()
+    anyio.run(_run, settings)
+
+
+async def _run(settings: dict[str, Any]) -> None:
+    clock = SystemClock()
+    recorder = Recorder(settings['target_id'], clock)
+    fields = {name: settings[name] for name in AgentConfig._fields}
+    http = create_http_client(settings['target_url'])
+    client_type = _clients.get(settings['kind'])
+    if client_type is None:
+        raise KeyError(settings['kind'])
+    client: TargetClient = client_type(http)
+    agent = Agent.from_config(AgentConfig(**fields), client, clock, recorder)
+    _register_metrics(agent)
+    source = ControlSource(recorder, lambda: agent.is_ready, agent.status)
+    async with http, anyio.create_task_group() as tasks:
+        tasks.start_soon(
+            serve_control_port,
+            settings['control_listen'],
+            source,
+            anyio.sleep_forever,
+        )
+        tasks.start_soon(agent.run)
+        recorder.emit('started', incarnation=agent.incarnation)
+        await _wait_for_signal()
+        await agent.drain(settings['drain_timeout'])
+        tasks.cancel_scope.cancel()
+    recorder.emit('stopped')
+
+
+async def _wait_for_signal() -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        await anext(signals)
+
+
+def _register_metrics(agent: Agent) -> None:
+    for name, help_text in (
+        ('running', 'Attempts that run at the target.'),
+        ('peers', 'Connected entries.'),
+        ('ledger_keys', 'Idempotency keys in the ledger.'),
+        ('ledger_bytes', 'Bytes of the ledger.'),
+    ):
+        gauge = Gauge(f'peridotrill_agent_{name}', help_text)
+        gauge.set_function(partial(_read_status, agent, name))
+
+
+def _read_status(agent: Agent, field: str) -> float:
+    return float(agent.status()[field])
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/peridotrill/engine_client.py
@@ -0,0 +1,103 @@
+"""Client of a model engine."""
+
+from contextlib import AbstractAsyncContextManager
+from typing import Final, final
+
+import httpx
+import msgspec
+
+from peridotrill.messages import StartAttempt
+from peridotrill.target_client import (
+    TargetLoad,
+    get_json,
+    get_load,
+    open_answer,
+)
+from peridotrill.token_counter import TokenCounter
+
+_CANCEL_TIMEOUT_S: Final = 2.0
+# The newest are reported; a report four times a second must stay small.
+MAX_CACHED_PREFIXES: Final = 128
+
+
+class _CacheEvent(msgspec.Struct):
+    kind: str
+    prefix: int
+
+
+class _CachePage(msgspec.Struct):
+    events: list[_CacheEvent] = []
+    next: int = 0
+
+
+@final
+class EngineClient:
+    """Calls an engine on the same VM and follows its cache events."""
+
+    def __init__(self, http: httpx.AsyncClient) -> None:
+        """:param http: with the URL of the engine."""
+        self._http = http
+        self._next_event = 0
+        self._prefixes: dict[int, None] = {}
+
+    def open(
+        self,
+        start: StartAttempt,
+    ) -> AbstractAsyncContextManager[httpx.Response]:
+        """Send a request.
+
+        :param start: the request; errors as in ``open_answer``.
+        """
+        headers = {
+            'X-Attempt-Id': start.attempt_id,
+            'X-Priority': str(start.priority),
+        }
+        if start.resume_position:
+            headers['X-Resume-Tokens'] = str(start.resume_position)
+        return open_answer(self._http, start, headers)
+
+    def create_counter(self, content_type: str) -> TokenCounter:
+        """Return a counter for one answer.
+
+        :param content_type: of the answer.
+        """
+        return TokenCounter(content_type)
+
+    async def cancel(self, attempt_id: str) -> None:
+        """Cancel a call; a failure is ignored, since the call has ended here.
+
+        :param attempt_id: of the call.
+        """
+        try:
+            await self._http.post(
+                f'/attempts/{attempt_id}/cancel',
+                timeout=_CANCEL_TIMEOUT_S,
+            )
+        except httpx.HTTPError:
+            return
+
+    async def load(self) -> TargetLoad:
+        """Return the load; not ready if the engine does not answer."""
+        return await get_load(self._http)
+
+    async def cached_prefixes(self) -> list[int]:
+        """Read new cache events and return the newest cached prefixes."""
+        document = await get_json(
+            self._http,
+            f'/cache-events?from={self._next_event}',
+        )
+        try:
+            page = msgspec.convert(document, _CachePage)
+        except msgspec.ValidationError:
+            return list(self._prefixes)
+        for event in page.events:
+            self._apply(event)
+        self._next_event = page.next or self._next_event
+        while len(self._prefixes) > MAX_CACHED_PREFIXES:
+            self._prefixes.pop(next(iter(self._prefixes)))
+        return list(self._prefixes)
+
+    def _apply(self, event: _CacheEvent) -> None:
+        self._prefixes.pop(event.prefix, None)
+        if event.kind == 'stored':
+            self._prefixes[event.prefix] = None
--- /dev/null
+++ b/peridotrill/plain_client.py
@@ -0,0 +1,55 @@
+"""Client of a plain service."""
+
+from contextlib import AbstractAsyncContextManager
+from typing import final
+
+import httpx
+
+from peridotrill.messages import StartAttempt
+from peridotrill.target_client import (
+    NoCounter,
+    TargetLoad,
+    get_load,
+    open_answer,
+)
+
+
+@final
+class PlainClient:
+    """Calls a plain service on the same VM."""
+
+    def __init__(self, http: httpx.AsyncClient) -> None:
+        """:param http: with the URL of the service."""
+        self._http = http
+
+    def open(
+        self,
+        start: StartAttempt,
+    ) -> AbstractAsyncContextManager[httpx.Response]:
+        """Send a request.
+
+        :param start: the request; errors as in ``open_answer``.
+        """
+        headers = {'X-Attempt-Id': start.attempt_id}
+        return open_answer(self._http, start, headers)
+
+    def create_counter(self, content_type: str) -> NoCounter:
+        """Return a counter that counts nothing.
+
+        :param content_type: of the answer.
+        """
+        return NoCounter()
+
+    async def cancel(self, attempt_id: str) -> None:
+        """Do nothing: closing the connection is all that can be done.
+
+        :param attempt_id: of the call.
+        """
+
+    async def load(self) -> TargetLoad:
+        """Return the load; not ready if the service does not answer."""
+        return await get_load(self._http)
+
+    async def cached_prefixes(self) -> list[int]:
+        """Return an empty list."""
+        return []
--- /dev/null
+++ b/peridotrill/target_client.py
@@ -0,0 +1,171 @@
+"""HTTP towards the target on the same VM."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any, Final, NamedTuple
+
+import anyio
+import httpx
+import msgspec
+
+from peridotrill.codec import decode_json
+from peridotrill.exceptions import (
+    CodecError,
+    TargetOutcomeUnknown,
+    TargetUnreachable,
+)
+from peridotrill.messages import StartAttempt
+from peridotrill.token_counter import TokenCount
+
+_CONNECT_TIMEOUT_S: Final = 2.0
+_CONTROL_TIMEOUT_S: Final = 2.0
+_MAX_CONNECTIONS: Final = 2048
+# They belong to one connection or are set by the client. Answers are not
+# compressed, so that tokens can be counted.
+_DROPPED_HEADERS: Final = frozenset(
+    (
+        'accept-encoding',
+        'connection',
+        'content-length',
+        'host',
+        'keep-alive',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    ),
+)
+
+
+class TargetLoad(NamedTuple):
+    """Load as the target reports it; a subset of ``LoadReport``."""
+
+    ready: bool
+    running_requests: int = 0
+    waiting_requests: int = 0
+    running_tokens: int = 0
+    waiting_tokens: int = 0
+    free_pieces: int = 0
+    total_pieces: int = 0
+    piece_tokens: int = 0
+    role: str = ''
+    models: tuple[str, ...] = ()
+    adapters: tuple[str, ...] = ()
+
+
+class NoCounter:
+    """Counts nothing, for answers without tokens."""
+
+    def feed(self, payload: bytes) -> None:
+        """:param payload: the next bytes of the answer."""
+
+    def count(self) -> TokenCount:
+        """Return zero tokens."""
+        return TokenCount()
+
+
+def create_http_client(target_url: str) -> httpx.AsyncClient:
+    """Create a client that opens a connection for each call.
+
+    A kept connection may be closed by the target while a request is written
+    to it; the outcome of a request that never ran would then be unknown.
+
+    :param target_url: URL of the target.
+    """
+    return httpx.AsyncClient(
+        base_url=target_url,
+        timeout=httpx.Timeout(None, connect=_CONNECT_TIMEOUT_S),
+        limits=httpx.Limits(
+            max_connections=_MAX_CONNECTIONS,
+            max_keepalive_connections=0,
+        ),
+        trust_env=False,
+        follow_redirects=False,
+    )
+
+
+@asynccontextmanager
+async def open_answer(
+    http: httpx.AsyncClient,
+    start: StartAttempt,
+    extra_headers: dict[str, str],
+) -> AsyncIterator[httpx.Response]:
+    """Send a request and yield its answer with the body still to be read.
+
+    Raises TargetUnreachable if no connection was made, so that no byte of
+    the request has left; every other failure is TargetOutcomeUnknown.
+
+    :param start: the request.
+    :param extra_headers: added to the headers of the request.
+    """
+    request = _build_request(http, start, extra_headers)
+    try:
+        response = await http.send(request, stream=True)
+    except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as err:
+        raise TargetUnreachable(type(err).__name__) from err
+    except httpx.HTTPError as error:
+        raise TargetOutcomeUnknown(type(error).__name__) from error
+    try:
+        yield response
+    except (httpx.HTTPError, httpx.StreamError) as broken:
+        raise TargetOutcomeUnknown(type(broken).__name__) from broken
+    finally:
+        with anyio.CancelScope(shield=True):
+            await response.aclose()
+
+
+def _build_request(
+    http: httpx.AsyncClient,
+    start: StartAttempt,
+    extra_headers: dict[str, str],
+) -> httpx.Request:
+    headers = [*filter_headers(start.headers), *extra_headers.items()]
+    try:
+        # The path is passed on byte for byte.
+        raw_path = start.path.encode('ascii')
+        return http.build_request(
+            start.method,
+            http.base_url.copy_with(raw_path=raw_path),
+            headers=[*headers, ('accept-encoding', 'identity')],
+            content=start.body,
+        )
+    except (httpx.InvalidURL, ValueError, TypeError) as error:
+        raise TargetUnreachable(f'invalid request: {error}') from error
+
+
+def filter_headers(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+    """Return the headers without those of one connection.
+
+    :param headers: of a request or an answer.
+    """
+    return [
+        (name, text)
+        for name, text in headers
+        if name.lower() not in _DROPPED_HEADERS
+    ]
+
+
+async def get_load(http: httpx.AsyncClient) -> TargetLoad:
+    """Return the load; not ready if the target does not answer."""
+    document = await get_json(http, '/load')
+    defaults = {'ready': False, **TargetLoad._field_defaults}
+    fields = [document.get(name, defaults[name]) for name in TargetLoad._fields]
+    try:
+        return msgspec.convert(fields, TargetLoad)
+    except msgspec.ValidationError:
+        return TargetLoad(ready=False)
+
+
+async def get_json(http: httpx.AsyncClient, path: str) -> dict[str, Any]:
+    """Get a JSON object; empty if the target gives none.
+
+    :param path: of a control call of the target.
+    """
+    try:
+        response = await http.get(path, timeout=_CONTROL_TIMEOUT_S)
+        document = decode_json(response.content)
+    except (httpx.HTTPError, CodecError):
+        return {}
+    is_good = response.is_success and isinstance(document, dict)
+    return document if is_good else {}
--- /dev/null
+++ b/tests/test_agent.py
@@ -0,0 +1,289 @@
+import json
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import anyio
+import pytest
+
+from peridotrill import messages
+from peridotrill.agent import Agent, AgentConfig
+from peridotrill.clock import SystemClock
+from peridotrill.engine_client import EngineClient
+from peridotrill.link import AgentLink, LinkDown, LinkUp
+from peridotrill.running_attempts import WINDOW_BYTES
+from peridotrill.settings import Address
+from peridotrill.target_client import create_http_client
+from peridotrill.timeline import Recorder
+from tests import builders
+
+pytestmark = pytest.mark.anyio
+LOAD = {'ready': True, 'running_requests': 3, 'free_pieces': 5, 'role': 'mixed'}
+LARGE_BYTES = 4 * WINDOW_BYTES
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+class FakeTarget:
+    """Counts what runs; the path of a request selects its behaviour."""
+
+    def __init__(self):
+        self.ran = []
+        self.cancelled = []
+        self.sent_bytes = 0
+        self.release = anyio.Event()
+
+    async def serve(self, stream):
+        async with stream:
+            try:
+                await self.answer(stream)
+            except (anyio.BrokenResourceError, anyio.EndOfStream):
+                return
+
+    async def answer(self, stream):
+        received = b''
+        while b'\r\n\r\n' not in received:
+            received += await stream.receive()
+        path = received.split()[1].decode()
+        if path == '/load':
+            await self.reply(stream, json.dumps(LOAD).encode())
+        elif path.startswith('/cache-events'):
+            events = [{'sequence': 1, 'kind': 'stored', 'prefix': 77}]
+            page = {'events': events, 'next': 2}
+            await self.reply(stream, json.dumps(page).encode())
+        elif path.startswith('/attempts/'):
+            self.cancelled.append(path.split('/')[2])
+            await self.reply(stream, b'{}')
+        else:
+            self.ran.append(path)
+            await getattr(self, path[1:])(stream)
+
+    async def reply(self, stream, body, content_type='application/json'):
+        head = (
+            f'HTTP/1.1 200 OK\r\ncontent-type: {content_type}\r\n'
+            f'content-length: {len(body)}\r\n\r\n'
+        )
+        await stream.send(head.encode() + body)
+
+    async def post(self, stream):
+        await self.release.wait()
+        usage = {'prompt_tokens': 11, 'completion_tokens': 4}
+        await self.reply(stream, json.dumps({'usage': usage}).encode())
+
+    async def events(self, stream):
+        one = b'data: {"choices":[{"delta":{"content":"x"}}]}\n\n'
+        body = one * 3 + b'data: [DONE]\n\n'
+        await self.reply(stream, body, 'text/event-stream')
+
+    async def reset(self, stream):
+        return
+
+    async def large(self, stream):
+        head = f'HTTP/1.1 200 OK\r\ncontent-length: {LARGE_BYTES}\r\n\r\n'
+        await stream.send(head.encode())
+        for number in range(LARGE_BYTES // 1024):
+            await stream.send(number.to_bytes(4, 'big') * 256)
+            self.sent_bytes += 1024
+
+
+class Setup:
+    def __init__(self, tasks):
+        self.tasks = tasks
+        self.clock = SystemClock()
+        self.target = FakeTarget()
+        self.target_port = builders.free_port()
+        self.http = create_http_client(f'http://127.0.0.1:{self.target_port}')
+        self.address = Address('127.0.0.1', builders.free_port())
+        config = AgentConfig('t1', 'receipts', 'engine', 'z1', self.address)
+        self.agent = Agent.from_config(
+            config,
+            EngineClient(self.http),
+            self.clock,
+            Recorder('agent', self.clock),
+        )
+        self.link = self.new_link()
+
+    def new_link(self):
+        return AgentLink.from_config(
+            self.address,
+            builders.hello,
+            self.clock,
+            Recorder('entry', self.clock),
+        )
+
+    async def connect(self, link):
+        scope = anyio.CancelScope()
+
+        async def run():
+            with scope:
+                await link.run()
+
+        self.tasks.start_soon(run)
+        await self.receive(LinkUp, link=link)
+        return scope
+
+    def start(self, attempt_id='x1', key=None, path='/post', **changes):
+        if key is not None:
+            changes.update(idempotent=False, key_digest=key, caller_key=True)
+        changes.setdefault('start_before_s', self.clock.monotonic_s() + 30)
+        self.link.send(builders.start(attempt_id, path=path, **changes))
+
+    async def receive(self, kind, attempt_id=None, link=None):
+        with anyio.fail_after(10):
+            while True:
+                found = await (link or self.link).events.receive()
+                if isinstance(found, kind) and attempt_id in {
+                    None,
+                    getattr(found, 'attempt_id', None),
+                }:
+                    return found
+
+
+@asynccontextmanager
+async def serving():
+    async with anyio.create_task_group() as tasks:
+        setup = Setup(tasks)
+        listener = await anyio.create_tcp_listener(
+            local_host='127.0.0.1', local_port=setup.target_port
+        )
+        tasks.start_soon(listener.serve, setup.target.serve)
+        tasks.start_soon(setup.agent.run)
+        setup.scope = await setup.connect(setup.link)
+        setup.link.send(messages.ForwardedKeys([], True))
+        yield setup
+        tasks.cancel_scope.cancel()
+        await setup.http.aclose()
+
+
+async def test_answer_with_usage_and_load_reports():
+    async with serving() as setup:
+        report = await setup.receive(messages.LoadReport)
+        assert (report.ready, report.running_requests) == (True, 3)
+        assert report.cached_prefixes == [77]
+        setup.target.release.set()
+        setup.start()
+        assert (await setup.receive(messages.AttemptHead)).status == 200
+        end = await setup.receive(messages.AttemptEnd)
+        assert (end.prompt_tokens, end.output_tokens) == (11, 4)
+        setup.start('x2', path='/events')
+        end = await setup.receive(messages.AttemptEnd)
+        assert end.output_tokens == 3
+
+
+async def test_second_request_with_a_key_joins_and_later_replays():
+    # Guards against a repeated request running twice.
+    async with serving() as setup:
+        setup.start('x1', b'k1')
+        await setup.receive(messages.AttemptStarted, 'x1')
+        setup.start('x2', b'k1')
+        await setup.receive(messages.AttemptStarted, 'x2')
+        setup.target.release.set()
+        ends = [await setup.receive(messages.AttemptEnd) for _ in range(2)]
+        assert sorted(end.output_tokens for end in ends) == [0, 4]
+        setup.start('x3', b'k1')
+        assert (await setup.receive(messages.AttemptStarted)).replayed
+        chunk = await setup.receive(messages.AttemptChunk)
+        assert b'usage' in chunk.payload
+        setup.start('x4', b'k1', request_digest=b'body-2')
+        refused = await setup.receive(messages.AttemptRefused)
+        assert refused.code == 'idempotency_key_reused'
+        assert setup.target.ran == ['/post']
+
+
+async def test_reset_is_unknown_and_refused_connection_is_not_run():
+    # Guards against a false not_run after the request was written.
+    async with serving() as setup:
+        setup.start('x1', b'k1', path='/reset')
+        failed = await setup.receive(messages.AttemptFailed)
+        assert (failed.code, failed.outcome) == ('target_failed', 'unknown')
+        setup.start('x2', b'k1', path='/reset')
+        refused = await setup.receive(messages.AttemptRefused)
+        assert (refused.code, refused.not_run) == ('outcome_unknown', False)
+        setup.http.base_url = f'http://127.0.0.1:{builders.free_port()}'
+        setup.start('x3', b'k2')
+        failed = await setup.receive(messages.AttemptFailed)
+        assert failed.outcome == 'not_run'
+        assert setup.target.ran == ['/reset']
+
+
+async def test_expired_cancelled_and_unknown_attempts_do_not_run():
+    async with serving() as setup:
+        setup.start('late', start_before_s=setup.clock.monotonic_s() - 1)
+        refused = await setup.receive(messages.AttemptRefused)
+        assert (refused.code, refused.not_run) == ('expired', True)
+        setup.link.send(messages.CancelAttempt('x1', 'caller left'))
+        assert not (await setup.receive(messages.CancelConfirmed)).started
+        setup.start('x1')
+        refused = await setup.receive(messages.AttemptRefused)
+        assert (refused.code, refused.not_run) == ('cancelled', True)
+        setup.link.send(messages.ResumeAttempt('x2', 0))
+        refused = await setup.receive(messages.AttemptRefused)
+        assert (refused.code, refused.not_run) == ('not_received', True)
+        assert not setup.target.ran
+
+
+async def test_cancel_reaches_the_target_and_is_not_denied():
+    async with serving() as setup:
+        setup.start('x1', b'k1')
+        while not setup.target.ran:
+            await anyio.sleep(0.01)
+        setup.link.send(messages.CancelAttempt('x1', 'caller left'))
+        assert (await setup.receive(messages.CancelConfirmed)).started
+        setup.start('x2', b'k1')
+        refused = await setup.receive(messages.AttemptRefused)
+        assert (refused.code, refused.not_run) == ('outcome_unknown', False)
+        with anyio.fail_after(5):
+            while setup.target.cancelled != ['x1']:
+                await anyio.sleep(0.01)
+
+
+async def test_window_bounds_and_resume_continues_after_a_reconnect():
+    # Guards against unbounded memory and against lost or repeated bytes.
+    async with serving() as setup:
+        setup.start(path='/large')
+        got = bytearray()
+        while len(got) < WINDOW_BYTES:
+            chunk = await setup.receive(messages.AttemptChunk)
+            assert chunk.position == len(got)
+            got += chunk.payload
+        with anyio.move_on_after(0.3):
+            await setup.receive(messages.AttemptChunk)
+            pytest.fail('the window was exceeded')
+        assert len(got) == WINDOW_BYTES
+        setup.scope.cancel()
+        del got[100_000:]
+        setup.link = setup.new_link()
+        await setup.connect(setup.link)
+        setup.link.send(messages.ResumeAttempt('x1', len(got)))
+        while len(got) < LARGE_BYTES:
+            found = await setup.receive((messages.AttemptChunk, LinkDown))
+            assert found.position == len(got)
+            got += found.payload
+            setup.link.send(messages.AcknowledgeBytes('x1', len(got)))
+        end = await setup.receive(messages.AttemptEnd)
+        assert end.total_bytes == LARGE_BYTES
+        assert bytes(got) == b''.join(
+            number.to_bytes(4, 'big') * 256
+            for number in range(LARGE_BYTES // 1024)
+        )
+
+
+async def test_draining_agent_finishes_and_takes_nothing_new():
+    async with serving() as setup:
+        setup.start('x1')
+        await setup.receive(messages.AttemptStarted)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(setup.agent.drain, timedelta(seconds=5))
+            await setup.receive(messages.Draining)
+            setup.start('x2')
+            refused = await setup.receive(messages.AttemptRefused)
+            assert (refused.code, refused.not_run) == ('draining', True)
+            setup.target.release.set()
+            end = await setup.receive(messages.AttemptEnd, 'x1')
+            position = messages.AcknowledgeBytes('x1', end.total_bytes)
+            setup.link.send(position)
+            with anyio.fail_after(2):
+                while not setup.agent._attempts.find('x1').is_done:
+                    await anyio.sleep(0.01)
