--- a/tests/builders.py
+++ b/tests/builders.py
@@ -133,3 +133,19 @@
 def policy(**changes):
     fields = {'rate_per_s': 1.0, 'burst': 1, 'weight': 1.0}
     return services.TeamPolicy(**(fields | changes))
+
+
+def usage_counted(
+    start_s: int,
+    counts: dict[str, list[int]],
+    sequence: int = 1,
+) -> dict[str, Any]:
+    """Return a record of counts for one window."""
+    return {
+        'kind': 'usage_counted',
+        'entry_id': 'e1',
+        'incarnation': 'i1',
+        'window_start_s': start_s,
+        'sequence': sequence,
+        'counts': counts,
+    }
