--- a/peridotrill/entry.py
+++ b/peridotrill/entry.py
@@ -15,13 +15,11 @@
 from peridotrill.callers import CallerApp
 from peridotrill.channel import LogPosition
 from peridotrill.clock import Clock
-from peridotrill.control_state import ControlState
 from peridotrill.dispatch import Dispatcher
 from peridotrill.entry_metrics import EntryMetrics
-from peridotrill.entry_usage import EntryUsage, LogParts, UsageSettings
+from peridotrill.entry_duties import EntryDuties, LogParts, UsageSettings
 from peridotrill.limits import TeamLimiter
 from peridotrill.link import AgentLink
-from peridotrill.log_client import LogClient, LogFollower
 from peridotrill.registration import Registration
 from peridotrill.settings import Address
 from peridotrill.target_links import TargetLinks
@@ -60,24 +58,29 @@
         self.is_draining = False
         self.incarnation = secrets.token_hex(8)
         self.metrics = EntryMetrics()
-        self.state = ControlState()
         self._settings = settings
         self._http = http
         self._clock = clock
         self._recorder = recorder
-        self._log = LogClient.from_config(settings.platform_url, http)
-        self.follower = LogFollower(self._log, self.state, clock, recorder)
+        self._log = LogParts.from_config(
+            settings.platform_url,
+            http,
+            clock,
+            recorder,
+        )
+        self.state = self._log.state
+        self.follower = self._log.follower
         self.registration = Registration(
             (settings.entry_id, self.incarnation, settings.zone),
             self.state,
-            self._log,
+            self._log.client,
             clock,
             recorder,
         )
         self._configured: tuple[int, int, int] | None = None
         self._limiter = TeamLimiter(clock)
         self._wire_targets()
-        self._wire_usage()
+        self._wire_duties()
         self._wire_callers()
 
     @classmethod
@@ -157,7 +160,7 @@
         url = self._settings.platform_url
         tasks.start_soon(self.links.run, url, self._http)
         tasks.start_soon(self.registration.renew)
-        self._usage.start(tasks)
+        self._duties.start(tasks)
         tasks.start_soon(self._tick)
 
     def begin_drain(self) -> None:
@@ -167,7 +170,7 @@
 
     async def leave(self) -> None:
         """Write what is left to write after the last request."""
-        await self._usage.finish()
+        await self._duties.finish()
         await self.registration.leave()
         self._recorder.emit('entry_left')
 
@@ -188,11 +191,11 @@
             self._settings.overrides,
         )
 
-    def _wire_usage(self) -> None:
-        self._usage = EntryUsage(
+    def _wire_duties(self) -> None:
+        self._duties = EntryDuties(
             (self._settings.entry_id, self.incarnation),
             self._settings.usage,
-            LogParts(self._log, self.follower, self.state),
+            self._log,
             (self._settings.platform_url, self._http),
             self._clock,
             self._recorder,
@@ -210,7 +213,7 @@
         self.ports = Ports.from_config(
             self.links,
             dispatcher,
-            self._usage.counter,
+            self._duties.counter,
             self._clock,
             self._recorder,
         )
--- /dev/null
+++ b/peridotrill/entry_duties.py
@@ -0,0 +1,121 @@
+"""What an entry does besides requests: usage, snapshots, their leases."""
+
+from functools import partial
+from typing import NamedTuple, Self, final
+
+import anyio
+import httpx
+from anyio.abc import TaskGroup
+
+from peridotrill.clock import Clock
+from peridotrill.control_state import USAGE_LEASE, ControlState
+from peridotrill.leases import DEFAULT_TTL, Lease
+from peridotrill.log_client import LogClient, LogFollower
+from peridotrill.snapshots import (
+    SNAPSHOT_LEASE,
+    SnapshotAssembler,
+    SnapshotSettings,
+    keep_snapshots,
+)
+from peridotrill.timeline import Recorder
+from peridotrill.usage import (
+    UsageCounter,
+    UsageReporter,
+    UsageSettings,
+    flush_usage,
+)
+
+
+class LogParts(NamedTuple):
+    """The log as the parts of an entry use it."""
+
+    client: LogClient
+    follower: LogFollower
+    state: ControlState
+
+    @classmethod
+    def from_config(
+        cls,
+        url: str,
+        http: httpx.AsyncClient,
+        clock: Clock,
+        recorder: Recorder,
+    ) -> Self:
+        """Create the parts, with a state before the first record."""
+        client = LogClient.from_config(url, http)
+        state = ControlState()
+        follower = LogFollower(
+            client,
+            state,
+            clock,
+            recorder,
+            partial(SnapshotAssembler, state),
+        )
+        return cls(client, follower, state)
+
+
+@final
+class EntryDuties:
+    """Usage counter, leases and what their holder does."""
+
+    def __init__(  # noqa: WPS211
+        self,
+        process: tuple[str, str],
+        settings: UsageSettings,
+        log: LogParts,
+        platform: tuple[str, httpx.AsyncClient],
+        clock: Clock,
+        recorder: Recorder,
+    ) -> None:
+        """:param process: id of the entry and its incarnation."""
+        self.counter = UsageCounter(*process, settings.window, log.follower)
+        self._leases = {
+            name: Lease(
+                name,
+                process[1],
+                DEFAULT_TTL,
+                log.state,
+                clock,
+                recorder,
+            )
+            for name in (USAGE_LEASE, SNAPSHOT_LEASE)
+        }
+        self._log = log
+        self._recorder = recorder
+        self._flush_s = settings.flush.total_seconds()
+        self._reporter = UsageReporter(
+            *platform,
+            log.client,
+            self._leases[USAGE_LEASE],
+            log.state,
+            log.follower,
+            settings,
+            recorder,
+        )
+
+    def start(self, tasks: TaskGroup) -> None:
+        """Start the tasks of the leases and of what their holder does."""
+        for lease in self._leases.values():
+            tasks.start_soon(lease.run, self._log.client)
+        tasks.start_soon(self._reporter.run)
+        tasks.start_soon(self._flush)
+        tasks.start_soon(
+            keep_snapshots,
+            self._leases[SNAPSHOT_LEASE],
+            self._log.state,
+            self._log.follower,
+            self._log.client,
+            self._recorder,
+            SnapshotSettings(),
+        )
+
+    async def finish(self) -> None:
+        """Release the leases and write the last counts."""
+        for lease in self._leases.values():
+            await lease.release(self._log.client)
+        await flush_usage(self.counter, self._log.client, self._recorder)
+
+    async def _flush(self) -> None:
+        while True:
+            await anyio.sleep(self._flush_s)
+            await flush_usage(self.counter, self._log.client, self._recorder)
