--- a/peridotrill/entry_main.py
+++ b/peridotrill/entry_main.py
@@ -7,10 +7,8 @@
 
 import anyio
 import httpx
-from hypercorn.asyncio import serve
-from hypercorn.config import Config
 
-from peridotrill.callers import MAX_HEADER_BYTES
+from peridotrill.caller_server import serve_callers
 from peridotrill.clock import SystemClock
 
 from peridotrill.entry import Entry, EntrySettings
@@ -26,10 +24,6 @@
 from peridotrill.usage import UsageSettings
 
 PROGRAM: Final = 'peridotrill-entry'
-# Longest deadline of a service; requests in flight end before it.
-_GRACEFUL_TIMEOUT_S: Final = 3600
-_KEEP_ALIVE_S: Final = 75
-_BACKLOG: Final = 512
 _CHECK_S: Final = 1.0
 
 SETTINGS: Final = (
@@ -69,21 +63,6 @@
     return overrides
 
 
-def make_config(address: Address) -> Config:
-    """Return the configuration of the server for callers."""
-    config = Config()
-    config.bind = [str(address)]
-    config.backlog = _BACKLOG
-    config.graceful_timeout = _GRACEFUL_TIMEOUT_S
-    config.keep_alive_timeout = _KEEP_ALIVE_S
-    config.h11_max_incomplete_size = MAX_HEADER_BYTES
-    config.h2_max_header_list_size = MAX_HEADER_BYTES
-    config.include_server_header = False
-    # The application records its own errors.
-    config.errorlog = None
-    return config
-
-
 async def run_entry(parsed: dict[str, Any], recorder: Recorder) -> None:
     """Run an entry until SIGTERM or SIGINT, then drain.
 
@@ -123,11 +102,7 @@
     finished: anyio.Event,
 ) -> None:
     """Serve callers until the drain is over."""
-    await serve(
-        entry.app,  # type: ignore[arg-type]
-        make_config(address),
-        shutdown_trigger=stopping.wait,
-    )
+    await serve_callers(entry.app, address, stopping.wait)
     finished.set()
 
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -5,11 +5,10 @@
 import anyio
 import httpx
 import pytest
-from hypercorn.asyncio import serve
 
 from peridotrill import admission, callers, messages, records
+from peridotrill.caller_server import serve_callers
 from peridotrill.control_state import ControlState
-from peridotrill.entry_main import make_config
 from peridotrill.entry_metrics import EntryMetrics
 from peridotrill.errors import describe_errors
 from peridotrill.keys import create_key, digest_key
@@ -105,25 +104,22 @@
         stopping = anyio.Event()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
-                lambda: serve(
-                    self.app,
-                    make_config(address),
-                    shutdown_trigger=stopping.wait,
-                )
+                lambda: serve_callers(self.app, address, stopping.wait)
             )
             yield address.port
             stopping.set()
 
+    async def wait_for_server(self, port):
+        while True:
+            try:
+                return await anyio.connect_tcp('127.0.0.1', port)
+            except OSError:
+                await anyio.sleep(0.01)
+
     async def read_raw(self, port, body, connection='keep-alive'):
         """Return all bytes that a caller gets until the connection ends."""
         with anyio.fail_after(10):
-            while True:
-                try:
-                    stream = await anyio.connect_tcp('127.0.0.1', port)
-                    break
-                except OSError:
-                    await anyio.sleep(0.01)
-            async with stream:
+            async with await self.wait_for_server(port) as stream:
                 await stream.send(
                     f'POST {CHAT} HTTP/1.1\r\nHost: e\r\n'
                     f'Connection: {connection}\r\n'
@@ -328,6 +324,36 @@
     assert not raw.endswith(b'0\r\n\r\n')
 
 
+@pytest.mark.parametrize('is_whole', [True, False])
+async def test_http2_streams_end_or_are_reset(is_whole):
+    # Guards against callers who wait without end for a broken stream.
+    last = END._replace(total_bytes=9) if is_whole else failed('unknown')
+    script = [STARTED, STREAM_HEAD, chunk(0, b'data: x\n\n'), last]
+    setup = Setup(script, service='summariser')
+    received = b''
+    async with setup.served() as port:
+        await (await setup.wait_for_server(port)).aclose()
+        with anyio.fail_after(10):
+            async with (
+                httpx.AsyncClient(http1=False, http2=True) as client,
+                client.stream(
+                    'POST',
+                    f'http://127.0.0.1:{port}{CHAT}',
+                    content=model_body(stream=True),
+                    headers={'Authorization': f'Bearer {setup.key}'},
+                ) as response,
+            ):
+                try:
+                    async for part in response.aiter_bytes():
+                        received += part
+                except httpx.RemoteProtocolError:
+                    assert not is_whole
+                else:
+                    assert is_whole
+    assert response.http_version == 'HTTP/2'
+    assert (b'target_failed' in received) != is_whole
+
+
 async def test_hanging_up_cancels_the_attempt():
     # Guards against targets that work for callers who have gone.
     script = [STARTED, STREAM_HEAD, chunk(0, b'data: x\n\n')]
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,13 +6,13 @@
 import anyio
 import httpx
 import pytest
-from hypercorn.asyncio import serve
 
 from peridotrill import messages, records, registration
+from peridotrill.caller_server import serve_callers
 from peridotrill.clock import ManualClock, SystemClock
 from peridotrill.control_state import ControlState
 from peridotrill.entry import Entry, EntrySettings
-from peridotrill.entry_main import make_config, parse_overrides
+from peridotrill.entry_main import parse_overrides
 from peridotrill.entry_duties import UsageSettings
 from peridotrill.exceptions import LogUnavailable
 from peridotrill.keys import create_key, digest_key
@@ -88,9 +88,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(entry.run, tasks)
         tasks.start_soon(
-            lambda: serve(
-                entry.app, make_config(address), shutdown_trigger=stopping.wait
-            )
+            lambda: serve_callers(entry.app, address, stopping.wait)
         )
         with anyio.fail_after(20):
             while not entry.is_ready():
