Keep recovered keys from the start of the agent; stop the control port last

A request may have run until the earlier incarnation ended, so the age of its record or of the loss of its entry is not the age of the run.

--- a/peridotrill/agent_main.py
+++ b/peridotrill/agent_main.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+from datetime import timedelta
 from functools import partial
 from typing import Any, Final
 
@@ -68,23 +69,22 @@
     _register_metrics(agent)
     source = ControlSource(recorder, lambda: agent.is_ready, agent.status)
     async with http, anyio.create_task_group() as tasks:
-        tasks.start_soon(
-            serve_control_port,
+        tasks.start_soon(agent.run)
+        recorder.emit('started', incarnation=agent.incarnation)
+        # Returns after the signal, when the answers are delivered.
+        await serve_control_port(
             settings['control_listen'],
             source,
-            anyio.sleep_forever,
+            partial(_drain_on_signal, agent, settings['drain_timeout']),
         )
-        tasks.start_soon(agent.run)
-        recorder.emit('started', incarnation=agent.incarnation)
-        await _wait_for_signal()
-        await agent.drain(settings['drain_timeout'])
         tasks.cancel_scope.cancel()
     recorder.emit('stopped')
 
 
-async def _wait_for_signal() -> None:
+async def _drain_on_signal(agent: Agent, timeout: timedelta) -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         await anext(signals)
+    await agent.drain(timeout)
 
 
 def _register_metrics(agent: Agent) -> None:
--- a/peridotrill/ledger.py
+++ b/peridotrill/ledger.py
@@ -244,7 +244,10 @@
             event = 'recover_answered'
         # The entry's clock may run faster by the drift.
         age_s = record.age_s * (1 - MAX_CLOCK_DRIFT)
-        sent_s = self._clock.monotonic_s() - age_s
+        settled_s = self._clock.monotonic_s() - age_s
+        if record.state != 'answered':
+            # It may have run until the earlier incarnation ended.
+            settled_s = max(settled_s, self.recovery.started_s)
         key = self._keys.get(record.key_digest)
         if key is None:
             if self.used_bytes + _KEY_BYTES > self._capacity_bytes:
@@ -255,9 +258,9 @@
             key.attempt_id = record.attempt_id
         if key.machine.allows(event):
             key.machine.fire(event)
-        if sent_s > key.settled_s:
-            key.settled_s = sent_s
-            self._age(record.key_digest, sent_s)
+        if settled_s > key.settled_s:
+            key.settled_s = settled_s
+            self._age(record.key_digest, settled_s)
 
     def _add_key(self, key_digest: bytes, now_s: float) -> '_Key':
         key = _Key(self._chart, now_s)
--- a/peridotrill/ledger_recovery.py
+++ b/peridotrill/ledger_recovery.py
@@ -15,7 +15,7 @@
 
     def __init__(self, started_s: float) -> None:
         """:param started_s: clock value at the start of the agent."""
-        self._started_s = started_s
+        self.started_s = started_s
         self._is_informed = False
         self._registered: set[EntryRef] = set()
         self._pushed: set[EntryRef] = set()
@@ -53,19 +53,17 @@
     def incomplete_until_s(self, retention_s: float) -> float:
         """Return when the last lost record has passed its retention.
 
+        A request of a lost entry may have run until the earlier incarnation
+        of the agent ended, but not for longer than the retention.
+
         :param retention_s: of the service.
         """
-        lost_s = max(
-            (
-                when_s
-                for ref, when_s in self._lost_s.items()
-                if ref not in self._pushed
-            ),
-            default=float('-inf'),
-        )
-        # No key of an earlier incarnation was received after the start.
-        lost_s = max(min(lost_s, self._started_s), self._dropped_s)
-        return lost_s + retention_s
+        oldest_s = self.started_s - 2 * retention_s
+        until_s = self._dropped_s
+        for entry, lost_s in self._lost_s.items():
+            if entry not in self._pushed and lost_s >= oldest_s:
+                until_s = max(until_s, self.started_s)
+        return until_s + retention_s
 
     def state(self, now_s: float, retention_s: float) -> str:
         """Return RECOVERING, INCOMPLETE or COMPLETE.
@@ -73,7 +71,7 @@
         :param retention_s: once it has passed since the start, no earlier
             key matters any more.
         """
-        is_old = now_s > self._started_s + retention_s
+        is_old = now_s > self.started_s + retention_s
         if not is_old and (not self._is_informed or self.missing()):
             return RECOVERING
         if now_s <= self.incomplete_until_s(retention_s):
