--- a/peridotrill/agent.py
+++ b/peridotrill/agent.py
@@ -24,6 +24,9 @@
 from peridotrill.timeline import Recorder
 
 LOAD_INTERVAL: Final = timedelta(milliseconds=250)
+# Cache events are late anyway, and a second call with each load report would
+# double the cost of an idle agent.
+CACHE_INTERVAL: Final = timedelta(seconds=1)
 MAX_RUNNING: Final = 1024
 _SWEEP_INTERVAL_S: Final = 0.5
 _DRAIN_POLL_S: Final = 0.02
@@ -67,6 +70,7 @@
             recorder,
         )
         self._load = TargetLoad(ready=False)
+        self._prefixes: list[int] = []
         self._attempts = AttemptTable(clock)
 
     @classmethod
@@ -109,6 +113,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._listener.run)
             tasks.start_soon(self._report_load)
+            tasks.start_soon(self._follow_cache)
             tasks.start_soon(self._sweep)
             async for event in self._listener.events:
                 self._handle(tasks, event)
@@ -314,16 +319,22 @@
     async def _report_load(self) -> None:
         while True:
             self._load = await self._client.load()
-            prefixes = await self._client.cached_prefixes()
-            report = messages.LoadReport(
-                clock_s=self._clock.monotonic_s(),
-                draining=self.is_draining,
-                cached_prefixes=prefixes,
-                **self._load._asdict(),
-            )
-            self._send_to_all(report)
+            self._send_to_all(self._load_report())
             await anyio.sleep(LOAD_INTERVAL.total_seconds())
 
+    async def _follow_cache(self) -> None:
+        while True:
+            self._prefixes = await self._client.cached_prefixes()
+            await anyio.sleep(CACHE_INTERVAL.total_seconds())
+
+    def _load_report(self) -> messages.LoadReport:
+        return messages.LoadReport(
+            clock_s=self._clock.monotonic_s(),
+            draining=self.is_draining,
+            cached_prefixes=self._prefixes,
+            **self._load._asdict(),
+        )
+
     async def _sweep(self) -> None:
         while True:
             await anyio.sleep(_SWEEP_INTERVAL_S)
--- a/peridotrill/agent_main.py
+++ b/peridotrill/agent_main.py
@@ -64,11 +64,12 @@
     client_type = _clients.get(settings['kind'])
     if client_type is None:
         raise KeyError(settings['kind'])
-    client: TargetClient = client_type(http)
+    control = create_http_client(settings['target_url'], kept=1)
+    client: TargetClient = client_type(http, control)
     agent = Agent.from_config(AgentConfig(**fields), client, clock, recorder)
     _register_metrics(agent)
     source = ControlSource(recorder, lambda: agent.is_ready, agent.status)
-    async with http, anyio.create_task_group() as tasks:
+    async with http, control, anyio.create_task_group() as tasks:
         tasks.start_soon(agent.run)
         recorder.emit('started', incarnation=agent.incarnation)
         # Returns after the signal, when the answers are delivered.
--- a/peridotrill/engine_client.py
+++ b/peridotrill/engine_client.py
@@ -34,9 +34,14 @@
 class EngineClient:
     """Calls an engine on the same VM and follows its cache events."""
 
-    def __init__(self, http: httpx.AsyncClient) -> None:
-        """:param http: with the URL of the engine."""
+    def __init__(
+        self,
+        http: httpx.AsyncClient,
+        control: httpx.AsyncClient,
+    ) -> None:
+        """:param control: used for all calls but requests of callers."""
         self._http = http
+        self._control = control
         self._next_event = 0
         self._prefixes: dict[int, None] = {}
 
@@ -69,7 +74,7 @@
         :param attempt_id: of the call.
         """
         try:
-            await self._http.post(
+            await self._control.post(
                 f'/attempts/{attempt_id}/cancel',
                 timeout=_CANCEL_TIMEOUT_S,
             )
@@ -78,12 +83,12 @@
 
     async def load(self) -> TargetLoad:
         """Return the load; not ready if the engine does not answer."""
-        return await get_load(self._http)
+        return await get_load(self._control)
 
     async def cached_prefixes(self) -> list[int]:
         """Read new cache events and return the newest cached prefixes."""
         document = await get_json(
-            self._http,
+            self._control,
             f'/cache-events?from={self._next_event}',
         )
         try:
--- a/peridotrill/plain_client.py
+++ b/peridotrill/plain_client.py
@@ -18,9 +18,14 @@
 class PlainClient:
     """Calls a plain service on the same VM."""
 
-    def __init__(self, http: httpx.AsyncClient) -> None:
-        """:param http: with the URL of the service."""
+    def __init__(
+        self,
+        http: httpx.AsyncClient,
+        control: httpx.AsyncClient,
+    ) -> None:
+        """:param control: used for all calls but requests of callers."""
         self._http = http
+        self._control = control
 
     def open(
         self,
@@ -48,7 +53,7 @@
 
     async def load(self) -> TargetLoad:
         """Return the load; not ready if the service does not answer."""
-        return await get_load(self._http)
+        return await get_load(self._control)
 
     async def cached_prefixes(self) -> list[int]:
         """Return an empty list."""
--- a/peridotrill/target_client.py
+++ b/peridotrill/target_client.py
@@ -65,20 +65,24 @@
         return TokenCount()
 
 
-def create_http_client(target_url: str) -> httpx.AsyncClient:
-    """Create a client that opens a connection for each call.
+def create_http_client(target_url: str, kept: int = 0) -> httpx.AsyncClient:
+    """Create a client of the target.
 
-    A kept connection may be closed by the target while a request is written
-    to it; the outcome of a request that never ran would then be unknown.
+    Requests of callers get a connection each: a kept one may be closed by
+    the target while a request is written to it, and the outcome of a request
+    that never ran would then be unknown.
 
     :param target_url: URL of the target.
+    :param kept: idle connections that are kept, for control calls.
     """
     return httpx.AsyncClient(
         base_url=target_url,
+        # Loading the certificates takes several megabytes.
+        verify=target_url.startswith('https:'),
         timeout=httpx.Timeout(None, connect=_CONNECT_TIMEOUT_S),
         limits=httpx.Limits(
             max_connections=_MAX_CONNECTIONS,
-            max_keepalive_connections=0,
+            max_keepalive_connections=kept,
         ),
         trust_env=False,
         follow_redirects=False,
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -95,11 +95,12 @@
         self.target = FakeTarget()
         self.target_port = builders.free_port()
         self.http = create_http_client(f'http://127.0.0.1:{self.target_port}')
+        self.control = create_http_client(str(self.http.base_url), 1)
         self.address = Address('127.0.0.1', builders.free_port())
         config = AgentConfig('t1', 'receipts', 'engine', 'z1', self.address)
         self.agent = Agent.from_config(
             config,
-            EngineClient(self.http),
+            EngineClient(self.http, self.control),
             self.clock,
             Recorder('agent', self.clock),
         )
@@ -155,12 +156,15 @@
         yield setup
         tasks.cancel_scope.cancel()
         await setup.http.aclose()
+        await setup.control.aclose()
 
 
 async def test_answer_with_usage_and_load_reports():
     async with serving() as setup:
         report = await setup.receive(messages.LoadReport)
         assert (report.ready, report.running_requests) == (True, 3)
+        while not report.cached_prefixes:
+            report = await setup.receive(messages.LoadReport)
         assert report.cached_prefixes == [77]
         setup.target.release.set()
         setup.start()
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -260,3 +260,18 @@
     assert ledger.refuse_attempt('x1')
     assert ledger.decide(keyed()).code == 'cancelled'
     assert ledger.decide(keyed('x2')) == Run()
+
+
+def test_recovered_key_is_kept_from_the_restart_on():
+    # Guards against counting the retention from when a long request was
+    # sent, although it may have run until the agent was restarted.
+    clock = ManualClock()
+    clock.advance(timedelta(seconds=1000))
+    ledger = Ledger(clock)
+    ledger.observe(builders.hello())
+    record = ForwardedKey(b'k1', b'body-1', 'x1', RETENTION_S, 'sent')
+    ledger.recover(EntryRef('e1', 'i1'), ForwardedKeys([record], True))
+    clock.advance(timedelta(seconds=RETENTION_S - 1))
+    assert ledger.decide(keyed('x2')).code == 'outcome_unknown'
+    clock.advance(timedelta(seconds=2))
+    assert ledger.decide(keyed('x2')) == Run()
