--- a/peridotrill/attempts.py
+++ b/peridotrill/attempts.py
@@ -163,9 +163,11 @@
             while not self.machine.is_final:
                 for answer in await self._next_answers():
                     yield answer
-                    self._acknowledge()
+                    self._acknowledge(ACKNOWLEDGE_BYTES)
             if self.error is not None:
                 raise self.error
+            # The agent keeps the answer until all of it is acknowledged.
+            self._acknowledge(1)
         finally:
             with anyio.CancelScope(shield=True):
                 await self._cancel()
@@ -349,8 +351,8 @@
         if not self.machine.is_final:
             self.machine.fire('lost')
 
-    def _acknowledge(self) -> None:
-        if self.position - self._acknowledged >= ACKNOWLEDGE_BYTES:
+    def _acknowledge(self, step_bytes: int) -> None:
+        if self.position - self._acknowledged >= step_bytes:
             self._acknowledged = self.position
             self._send(
                 messages.AcknowledgeBytes(self.attempt_id, self.position),
@@ -488,10 +490,11 @@
 ) -> Answers:
     if not attempt.machine.allows('failed'):
         return _NOTHING
-    known = error_codes.get(message.code)
-    code = message.code if known else 'target_failed'
-    if message.outcome == NOT_RUN and known is None:
+    code = 'target_failed'
+    if message.outcome == NOT_RUN:
         code = 'target_refused'
+    elif message.code == 'timeout':
+        code = 'deadline_exceeded'
     attempt.fail(
         'failed',
         attempt.unknown(code, message.detail, message.outcome, message.code),
--- a/peridotrill/dispatch.py
+++ b/peridotrill/dispatch.py
@@ -156,9 +156,9 @@
         for service in self._queues:
             self._dispatch(service)
 
-    def waiting(self) -> dict[str, int]:
-        """Return the number of queued requests by service."""
-        return {name: len(queue) for name, queue in self._queues.items()}
+    def count_waiting(self) -> int:
+        """Return the number of queued requests."""
+        return sum(len(queue) for queue in self._queues.values())
 
     def _grant(self, request: Request, view: TargetView) -> Placement:
         placement = Placement(view.target_id, create_attempt_id())
--- a/peridotrill/entry.py
+++ b/peridotrill/entry.py
@@ -2,12 +2,14 @@
 
 import secrets
 from datetime import timedelta
+from functools import partial
 from random import Random
 from typing import Any, Final, NamedTuple, final
 
 import anyio
 import httpx
 from anyio.abc import TaskGroup
+from prometheus_client import REGISTRY, CollectorRegistry
 
 from peridotrill import messages
 from peridotrill.admission import Admission, RunningRequests
@@ -53,11 +55,15 @@
         http: httpx.AsyncClient,
         clock: Clock,
         recorder: Recorder,
+        metrics: CollectorRegistry = REGISTRY,
     ) -> None:
-        """:param http: client for the platform; closed by the caller."""
+        """:param http: client for the platform; closed by the caller.
+
+        :param metrics: where the metrics are registered.
+        """
         self.is_draining = False
         self.incarnation = secrets.token_hex(8)
-        self.metrics = EntryMetrics()
+        self.metrics = EntryMetrics(metrics)
         self._settings = settings
         self._http = http
         self._clock = clock
@@ -77,6 +83,7 @@
             clock,
             recorder,
         )
+        self._announced: set[tuple[str, str]] = set()
         self._configured: tuple[int, int, int] | None = None
         self._limiter = TeamLimiter(clock)
         self._wire_targets()
@@ -90,9 +97,10 @@
         http: httpx.AsyncClient,
         clock: Clock,
         recorder: Recorder,
+        metrics: CollectorRegistry = REGISTRY,
     ) -> 'Entry':
         """Create an entry that does not run yet."""
-        return cls(settings, http, clock, recorder)
+        return cls(settings, http, clock, recorder, metrics)
 
     def is_ready(self) -> bool:
         """Tell whether the balancer should send callers here."""
@@ -174,13 +182,6 @@
         await self.registration.leave()
         self._recorder.emit('entry_left')
 
-    def update_metrics(self) -> None:
-        """Set the gauges that are read from other parts."""
-        waiting = self.ports.dispatcher.waiting()
-        self.metrics.waiting.set(sum(waiting.values()))
-        self.metrics.dropped_messages.set(self.links.inboxes.dropped_messages)
-        self.metrics.forwarded_keys.set(len(self.links.book))
-
     def _wire_targets(self) -> None:
         self.table = TargetTable(self._clock, self._retention_s)
         self.links = TargetLinks(
@@ -217,6 +218,11 @@
             self._clock,
             self._recorder,
         )
+        self.metrics.waiting.set_function(dispatcher.count_waiting)
+        self.metrics.forwarded_keys.set_function(partial(len, self.links.book))
+        self.metrics.dropped_messages.set_function(
+            lambda: self.links.inboxes.dropped_messages,
+        )
         self._running = RunningRequests(self.state)
         self.app = CallerApp(
             Admission(
@@ -285,10 +291,21 @@
     def _apply_state(self) -> None:
         self.registration.observe()
         self._configure_limits()
+        self._announce_entries()
         ended = self._running.end_withdrawn()
         if ended:
             self._recorder.emit('requests_of_withdrawn_keys', number=ended)
 
+    def _announce_entries(self) -> None:
+        """Send Hello again when the lists of entries have changed."""
+        entries = {
+            (entry.entry_id, entry.incarnation)
+            for entry in self.state.entries.values()
+        }
+        if entries != self._announced:
+            self._announced = entries
+            self.links.send_to_all(self._hello())
+
     def _configure_limits(self) -> None:
         catalog = self.state.catalog
         shares, position = self.registration.share()
--- a/peridotrill/entry_main.py
+++ b/peridotrill/entry_main.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+from functools import partial
 from typing import Any, Final
 
 import anyio
@@ -11,6 +12,7 @@
 from peridotrill.caller_server import serve_callers
 from peridotrill.clock import SystemClock
 
+from peridotrill.control_port import ControlSource, serve_control_port
 from peridotrill.entry import Entry, EntrySettings
 from peridotrill.logs import configure_logging
 from peridotrill.settings import (
@@ -90,8 +92,12 @@
         tasks.start_soon(_watch_registration, entry, stopping)
         tasks.start_soon(_serve, entry, parsed['listen'], stopping, finished)
         tasks.start_soon(entry.run, tasks)
-        await finished.wait()
-        await entry.leave()
+        # The control port answers until the entry has left.
+        await serve_control_port(
+            parsed['control_listen'],
+            ControlSource(recorder, entry.is_ready, entry.status),
+            partial(_leave, entry, finished),
+        )
         tasks.cancel_scope.cancel()
 
 
@@ -106,6 +112,11 @@
     finished.set()
 
 
+async def _leave(entry: Entry, finished: anyio.Event) -> None:
+    await finished.wait()
+    await entry.leave()
+
+
 async def _wait_for_signal(
     entry: Entry,
     drain_delay_s: float,
--- a/peridotrill/entry_metrics.py
+++ b/peridotrill/entry_metrics.py
@@ -2,7 +2,13 @@
 
 from typing import Final, final
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client import (
+    REGISTRY,
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+)
 
 _SECONDS: Final = (
     0.001,
@@ -26,39 +32,38 @@
     is ``ok`` or a registered error code. Teams and targets are not labels.
     """
 
-    def __init__(self) -> None:
-        """Create the metrics in a registry of their own."""
-        self.registry = CollectorRegistry()
+    def __init__(self, registry: CollectorRegistry = REGISTRY) -> None:
+        """:param registry: holds each name once."""
         self.requests = Counter(
             'peridotrill_requests',
             'Requests by service and result.',
             ('service', 'code'),
-            registry=self.registry,
+            registry=registry,
         )
         self.first_byte = Histogram(
             'peridotrill_first_byte_seconds',
             'Time from arrival to the first byte of the answer.',
             ('service',),
             buckets=_SECONDS,
-            registry=self.registry,
+            registry=registry,
         )
         self.running = Gauge(
             'peridotrill_running_requests',
             'Requests under way.',
-            registry=self.registry,
+            registry=registry,
         )
         self.waiting = Gauge(
             'peridotrill_waiting_requests',
             'Queued requests.',
-            registry=self.registry,
+            registry=registry,
         )
         self.dropped_messages = Gauge(
             'peridotrill_dropped_messages',
             'Messages of agents for attempts that are not running.',
-            registry=self.registry,
+            registry=registry,
         )
         self.forwarded_keys = Gauge(
             'peridotrill_forwarded_keys',
             'Forwarded-key records.',
-            registry=self.registry,
+            registry=registry,
         )
--- a/peridotrill/target_links.py
+++ b/peridotrill/target_links.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from datetime import timedelta
 from typing import Any, Final, NamedTuple, final
 
@@ -102,6 +103,12 @@
             raise LinkClosed(f'no connection to {target_id}')
         return task.link.agent_clock_s()
 
+    def send_to_all(self, message: Any) -> None:
+        """Send to all agents that are connected."""
+        for target_id in list(self._tasks):
+            with suppress(LinkClosed):
+                self.send(target_id, message)
+
     async def run(self, url: str, http: httpx.AsyncClient) -> None:
         """Poll the VM list and run the links until cancelled.
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -114,6 +114,8 @@
     # second count of the usage.
     agent = Agent(script)
     assert await agent.run(streaming=streaming) == b'abcdef'
+    # The agent keeps an answer until all of it is acknowledged.
+    assert agent.of_type(messages.AcknowledgeBytes)[-1].position == 6
     assert agent.counted == [('growers', 1, 3, 2)]
     assert len(agent.attempt_ids()) == 1
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -5,6 +5,7 @@
 import anyio
 import httpx
 import pytest
+from prometheus_client import CollectorRegistry
 
 from peridotrill import admission, callers, messages, records
 from peridotrill.caller_server import serve_callers
@@ -77,7 +78,7 @@
             ),
             self.running,
             self.agent.ports,
-            EntryMetrics(),
+            EntryMetrics(CollectorRegistry()),
             lambda: '',
         )
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,6 +6,7 @@
 import anyio
 import httpx
 import pytest
+from prometheus_client import CollectorRegistry
 
 from peridotrill import messages, records, registration
 from peridotrill.caller_server import serve_callers
@@ -82,7 +83,9 @@
         {},
     )
     clock = SystemClock()
-    entry = Entry.from_config(settings, http, clock, Recorder('e1', clock))
+    entry = Entry.from_config(
+        settings, http, clock, Recorder('e1', clock), CollectorRegistry()
+    )
     address = Address('127.0.0.1', builders.free_port())
     stopping = anyio.Event()
     async with anyio.create_task_group() as tasks:
