Acknowledge the rest of an answer when it is whole

An agent that drains waits until each answer is acknowledged. The entry only acknowledged every 64 KiB, so the agent waited for its whole drain_timeout after any shorter answer (seen: SIGTERM at an agent, no exit in 15 s). tests/test_faults.py::test_graceful_stop_under_load_cuts_nothing fails without this.

--- a/peridotrill/attempts.py
+++ b/peridotrill/attempts.py
@@ -350,7 +350,10 @@
             self.machine.fire('lost')
 
     def _acknowledge(self) -> None:
-        if self.position - self._acknowledged >= ACKNOWLEDGE_BYTES:
+        missing_bytes = self.position - self._acknowledged
+        # A draining agent waits until a whole answer is acknowledged.
+        is_rest = missing_bytes > 0 and self.machine.state == 'complete'
+        if is_rest or missing_bytes >= ACKNOWLEDGE_BYTES:
             self._acknowledged = self.position
             self._send(
                 messages.AcknowledgeBytes(self.attempt_id, self.position),
