Serve the control port of the entry

It stops after the entry has left: hypercorn raises InvalidStateError if it is cancelled while a connection is open, which ended the program with 1.

--- a/peridotrill/entry_main.py
+++ b/peridotrill/entry_main.py
@@ -10,6 +10,7 @@
 
 from peridotrill.caller_server import serve_callers
 from peridotrill.clock import SystemClock
+from peridotrill.control_port import ControlSource, serve_control_port
 
 from peridotrill.entry import Entry, EntrySettings
 from peridotrill.logs import configure_logging
@@ -79,12 +80,25 @@
         ),
         parsed['address_overrides'] or {},
     )
-    stopping, finished = anyio.Event(), anyio.Event()
+    left = anyio.Event()
     async with (
         httpx.AsyncClient(trust_env=False) as http,
-        anyio.create_task_group() as tasks,
+        anyio.create_task_group() as control,
     ):
         entry = Entry.from_config(settings, http, SystemClock(), recorder)
+        control.start_soon(
+            serve_control_port,
+            parsed['control_listen'],
+            ControlSource(recorder, entry.is_ready, entry.status),
+            left.wait,
+        )
+        await _run_until_left(entry, parsed)
+        left.set()
+
+
+async def _run_until_left(entry: Entry, parsed: dict[str, Any]) -> None:
+    stopping, finished = anyio.Event(), anyio.Event()
+    async with anyio.create_task_group() as tasks:
         drain_delay_s = parsed['drain_delay'].total_seconds()
         tasks.start_soon(_wait_for_signal, entry, drain_delay_s, stopping)
         tasks.start_soon(_watch_registration, entry, stopping)
