--- a/standins/web.py
+++ b/standins/web.py
@@ -142,32 +142,39 @@
         if scope['type'] == 'lifespan':
             await _serve_lifespan(receive, send)
             return
-        body = await _read_body(receive)
-        if body is None:
-            return
-        if self._is_closing:
-            await send(_DROP)
-            return
-        tasks = anyio.create_task_group()
-        async with tasks:
-            self._running.add(tasks.cancel_scope)
-            if self._cancels_on_disconnect:
-                tasks.start_soon(
-                    _cancel_on_disconnect, receive, tasks.cancel_scope
-                )
-            await self._answer(scope, body, send)
-            self._running.remove(tasks.cancel_scope)
-            tasks.cancel_scope.cancel()
-        if tasks.cancel_scope in self._running:
-            self._running.remove(tasks.cancel_scope)
+        running = anyio.CancelScope()
+        self._running.add(running)
+        with running:
+            if self._is_closing:
+                running.cancel()
+            body = await _read_body(receive)
+            if body is not None:
+                await self._serve_request(scope, body, receive, send)
+        self._running.remove(running)
+        if running.cancelled_caught:
             with suppress(UnexpectedMessageError):
                 await send(_DROP)
 
     def cut_all(self) -> None:
         """Close the connections of all requests, now and later."""
         self._is_closing = True
-        for scope in self._running:
-            scope.cancel()
+        for running in self._running:
+            running.cancel()
+
+    async def _serve_request(
+        self,
+        scope: dict[str, Any],
+        body: bytes,
+        receive: _Receive,
+        send: _Send,
+    ) -> None:
+        async with anyio.create_task_group() as tasks:
+            if self._cancels_on_disconnect:
+                tasks.start_soon(
+                    _cancel_on_disconnect, receive, tasks.cancel_scope
+                )
+            await self._answer(scope, body, send)
+            tasks.cancel_scope.cancel()
 
     async def _answer(
         self,
