--- a/peridotrill/entry_main.py
+++ b/peridotrill/entry_main.py
@@ -3,7 +3,6 @@
 import os
 import signal
 import sys
-from functools import partial
 from typing import Any, Final
 
 import anyio
@@ -13,7 +12,6 @@
 from peridotrill.clock import SystemClock
 from peridotrill.control_port import ControlSource, serve_control_port
 
-from peridotrill.control_port import ControlSource, serve_control_port
 from peridotrill.entry import Entry, EntrySettings
 from peridotrill.logs import configure_logging
 from peridotrill.settings import (
@@ -106,12 +104,8 @@
         tasks.start_soon(_watch_registration, entry, stopping)
         tasks.start_soon(_serve, entry, parsed['listen'], stopping, finished)
         tasks.start_soon(entry.run, tasks)
-        # The control port answers until the entry has left.
-        await serve_control_port(
-            parsed['control_listen'],
-            ControlSource(recorder, entry.is_ready, entry.status),
-            partial(_leave, entry, finished),
-        )
+        await finished.wait()
+        await entry.leave()
         tasks.cancel_scope.cancel()
 
 
@@ -126,11 +120,6 @@
     finished.set()
 
 
-async def _leave(entry: Entry, finished: anyio.Event) -> None:
-    await finished.wait()
-    await entry.leave()
-
-
 async def _wait_for_signal(
     entry: Entry,
     drain_delay_s: float,
