Take home targets from the log; move keys with their records

The entry now uses the newest placement, pushes the records of moved keys to their new home and promises to use no older placement; the agent waits for all registered entries before it takes a moved key that it does not know. The chain of alternative homes after a refusal is gone: it had a second hole when an agent restarted after draining. An entry that left is treated as lost, since its records end with it.

Ruled out: asking the former home first, which makes the keys of a dead target unavailable for the whole retention.

Seen to fail on a scratch copy: with the version of the move ignored, the state machine finds a key that runs twice. A caller's key is never answered with not_run while its home cannot tell.

--- a/peridotrill/agent.py
+++ b/peridotrill/agent.py
@@ -61,7 +61,7 @@
         self._client = client
         self._clock = clock
         self._recorder = recorder
-        self._ledger = ledger.Ledger(clock)
+        self._ledger = ledger.Ledger(clock, config.service)
         self._runner = AttemptRunner(client, self._ledger, clock, recorder)
         self._listener = LinkListener.from_config(
             config.listen,
--- a/peridotrill/attempts.py
+++ b/peridotrill/attempts.py
@@ -40,12 +40,14 @@
 _MAX_BACK_OFF: Final = timedelta(seconds=1)
 _RETRY_AFTER_S: Final = 1.0
 
-_DRAINING: Final = 'draining'
 # Refusals after which the same request cannot be started by another attempt.
 _FINAL_REASONS: Final = frozenset(
     ('idempotency_key_reused', 'deadline_exceeded', 'invalid_request'),
 )
 
+# Refusals while the agent cannot tell whether the key is new.
+_UNDECIDED_REASONS: Final = frozenset(('recovering', 'placement_old'))
+
 _chart: Final = load_chart('attempt')
 _handlers: Registry[
     type,
@@ -145,9 +147,12 @@
         self.position = 0
         self.end: messages.AttemptEnd | None = None
         self._request = request
-        self._target_id, self.attempt_id = placement
+        self._target_id, self.attempt_id, self._version = placement
         self._ports = ports
-        self._inbox = ports.links.inboxes.open(*placement)
+        self._inbox = ports.links.inboxes.open(
+            self._target_id,
+            self.attempt_id,
+        )
         self._acknowledged = 0
         self._down_since_s: float | None = None
         self._requested_at_s = float('-inf')
@@ -259,7 +264,7 @@
         links, request = self._ports.links, self._request
         if request.caller_key:
             links.book.record(
-                self._target_id,
+                request.service.name,
                 self.attempt_id,
                 request.key_digest,
                 request.request_digest,
@@ -302,6 +307,7 @@
             start_before_s=clock_s + within_s,
             timeout_s=remaining_s,
             resume_position=0,
+            placement_version=self._version,
         )
 
     async def _next_answers(self) -> Answers:
@@ -373,10 +379,9 @@
         self._ports.dispatcher.dispatch_all()
         outcome = RAN if self.error is None else self.error.outcome
         if outcome == NOT_RUN:
-            links.book.forget(self._target_id, self.attempt_id)
+            links.book.forget(self.attempt_id)
         else:
             links.book.mark(
-                self._target_id,
                 self.attempt_id,
                 'answered' if self.error is None else 'unknown',
             )
@@ -541,7 +546,6 @@
         self._request = request
         self._ports = ports
         self._avoided: set[str] = set()
-        self._refused_homes = 0
         self._back_off_s = _MIN_BACK_OFF.total_seconds()
 
     async def attempt(self) -> AsyncGenerator[Answer, None]:
@@ -557,17 +561,14 @@
                     yield answer
         except RequestError as error:
             if is_yielded or not self._allows(error, placement.target_id):
-                raise
+                raise _final_error(error) from error
             self.is_wanted = True
             await self._pause()
 
     async def _place(self) -> Placement:
         dispatcher = self._ports.dispatcher
         if self._request.caller_key:
-            return await dispatcher.place_at_home(
-                self._request,
-                self._refused_homes,
-            )
+            return await dispatcher.place_at_home(self._request)
         return await dispatcher.place(self._request, self._avoided)
 
     def _allows(self, error: RequestError, target_id: str) -> bool:
@@ -578,9 +579,6 @@
             return False
         self._avoided.add(target_id)
         if error.outcome == NOT_RUN:
-            # The home that comes next may run the key only after the one
-            # before it has refused it and takes no new work.
-            self._refused_homes += error.reason == _DRAINING
             return True
         if not request.idempotent or error.outcome == RAN:
             return False
@@ -594,6 +592,20 @@
         )
 
 
+def _final_error(error: RequestError) -> RequestError:
+    """Return what the caller is told when there is no other attempt."""
+    if error.reason not in _UNDECIDED_REASONS:
+        return error
+    # This attempt was refused because an earlier one may have run.
+    return RequestError(
+        'outcome_unknown',
+        'It is not yet known whether the key was used before.',
+        UNKNOWN,
+        error.retry_after_s,
+        error.reason,
+    )
+
+
 async def run_request(
     request: Request,
     ports: Ports,
--- a/peridotrill/control_state.py
+++ b/peridotrill/control_state.py
@@ -65,7 +65,7 @@
 
 
 class LostEntryState(NamedTuple):
-    """An incarnation that ended without ``entry_left``."""
+    """An incarnation that ended, and its forwarded-key records with it."""
 
     entry_id: str
     incarnation: str
@@ -126,7 +126,7 @@
         self.skipped_records += 1
 
     def drop_entry(self, entry_id: str, lost_at_s: float) -> None:
-        """Remove an entry that ended without ``entry_left``."""
+        """Remove an entry that has ended."""
         entry = self.entries.pop(entry_id)
         kept_since_s = lost_at_s - _MAX_RETENTION_S
         self.lost = [old for old in self.lost if old.lost_at_s > kept_since_s]
@@ -237,11 +237,12 @@
     state: ControlState,
     _offset: int,
     record: EntryLeft,
-    _appended_at_s: float,
+    appended_at_s: float,
 ) -> None:
+    # Its forwarded-key records end with it, as those of a lost entry.
     known = state.entries.get(record['entry_id'])
     if known is not None and known.incarnation == record['incarnation']:
-        state.entries.pop(known.entry_id)
+        state.drop_entry(known.entry_id, appended_at_s)
 
 
 @_appliers.register('entry_expired')
--- a/peridotrill/dispatch.py
+++ b/peridotrill/dispatch.py
@@ -1,7 +1,7 @@
 """Places requests on targets, in the order of each service's fair queue."""
 
 import secrets
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping, Sequence
 from datetime import timedelta
 from random import Random
 from typing import Final, NamedTuple, final
@@ -12,6 +12,8 @@
 from peridotrill.clock import Clock
 from peridotrill.errors import UNKNOWN, RequestError
 from peridotrill.fair_queue import FairQueue, QueueBounds, Ticket
+from peridotrill.placement import Placement as HomePlacement
+from peridotrill.placement import home_target
 from peridotrill.routing import (
     OwnAttempts,
     OwnLoad,
@@ -54,10 +56,14 @@
 
 
 class Placement(NamedTuple):
-    """Where an attempt goes; counted as own load until it ends."""
+    """Where an attempt goes; counted as own load until it ends.
+
+    ``version`` is that of the placement of keys, 0 for other requests.
+    """
 
     target_id: str
     attempt_id: str
+    version: int = 0
 
 
 @final
@@ -87,9 +93,14 @@
         zone: str,
         clock: Clock,
         random: Random,
+        placements: Mapping[str, Sequence[HomePlacement]],
         bounds: QueueBounds = DEFAULT_BOUNDS,
     ) -> None:
-        """:param zone: availability zone of this entry."""
+        """:param zone: availability zone of this entry.
+
+        :param placements: of idempotency keys, by service, oldest first.
+        """
+        self._placements = placements
         self.own = OwnAttempts(clock)
         self._table = table
         self._zone = zone
@@ -121,27 +132,18 @@
             self._queue(request.service.name).remove(ticket)
         return Placement(waiter.target_id, waiter.attempt_id)
 
-    async def place_at_home(self, request: Request, index: int) -> Placement:
+    async def place_at_home(self, request: Request) -> Placement:
         """Wait until the home target of a key can be reached.
 
-        :param index: number of homes that refused the key as not run.
         :return: as ``place``. Raises RequestError with ``outcome_unknown``,
-            because an earlier request with the key may have run there, or
-            with ``no_target`` if all homes refused the key.
+            because an earlier request with the key may have run there.
         """
-        limit_s = self._limit_s(request)
-        with anyio.move_on_after(limit_s):
+        with anyio.move_on_after(self._limit_s(request)):
             while True:
-                homes = self._table.homes(
-                    request.service.name,
-                    request.key_digest,
-                )
-                if 0 < len(homes) <= index:
-                    raise RequestError(
-                        'no_target', retry_after_s=_RETRY_AFTER_S
-                    )
-                if index < len(homes) and homes[index].linked:
-                    return self._grant(request, homes[index])
+                rows = self._placements.get(request.service.name)
+                placement = self._grant_home(request, rows)
+                if placement is not None:
+                    return placement
                 await self._changed.wait()
         raise RequestError(
             'outcome_unknown',
@@ -160,10 +162,20 @@
         """Return the number of queued requests."""
         return sum(len(queue) for queue in self._queues.values())
 
-    def _grant(self, request: Request, view: TargetView) -> Placement:
-        placement = Placement(view.target_id, create_attempt_id())
-        self.own.started(*placement, request.cost)
-        return placement
+    def _grant_home(
+        self,
+        request: Request,
+        rows: Sequence[HomePlacement] | None,
+    ) -> Placement | None:
+        if not rows:
+            return None
+        home = home_target(request.key_digest, rows[-1].targets)
+        view = self._table.find(home) if home else None
+        if view is None or not view.linked:
+            return None
+        attempt_id = create_attempt_id()
+        self.own.started(view.target_id, attempt_id, request.cost)
+        return Placement(view.target_id, attempt_id, rows[-1].version)
 
     def _push(self, waiter: _Waiter) -> Ticket:
         request = waiter.request
--- a/peridotrill/entry.py
+++ b/peridotrill/entry.py
@@ -32,7 +32,6 @@
 # an agent has confirmed that no other entry has read further.
 STALE_AFTER: Final = timedelta(seconds=5)
 _TICK: Final = timedelta(seconds=1)
-_DEFAULT_RETENTION_S: Final = 900.0
 
 
 class EntrySettings(NamedTuple):
@@ -84,6 +83,7 @@
             recorder,
         )
         self._announced: set[tuple[str, str]] = set()
+        self._announced_placements: dict[str, int] = {}
         self._configured: tuple[int, int, int] | None = None
         self._limiter = TeamLimiter(clock)
         self._wire_targets()
@@ -183,13 +183,15 @@
         self._recorder.emit('entry_left')
 
     def _wire_targets(self) -> None:
-        self.table = TargetTable(self._clock, self._retention_s)
+        self.table = TargetTable(self._clock)
         self.links = TargetLinks(
             self.table,
             self._clock,
             self._recorder,
             self._open_link,
             self._settings.overrides,
+            self.state.placements,
+            self._hello,
         )
 
     def _wire_duties(self) -> None:
@@ -208,6 +210,7 @@
             self._settings.zone,
             self._clock,
             Random(self.incarnation),
+            self.state.placements,
         )
         self.links.on_change = dispatcher.dispatch_all
         self.links.on_report = dispatcher.own.reported
@@ -266,17 +269,22 @@
                 for lost in self.state.lost
             ],
             self.state.offset,
+            {
+                service: [
+                    messages.PlacementRef(
+                        row.version,
+                        list(row.targets),
+                        max(0, now_s - row.since_s),
+                    )
+                    for row in rows
+                ]
+                for service, rows in self.state.placements.items()
+            },
         )
 
     def _log_position(self) -> LogPosition:
         return LogPosition(self.state.offset, self.follower.log_age_s())
 
-    def _retention_s(self, service: str) -> float:
-        known = self.state.catalog.services.get(service)
-        if known is None:
-            return _DEFAULT_RETENTION_S
-        return known.idempotency_retention.total_seconds()
-
     def _is_stale(self) -> bool:
         limit_s = STALE_AFTER.total_seconds()
         if self.follower.log_age_s() < limit_s:
@@ -291,13 +299,13 @@
     def _apply_state(self) -> None:
         self.registration.observe()
         self._configure_limits()
-        self._announce_entries()
+        self._announce_lists()
         ended = self._running.end_withdrawn()
         if ended:
             self._recorder.emit('requests_of_withdrawn_keys', number=ended)
 
-    def _announce_entries(self) -> None:
-        """Send Hello again when the lists of entries have changed."""
+    def _announce_lists(self) -> None:
+        """Send Hello again when a list in it has changed."""
         entries = {
             (entry.entry_id, entry.incarnation)
             for entry in self.state.entries.values()
@@ -305,6 +313,13 @@
         if entries != self._announced:
             self._announced = entries
             self.links.send_to_all(self._hello())
+        versions = {
+            service: rows[-1].version
+            for service, rows in self.state.placements.items()
+        }
+        if versions != self._announced_placements:
+            self._announced_placements = versions
+            self.links.announce_placements()
 
     def _configure_limits(self) -> None:
         catalog = self.state.catalog
@@ -328,3 +343,5 @@
                     self.table.live_entries,
                     now_s,
                 )
+            if self.table.is_settled:
+                await self._duties.place(self.table.possible_homes())
--- a/peridotrill/entry_duties.py
+++ b/peridotrill/entry_duties.py
@@ -1,5 +1,6 @@
 """What an entry does besides requests: usage, snapshots, their leases."""
 
+from collections.abc import Mapping
 from functools import partial
 from typing import NamedTuple, Self, final
 
@@ -9,8 +10,11 @@
 
 from peridotrill.clock import Clock
 from peridotrill.control_state import USAGE_LEASE, ControlState
+from peridotrill.exceptions import LogError
 from peridotrill.leases import DEFAULT_TTL, Lease
 from peridotrill.log_client import LogClient, LogFollower
+from peridotrill.placement import PLACEMENT_LEASE, PlacementPlanner
+from peridotrill.records import PlacementChanged
 from peridotrill.snapshots import (
     SNAPSHOT_LEASE,
     SnapshotAssembler,
@@ -78,8 +82,9 @@
                 clock,
                 recorder,
             )
-            for name in (USAGE_LEASE, SNAPSHOT_LEASE)
+            for name in (USAGE_LEASE, SNAPSHOT_LEASE, PLACEMENT_LEASE)
         }
+        self._planner = PlacementPlanner(clock)
         self._log = log
         self._recorder = recorder
         self._flush_s = settings.flush.total_seconds()
@@ -109,6 +114,29 @@
             SnapshotSettings(),
         )
 
+    async def place(self, homes: Mapping[str, frozenset[str]]) -> None:
+        """Record changed sets of home targets while holding the lease.
+
+        :param homes: the targets that can be homes, by service.
+        """
+        lease = self._leases[PLACEMENT_LEASE]
+        for service, targets in homes.items():
+            record = self._planner.next_record(
+                service,
+                targets,
+                self._log.state.placements,
+                lease.epoch,
+            )
+            if record is not None and lease.is_held():
+                await self._append(record)
+
+    async def _append(self, record: PlacementChanged) -> None:
+        try:
+            await self._log.client.append(record)
+        except LogError as error:
+            # The next call finds out whether the record is in the log.
+            self._recorder.emit('placement_failed', detail=str(error))
+
     async def finish(self) -> None:
         """Release the leases and write the last counts."""
         for lease in self._leases.values():
--- a/peridotrill/forwarded_keys.py
+++ b/peridotrill/forwarded_keys.py
@@ -1,12 +1,14 @@
 """Records of the idempotency keys that this entry sent to targets.
 
-They rebuild the ledger of an agent that restarted.
+They rebuild the ledger of an agent that restarted, and tell the agent of a
+new home what may have run at the earlier one.
 """
 
 from typing import Final, Literal, NamedTuple, final
 
 from peridotrill.clock import Clock
 from peridotrill.messages import ForwardedKey, ForwardedKeys
+from peridotrill.placement import Placement, home_target
 
 # Bounds the size of one message.
 RECORDS_PER_MESSAGE: Final = 1000
@@ -15,6 +17,7 @@
 
 
 class _Row(NamedTuple):
+    service: str
     key_digest: bytes
     request_digest: bytes
     recorded_at_s: float
@@ -24,16 +27,16 @@
 
 @final
 class ForwardedKeyBook:
-    """Forwarded-key records by target and attempt."""
+    """Forwarded-key records by attempt."""
 
     def __init__(self, clock: Clock) -> None:
         """:param clock: its monotonic time gives the age of the records."""
         self._clock = clock
-        self._rows: dict[str, dict[str, _Row]] = {}
+        self._rows: dict[str, _Row] = {}
 
     def record(
         self,
-        target_id: str,
+        service: str,
         attempt_id: str,
         key_digest: bytes,
         request_digest: bytes,
@@ -41,7 +44,8 @@
     ) -> None:
         """Keep a key; call this before its attempt is sent."""
         now_s = self._clock.monotonic_s()
-        self._rows.setdefault(target_id, {})[attempt_id] = _Row(
+        self._rows[attempt_id] = _Row(
+            service,
             key_digest,
             request_digest,
             now_s,
@@ -49,19 +53,26 @@
             'sent',
         )
 
-    def mark(self, target_id: str, attempt_id: str, state: KeyState) -> None:
+    def mark(self, attempt_id: str, state: KeyState) -> None:
         """Note what became of an attempt."""
-        rows = self._rows.get(target_id, {})
-        row = rows.get(attempt_id)
+        row = self._rows.get(attempt_id)
         if row is not None:
-            rows[attempt_id] = row._replace(state=state)
+            self._rows[attempt_id] = row._replace(state=state)
 
-    def forget(self, target_id: str, attempt_id: str) -> None:
+    def forget(self, attempt_id: str) -> None:
         """Remove the record of an attempt that has not run and never will."""
-        self._rows.get(target_id, {}).pop(attempt_id, None)
+        self._rows.pop(attempt_id, None)
+
+    def messages(
+        self,
+        service: str,
+        target_id: str,
+        placement: Placement,
+    ) -> list[ForwardedKeys]:
+        """Return the records of the keys whose home is a target.
 
-    def messages(self, target_id: str) -> list[ForwardedKeys]:
-        """Return what a new incarnation of the target's agent needs."""
+        :param placement: the newest one of the service.
+        """
         self.expire()
         now_s = self._clock.monotonic_s()
         records = [
@@ -72,13 +83,16 @@
                 now_s - row.recorded_at_s,
                 row.state,
             )
-            for attempt_id, row in self._rows.get(target_id, {}).items()
+            for attempt_id, row in self._rows.items()
+            if row.service == service
+            and home_target(row.key_digest, placement.targets) == target_id
         ]
         starts = range(0, max(1, len(records)), RECORDS_PER_MESSAGE)
         return [
             ForwardedKeys(
                 records[start : start + RECORDS_PER_MESSAGE],
                 is_last=start + RECORDS_PER_MESSAGE >= len(records),
+                placement_version=placement.version,
             )
             for start in starts
         ]
@@ -86,15 +100,12 @@
     def expire(self) -> None:
         """Remove the records whose retention has passed."""
         now_s = self._clock.monotonic_s()
-        for target_id, rows in list(self._rows.items()):
-            self._rows[target_id] = {
-                attempt_id: row
-                for attempt_id, row in rows.items()
-                if row.keep_until_s > now_s
-            }
-            if not self._rows[target_id]:
-                self._rows.pop(target_id)
+        self._rows = {
+            attempt_id: row
+            for attempt_id, row in self._rows.items()
+            if row.keep_until_s > now_s
+        }
 
     def __len__(self) -> int:
         """Return the number of records."""
-        return sum(len(rows) for rows in self._rows.values())
+        return len(self._rows)
--- a/peridotrill/ledger.py
+++ b/peridotrill/ledger.py
@@ -84,10 +84,11 @@
     def __init__(
         self,
         clock: Clock,
+        service: str,
         capacity_bytes: int = DEFAULT_CAPACITY_BYTES,
     ) -> None:
         """:param capacity_bytes: bound of all keys, ids and answers."""
-        self.recovery = Recovery(clock.monotonic_s())
+        self.recovery = Recovery(clock.monotonic_s(), service)
         self.used_bytes = 0
         self._clock = clock
         self._capacity_bytes = capacity_bytes
@@ -123,8 +124,9 @@
             return Refusal('cancelled', '', known is None)
         if known is not None:
             return known.decide(start)
-        if start.caller_key and self.state() != COMPLETE:
-            return self._refuse_unknown_key()
+        refusal = self._refuse_unknown_key(start) if start.caller_key else None
+        if refusal is not None:
+            return refusal
         if self.used_bytes + _KEY_BYTES > self._capacity_bytes:
             return Refusal('ledger_full', '', True, self._next_expiry_s())
         return Run()
@@ -203,7 +205,7 @@
             if record.state != 'refused':
                 self._recover_key(record)
         if pushed.is_last:
-            self.recovery.mark_pushed(entry)
+            self.recovery.mark_pushed(entry, pushed.placement_version)
 
     def expire(self) -> None:
         """Forget keys and attempt ids past their retention."""
@@ -211,6 +213,7 @@
         self._expire_attempts(now_s)
         if self._retention_s is None:
             return
+        self.recovery.forget(now_s, self._retention_s)
         oldest_s = now_s - self._retention_s
         while self._ageing and self._ageing[0][0] < oldest_s:
             settled_s, key_digest = heapq.heappop(self._ageing)
@@ -227,8 +230,19 @@
             self._refused.pop(attempt_id)
             self.used_bytes -= _ATTEMPT_BYTES
 
-    def _refuse_unknown_key(self) -> Refusal:
-        if self.state() == RECOVERING:
+    def _refuse_unknown_key(self, start: StartAttempt) -> Refusal | None:
+        if start.placement_version != self.recovery.version:
+            # The key may have another home by now, or may have had one that
+            # this agent has not been told of.
+            return Refusal('placement_old', '', True, _RECOVERING_RETRY_S)
+        state = self.recovery.state(
+            self._clock.monotonic_s(),
+            self._retention_s or DEFAULT_RETENTION_S,
+            self.recovery.need(start.key_digest),
+        )
+        if state == COMPLETE:
+            return None
+        if state == RECOVERING:
             return Refusal('recovering', '', True, _RECOVERING_RETRY_S)
         return Refusal('outcome_unknown', 'records of an entry are lost', False)
 
@@ -246,8 +260,8 @@
         age_s = record.age_s * (1 - MAX_CLOCK_DRIFT)
         settled_s = self._clock.monotonic_s() - age_s
         if record.state != 'answered':
-            # It may have run until the earlier incarnation ended.
-            settled_s = max(settled_s, self.recovery.started_s)
+            # It may have run at the earlier home or incarnation until now.
+            settled_s = self._clock.monotonic_s()
         key = self._keys.get(record.key_digest)
         if key is None:
             if self.used_bytes + _KEY_BYTES > self._capacity_bytes:
--- a/peridotrill/messages.py
+++ b/peridotrill/messages.py
@@ -51,6 +51,14 @@
     lost_age_s: float
 
 
+class PlacementRef(NamedTuple):
+    """The home targets of a service from a record of the log on."""
+
+    version: int
+    targets: list[str]
+    age_s: float
+
+
 class ForwardedKey(NamedTuple):
     """A non-idempotent request that an entry sent to a target."""
 
@@ -63,7 +71,11 @@
 
 @message(1)
 class Hello(NamedTuple):
-    """First message of an entry on a connection."""
+    """First message of an entry on a connection, and sent when it changes.
+
+    ``placements`` are those of the agent's service that still matter, oldest
+    first. All lists are as of ``log_offset``.
+    """
 
     protocol_version: int
     entry_id: str
@@ -72,6 +84,7 @@
     registered: list[EntryRef]
     lost: list[LostEntry]
     log_offset: int
+    placements: dict[str, list[PlacementRef]]
 
 
 @message(2)
@@ -107,10 +120,15 @@
 
 @message(4)
 class ForwardedKeys(NamedTuple):
-    """Records for the ledger of an agent with a new incarnation."""
+    """Records of the keys whose home is the agent's target.
+
+    With the last message the entry promises to send none of these keys to
+    another target by a placement before ``placement_version``.
+    """
 
     records: list[ForwardedKey]
     is_last: bool
+    placement_version: int
 
 
 @message(5)
@@ -140,6 +158,7 @@
     start_before_s: float
     timeout_s: float
     resume_position: int
+    placement_version: int
 
 
 @message(6)
--- a/peridotrill/placement.py
+++ b/peridotrill/placement.py
@@ -13,9 +13,10 @@
 from peridotrill.records import PlacementChanged
 
 PLACEMENT_LEASE: Final = 'placement'
-# A set of targets is recorded once it has not changed for this long, so that
-# a fleet that starts or a target that restarts causes one record.
-SETTLE_TIME: Final = timedelta(seconds=2)
+# A set with added targets is recorded once it has not changed for this long,
+# so that a fleet that starts causes one record. A target that leaves is taken
+# out at once, because its keys wait for their new home.
+SETTLE_TIME: Final = timedelta(seconds=1)
 
 
 class Placement(NamedTuple):
@@ -97,15 +98,12 @@
         :param targets: ids of the targets that can be homes.
         :param epoch: of the lease ``placement``, which the caller holds.
         """
-        now_s = self._clock.monotonic_s()
-        seen, since_s = self._seen.get(service, (frozenset(), now_s))
-        if seen != targets:
-            since_s = now_s
-        self._seen[service] = (targets, since_s)
-        known = placements.get(service)
-        if not targets or (known and set(known[-1].targets) == targets):
+        rows = placements.get(service)
+        known = frozenset(rows[-1].targets) if rows else frozenset()
+        stable_s = self._observe(service, targets)
+        if not targets or targets == known:
             return None
-        if now_s - since_s < SETTLE_TIME.total_seconds():
+        if targets >= known and stable_s < SETTLE_TIME.total_seconds():
             return None
         return PlacementChanged(
             kind='placement_changed',
@@ -113,3 +111,12 @@
             targets=sorted(targets),
             epoch=epoch,
         )
+
+    def _observe(self, service: str, targets: frozenset[str]) -> float:
+        """Return for how many seconds the set has not changed."""
+        now_s = self._clock.monotonic_s()
+        seen, since_s = self._seen.get(service, (frozenset(), now_s))
+        if seen != targets:
+            since_s = now_s
+        self._seen[service] = (targets, since_s)
+        return now_s - since_s
--- a/peridotrill/snapshots.py
+++ b/peridotrill/snapshots.py
@@ -106,7 +106,8 @@
     _replace_keys(state.keys, content.keys)
     state.entries, state.lost = content.entries, content.lost
     state.leases = content.leases
-    state.placements = content.placements
+    state.placements.clear()
+    state.placements.update(content.placements)
     state.usage = UsageWindows.from_snapshot(content.usage)
 
 
--- a/peridotrill/target_links.py
+++ b/peridotrill/target_links.py
@@ -1,7 +1,7 @@
 """Polls the VM list and keeps a link to the agent of each target."""
 
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from contextlib import suppress
 from datetime import timedelta
 from typing import Any, Final, NamedTuple, final
@@ -16,7 +16,8 @@
 from peridotrill.forwarded_keys import ForwardedKeyBook
 from peridotrill.inboxes import Inboxes
 from peridotrill.link import AgentLink, LinkDown, LinkUp
-from peridotrill.messages import Draining, Heartbeat, LoadReport
+from peridotrill.messages import Draining, Heartbeat, Hello, LoadReport
+from peridotrill.placement import Placement as HomePlacement
 from peridotrill.registry import Registry
 from peridotrill.settings import Address, parse_address
 from peridotrill.targets import TargetTable, parse_vms
@@ -61,16 +62,23 @@
 class TargetLinks:
     """The links of an entry; feeds the target table and the inboxes."""
 
-    def __init__(
+    def __init__(  # noqa: WPS211
         self,
         table: TargetTable,
         clock: Clock,
         recorder: Recorder,
         open_link: Callable[[Address], AgentLink],
         overrides: Mapping[str, str],
+        placements: Mapping[str, Sequence[HomePlacement]],
+        hello: Callable[[], Hello],
     ) -> None:
-        """:param overrides: addresses by target id, instead of the list's."""
+        """:param overrides: addresses by target id, instead of the list's.
+
+        :param placements: of idempotency keys, by service, oldest first.
+        """
         self.table = table
+        self.placements = placements
+        self._hello = hello
         self.inboxes = Inboxes()
         self.book = ForwardedKeyBook(clock)
         self.peer_log = PeerLogPosition(clock)
@@ -199,17 +207,26 @@
                 answered=event.welcome.target_id,
             )
             return
-        # A ledger that is still recovering may have missed records that were
-        # sent on an earlier connection.
-        if event.is_new_incarnation or event.welcome.ledger == 'recovering':
-            self._push_keys(target_id)
+        self._push_keys(target_id)
         self.inboxes.broadcast(target_id, event)
         self.on_change()
 
+    def announce_placements(self) -> None:
+        """Send changed placements, and to each home what it needs."""
+        for view in self.table.views():
+            if view.linked:
+                self._push_keys(view.target_id)
+        self.on_change()
+
     def _push_keys(self, target_id: str) -> None:
-        # The records go first on the connection, before any attempt.
+        # The records go before any attempt that relies on them.
+        view = self.table.find(target_id)
+        rows = self.placements.get(view.service, ()) if view else ()
+        placement = rows[-1] if rows else HomePlacement(0, (), 0)
+        service = view.service if view else ''
+        pushed = self.book.messages(service, target_id, placement)
         try:
-            for message in self.book.messages(target_id):
+            for message in (self._hello(), *pushed):
                 self.send(target_id, message)
         except LinkClosed:
             self.table.link_down(target_id)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -65,9 +65,23 @@
         return probe.getsockname()[1]
 
 
-def hello(entry_id='e1', incarnation='i1', registered=(), lost=(), offset=0):
+def hello(
+    entry_id='e1',
+    incarnation='i1',
+    registered=(),
+    lost=(),
+    offset=0,
+    placements=(),
+):
     return messages.Hello(
-        1, entry_id, incarnation, 'z1', list(registered), list(lost), offset
+        1,
+        entry_id,
+        incarnation,
+        'z1',
+        list(registered),
+        list(lost),
+        offset,
+        {'receipts': list(placements)},
     )
 
 
@@ -106,6 +120,7 @@
         'start_before_s': 1e12,
         'timeout_s': 30.0,
         'resume_position': 0,
+        'placement_version': 0,
     }
     return messages.StartAttempt(**(fields | changes))
 
--- a/tests/scripted_agent.py
+++ b/tests/scripted_agent.py
@@ -10,6 +10,7 @@
 from peridotrill.forwarded_keys import ForwardedKeyBook
 from peridotrill.inboxes import Inboxes
 from peridotrill.link import LinkDown, LinkUp
+from peridotrill.placement import Placement, home_target
 from peridotrill.targets import TargetTable, VmRow
 from peridotrill.timeline import Recorder
 from tests import builders
@@ -57,7 +58,10 @@
             welcome = builders.welcome()._replace(target_id=name)
             self.table.link_up(name, welcome)
             self.table.report(name, builders.load_report())
-        dispatcher = Dispatcher(self.table, 'z1', self.clock, Random(1))
+        self.placements = {service: [Placement(1, targets, 0)]}
+        dispatcher = Dispatcher(
+            self.table, 'z1', self.clock, Random(1), self.placements
+        )
         self.own = dispatcher.own
         recorder = Recorder('entry', self.clock)
         self.ports = Ports.from_config(
@@ -96,6 +100,20 @@
                 )
             self.script = self.script[1:]
 
+    def home(self, key):
+        rows = next(iter(self.placements.values()))
+        return home_target(key, rows[-1].targets)
+
+    def records(self):
+        rows = self.placements.items()
+        return [
+            record
+            for service, placements in rows
+            for name in placements[-1].targets
+            for part in self.book.messages(service, name, placements[-1])
+            for record in part.records
+        ]
+
     def of_type(self, kind):
         return [entry for _, entry in self.sent if isinstance(entry, kind)]
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -152,7 +152,7 @@
         tasks.start_soon(listener.serve, setup.target.serve)
         tasks.start_soon(setup.agent.run)
         setup.scope = await setup.connect(setup.link)
-        setup.link.send(messages.ForwardedKeys([], True))
+        setup.link.send(messages.ForwardedKeys([], True, 0))
         yield setup
         tasks.cancel_scope.cancel()
         await setup.http.aclose()
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -150,11 +150,7 @@
     agent = Agent(script, WHOLE)
     assert await agent.fail(**fields) == outcome
     assert len(agent.attempt_ids()) == 1
-    records = [
-        (key.attempt_id, key.state)
-        for name in ('t1', 't2')
-        for key in agent.book.messages(name)[0].records
-    ]
+    records = [(key.attempt_id, key.state) for key in agent.records()]
     kept = fields is KEYED and outcome[1] != 'not_run'
     assert records == ([(agent.attempt_ids()[0], 'unknown')] if kept else [])
 
@@ -171,22 +167,30 @@
     assert len(set(agent.attempt_ids())) == len(agent.attempt_ids())
     if fields is KEYED:
         homes = {target_id for target_id, _ in agent.sent}
-        assert homes == {agent.table.home('receipts', b'k' * 32).target_id}
+        assert homes == {agent.home(b'k' * 32)}
 
 
-async def test_a_draining_home_is_asked_before_the_next_one():
-    # Guards against a run at the next home while the first may know the key.
-    agent = Agent([refused('draining')], WHOLE)
+async def test_a_draining_home_is_asked_until_the_key_has_another():
+    # Guards against a run at another target while the first may know the
+    # key, or while older entries still send it there.
+    agent = Agent([refused('draining')], [refused('draining')], WHOLE)
     await agent.run(**KEYED)
-    homes = agent.table.homes('receipts', b'k' * 32)
     started = [name for name, sent in agent.sent if isinstance(sent, START)]
-    assert started == [view.target_id for view in homes]
+    assert started == [agent.home(b'k' * 32)] * 3
+
+
+@pytest.mark.parametrize('code', ['recovering', 'placement_old'])
+async def test_no_not_run_while_the_home_cannot_tell(code):
+    # Guards against `not_run` said of a key whose first request may have run.
+    agent = Agent(*[[refused(code)]] * 20)
+    fields = {**KEYED, 'timeout_s': 0.3}
+    assert await agent.fail(**fields) == ('outcome_unknown', 'unknown')
 
 
 async def test_an_unreachable_home_gives_outcome_unknown():
     # Guards against a run at another target for a key that may have run.
     agent = Agent()
-    agent.table.link_down(agent.table.home('receipts', b'k' * 32).target_id)
+    agent.table.link_down(agent.home(b'k' * 32))
     fields = {**KEYED, 'timeout_s': 0.1}
     assert await agent.fail(**fields) == ('outcome_unknown', 'unknown')
     assert agent.sent == []
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -160,8 +160,17 @@
                 assert (answer.status_code, answer.content) == (201, b'abc')
                 assert entry.status()['targets']['t1']['linked']
             tasks.cancel_scope.cancel()
-    # The records of forwarded keys go before the first attempt.
-    assert isinstance(received[0], messages.ForwardedKeys)
+    # The placement and the records of forwarded keys that belong to it go
+    # before the first attempt.
+    kinds = [type(message) for message in received]
+    before = received[: kinds.index(messages.StartAttempt)]
+    version = received[len(before)].placement_version
+    assert version
+    assert any(
+        isinstance(message, messages.ForwardedKeys)
+        and message.placement_version == version
+        for message in before
+    )
     figures = [window.figures for window in entry.state.usage.windows.values()]
     assert figures == [{'growers': (1, 0, 0)}]
 
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -74,7 +74,7 @@
         now_s = self.clock.monotonic_s()
         for attempt in getattr(self, 'running', {}).values():
             self.may_have_run_s[attempt.key_digest] = now_s
-        self.ledger = Ledger(self.clock)
+        self.ledger = Ledger(self.clock, 'receipts')
         self.running = {}
 
     def hello(self, entry):
@@ -96,7 +96,7 @@
         ]
         self.ledger.observe(self.hello(entry))
         half = rows if is_last else rows[: len(rows) // 2]
-        self.ledger.recover(entry.ref, ForwardedKeys(half, is_last))
+        self.ledger.recover(entry.ref, ForwardedKeys(half, is_last, 0))
 
     @rule()
     def restart_and_push(self):
@@ -176,9 +176,9 @@
 
 
 def complete_ledger(clock, **options):
-    ledger = Ledger(clock, **options)
+    ledger = Ledger(clock, 'receipts', **options)
     ledger.observe(builders.hello())
-    ledger.recover(EntryRef('e1', 'i1'), ForwardedKeys([], True))
+    ledger.recover(EntryRef('e1', 'i1'), ForwardedKeys([], True, 0))
     assert ledger.state() == 'complete'
     return ledger
 
@@ -235,12 +235,12 @@
 def test_restart_waits_for_all_entries_and_lost_records_pass():
     clock = ManualClock()
     clock.advance(timedelta(seconds=1000))
-    ledger = Ledger(clock)
+    ledger = Ledger(clock, 'receipts')
     assert ledger.decide(keyed()).code == 'recovering'
     assert ledger.decide(keyed(caller_key=False)) == Run()
     both = [EntryRef('e1', 'i1'), EntryRef('e2', 'i1')]
     ledger.observe(builders.hello(registered=both))
-    ledger.recover(both[0], ForwardedKeys([], True))
+    ledger.recover(both[0], ForwardedKeys([], True, 0))
     assert ledger.decide(keyed()).code == 'recovering'
     lost = [LostEntry('e2', 'i1', 10)]
     ledger.observe(builders.hello(registered=both, lost=lost))
@@ -267,10 +267,10 @@
     # sent, although it may have run until the agent was restarted.
     clock = ManualClock()
     clock.advance(timedelta(seconds=1000))
-    ledger = Ledger(clock)
+    ledger = Ledger(clock, 'receipts')
     ledger.observe(builders.hello())
     record = ForwardedKey(b'k1', b'body-1', 'x1', RETENTION_S, 'sent')
-    ledger.recover(EntryRef('e1', 'i1'), ForwardedKeys([record], True))
+    ledger.recover(EntryRef('e1', 'i1'), ForwardedKeys([record], True, 0))
     clock.advance(timedelta(seconds=RETENTION_S - 1))
     assert ledger.decide(keyed('x2')).code == 'outcome_unknown'
     clock.advance(timedelta(seconds=2))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,9 +1,13 @@
 from datetime import timedelta
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule
 
 from peridotrill.clock import ManualClock
+from peridotrill.forwarded_keys import ForwardedKeyBook
+from peridotrill.ledger import Ledger, Run
+from peridotrill.messages import EntryRef, PlacementRef
 from peridotrill.placement import (
     SETTLE_TIME,
     Placement,
@@ -12,6 +16,7 @@
     home_target,
     version_of_home,
 )
+from tests import builders
 
 TARGETS = st.lists(
     st.sampled_from('abcdef'), unique=True, min_size=1, max_size=6
@@ -75,3 +80,108 @@
     assert plan('', known) is None
     clock.advance(timedelta(minutes=1))
     assert plan('', known) is None
+
+
+class _Entry:
+    def __init__(self, name):
+        self.name, self.read = name, 1
+        self.book = ForwardedKeyBook(CLOCK)
+
+
+CLOCK = ManualClock()
+NAMES = ('a', 'b', 'c')
+PICK = st.integers(0, 1)
+
+
+class PlacementMachine(RuleBasedStateMachine):
+    """Guards against a key that runs at two homes, while entries lag behind
+    the log, lose links and agents restart."""
+
+    def __init__(self):
+        super().__init__()
+        self.log = [Placement(1, NAMES, CLOCK.monotonic_s())]
+        self.entries = [_Entry('e0'), _Entry('e1')]
+        self.cut: set[tuple[str, str]] = set()
+        self.ran: set[bytes] = set()
+        self.attempts = 0
+        self.agents = {}
+        for name in NAMES:
+            self.restart(name)
+
+    @rule(name=st.sampled_from(NAMES))
+    def restart(self, name):
+        self.agents[name] = Ledger(CLOCK, 'receipts')
+        for entry in self.entries:
+            self.push(entry, name)
+
+    @rule(names=st.sets(st.sampled_from(NAMES), min_size=1))
+    def place(self, names):
+        version = len(self.log) + 1
+        row = Placement(version, tuple(names), CLOCK.monotonic_s())
+        self.log.append(row)
+
+    @rule(number=PICK)
+    def read(self, number):
+        entry = self.entries[number]
+        entry.read = len(self.log)
+        for name in NAMES:
+            self.push(entry, name)
+
+    @rule(number=PICK, name=st.sampled_from(NAMES))
+    def cut_or_mend(self, number, name):
+        entry = self.entries[number]
+        self.cut ^= {(entry.name, name)}
+        self.push(entry, name)
+
+    @rule(number=PICK, key=st.sampled_from([b'k1', b'k2', b'k3']))
+    def send(self, number, key):
+        entry = self.entries[number]
+        row = self.log[entry.read - 1]
+        home = home_target(key, row.targets)
+        if (entry.name, home) in self.cut:
+            return
+        self.attempts += 1
+        start = builders.start(
+            f'x{self.attempts}',
+            idempotent=False,
+            caller_key=True,
+            key_digest=key,
+            request_digest=b'r',
+            retention_s=900,
+            placement_version=row.version,
+        )
+        entry.book.record('receipts', start.attempt_id, key, b'r', 900)
+        decision = self.agents[home].decide(start)
+        if isinstance(decision, Run):
+            assert key not in self.ran, 'the key runs twice'
+            self.ran.add(key)
+            self.agents[home].begin(start)
+        elif getattr(decision, 'not_run', False):
+            entry.book.forget(start.attempt_id)
+
+    def push(self, entry, name):
+        if (entry.name, name) in self.cut:
+            return
+        row = self.log[entry.read - 1]
+        refs = [EntryRef(each.name, 'i1') for each in self.entries]
+        placements = [
+            PlacementRef(old.version, list(old.targets), 0)
+            for old in self.log[: entry.read]
+        ]
+        agent = self.agents[name]
+        agent.observe(
+            builders.hello(
+                entry.name,
+                registered=refs,
+                offset=row.version,
+                placements=placements,
+            )
+        )
+        for part in entry.book.messages('receipts', name, row):
+            agent.recover(EntryRef(entry.name, 'i1'), part)
+
+
+PlacementMachine.TestCase.settings = settings(
+    max_examples=400, stateful_step_count=30, deadline=None, derandomize=True
+)
+TestPlacement = PlacementMachine.TestCase
