--- a/peridotrill/agent.py
+++ b/peridotrill/agent.py
@@ -263,6 +263,7 @@
             answer,
             self._listener.send,
         )
+        delivery.is_replay = replayed
         self._attempts.add(delivery)
         delivery.send(messages.AttemptStarted(attempt_id, replayed))
         answer.pump()
--- a/peridotrill/agent_main.py
+++ b/peridotrill/agent_main.py
@@ -4,11 +4,12 @@
 import os
 import signal
 import sys
-from datetime import timedelta
+from collections.abc import AsyncIterator
 from functools import partial
 from typing import Any, Final
 
 import anyio
+import httpx
 from prometheus_client import Gauge
 
 from peridotrill.agent import Agent, AgentConfig
@@ -59,33 +60,56 @@
 async def _run(settings: dict[str, Any]) -> None:
     clock = SystemClock()
     recorder = Recorder(settings['target_id'], clock)
-    fields = {name: settings[name] for name in AgentConfig._fields}
-    http = create_http_client(settings['target_url'])
-    client_type = _clients.get(settings['kind'])
-    if client_type is None:
-        raise KeyError(settings['kind'])
-    control = create_http_client(settings['target_url'], kept=1)
-    client: TargetClient = client_type(http, control)
-    agent = Agent.from_config(AgentConfig(**fields), client, clock, recorder)
-    _register_metrics(agent)
-    source = ControlSource(recorder, lambda: agent.is_ready, agent.status)
-    async with http, control, anyio.create_task_group() as tasks:
-        tasks.start_soon(agent.run)
-        recorder.emit('started', incarnation=agent.incarnation)
-        # Returns after the signal, when the answers are delivered.
-        await serve_control_port(
-            settings['control_listen'],
-            source,
-            partial(_drain_on_signal, agent, settings['drain_timeout']),
+    url = settings['target_url']
+    async with (
+        create_http_client(url) as http,
+        create_http_client(url, kept=1) as control,
+    ):
+        client = _create_client(settings['kind'], http, control)
+        config = AgentConfig(
+            **{name: settings[name] for name in AgentConfig._fields},
         )
-        tasks.cancel_scope.cancel()
+        agent = Agent.from_config(config, client, clock, recorder)
+        _register_metrics(agent)
+        await _serve(agent, recorder, settings)
     recorder.emit('stopped')
 
 
-async def _drain_on_signal(agent: Agent, timeout: timedelta) -> None:
+def _create_client(
+    kind: str,
+    http: httpx.AsyncClient,
+    control: httpx.AsyncClient,
+) -> TargetClient:
+    client_type = _clients.get(kind)
+    if client_type is None:
+        raise KeyError(f'kind of target {kind!r} is not registered')
+    client: TargetClient = client_type(http, control)
+    return client
+
+
+async def _serve(
+    agent: Agent,
+    recorder: Recorder,
+    settings: dict[str, Any],
+) -> None:
+    source = ControlSource(recorder, lambda: agent.is_ready, agent.status)
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        await anext(signals)
-    await agent.drain(timeout)
+        stop = partial(_drain_on_signal, signals, agent, settings)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(agent.run)
+            recorder.emit('started', incarnation=agent.incarnation)
+            # Returns after the signal, when the answers are delivered.
+            await serve_control_port(settings['control_listen'], source, stop)
+            tasks.cancel_scope.cancel()
+
+
+async def _drain_on_signal(
+    signals: AsyncIterator[signal.Signals],
+    agent: Agent,
+    settings: dict[str, Any],
+) -> None:
+    await anext(signals)
+    await agent.drain(settings['drain_timeout'])
 
 
 def _register_metrics(agent: Agent) -> None:
--- a/peridotrill/link.py
+++ b/peridotrill/link.py
@@ -157,7 +157,7 @@
     async def _keep_alive(self, connection: '_Connection') -> None:
         await connection.connected.wait()
         channel = connection.channel
-        channel.send(self._hello())
+        connection.send_first(self._hello())
         while not channel.close_reason:
             await anyio.sleep(HEARTBEAT_INTERVAL.total_seconds() / 2)
             if channel.is_silent() and not connection.delivering:
@@ -264,6 +264,16 @@
             self._check_welcomed,
         )
 
+    def send_first(self, hello: messages.Hello) -> None:
+        """Send Hello; a failure ends the connection.
+
+        :param hello: must be the first message.
+        """
+        try:
+            self.channel.send(hello)
+        except LinkClosed as error:
+            self.end(str(error))
+
     def end(self, reason: str) -> None:
         """Stop using the connection.
 
--- a/peridotrill/link_listener.py
+++ b/peridotrill/link_listener.py
@@ -176,8 +176,12 @@
             if older.is_of(entry):
                 older.channel.close('replaced by a newer connection')
                 await self._retire(older)
+        try:
+            peer.channel.send(self._welcome())
+        except LinkClosed:
+            await self._retire(peer)
+            return
         peer.hello = entry
-        peer.channel.send(self._welcome())
         self._recorder.emit(
             'peer_up',
             peer=peer.peer_id,
--- a/peridotrill/running_attempts.py
+++ b/peridotrill/running_attempts.py
@@ -138,6 +138,7 @@
         self.answer = answer
         self.acknowledged = 0
         self.detached_s: float | None = None
+        self.is_replay = False
         # One attempt carries the tokens, so that they are counted once.
         self._counts_tokens = attempt_id == answer.start.attempt_id
         self._send = send
@@ -179,7 +180,7 @@
         self.acknowledged = max(self.acknowledged, position)
         self._sent_head = False
         self._sent_end = False
-        self.send(AttemptStarted(self.attempt_id, False))
+        self.send(AttemptStarted(self.attempt_id, self.is_replay))
         self.answer.pump()
         return True
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -1,16 +1,23 @@
 import json
+import re
+import subprocess
+import sys
 from contextlib import asynccontextmanager
 from datetime import timedelta
+from pathlib import Path
 
 import anyio
+import httpx
 import pytest
 
 from peridotrill import messages
 from peridotrill.agent import Agent, AgentConfig
-from peridotrill.clock import SystemClock
+from peridotrill.attempt_table import ENTRY_LOST_AFTER, AttemptTable
+from peridotrill.clock import ManualClock, SystemClock
+from peridotrill.control_port import ControlSource, create_control_app
 from peridotrill.engine_client import EngineClient
 from peridotrill.link import AgentLink, LinkDown, LinkUp
-from peridotrill.running_attempts import WINDOW_BYTES
+from peridotrill.running_attempts import WINDOW_BYTES, Answer, Delivery
 from peridotrill.settings import Address
 from peridotrill.target_client import create_http_client
 from peridotrill.timeline import Recorder
@@ -291,3 +298,71 @@
             with anyio.fail_after(2):
                 while not setup.agent._attempts.find('x1').is_done:
                     await anyio.sleep(0.01)
+
+
+@pytest.mark.parametrize('idempotent', [True, False])
+async def test_attempts_of_a_lost_entry(idempotent):
+    # Guards against work for nobody, and against ending a keyed request
+    # whose outcome another entry may ask for.
+    clock = ManualClock()
+    table = AttemptTable(clock)
+    table.connect(1, builders.hello())
+    answer = Answer(builders.start(idempotent=idempotent), 0)
+    entry = table.entry(1)
+    table.add(Delivery('x1', entry, 1, answer, lambda peer, message: None))
+    table.disconnect(1)
+    table.sweep()
+    clock.advance(ENTRY_LOST_AFTER - timedelta(seconds=1))
+    table.sweep()
+    assert table.find('x1') is not None
+    clock.advance(timedelta(seconds=2))
+    table.sweep()
+    assert table.find('x1') is None
+    assert table.seen.may_include('x1')
+    assert answer.scope.cancel_called == idempotent
+
+
+async def test_control_port_shows_health_metrics_status_and_timeline():
+    clock = SystemClock()
+    recorder = Recorder('agent', clock)
+    for kind in ('one', 'two'):
+        recorder.emit(kind)
+    ready = []
+    source = ControlSource(recorder, lambda: bool(ready), lambda: {'a': 1})
+    transport = httpx.ASGITransport(create_control_app(source))
+    async with httpx.AsyncClient(
+        transport=transport, base_url='http://agent'
+    ) as http:
+        assert (await http.get('/livez')).status_code == 200
+        assert (await http.get('/readyz')).status_code == 503
+        ready.append(1)
+        assert (await http.get('/readyz')).status_code == 200
+        assert (await http.get('/status')).json() == {'a': 1}
+        assert b'python_info' in (await http.get('/metrics')).content
+        page = (await http.get('/timeline?after=1')).json()
+        assert [event['kind'] for event in page['events']] == ['two']
+        assert (await http.get('/nothing')).status_code == 404
+
+
+def test_sigterm_ends_the_program_with_status_0_within_its_memory_bound():
+    control, link = builders.free_port(), builders.free_port()
+    options = {
+        'target-id': 't1',
+        'service': 's',
+        'kind': 'engine',
+        'zone': 'z1',
+        'listen': f'127.0.0.1:{link}',
+        'control-listen': f'127.0.0.1:{control}',
+        'target-url': f'http://127.0.0.1:{builders.free_port()}',
+    }
+    flags = [f'--{name}={text}' for name, text in options.items()]
+    command = [sys.executable, '-m', 'peridotrill.agent_main', *flags]
+    with subprocess.Popen(command, stderr=subprocess.PIPE) as process:
+        assert b'event=started' in process.stderr.readline()
+        status = Path(f'/proc/{process.pid}/status').read_text()
+        process.terminate()
+        output = process.communicate(timeout=20)[1]
+    assert process.returncode == 0, output
+    assert b'event=drained' in output
+    resident = re.search(r'VmRSS:\s+(\d+) kB', status)
+    assert int(resident[1]) < 64 * 1024
