Give the polyamorous socket no buffer, and try again while it is busy

With a buffer of 1,024 messages a stalled transport thread passes many batches on at once and drops what exceeds two.

--- a/peridotrill/channel.py
+++ b/peridotrill/channel.py
@@ -44,7 +44,9 @@
     """
     return pynng.Pair1(
         polyamorous=polyamorous,
-        send_buffer_size=BUFFER_MESSAGES,
+        # Behind its buffer a polyamorous socket drops what comes too fast;
+        # without a buffer it asks to try again while it is busy.
+        send_buffer_size=0 if polyamorous else BUFFER_MESSAGES,
         recv_buffer_size=BUFFER_MESSAGES,
         recv_max_size=messages.MAX_BATCH_BYTES,
     )
@@ -114,13 +116,14 @@
             self._recorder.lamport,
             self._outbox,
         )
-        self._outbox, self._outbox_bytes = [], 0
         try:
             self._transmit(messages.encode_batch(batch))
         except pynng.TryAgain:
-            self.close('overflow')
+            self._wait_for_transport()
+            return
         except (pynng.NNGException, LinkClosed) as error:
             self.close(f'transport: {error}')
+        self._outbox, self._outbox_bytes = [], 0
         self._sent += 1
         self._sent_s = self._clock.monotonic_s()
 
@@ -171,6 +174,13 @@
         self._cancel_timer()
         self._outbox, self._outbox_bytes = [], 0
 
+    def _wait_for_transport(self) -> None:
+        # Only where sends are spaced may a control message wait.
+        if self._spacing_s:
+            self._schedule(self._spacing_s)
+        else:
+            self.close('overflow')
+
     def _is_overfull(self) -> bool:
         return (
             self._outbox_bytes > MAX_OUTBOX_BYTES
