--- a/peridotrill/link_listener.py
+++ b/peridotrill/link_listener.py
@@ -25,7 +25,7 @@
 
 # A polyamorous socket holds two messages per connection and silently drops
 # the next; with less spacing a burst would lose batches.
-BATCH_SPACING: Final = timedelta(milliseconds=1)
+BATCH_SPACING: Final = timedelta(milliseconds=2)
 # Messages read in a row before other tasks run.
 MAX_READ: Final = 64
 
