--- a/peridotrill/channel.py
+++ b/peridotrill/channel.py
@@ -50,7 +50,9 @@
     """
     return pynng.Pair1(
         polyamorous=polyamorous,
-        send_buffer_size=BUFFER_MESSAGES,
+        # Behind its buffer a polyamorous socket drops what comes too fast;
+        # without a buffer it asks to try again while it is busy.
+        send_buffer_size=0 if polyamorous else BUFFER_MESSAGES,
         recv_buffer_size=BUFFER_MESSAGES,
         recv_max_size=messages.MAX_BATCH_BYTES,
     )
@@ -79,7 +81,7 @@
 AGENT_END: Final = ChannelRole(
     keeps_sent=True,
     requests_resend=False,
-    spacing=timedelta(milliseconds=1),
+    spacing=timedelta(milliseconds=2),
 )
 
 
@@ -209,17 +211,31 @@
         self._outbox, self._outbox_bytes = [], 0
 
     def _send_batch(self, pending: list[Any], size_bytes: int) -> None:
-        self._sent += 1
-        self._sent_s = self._clock.monotonic_s()
-        batch = messages.Batch(self._sent, self._recorder.lamport, pending)
-        if self._role.keeps_sent:
-            self._keep(_SentBatch(self._sent, pending, size_bytes))
+        batch = messages.Batch(self._sent + 1, self._recorder.lamport, pending)
         try:
             self._transmit(messages.encode_batch(batch))
         except pynng.TryAgain:
-            self.close('overflow')
+            self._wait_for_transport(pending, size_bytes)
+            return
         except (pynng.NNGException, LinkClosed) as error:
             self.close(f'transport: {error}')
+            return
+        self._sent += 1
+        self._sent_s = self._clock.monotonic_s()
+        if self._role.keeps_sent:
+            self._keep(_SentBatch(self._sent, pending, size_bytes))
+
+    def _wait_for_transport(self, pending: list[Any], size_bytes: int) -> None:
+        # Only where sends are spaced may a control message wait.
+        if not self._role.keeps_sent:
+            self.close('overflow')
+            return
+        self._outbox[:0] = pending
+        self._outbox_bytes += size_bytes
+        if self._outbox:
+            self._schedule(self._role.spacing.total_seconds())
+        else:
+            self._schedule_probe()
 
     def _keep(self, sent: _SentBatch) -> None:
         self._unacknowledged.append(sent)
