--- a/peridotrill/dispatch.py
+++ b/peridotrill/dispatch.py
@@ -242,6 +242,9 @@
 
     def _choose(self, waiter: _Waiter) -> TargetView | None:
         views = self._table.candidates(waiter.request.service.name)
+        model = waiter.request.service.model
+        loaded = [view for view in views if _has_model(view, model)]
+        views = loaded or views
         preferred = [
             view for view in views if view.target_id not in waiter.avoided
         ]
@@ -256,3 +259,7 @@
     def _own_load(self, view: TargetView) -> OwnLoad:
         piece_tokens = view.load.piece_tokens if view.load else 0
         return self.own.own_load(view.target_id, piece_tokens)
+
+
+def _has_model(view: TargetView, model: str | None) -> bool:
+    return view.load is not None and model in view.load.models
--- a/peridotrill/entry.py
+++ b/peridotrill/entry.py
@@ -179,8 +179,8 @@
     async def leave(self) -> None:
         """Write what is left to write after the last request."""
         await self._duties.finish()
-        await self.registration.leave()
-        self._recorder.emit('entry_left')
+        recorded = await self.registration.leave()
+        self._recorder.emit('entry_left', recorded=recorded)
 
     def _wire_targets(self) -> None:
         self.table = TargetTable(self._clock, self._retention_s)
--- a/peridotrill/registration.py
+++ b/peridotrill/registration.py
@@ -111,16 +111,20 @@
                 ),
             )
 
-    async def leave(self) -> None:
-        """Append that this entry has finished; gives up after two tries."""
+    async def leave(self) -> bool:
+        """Append that this entry has finished; gives up after two tries.
+
+        :return: whether it was appended.
+        """
         record = EntryLeft(
             kind='entry_left',
             entry_id=self.entry_id,
             incarnation=self.incarnation,
         )
-        if not await self._append(record):
-            await anyio.sleep(_RETRY_PAUSE.total_seconds())
-            await self._append(record)
+        if await self._append(record):
+            return True
+        await anyio.sleep(_RETRY_PAUSE.total_seconds())
+        return await self._append(record)
 
     async def expire_others(
         self,
