--- a/peridotrill/entry_main.py
+++ b/peridotrill/entry_main.py
@@ -3,7 +3,6 @@
 import os
 import signal
 import sys
-from functools import partial
 from typing import Any, Final
 
 import anyio
@@ -11,8 +10,8 @@
 
 from peridotrill.caller_server import serve_callers
 from peridotrill.clock import SystemClock
-
 from peridotrill.control_port import ControlSource, serve_control_port
+
 from peridotrill.entry import Entry, EntrySettings
 from peridotrill.logs import configure_logging
 from peridotrill.settings import (
@@ -81,23 +80,32 @@
         ),
         parsed['address_overrides'] or {},
     )
-    stopping, finished = anyio.Event(), anyio.Event()
+    left = anyio.Event()
     async with (
         httpx.AsyncClient(trust_env=False) as http,
-        anyio.create_task_group() as tasks,
+        anyio.create_task_group() as control,
     ):
         entry = Entry.from_config(settings, http, SystemClock(), recorder)
+        control.start_soon(
+            serve_control_port,
+            parsed['control_listen'],
+            ControlSource(recorder, entry.is_ready, entry.status),
+            left.wait,
+        )
+        await _run_until_left(entry, parsed)
+        left.set()
+
+
+async def _run_until_left(entry: Entry, parsed: dict[str, Any]) -> None:
+    stopping, finished = anyio.Event(), anyio.Event()
+    async with anyio.create_task_group() as tasks:
         drain_delay_s = parsed['drain_delay'].total_seconds()
         tasks.start_soon(_wait_for_signal, entry, drain_delay_s, stopping)
         tasks.start_soon(_watch_registration, entry, stopping)
         tasks.start_soon(_serve, entry, parsed['listen'], stopping, finished)
         tasks.start_soon(entry.run, tasks)
-        # The control port answers until the entry has left.
-        await serve_control_port(
-            parsed['control_listen'],
-            ControlSource(recorder, entry.is_ready, entry.status),
-            partial(_leave, entry, finished),
-        )
+        await finished.wait()
+        await entry.leave()
         tasks.cancel_scope.cancel()
 
 
@@ -112,11 +120,6 @@
     finished.set()
 
 
-async def _leave(entry: Entry, finished: anyio.Event) -> None:
-    await finished.wait()
-    await entry.leave()
-
-
 async def _wait_for_signal(
     entry: Entry,
     drain_delay_s: float,
