--- a/peridotrill/admission.py
+++ b/peridotrill/admission.py
@@ -22,7 +22,7 @@
     join_prompt,
     number_prefixes,
 )
-from peridotrill.services import MODEL_PATHS, Service
+from peridotrill.services import MODEL_PATHS, RESERVED_PATHS, Service
 
 MODELS_PATH: Final = '/v1/models'
 MAX_IDEMPOTENCY_KEY_CHARACTERS: Final = 255
@@ -183,6 +183,24 @@
         self._clock = clock
         self._refusal = refusal
 
+    def check_head(self, caller: CallerRequest) -> None:
+        """Check route and key; raises RequestError.
+
+        Called before the body is read, so that callers without a key
+        cannot fill the memory with bodies.
+
+        :param caller: its body is not looked at.
+        """
+        if self._refusal():
+            return  # refused after the body, as the key cannot be judged
+        if caller.path not in RESERVED_PATHS:
+            found = self._state.catalog.find_plain(caller.path, caller.method)
+            if found is None:
+                raise RequestError('route_not_found')
+            if found[1].open:
+                return
+        self.find_grant(caller)
+
     def find_grant(self, caller: CallerRequest) -> KeyGrant:
         """Return the key of a request; raises RequestError."""
         refusal = self._refusal()
--- a/peridotrill/callers.py
+++ b/peridotrill/callers.py
@@ -219,15 +219,17 @@
             raise RequestError('header_too_large')
         query = scope['query_string']
         parts = (scope['raw_path'], query) if query else (scope['raw_path'],)
-        return CallerRequest(
+        head = CallerRequest(
             request_id,
             scope['method'],
             scope['path'],
             b'?'.join(parts).decode('latin-1'),
             headers,
-            await _read_body(receive, headers),
+            b'',
             arrived_s,
         )
+        self._admission.check_head(head)
+        return head._replace(body=await _read_body(receive, headers))
 
     async def _run(
         self,
--- a/peridotrill/entry_main.py
+++ b/peridotrill/entry_main.py
@@ -11,7 +11,6 @@
 from peridotrill.caller_server import serve_callers
 from peridotrill.clock import SystemClock
 from peridotrill.control_port import ControlSource, serve_control_port
-
 from peridotrill.entry import Entry, EntrySettings
 from peridotrill.logs import configure_logging
 from peridotrill.settings import (
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -232,6 +232,26 @@
     assert setup.agent.sent == []
 
 
+@pytest.mark.parametrize('path', [CHAT, '/receipts/posts', '/none'])
+async def test_bodies_are_read_only_with_a_valid_key(path):
+    # Guards against memory that is filled by callers without a key.
+    sent = []
+
+    async def send(message):
+        sent.append(message)
+
+    scope = {
+        'type': 'http',
+        'method': 'POST',
+        'path': path,
+        'raw_path': path.encode(),
+        'query_string': b'',
+        'headers': [(b'authorization', b'Bearer ptk_other')],
+    }
+    await Setup().app(scope, None, send)
+    assert sent[0]['status'] in {401, 404}
+
+
 async def test_limits_and_staleness_refuse_only_keyed_requests():
     # Guards against requests over the rate, and against keys that a process
     # cut off from the log still takes for valid.
