--- a/standins/prepare_deployment.py
+++ b/standins/prepare_deployment.py
@@ -142,6 +142,18 @@
     sys.exit(1)
 
 
+def largest_team(catalog: Catalog) -> str:
+    """Return the team with the highest rate at its slowest service."""
+    services = catalog.services.values()
+    common = set.intersection(*(set(service.teams) for service in services))
+    return max(
+        sorted(common),
+        key=lambda team: min(
+            service.teams[team].rate_per_s for service in services
+        ),
+    )
+
+
 def format_call(
     url: str,
     key: str,
@@ -212,11 +224,13 @@
         keys = preparation.grant_keys(catalog)
         preparation.wait_entries()
     address = next(iter(preparation.entries.values()))
-    team, key = next(iter(keys.items()))
-    calls = list_calls(catalog, address, key).items()
+    team = largest_team(catalog)
+    calls = list_calls(catalog, address, keys[team]).items()
     lines = [
-        f'\nentry: http://{address}',
-        f'key of {team}: {key}',
+        '',
+        *(f'{name}: http://{at}' for name, at in preparation.entries.items()),
+        *(f'key of {name}: {key}' for name, key in keys.items()),
+        f'\nAs {team}:',
         *(f'\n# {title}\n{call}' for title, call in calls),
         '\nCtrl-C stops all processes.\n',
     ]
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -3,6 +3,7 @@
 import uuid
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack, contextmanager
+from itertools import count
 
 import httpx
 
@@ -163,9 +164,14 @@
         self.entries[entry_id].check_running()
         return self.is_serving(entry_id) and self.is_linked(entry_id)
 
+    def status(self, entry_id):
+        return self.client.get(f'{self.control_urls[entry_id]}/status').json()
+
+    def log_age_s(self, entry_id):
+        return self.status(entry_id)['log_age_s']
+
     def is_linked(self, entry_id):
-        url = f'{self.control_urls[entry_id]}/status'
-        targets = self.client.get(url).json()['targets']
+        targets = self.status(entry_id)['targets']
         linked = [it for it, view in targets.items() if view['linked']]
         return set(linked) == set(self.targets)
 
@@ -239,11 +245,11 @@
             ZONES[number % len(ZONES)],
             MODEL,
         )
-        for service, kind, count in (
+        for service, kind, number_of in (
             ('assistant', 'engine', engines),
             ('till', 'plain', plain),
         )
-        for number in range(1, count + 1)
+        for number in range(1, number_of + 1)
     ]
     with (
         httpx.Client(timeout=30.0) as client,
@@ -268,8 +274,9 @@
     started them, so the threads live as long as the source.
     """
 
-    def __init__(self, make_folder, ahead=2, **settings):
-        self._make_folder = make_folder
+    def __init__(self, folder, ahead=4, **settings):
+        self._folder = folder
+        self._numbers = count(1)
         self._settings = settings
         self._pool = ThreadPoolExecutor(ahead)
         self._stacks = []
@@ -278,7 +285,9 @@
     def _start(self):
         stack = ExitStack()
         self._stacks.append(stack)
-        running = run_cluster(self._make_folder(), **self._settings)
+        folder = self._folder / str(next(self._numbers))
+        folder.mkdir()
+        running = run_cluster(folder, **self._settings)
         return stack.enter_context(running), stack
 
     @contextmanager
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -16,12 +16,14 @@
 from tests.proxy import TO_CLIENT
 
 LONG_TOKENS = 1000
+# Entries that alone cannot read the log refuse keyed requests after 5 s.
+STALE_S = 6.0
 
 
 @pytest.fixture(scope='module')
 def source(tmp_path_factory):
     clusters = ClusterSource(
-        lambda: tmp_path_factory.mktemp('cluster'), drain_delay='1s'
+        tmp_path_factory.mktemp('clusters'), drain_delay='1s'
     )
     yield clusters
     clusters.close()
@@ -305,6 +307,10 @@
     # Guards against a log call in the path of a request.
     observer = cluster.observer()
     cluster.switch_platform(log='down', vms='down', usage='down')
+    wait_for(
+        lambda: all(cluster.log_age_s(it) > STALE_S for it in cluster.entries),
+        what='a log that was not read for long',
+    )
     call = start_stream(cluster, cluster.urls[0])
     for number in range(40):
         result = post(
--- /dev/null
+++ b/tests/test_run_deployment.py
@@ -0,0 +1,46 @@
+"""``make run``: starts a deployment, prints calls that work, and stops."""
+
+import subprocess
+
+import pytest
+
+from standins.topology import build_command
+from tests.processes import run_processes, wait_for
+
+STOP_S = 6.0
+
+
+@pytest.mark.parametrize('name', ['ledger', 'saltbush'])
+def test_printed_calls_work_and_an_interrupt_stops_all(tmp_path, name):
+    # Guards against a first example that fails and processes left behind.
+    command = [*build_command('standins.run_deployment'), name]
+    with run_processes(tmp_path) as processes:
+        running = processes.start('run', command)
+        try:
+            wait_for(
+                lambda: running.check_running() or 'Ctrl-C' in running.output(),
+                timeout_s=60,
+                what='the printed calls',
+            )
+            calls = [
+                line
+                for line in running.output().splitlines()
+                if line.startswith('curl ')
+            ]
+            assert len(calls) == 3
+            answers = [
+                subprocess.run(
+                    f'{call} --fail', shell=True, capture_output=True, text=True
+                )
+                for call in (*calls, *calls)
+            ]
+            assert [answer.returncode for answer in answers] == [0] * 6
+            streams = [it for it in answers if 'data: [DONE]' in it.stdout]
+            assert len(streams) == 2
+            executed = {it.stdout for it in answers if 'record_id' in it.stdout}
+            assert len(executed) == 1
+        finally:
+            # honcho ends its processes; killing it would leave them behind.
+            running.interrupt()
+            status = running.wait(STOP_S)
+        assert status == 0
