--- a/peridotrill/channel.py
+++ b/peridotrill/channel.py
@@ -230,7 +230,7 @@
         if not self._role.keeps_sent:
             self.close('overflow')
             return
-        self._outbox[:0] = pending
+        self._outbox = [*pending, *self._outbox]
         self._outbox_bytes += size_bytes
         if self._outbox:
             self._schedule(self._role.spacing.total_seconds())
