Keep a draining agent until entries know that it drains

An idle agent ended as soon as it had sent Draining. A start that an entry had sent just before was then lost and ended as outcome_unknown (seen once in test_graceful_stop_under_load_cuts_nothing[agents]).

--- a/peridotrill/agent.py
+++ b/peridotrill/agent.py
@@ -25,6 +25,9 @@
 
 LOAD_INTERVAL: Final = timedelta(milliseconds=250)
 MAX_RUNNING: Final = 1024
+# Starts that entries sent before they received Draining are refused; if the
+# agent ended at once, their outcome would be unknown.
+DRAIN_NOTICE: Final = timedelta(seconds=1)
 _SWEEP_INTERVAL_S: Final = 0.5
 _DRAIN_POLL_S: Final = 0.02
 _RETRY_AFTER_S: Final = 1.0
@@ -122,6 +125,7 @@
         self._recorder.emit('draining', running=self._runner.running)
         self._send_to_all(messages.Draining('shutdown'))
         with anyio.move_on_after(timeout.total_seconds()):
+            await anyio.sleep(DRAIN_NOTICE.total_seconds())
             while self._runner.running or self._attempts.has_undelivered():
                 await anyio.sleep(_DRAIN_POLL_S)
         self._recorder.emit('drained', running=self._runner.running)
