Add capacity measurements and the capacity page

make capacity measures slopes against small stand-ins, keeps them in measurements/capacity.json and generates the tables of docs/CAPACITY.md. Tests count messages and bytes of idle links, of configuration changes and of Hello.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= ledger
 BIN = $(VENV)/bin
 
-.PHONY: setup run test lint format types lock
+.PHONY: setup run test lint format types lock capacity
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -18,7 +18,7 @@
 
 lint: setup
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 --jobs 4 peridotrill standins tests
+	$(BIN)/flake8 --jobs 4 peridotrill standins tests capacity
 
 types: setup
 	$(BIN)/mypy
@@ -29,5 +29,9 @@
 test: lint types
 	$(BIN)/python -m tests.known_red
 
+# Measures for about two minutes; writes the results and the page's tables.
+capacity: setup
+	$(BIN)/python -m capacity
+
 lock:
 	$(BIN)/pip freeze --exclude-editable > requirements.lock
--- /dev/null
+++ b/capacity/decisions.py
@@ -0,0 +1,205 @@
+"""Decisions of an entry and an agent: targets, teams and keys."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any, Final
+
+from capacity import link_parts
+from capacity.measurements import Quantities, measurement
+from capacity.probes import best_cpu_us, resident_bytes
+from peridotrill.clock import SystemClock
+from peridotrill.fair_queue import FairQueue, QueueBounds
+from peridotrill.forwarded_keys import ForwardedKeyBook
+from peridotrill.ledger import Ledger, StoredAnswer
+from peridotrill.limits import TeamLimiter
+from peridotrill.messages import Batch, StartAttempt, Welcome, encode_batch
+from peridotrill.routing import RequestCost, choose_target
+from peridotrill.services import TeamPolicy
+from peridotrill.targets import TargetTable, VmRow
+
+_REPEATS: Final = 200
+_SERVICES: Final = 7
+_clock: Final = SystemClock()
+
+
+def _repeat_us(work: Callable[[], Any]) -> float:
+    def run() -> None:
+        for _ in range(_REPEATS):
+            work()
+
+    return best_cpu_us(run) / _REPEATS
+
+
+def _rows(count: int) -> list[VmRow]:
+    return [
+        VmRow(
+            f'vm-{number:04}',
+            'target',
+            'live',
+            f'z{number % 6}',
+            f'service-{number % _SERVICES}',
+            f'target-{number:04}',
+            'engine',
+            f'10.20.{number // 250}.{number % 250}:7201',
+        )
+        for number in range(count)
+    ]
+
+
+def _welcome(target_id: str) -> Welcome:
+    return Welcome(
+        1, target_id, 's', 'engine', 'z1', 'a1', 0, True, False, 'complete'
+    )
+
+
+def _target_table(rows: list[VmRow]) -> TargetTable:
+    table = TargetTable(_clock)
+    table.apply_vms(rows)
+    for row in rows:
+        table.link_up(row.target_id, _welcome(row.target_id))
+        table.report(row.target_id, link_parts.make_report(64))
+    return table
+
+
+@measurement(
+    'targets',
+    f'targets of {_SERVICES} services, 64 prefixes reported by each',
+    'targets, routing',
+    (82, 410, 820),
+)
+def measure_targets(size: int) -> Quantities:
+    """Measure the table and the choice of a target for one request."""
+    rows = _rows(size)
+    before_bytes = resident_bytes()
+    table = _target_table(rows)
+    held_bytes = resident_bytes() - before_bytes
+    cost = RequestCost(4000, 400, tuple(range(16)))
+    views = table.candidates('service-1')
+    return {
+        'resident_bytes': held_bytes,
+        'candidates_cpu_us': _repeat_us(lambda: table.candidates('service-1')),
+        'choose_cpu_us': _repeat_us(
+            lambda: choose_target(views, cost, 'z1', {}, Random(1)),
+        ),
+        'home_cpu_us': _repeat_us(lambda: table.homes('service-1', b'k' * 32)),
+        'apply_list_cpu_us': _repeat_us(lambda: table.apply_vms(rows)),
+    }
+
+
+@measurement(
+    'team_limits',
+    'limits of teams for services',
+    'limits',
+    (1000, 4000, 7700),
+)
+def measure_limits(size: int) -> Quantities:
+    """Measure the buckets, and a change of the number of entries."""
+    policies = {
+        'assistant': {
+            f'team-{number:04}': TeamPolicy(12, 8, 3) for number in range(size)
+        },
+    }
+    before_bytes = resident_bytes()
+    limiter = TeamLimiter(_clock)
+    limiter.configure_all(policies, 420, 7)
+    held_bytes = resident_bytes() - before_bytes
+    return {
+        'resident_bytes': held_bytes,
+        'configure_cpu_us': best_cpu_us(
+            lambda: limiter.configure_all(policies, 421, 7),
+        ),
+        'admit_cpu_us': _repeat_us(
+            lambda: limiter.admit('assistant', 'team-0001'),
+        ),
+    }
+
+
+@measurement(
+    'queue_teams',
+    'teams with a waiting request',
+    'fair_queue',
+    (100, 400, 1100),
+)
+def measure_queue(size: int) -> Quantities:
+    """Measure one request through the queue while all teams wait."""
+    queue = FairQueue(_clock, QueueBounds(10**6, 10**9))
+
+    def push(number: int) -> None:
+        queue.push(None, f'team-{number:04}', 1, 4400, 1, 1e12)
+
+    before_bytes = resident_bytes()
+    for number in range(size):
+        push(number)
+    held_bytes = resident_bytes() - before_bytes
+
+    def pass_one() -> None:
+        ticket = queue.pop()
+        assert ticket is not None
+        push(int(ticket.team.rpartition('-')[2]))
+
+    return {
+        'resident_bytes': held_bytes,
+        'cpu_us_per_request': _repeat_us(pass_one),
+    }
+
+
+def _start(number: int) -> StartAttempt:
+    return link_parts.make_start(f'{number:032x}')._replace(
+        idempotent=False,
+        key_digest=b'%032d' % number,
+        caller_key=False,
+    )
+
+
+def _answer(number: int) -> StoredAnswer:
+    headers = [('content-type', f'application/json; number={number}')]
+    return StoredAnswer(200, headers, b'%013d' % number * 20, 0, 0)
+
+
+@measurement(
+    'ledger_keys',
+    'answered keys kept, answers of 260 bytes',
+    'ledger',
+    (1000, 4000, 8000),
+)
+def measure_ledger(size: int) -> Quantities:
+    """Measure keys of a ledger."""
+    ledger = Ledger(_clock)
+
+    def fill() -> None:
+        for number in range(size):
+            start = _start(number)
+            ledger.decide(start)
+            ledger.begin(start)
+            ledger.answer(start.key_digest, _answer(number))
+
+    before_bytes = resident_bytes()
+    used_us = best_cpu_us(fill, runs=1)
+    assert len(ledger) == size
+    return {
+        'cpu_us': used_us,
+        'resident_bytes': resident_bytes() - before_bytes,
+        'counted_bytes': ledger.used_bytes,
+    }
+
+
+@measurement(
+    'forwarded_keys',
+    'records of forwarded keys for one target',
+    'forwarded_keys',
+    (1000, 4000, 16000),
+)
+def measure_forwarded_keys(size: int) -> Quantities:
+    """Measure the records, and pushing them to an agent that restarted."""
+    book = ForwardedKeyBook(_clock)
+    before_bytes = resident_bytes()
+    for number in range(size):
+        key_digest = b'%032d' % number
+        book.record('t1', f'{number:032x}', key_digest, b'r' * 32, 900)
+    held_bytes = resident_bytes() - before_bytes
+    pushed = [encode_batch(Batch(1, 1, [row])) for row in book.messages('t1')]
+    return {
+        'resident_bytes': held_bytes,
+        'pushed_bytes': sum(map(len, pushed)),
+        'expire_cpu_us': best_cpu_us(book.expire),
+    }
--- /dev/null
+++ b/capacity/duties.py
@@ -0,0 +1,249 @@
+"""Roles and their duties."""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from capacity import target
+from capacity.costs import Cost, Costs
+from capacity.slopes import Results
+
+_DutyCost = Callable[[Costs, Results], Cost]
+# Request and answer of a poll of an agent at its target.
+_POLL_BYTES: Final = 900
+
+
+class Duty(NamedTuple):
+    """One row of a role."""
+
+    title: str
+    carrier: str
+    state: str
+    cost: _DutyCost
+
+
+class Role(NamedTuple):
+    """A role; its duties come on top of those of ``base``."""
+
+    name: str
+    duties: tuple[Duty, ...]
+
+
+def _process(program: str) -> _DutyCost:
+    def cost(_costs: Costs, found: Results) -> Cost:
+        return Cost(memory_bytes=found.mean(program, 'resident_bytes'))
+
+    return cost
+
+
+def _polls(costs: Costs, found: Results) -> Cost:
+    # The load and the cache events; one HTTP request costs what an append
+    # costs.
+    rate = 2 * costs.plan.reports_per_s
+    used_us = found.per_unit('log_append', 'cpu_us')
+    return Cost(rate, rate * _POLL_BYTES, rate * used_us / 1e6)
+
+
+def _agent_prefixes(costs: Costs, _found: Results) -> Cost:
+    links = costs.plan.links_per_entry * target.NODES / target.TARGETS
+    return costs.prefixes(links)
+
+
+def _serving(costs: Costs, found: Results) -> Cost:
+    total = Cost()
+    for duty in ENTRY.duties:
+        total = total.plus(duty.cost(costs, found))
+    return total
+
+
+_OTHER_RECORDS: Final = (
+    'entry_renewed',
+    'lease_renewed',
+    'usage_acknowledged',
+    'config_published',
+    'entry_registered',
+)
+
+ENTRY: Final = Role(
+    'entry node, serving (control work)',
+    (
+        Duty(
+            'process with its libraries',
+            'entry_main',
+            'none',
+            _process('start_entry'),
+        ),
+        Duty(
+            'idle links: heartbeats, load reports, acknowledgements',
+            'link, channel',
+            'connections',
+            lambda costs, _found: costs.entry_links(),
+        ),
+        Duty(
+            'cached prefixes in load reports',
+            'messages, routing',
+            'last report of each target',
+            lambda costs, _found: costs.prefixes(costs.plan.links_per_entry),
+        ),
+        Duty(
+            'reads of the log, without the records',
+            'log_client',
+            'offset',
+            lambda costs, _found: costs.log_reads(),
+        ),
+        Duty(
+            'reading and folding usage counts',
+            'log_client, usage_windows',
+            'see below',
+            lambda costs, _found: costs.record_reading(('usage_counted',)),
+        ),
+        Duty(
+            'reading snapshots',
+            'log_client',
+            'none',
+            lambda costs, _found: costs.record_reading(('snapshot_part',)),
+        ),
+        Duty(
+            'reading and folding all other records',
+            'log_client, control_state',
+            'see below',
+            lambda costs, _found: costs.record_reading(_OTHER_RECORDS),
+        ),
+        Duty(
+            'own renewals and usage counts',
+            'registration, usage',
+            'counts of two windows',
+            lambda costs, _found: costs.appending(),
+        ),
+        Duty(
+            'VM list',
+            'target_links, targets',
+            'none',
+            lambda costs, _found: costs.vm_list(),
+        ),
+        Duty(
+            'targets with their last report',
+            'targets, routing',
+            'row per target',
+            lambda costs, _found: costs.target_table(),
+        ),
+        Duty(
+            'limits of teams',
+            'limits',
+            'bucket per team and service',
+            lambda costs, _found: costs.team_limits(),
+        ),
+        Duty(
+            'forwarded-key records',
+            'forwarded_keys',
+            'row per key in the retention time',
+            lambda costs, _found: costs.forwarded_keys(),
+        ),
+        Duty(
+            'configuration',
+            'services, catalog',
+            'files in force',
+            lambda costs, _found: costs.config(),
+        ),
+        Duty(
+            'keys',
+            'keys',
+            'digests',
+            lambda costs, _found: costs.keys(),
+        ),
+        Duty(
+            'registered entries',
+            'control_state',
+            'entries',
+            lambda costs, _found: costs.entries(),
+        ),
+        Duty(
+            'lease table',
+            'control_state',
+            'leases',
+            lambda costs, _found: costs.lease_table(),
+        ),
+        Duty(
+            'usage counts kept against repetition',
+            'usage_windows',
+            'row per window, entry and team',
+            lambda costs, _found: costs.usage_counts(),
+        ),
+        Duty(
+            'usage figures',
+            'usage_windows',
+            'row per window and team',
+            lambda costs, _found: costs.usage_figures(),
+        ),
+    ),
+)
+HOLDER: Final = Role(
+    'entry node holding control leases',
+    (
+        Duty(
+            'serving, as above',
+            'see above',
+            'see above',
+            _serving,
+        ),
+        Duty(
+            'renewing the leases',
+            'leases',
+            'none',
+            lambda costs, _found: costs.holding_leases(),
+        ),
+        Duty(
+            'usage counts of its zone (only with the proposals)',
+            'usage',
+            'counts of one window',
+            lambda costs, _found: costs.collecting(),
+        ),
+        Duty(
+            'usage reports to the platform',
+            'usage',
+            'none',
+            lambda costs, _found: costs.reporting(),
+        ),
+        Duty(
+            'writing snapshots',
+            'snapshots',
+            'encoded state',
+            lambda costs, _found: costs.snapshots(),
+        ),
+    ),
+)
+AGENT: Final = Role(
+    'agent (control work)',
+    (
+        Duty(
+            'process with its libraries',
+            'agent_main',
+            'none',
+            _process('start_agent'),
+        ),
+        Duty(
+            'idle links: heartbeats, load reports, acknowledgements',
+            'link_listener, channel',
+            'connections',
+            lambda costs, _found: costs.agent_links(),
+        ),
+        Duty(
+            'cached prefixes in load reports',
+            'messages',
+            'newest prefixes',
+            _agent_prefixes,
+        ),
+        Duty(
+            'polls of the load of its target',
+            'engine_client, plain_client',
+            'last report',
+            _polls,
+        ),
+        Duty(
+            'ledger of idempotency keys',
+            'ledger',
+            'row per key in the retention time, with its answer',
+            lambda costs, _found: costs.ledger(),
+        ),
+    ),
+)
+ROLES: Final = (ENTRY, HOLDER, AGENT)
--- /dev/null
+++ b/capacity/point.py
@@ -0,0 +1,19 @@
+"""Runs one point of a measurement: ``python -m capacity.point NAME SIZE``."""
+
+import json
+import sys
+
+from capacity.measurements import measurements
+from capacity.subjects import load_subjects
+
+
+def main() -> None:
+    """Print the quantities of the point as JSON."""
+    load_subjects()
+    found = measurements.get(sys.argv[1])
+    assert found is not None
+    sys.stdout.write(json.dumps(found.run_point(int(sys.argv[2]))))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/capacity/probes.py
@@ -0,0 +1,121 @@
+"""Processor time, memory and messages of the measuring process."""
+
+import gc
+import os
+import resource
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Final, NamedTuple, final
+
+from peridotrill import messages
+
+_MICROSECONDS: Final = 1e6
+_PAGE_BYTES: Final = resource.getpagesize()
+_TICKS_PER_S: Final = os.sysconf('SC_CLK_TCK')
+# Fields 14 and 15 of /proc/PID/stat, counted after the command's name.
+_USER_TICKS: Final = 11
+_SYSTEM_TICKS: Final = 12
+
+
+def resident_bytes() -> int:
+    """Return the resident memory of this process."""
+    gc.collect()
+    pages = Path('/proc/self/statm').read_text('ascii').split()[1]
+    return int(pages) * _PAGE_BYTES
+
+
+def process_cpu_us(pid: int) -> float:
+    """Return the processor time of a process, in steps of a clock tick."""
+    stat = Path(f'/proc/{pid}/stat').read_text('ascii')
+    fields = stat.rpartition(')')[2].split()
+    ticks = int(fields[_USER_TICKS]) + int(fields[_SYSTEM_TICKS])
+    return ticks / _TICKS_PER_S * _MICROSECONDS
+
+
+def cpu_now_us() -> float:
+    """Return the processor time that this process has used."""
+    return time.process_time() * _MICROSECONDS
+
+
+def cpu_us(work: Callable[[], Any]) -> float:
+    """Return the processor time that a call takes in this process."""
+    started_s = time.process_time()
+    work()
+    return (time.process_time() - started_s) * _MICROSECONDS
+
+
+def best_cpu_us(work: Callable[[], Any], runs: int = 3) -> float:
+    """Return the lowest processor time of several calls.
+
+    Other processes of the machine can only make a call slower.
+    """
+    return min(cpu_us(work) for _ in range(runs))
+
+
+class LinkCounts(NamedTuple):
+    """Batches and their bytes, without headers of the transport."""
+
+    sent_batches: int
+    sent_bytes: int
+    received_batches: int
+    received_bytes: int
+
+
+@final
+class LinkCounter:
+    """Counts the batches that this process encodes and decodes."""
+
+    def __init__(self) -> None:
+        """Put the counters between the channel and the codec."""
+        self._counts = [0, 0, 0, 0]
+        self._encode = messages.encode_batch
+        self._decode = messages.decode_batch
+        setattr(messages, 'encode_batch', self._count_sent)  # noqa: B010
+        setattr(messages, 'decode_batch', self._count_received)  # noqa: B010
+
+    def read(self) -> LinkCounts:
+        """Return the counts so far."""
+        return LinkCounts(*self._counts)
+
+    def _count_sent(self, batch: messages.Batch) -> bytes:
+        payload = self._encode(batch)
+        self._counts[0] += 1
+        self._counts[1] += len(payload)
+        return payload
+
+    def _count_received(self, payload: bytes) -> messages.Batch:
+        self._counts[2] += 1
+        self._counts[3] += len(payload)
+        return self._decode(payload)
+
+
+@final
+class Meter:
+    """Rates of this process over a span of time."""
+
+    def __init__(self, counter: LinkCounter, peer_pid: int) -> None:
+        """:param peer_pid: the process at the other end of the links."""
+        self._counter = counter
+        self._peer_pid = peer_pid
+        self._started_s = time.monotonic()
+        self._cpu_s = time.process_time()
+        self._peer_us = process_cpu_us(peer_pid)
+        self._counts = counter.read()
+
+    def read(self) -> dict[str, float]:
+        """Return rates per second since the start."""
+        elapsed_s = time.monotonic() - self._started_s
+        used_us = (time.process_time() - self._cpu_s) * _MICROSECONDS
+        peer_us = process_cpu_us(self._peer_pid) - self._peer_us
+        counts = zip(self._counter.read(), self._counts, strict=True)
+        rates = [(now - before) / elapsed_s for now, before in counts]
+        return {
+            'cpu_us_per_s': used_us / elapsed_s,
+            'peer_cpu_us_per_s': peer_us / elapsed_s,
+            'resident_bytes': resident_bytes(),
+            **{
+                f'{name}_per_s': rate
+                for name, rate in zip(LinkCounts._fields, rates, strict=True)
+            },
+        }
--- /dev/null
+++ b/capacity/proposals.py
@@ -0,0 +1,173 @@
+"""Generated table of proposed changes, with their expected figures."""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple
+
+from capacity import target
+from capacity.costs import Costs
+from capacity.slopes import Results
+from capacity.tables import tables
+from capacity.text import percent, scaled, table
+
+
+class Proposal(NamedTuple):
+    """A change and the figure that it moves."""
+
+    modules: str
+    change: str
+    figure: str
+    render: Callable[[Costs], str]
+
+
+def _links(costs: Costs) -> str:
+    cost = costs.entry_links()
+    return f'{percent(cost.cores)}, {scaled(cost.bytes_per_s)}/s'
+
+
+def _log_rate(costs: Costs) -> str:
+    kinds = ('entry_renewed', 'lease_renewed')
+    rate = sum(flow.per_s for flow in costs.flows() if flow.kind in kinds)
+    return f'{rate:.1f}/s'
+
+
+def _usage_reading(costs: Costs) -> str:
+    cost = costs.record_reading(('usage_counted',))
+    return f'{scaled(cost.bytes_per_s)}/s'
+
+
+def _snapshot_reading(costs: Costs) -> str:
+    cost = costs.record_reading(('snapshot_part',))
+    return f'{scaled(cost.bytes_per_s)}/s'
+
+
+_PROPOSALS: Final = (
+    Proposal(
+        '`target_links`',
+        'Link to three targets of each service, the first three by '
+        'rendezvous of the entry id, and dial the home target of a key when '
+        'it is needed; and on a link without attempts send a heartbeat '
+        'every 2 s (silent after 8 s), put the load report into the same '
+        'batch every 2 s, and acknowledge batches that hold nothing else '
+        'with the next heartbeat, without a probe (`channel`, `agent`)',
+        'idle links of an entry',
+        _links,
+    ),
+    Proposal(
+        '`engine_client`, `agent`',
+        'Report the prefixes stored and evicted since the last report '
+        'instead of all; the whole list after a new connection',
+        'prefixes received by an entry',
+        lambda costs: '{0}/s'.format(
+            scaled(costs.prefixes(costs.plan.links_per_entry).bytes_per_s),
+        ),
+    ),
+    Proposal(
+        '`log_client`',
+        'In `LogFollower.run` wait 2 s after a page with records; a lease '
+        'that is due needs its own record, so `leases` renews at a third of '
+        'a longer time to live (30 s)',
+        'core for reads of the log',
+        lambda costs: percent(costs.log_reads().cores),
+    ),
+    Proposal(
+        '`registration`, `leases`',
+        'Renew registrations every 120 s (expired after 6 minutes and not '
+        'on the VM list) and leases of services and zones every 10 s',
+        'appends of both',
+        _log_rate,
+    ),
+    Proposal(
+        '`usage`, control port',
+        'Entries hand their counts to the holder of the lease '
+        '`usage/<zone>`, which appends one record per window; grows with '
+        'teams × zones instead of requests. A larger change, not inside one '
+        'module',
+        'usage counts read by every entry',
+        _usage_reading,
+    ),
+    Proposal(
+        '`usage_windows`, `usage`',
+        'Append differences instead of sums, in the order of `sequence`, '
+        'and repeat an append of unknown outcome before the next one; the '
+        'fold takes only the sequence after the last one of an incarnation, '
+        'and keeps one number per incarnation',
+        'memory of counts kept',
+        lambda costs: scaled(costs.usage_counts().memory_bytes),
+    ),
+    Proposal(
+        '`usage_windows`',
+        'Set `KEPT_WINDOWS` to 8 once differences are in use',
+        'memory of figures',
+        lambda costs: scaled(costs.usage_figures().memory_bytes),
+    ),
+    Proposal(
+        '`snapshots`',
+        'Write a snapshot every half of the retention of the log, or when '
+        'the records since the last one have ten times its bytes, instead '
+        'of every 2,000 records',
+        'snapshots read by every entry',
+        _snapshot_reading,
+    ),
+    Proposal(
+        '`target_links`',
+        'Poll the VM list at an interval of its size divided by 1.7 KB/s, '
+        'at least 1 s; leaving targets announce themselves on their links',
+        'VM list',
+        lambda costs: f'{scaled(costs.vm_list().bytes_per_s)}/s',
+    ),
+    Proposal(
+        '`messages`, `ledger_recovery`',
+        'Leave the registered entries out of `Hello`; the entry sends them '
+        'after a `Welcome` with `ledger` other than `complete`',
+        'Hello on one connection',
+        lambda costs: scaled(costs.hello_bytes()),
+    ),
+    Proposal(
+        '`registration`',
+        'Only the live entry that rendezvous assigns to the lost one '
+        'appends `entry_expired`; the next one if it has not after 10 s',
+        'appends after the loss of a zone of 70 entries',
+        lambda costs: str(
+            target.NODES
+            // target.ZONES
+            * min(
+                target.NODES - target.NODES // target.ZONES,
+                costs.plan.expiry_writers,
+            ),
+        ),
+    ),
+    Proposal(
+        '`usage`, `leases`',
+        'One lease `usage/<zone>` for the teams of a share, and no second '
+        'claim by a process that already holds two leases while others wait',
+        'core for reports and renewals of one holder',
+        lambda costs: percent(
+            costs.reporting().plus(costs.holding_leases()).cores,
+        ),
+    ),
+    Proposal(
+        '`targets`',
+        'Keep the targets by service, so that `candidates` builds the views '
+        'of one service only, and drop those that are not linked first',
+        'core for choosing targets (requests, not control)',
+        lambda costs: percent(costs.decisions().cores),
+    ),
+)
+
+
+@tables.register('proposals')
+def render_proposals(found: Results) -> str:
+    """Render all proposals."""
+    built, proposed = (Costs(found, plan) for plan in target.PLANS)
+    rows = [
+        (
+            str(number),
+            row.modules,
+            row.change,
+            row.figure,
+            row.render(built),
+            row.render(proposed),
+        )
+        for number, row in enumerate(_PROPOSALS, start=1)
+    ]
+    return table('no. | module | change | figure | as built | expected', rows)
--- /dev/null
+++ b/capacity/slopes.py
@@ -0,0 +1,65 @@
+"""Least-squares lines through measured points."""
+
+import math
+from collections.abc import Mapping, Sequence
+from statistics import linear_regression
+from typing import Any, Final, NamedTuple
+
+MIN_POINTS: Final = 3
+
+
+class Slope(NamedTuple):
+    """A line; ``residual`` is relative to the largest measured value."""
+
+    per_unit: float
+    fixed: float
+    residual: float
+
+    def at(self, size: float) -> float:
+        """Return the value of the line."""
+        return self.fixed + self.per_unit * size
+
+
+def fit(sizes: Sequence[float], quantities: Sequence[float]) -> Slope:
+    """Fit a line.
+
+    :param sizes: three or more; raises ValueError if there are fewer.
+    :param quantities: measured at these sizes.
+    :return: with the root mean square of the residuals.
+    """
+    if len(sizes) < MIN_POINTS:
+        raise ValueError(f'a slope needs {MIN_POINTS} points')
+    per_unit, fixed = linear_regression(sizes, quantities)
+    squares = [
+        (quantity - fixed - per_unit * size) ** 2
+        for size, quantity in zip(sizes, quantities, strict=True)
+    ]
+    scale = max(map(abs, quantities)) or 1
+    residual = math.sqrt(sum(squares) / len(squares)) / scale
+    return Slope(per_unit, fixed, residual)
+
+
+class Results:
+    """Points of all measurements, as kept in the results file."""
+
+    def __init__(self, document: Mapping[str, Any]) -> None:
+        """:param document: content of the results file."""
+        self.document = document
+
+    def slope(self, name: str, quantity: str) -> Slope:
+        """Fit a quantity of a measurement against its size."""
+        points = self.document['measurements'][name]['points']
+        return fit(
+            [point['size'] for point in points],
+            [point['quantities'][quantity] for point in points],
+        )
+
+    def per_unit(self, name: str, quantity: str) -> float:
+        """Return the slope, not below 0."""
+        return max(0, self.slope(name, quantity).per_unit)
+
+    def mean(self, name: str, quantity: str) -> float:
+        """Return the mean of a quantity that does not depend on a size."""
+        points = self.document['measurements'][name]['points']
+        figures = [point['quantities'][quantity] for point in points]
+        return sum(figures) / len(figures)
--- /dev/null
+++ b/capacity/states.py
@@ -0,0 +1,377 @@
+"""State that every entry folds from the log: bytes, time and memory."""
+
+from collections.abc import Iterator
+from typing import Any, Final
+
+from capacity.measurements import Quantities, measurement
+from capacity.probes import best_cpu_us, cpu_us, resident_bytes
+from capacity.service_files import make_key_grant, make_text
+from peridotrill.control_state import ControlState
+from peridotrill.keys import create_key
+from peridotrill.publishing import compute_change
+from peridotrill.records import (
+    ConfigPublished,
+    EntryRegistered,
+    EntryRenewed,
+    LeaseClaimed,
+    LeaseRenewed,
+    UsageAcknowledged,
+    UsageClosed,
+    UsageCounted,
+    decode_record,
+    encode_record,
+)
+from peridotrill.snapshots import encode_snapshot, restore_snapshot
+
+_LOOKUPS: Final = 20_000
+_TEAMS_PER_FILE: Final = 100
+_TEAMS: Final = 1100
+
+
+def _fold(state: ControlState, payloads: list[bytes]) -> None:
+    for payload in payloads:
+        state.apply(state.offset + 1, decode_record(payload), 0)
+
+
+def _measure_fold(records: Iterator[Any]) -> Quantities:
+    state = ControlState()
+    payloads = [encode_record(record) for record in records]
+    before_bytes = resident_bytes()
+    used_us = cpu_us(lambda: _fold(state, payloads))
+    held_bytes = resident_bytes() - before_bytes
+    again_us = best_cpu_us(lambda: _fold(ControlState(), payloads), runs=2)
+    return {
+        'bytes': sum(map(len, payloads)),
+        'cpu_us': min(used_us, again_us),
+        'resident_bytes': held_bytes,
+    }
+
+
+@measurement(
+    'fold_key_granted',
+    'records key_granted',
+    'control_state, keys',
+    (4000, 16000, 32000),
+)
+def measure_keys(size: int) -> Quantities:
+    """Measure keys of teams; each stays in the table."""
+    return _measure_fold(make_key_grant(number) for number in range(size))
+
+
+@measurement(
+    'key_lookups',
+    'keys in the table',
+    'keys',
+    (1000, 10000, 40000),
+)
+def measure_key_lookups(size: int) -> Quantities:
+    """Measure looking up keys that are not in the table."""
+    state = ControlState()
+    grants = (make_key_grant(number) for number in range(size))
+    _fold(state, [encode_record(grant) for grant in grants])
+    key = create_key()
+
+    def look_up() -> None:
+        for _ in range(_LOOKUPS):
+            state.keys.find(key)
+
+    return {'cpu_us_per_lookup': best_cpu_us(look_up) / _LOOKUPS}
+
+
+def _entry_id(number: int) -> str:
+    return f'entry-z{number % 6}-{number:04}'
+
+
+def _register(number: int) -> EntryRegistered:
+    return EntryRegistered(
+        kind='entry_registered',
+        entry_id=_entry_id(number),
+        incarnation=f'{number:016x}',
+        zone='z1',
+    )
+
+
+def _renew(number: int) -> EntryRenewed:
+    return EntryRenewed(
+        kind='entry_renewed',
+        entry_id=_entry_id(number),
+        incarnation=f'{number:016x}',
+    )
+
+
+@measurement(
+    'fold_entry_registered',
+    'records entry_registered',
+    'control_state',
+    (2000, 8000, 16000),
+)
+def measure_entries(size: int) -> Quantities:
+    """Measure registrations of different entries."""
+    return _measure_fold(_register(number) for number in range(size))
+
+
+@measurement(
+    'fold_entry_renewed',
+    'records entry_renewed of 420 entries',
+    'control_state',
+    (8000, 16000, 32000),
+)
+def measure_renewals(size: int) -> Quantities:
+    """Measure renewals; the registrations come first and count little."""
+
+    def records() -> Iterator[Any]:
+        for number in range(420):
+            yield _register(number)
+        for number in range(size):
+            yield _renew(number % 420)
+
+    return _measure_fold(records())
+
+
+@measurement(
+    'fold_lease_claimed',
+    'records lease_claimed of different leases',
+    'control_state, leases',
+    (2000, 8000, 16000),
+)
+def measure_claims(size: int) -> Quantities:
+    """Measure leases that are claimed once each."""
+    return _measure_fold(_claim(number) for number in range(size))
+
+
+def _claim(number: int) -> LeaseClaimed:
+    return LeaseClaimed(
+        kind='lease_claimed',
+        lease=f'service/assistant/z{number}',
+        holder=f'{number:032x}',
+        ttl_s=6,
+        previous_offset=0,
+        sequence=1,
+    )
+
+
+@measurement(
+    'fold_lease_renewed',
+    'records lease_renewed of 50 leases',
+    'control_state, leases',
+    (8000, 16000, 32000),
+)
+def measure_lease_renewals(size: int) -> Quantities:
+    """Measure renewals by the holders."""
+
+    def records() -> Iterator[Any]:
+        for number in range(50):
+            yield _claim(number)
+        for number in range(size):
+            yield LeaseRenewed(
+                kind='lease_renewed',
+                lease=f'service/assistant/z{number % 50}',
+                holder=f'{number % 50:032x}',
+                epoch=number % 50 + 1,
+                sequence=number + 2,
+            )
+
+    return _measure_fold(records())
+
+
+def _usage(number: int, teams: int, window_start_s: int = 60) -> UsageCounted:
+    return UsageCounted(
+        kind='usage_counted',
+        window_start_s=window_start_s,
+        sequence=1,
+        counts={
+            f'team-{team:04}': [11 + team % 7, 30_000 + team, 4000 + team]
+            for team in range(teams)
+        },
+        entry_id=_entry_id(number),
+        incarnation=f'{number:016x}',
+    )
+
+
+@measurement(
+    'fold_usage_counted',
+    'rows of teams in records usage_counted, 150 a record',
+    'usage_windows',
+    (15_000, 60_000, 150_000),
+)
+def measure_usage(size: int) -> Quantities:
+    """Measure the first counts of entries for one window."""
+    return _measure_fold(_usage(number, 150) for number in range(size // 150))
+
+
+@measurement(
+    'usage_windows',
+    'closed and acknowledged windows, 1,100 teams from one entry',
+    'usage_windows',
+    (20, 60, 120),
+)
+def measure_windows(size: int) -> Quantities:
+    """Measure the figures that stay after a window was reported."""
+
+    def records() -> Iterator[Any]:
+        yield LeaseClaimed(
+            kind='lease_claimed',
+            lease='usage',
+            holder=f'{1:032x}',
+            ttl_s=6,
+            previous_offset=0,
+            sequence=1,
+        )
+        for number in range(size):
+            start_s = 60 * (number + 1)
+            counted = _usage(1, _TEAMS, start_s)
+            yield counted
+            yield UsageClosed(
+                kind='usage_closed',
+                window_start_s=start_s,
+                window_end_s=start_s + 60,
+                epoch=1,
+            )
+            yield UsageAcknowledged(
+                kind='usage_acknowledged',
+                window_start_s=start_s,
+                teams=list(counted['counts']),
+                conflicts=[],
+            )
+
+    return _measure_fold(records())
+
+
+def _publish(changed: dict[str, str], base_version: int) -> bytes:
+    return encode_record(
+        ConfigPublished(
+            kind='config_published',
+            publish_id=f'{base_version:032x}',
+            base_version=base_version,
+            changed=changed,
+            removed=[],
+            author='operator',
+        ),
+    )
+
+
+def _state_of(texts: dict[str, str]) -> ControlState:
+    state = ControlState()
+    for name, text in texts.items():
+        _fold(state, [_publish({name: text}, state.catalog.version)])
+    return state
+
+
+def _measure_change(whole: dict[str, str], teams: int) -> Quantities:
+    before_bytes = resident_bytes()
+    state = _state_of(whole)
+    held_bytes = resident_bytes() - before_bytes
+    changes = [_change(state, whole, teams, burst) for burst in range(3)]
+    return {
+        'bytes': changes[0][0],
+        'cpu_us': min(used_us for _, used_us in changes),
+        'resident_bytes': held_bytes,
+    }
+
+
+def _change(
+    state: ControlState,
+    whole: dict[str, str],
+    teams: int,
+    burst: int,
+) -> tuple[int, float]:
+    folder = whole | {'service-0': make_text(0, teams, burst=burst + 10)}
+    change = compute_change(folder, state.texts)
+    payload = _publish(change.changed, state.catalog.version)
+    used_us = cpu_us(lambda: _fold(state, [payload]))
+    assert state.catalog.version == state.offset
+    return len(payload), used_us
+
+
+@measurement(
+    'config_whole',
+    f'files in force, {_TEAMS_PER_FILE} teams each; one of them changes',
+    'publishing, records, catalog, control_state',
+    (2, 8, 16, 32),
+)
+def measure_whole_config(size: int) -> Quantities:
+    """Measure the same change in larger and larger configurations."""
+    whole = {
+        f'service-{number}': make_text(number, _TEAMS_PER_FILE)
+        for number in range(size)
+    }
+    return _measure_change(whole, _TEAMS_PER_FILE)
+
+
+@measurement(
+    'config_change',
+    'teams in the file that changes, the only one',
+    'publishing, records, catalog, control_state',
+    (100, 400, 1100),
+)
+def measure_config_change(size: int) -> Quantities:
+    """Measure changes of larger and larger files."""
+    return _measure_change({'service-0': make_text(0, size)}, size)
+
+
+@measurement(
+    'routes',
+    'routes of plain services, 20 a file',
+    'catalog',
+    (20, 200, 600),
+)
+def measure_routes(size: int) -> Quantities:
+    """Measure looking up a route by path and method."""
+    files = size // 20
+    texts = {
+        f'service-{number}': make_text(number, 1, routes=20)
+        for number in range(files)
+    }
+    before_bytes = resident_bytes()
+    state = _state_of(texts)
+    held_bytes = resident_bytes() - before_bytes
+    path = f'/service-{files - 1}/path-19/record/8'
+    assert state.catalog.find_plain(path, 'GET')
+
+    def look_up() -> None:
+        for _ in range(_LOOKUPS):
+            state.catalog.find_plain(path, 'GET')
+
+    return {
+        'cpu_us_per_lookup': best_cpu_us(look_up) / _LOOKUPS,
+        'resident_bytes': held_bytes,
+    }
+
+
+@measurement(
+    'snapshot_usage',
+    'rows of teams in counts that are kept',
+    'snapshots, usage_windows',
+    (15_000, 60_000, 150_000),
+)
+def measure_snapshot_usage(size: int) -> Quantities:
+    """Measure a snapshot of usage counts."""
+    state = ControlState()
+    records = (_usage(number, 150) for number in range(size // 150))
+    _fold(state, [encode_record(record) for record in records])
+    return _measure_snapshot(state)
+
+
+@measurement(
+    'snapshot_keys',
+    'keys',
+    'snapshots',
+    (1000, 5000, 20000),
+)
+def measure_snapshot_keys(size: int) -> Quantities:
+    """Measure a snapshot of keys."""
+    state = ControlState()
+    grants = (make_key_grant(number) for number in range(size))
+    _fold(state, [encode_record(grant) for grant in grants])
+    return _measure_snapshot(state)
+
+
+def _measure_snapshot(state: ControlState) -> Quantities:
+    parts: list[Any] = []
+    write_us = cpu_us(lambda: parts.extend(encode_snapshot(state)))
+    restored = ControlState()
+    return {
+        'bytes': sum(len(encode_record(part)) for part in parts),
+        'write_cpu_us': write_us,
+        'restore_cpu_us': cpu_us(lambda: restore_snapshot(restored, parts)),
+    }
--- /dev/null
+++ b/capacity/target.py
@@ -0,0 +1,120 @@
+"""The target size of design section 1.2 and what is assumed beside it."""
+
+from typing import Final, NamedTuple
+
+from peridotrill.agent import LOAD_INTERVAL
+from peridotrill.engine_client import MAX_CACHED_PREFIXES
+
+DAY_S: Final = 86_400
+
+NODES: Final = 420
+TARGETS: Final = 820
+TEAMS: Final = 1100
+MODELS: Final = 7
+ZONES: Final = 6
+REQUESTS_PER_S: Final = 13_000
+TOKENS_PER_S: Final = 2_900_000
+CHANGES_PER_DAY: Final = 990
+RESTARTS_PER_DAY: Final = 160
+KV_GB_PER_S: Final = 2900
+PREFILL_SHARE: Final = 0.33
+
+BUDGET_CORES: Final = 0.037
+BUDGET_BYTES: Final = 64e6
+BUDGET_BYTES_PER_S: Final = 15_000
+BUDGET_ENTRY_CORES: Final = 0.5
+# The low end of "several hundred appends per second".
+BUDGET_APPENDS_PER_S: Final = 300
+BUDGET_CONFIG_S: Final = 11
+
+# Assumptions, stated on the page.
+KEYS_PER_TEAM: Final = 2
+# Most that an agent of an engine reports.
+CACHED_PREFIXES: Final = MAX_CACHED_PREFIXES
+TOKENS_PER_S_PER_STREAM: Final = 18
+PLAIN_SHARE: Final = 0.1
+RETENTION_S: Final = 900
+# Length field and hop header of the transport, and headers of TCP over
+# Ethernet with time stamps; acknowledgements of TCP travel with the data.
+BATCH_OVERHEAD_BYTES: Final = 78
+# Headers of an HTTP request of the log client.
+HTTP_REQUEST_BYTES: Final = 200
+
+
+class Plan(NamedTuple):
+    """Parameters of the mechanisms; durations in seconds."""
+
+    name: str
+    links_per_entry: int
+    # Batches per second of an idle link in both directions; 0 for the
+    # measured number. A heartbeat in each direction and the reports.
+    batches_per_s: float
+    heartbeats_per_s: float
+    reports_per_s: float
+    prefixes_per_report: float
+    hello_entries: int
+    read_pause_s: float
+    renewal_s: float
+    lease_renewal_s: float
+    held_leases: int
+    usage_writers: int
+    usage_flush_s: float
+    usage_reporters: int
+    kept_counts: int
+    kept_windows: int
+    vm_poll_s: float
+    snapshot_s: float
+    expiry_writers: int
+    indexed_targets: bool
+
+
+LEASES: Final = MODELS * ZONES + ZONES + 3
+
+AS_BUILT: Final = Plan(
+    name='as built',
+    links_per_entry=TARGETS,
+    batches_per_s=0,
+    heartbeats_per_s=2,
+    reports_per_s=1 / LOAD_INTERVAL.total_seconds(),
+    prefixes_per_report=CACHED_PREFIXES,
+    hello_entries=NODES,
+    read_pause_s=0,
+    renewal_s=10,
+    lease_renewal_s=2,
+    held_leases=LEASES,
+    usage_writers=NODES,
+    usage_flush_s=5,
+    usage_reporters=1,
+    kept_counts=240 * NODES,
+    kept_windows=240,
+    vm_poll_s=1,
+    # Every 2,000 records instead.
+    snapshot_s=0,
+    expiry_writers=NODES,
+    indexed_targets=False,
+)
+PROPOSED: Final = Plan(
+    name='with the proposals',
+    # Three targets of each model.
+    links_per_entry=3 * MODELS,
+    batches_per_s=1,
+    heartbeats_per_s=0.5,
+    reports_per_s=0.5,
+    # New ones only; a target starts 16 requests a second.
+    prefixes_per_report=2 * REQUESTS_PER_S / TARGETS,
+    hello_entries=0,
+    read_pause_s=2,
+    renewal_s=120,
+    lease_renewal_s=10,
+    held_leases=2,
+    usage_writers=ZONES,
+    usage_flush_s=60,
+    usage_reporters=ZONES,
+    kept_counts=0,
+    kept_windows=8,
+    vm_poll_s=120,
+    snapshot_s=1800,
+    expiry_writers=1,
+    indexed_targets=True,
+)
+PLANS: Final = (AS_BUILT, PROPOSED)
--- /dev/null
+++ b/capacity/text.py
@@ -0,0 +1,36 @@
+"""Figures and tables as text."""
+
+from collections.abc import Iterable
+from typing import Final
+
+_STEPS: Final = ((1e9, ' G'), (1e6, ' M'), (1e3, ' k'), (1, ' '))
+
+
+def scaled(quantity: float, unit: str = 'B') -> str:
+    """Return a quantity with two significant digits and a prefix."""
+    for factor, prefix in _STEPS:
+        if quantity >= factor:
+            return f'{plain(quantity / factor)}{prefix}{unit}'
+    return f'{plain(quantity)} {unit}' if quantity else '0'
+
+
+def plain(quantity: float) -> str:
+    """Return a number with two significant digits, or whole above 100."""
+    if abs(quantity) >= 100:
+        return f'{quantity:,.0f}'
+    return f'{quantity:.2g}'
+
+
+def percent(share: float) -> str:
+    """Return a share in percent."""
+    return f'{plain(share * 100)}%'
+
+
+def table(header: str, rows: Iterable[Iterable[str]]) -> str:
+    """Return a Markdown table.
+
+    :param header: titles, separated by ``|``.
+    """
+    titles = [title.strip() for title in header.split('|')]
+    lines = [titles, ['---' for _ in titles], *(list(row) for row in rows)]
+    return '\n'.join('| {0} |'.format(' | '.join(line)) for line in lines)
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,155 @@
+"""Guards the steepest slopes of docs/CAPACITY.md by counts, not by time."""
+
+import json
+from collections import Counter
+from pathlib import Path
+
+import anyio
+import pytest
+
+from capacity import link_parts, service_files
+from capacity.page import fill_page
+from capacity.slopes import Results, fit
+from capacity.tables import tables
+from peridotrill import messages
+from peridotrill.control_state import ControlState
+from peridotrill.publishing import compute_change
+from peridotrill.records import ConfigPublished, encode_record
+
+ROOT = Path(__file__).parent.parent
+SPAN_S = 3.0
+REPORTS_PER_S = 4
+# Two heartbeats each way, and the reports.
+PERIODIC_PER_LINK = 4 + REPORTS_PER_S
+# Payloads without headers: 490 without probes, which a busy machine adds.
+MAX_BYTES_PER_LINK = 620
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+class SentCounter:
+    """Counts messages by type, and all bytes, of both ends."""
+
+    def __init__(self):
+        self.kinds = Counter()
+        self.size_bytes = 0
+        self._encode = messages.encode_batch
+
+    def __call__(self, batch):
+        payload = self._encode(batch)
+        self.kinds.update(type(entry).__name__ for entry in batch.messages)
+        self.size_bytes += len(payload)
+        return payload
+
+
+async def count_idle(links_count, counter):
+    addresses = link_parts.free_ports(links_count)
+    listeners = [link_parts.make_listener(address) for address in addresses]
+    links = [link_parts.make_link(address, 'e1') for address in addresses]
+    async with anyio.create_task_group() as tasks:
+        for end in (*listeners, *links):
+            tasks.start_soon(end.run)
+            tasks.start_soon(link_parts.drain, end.events)
+        await link_parts.wait_until_up(links)
+        for listener in listeners:
+            tasks.start_soon(link_parts.report_load, listener, REPORTS_PER_S)
+        await anyio.sleep(1)
+        counter.kinds.clear()
+        counter.size_bytes = 0
+        started_s = anyio.current_time()
+        await anyio.sleep(SPAN_S)
+        elapsed_s = anyio.current_time() - started_s
+        tasks.cancel_scope.cancel()
+    kinds = dict(counter.kinds)
+    kinds.pop('AcknowledgeBatches')
+    assert set(kinds) == {'Heartbeat', 'LoadReport'}
+    return sum(kinds.values()) / elapsed_s, counter.size_bytes / elapsed_s
+
+
+@pytest.mark.anyio
+async def test_idle_link_sends_a_bounded_number_of_messages_and_bytes(
+    monkeypatch,
+):
+    # Guards against an additional periodic message per link, which an entry
+    # with 820 links would send or receive 820 times.
+    counter = SentCounter()
+    monkeypatch.setattr(messages, 'encode_batch', counter)
+    sizes = (4, 8, 16)
+    counted = [await count_idle(size, counter) for size in sizes]
+    sent = fit(sizes, [row[0] for row in counted])
+    size_bytes = fit(sizes, [row[1] for row in counted])
+    assert 1 < sent.per_unit < PERIODIC_PER_LINK * 1.15
+    assert 50 < size_bytes.per_unit < MAX_BYTES_PER_LINK
+
+
+def publish_bytes(files, changed_teams):
+    state = ControlState()
+    whole = {
+        f'service-{number}': service_files.make_text(number, 40)
+        for number in range(files)
+    }
+    folder = whole | {'service-0': service_files.make_text(0, changed_teams)}
+    for texts in (whole, folder):
+        change = compute_change(texts, state.texts)
+        record = ConfigPublished(
+            kind='config_published',
+            publish_id=f'{state.offset:032x}',
+            base_version=state.catalog.version,
+            changed=change.changed,
+            removed=list(change.removed),
+            author='operator',
+        )
+        state.apply(state.offset + 1, record, 0)
+        assert state.catalog.version == state.offset
+    return len(encode_record(record))
+
+
+def test_change_of_the_configuration_is_as_large_as_the_changed_file():
+    # Guards against a publish that appends files which have not changed.
+    assert {publish_bytes(files, 50) for files in (1, 8, 24)} == {
+        publish_bytes(2, 50)
+    }
+    teams = (50, 100, 400)
+    slope = fit(teams, [publish_bytes(2, size) for size in teams])
+    line = '  team-0000: {rate_per_s: 12, burst: 8, weight: 3}\n'
+    assert slope.per_unit == pytest.approx(len(line), abs=1)
+    assert slope.fixed < 500
+
+
+def test_hello_grows_by_a_bounded_number_of_bytes_per_entry():
+    # Guards against a longer list of entries in each Hello: a start of all
+    # nodes sends it once per link.
+    sizes = (5, 100, 420)
+    counted = [
+        len(
+            messages.encode_batch(
+                messages.Batch(1, 1, [link_parts.make_hello('e1', size)]),
+            ),
+        )
+        for size in sizes
+    ]
+    assert fit(sizes, counted).per_unit < 52
+
+
+def test_page_has_the_tables_of_the_kept_results():
+    # Guards against figures on the page that no kept measurement shows.
+    text = (ROOT / 'docs' / 'CAPACITY.md').read_text('utf-8')
+    kept = ROOT / 'measurements' / 'capacity.json'
+    found = Results(json.loads(kept.read_text('utf-8')))
+    assert set(tables)
+    assert fill_page(text, found) == text
+
+
+def test_fit_is_a_least_squares_line():
+    # Guards against slopes from too few points and wrong residuals.
+    slope = fit((1, 2, 3), (3, 5, 7))
+    assert (slope.per_unit, slope.fixed) == pytest.approx((2, 1))
+    assert slope.residual == pytest.approx(0)
+    slope = fit((0, 1, 2, 3), (0, 2, 0, 2))
+    assert slope.per_unit == pytest.approx(0.4)
+    assert slope.residual == pytest.approx(0.8**0.5 / 2)
+    with pytest.raises(ValueError, match='3 points'):
+        fit((1, 2), (1, 2))
