--- a/peridotrill/agent.py
+++ b/peridotrill/agent.py
@@ -24,6 +24,9 @@
 from peridotrill.timeline import Recorder
 
 LOAD_INTERVAL: Final = timedelta(milliseconds=250)
+# Cache events are late anyway, and a second call with each load report would
+# double the cost of an idle agent.
+CACHE_INTERVAL: Final = timedelta(seconds=1)
 MAX_RUNNING: Final = 1024
 # Starts that entries sent before they received Draining are refused; if the
 # agent ended at once, their outcome would be unknown.
@@ -61,7 +64,7 @@
         self._client = client
         self._clock = clock
         self._recorder = recorder
-        self._ledger = ledger.Ledger(clock)
+        self._ledger = ledger.Ledger(clock, config.service)
         self._runner = AttemptRunner(client, self._ledger, clock, recorder)
         self._listener = LinkListener.from_config(
             config.listen,
@@ -70,6 +73,7 @@
             recorder,
         )
         self._load = TargetLoad(ready=False)
+        self._prefixes: list[int] = []
         self._attempts = AttemptTable(clock)
 
     @classmethod
@@ -112,6 +116,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._listener.run)
             tasks.start_soon(self._report_load)
+            tasks.start_soon(self._follow_cache)
             tasks.start_soon(self._sweep)
             async for event in self._listener.events:
                 self._handle(tasks, event)
@@ -262,6 +267,7 @@
             answer,
             self._listener.send,
         )
+        delivery.is_replay = replayed
         self._attempts.add(delivery)
         delivery.send(messages.AttemptStarted(attempt_id, replayed))
         answer.pump()
@@ -318,16 +324,22 @@
     async def _report_load(self) -> None:
         while True:
             self._load = await self._client.load()
-            prefixes = await self._client.cached_prefixes()
-            report = messages.LoadReport(
-                clock_s=self._clock.monotonic_s(),
-                draining=self.is_draining,
-                cached_prefixes=prefixes,
-                **self._load._asdict(),
-            )
-            self._send_to_all(report)
+            self._send_to_all(self._load_report())
             await anyio.sleep(LOAD_INTERVAL.total_seconds())
 
+    async def _follow_cache(self) -> None:
+        while True:
+            self._prefixes = await self._client.cached_prefixes()
+            await anyio.sleep(CACHE_INTERVAL.total_seconds())
+
+    def _load_report(self) -> messages.LoadReport:
+        return messages.LoadReport(
+            clock_s=self._clock.monotonic_s(),
+            draining=self.is_draining,
+            cached_prefixes=self._prefixes,
+            **self._load._asdict(),
+        )
+
     async def _sweep(self) -> None:
         while True:
             await anyio.sleep(_SWEEP_INTERVAL_S)
--- a/peridotrill/entry.py
+++ b/peridotrill/entry.py
@@ -2,12 +2,14 @@
 
 import secrets
 from datetime import timedelta
+from functools import partial
 from random import Random
 from typing import Any, Final, NamedTuple, final
 
 import anyio
 import httpx
 from anyio.abc import TaskGroup
+from prometheus_client import REGISTRY, CollectorRegistry
 
 from peridotrill import messages
 from peridotrill.admission import Admission, RunningRequests
@@ -30,7 +32,6 @@
 # an agent has confirmed that no other entry has read further.
 STALE_AFTER: Final = timedelta(seconds=5)
 _TICK: Final = timedelta(seconds=1)
-_DEFAULT_RETENTION_S: Final = 900.0
 
 
 class EntrySettings(NamedTuple):
@@ -53,11 +54,15 @@
         http: httpx.AsyncClient,
         clock: Clock,
         recorder: Recorder,
+        metrics: CollectorRegistry = REGISTRY,
     ) -> None:
-        """:param http: client for the platform; closed by the caller."""
+        """:param http: client for the platform; closed by the caller.
+
+        :param metrics: where the metrics are registered.
+        """
         self.is_draining = False
         self.incarnation = secrets.token_hex(8)
-        self.metrics = EntryMetrics()
+        self.metrics = EntryMetrics(metrics)
         self._settings = settings
         self._http = http
         self._clock = clock
@@ -77,6 +82,8 @@
             clock,
             recorder,
         )
+        self._announced: set[tuple[str, str]] = set()
+        self._announced_placements: dict[str, int] = {}
         self._configured: tuple[int, int, int] | None = None
         self._limiter = TeamLimiter(clock)
         self._wire_targets()
@@ -90,9 +97,10 @@
         http: httpx.AsyncClient,
         clock: Clock,
         recorder: Recorder,
+        metrics: CollectorRegistry = REGISTRY,
     ) -> 'Entry':
         """Create an entry that does not run yet."""
-        return cls(settings, http, clock, recorder)
+        return cls(settings, http, clock, recorder, metrics)
 
     def is_ready(self) -> bool:
         """Tell whether the balancer should send callers here."""
@@ -171,24 +179,19 @@
     async def leave(self) -> None:
         """Write what is left to write after the last request."""
         await self._duties.finish()
-        await self.registration.leave()
-        self._recorder.emit('entry_left')
-
-    def update_metrics(self) -> None:
-        """Set the gauges that are read from other parts."""
-        waiting = self.ports.dispatcher.waiting()
-        self.metrics.waiting.set(sum(waiting.values()))
-        self.metrics.dropped_messages.set(self.links.inboxes.dropped_messages)
-        self.metrics.forwarded_keys.set(len(self.links.book))
+        recorded = await self.registration.leave()
+        self._recorder.emit('entry_left', recorded=recorded)
 
     def _wire_targets(self) -> None:
-        self.table = TargetTable(self._clock, self._retention_s)
+        self.table = TargetTable(self._clock)
         self.links = TargetLinks(
             self.table,
             self._clock,
             self._recorder,
             self._open_link,
             self._settings.overrides,
+            self.state.placements,
+            self._hello,
         )
 
     def _wire_duties(self) -> None:
@@ -207,6 +210,7 @@
             self._settings.zone,
             self._clock,
             Random(self.incarnation),
+            self.state.placements,
         )
         self.links.on_change = dispatcher.dispatch_all
         self.links.on_report = dispatcher.own.reported
@@ -217,6 +221,11 @@
             self._clock,
             self._recorder,
         )
+        self.metrics.waiting.set_function(dispatcher.count_waiting)
+        self.metrics.forwarded_keys.set_function(partial(len, self.links.book))
+        self.metrics.dropped_messages.set_function(
+            lambda: self.links.inboxes.dropped_messages,
+        )
         self._running = RunningRequests(self.state)
         self.app = CallerApp(
             Admission(
@@ -260,17 +269,22 @@
                 for lost in self.state.lost
             ],
             self.state.offset,
+            {
+                service: [
+                    messages.PlacementRef(
+                        row.version,
+                        list(row.targets),
+                        max(0, now_s - row.since_s),
+                    )
+                    for row in rows
+                ]
+                for service, rows in self.state.placements.items()
+            },
         )
 
     def _log_position(self) -> LogPosition:
         return LogPosition(self.state.offset, self.follower.log_age_s())
 
-    def _retention_s(self, service: str) -> float:
-        known = self.state.catalog.services.get(service)
-        if known is None:
-            return _DEFAULT_RETENTION_S
-        return known.idempotency_retention.total_seconds()
-
     def _is_stale(self) -> bool:
         limit_s = STALE_AFTER.total_seconds()
         if self.follower.log_age_s() < limit_s:
@@ -285,10 +299,28 @@
     def _apply_state(self) -> None:
         self.registration.observe()
         self._configure_limits()
+        self._announce_lists()
         ended = self._running.end_withdrawn()
         if ended:
             self._recorder.emit('requests_of_withdrawn_keys', number=ended)
 
+    def _announce_lists(self) -> None:
+        """Send Hello again when a list in it has changed."""
+        entries = {
+            (entry.entry_id, entry.incarnation)
+            for entry in self.state.entries.values()
+        }
+        if entries != self._announced:
+            self._announced = entries
+            self.links.send_to_all(self._hello())
+        versions = {
+            service: rows[-1].version
+            for service, rows in self.state.placements.items()
+        }
+        if versions != self._announced_placements:
+            self._announced_placements = versions
+            self.links.announce_placements()
+
     def _configure_limits(self) -> None:
         catalog = self.state.catalog
         shares, position = self.registration.share()
@@ -311,3 +343,5 @@
                     self.table.live_entries,
                     now_s,
                 )
+            if self.table.is_settled:
+                await self._duties.place(self.table.possible_homes())
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -6,6 +6,7 @@
 import anyio
 import httpx
 import pytest
+from prometheus_client import CollectorRegistry
 
 from peridotrill import messages, records, registration
 from peridotrill.caller_server import serve_callers
@@ -82,7 +83,9 @@
         {},
     )
     clock = SystemClock()
-    entry = Entry.from_config(settings, http, clock, Recorder('e1', clock))
+    entry = Entry.from_config(
+        settings, http, clock, Recorder('e1', clock), CollectorRegistry()
+    )
     address = Address('127.0.0.1', builders.free_port())
     stopping = anyio.Event()
     async with anyio.create_task_group() as tasks:
@@ -157,8 +160,17 @@
                 assert (answer.status_code, answer.content) == (201, b'abc')
                 assert entry.status()['targets']['t1']['linked']
             tasks.cancel_scope.cancel()
-    # The records of forwarded keys go before the first attempt.
-    assert isinstance(received[0], messages.ForwardedKeys)
+    # The placement and the records of forwarded keys that belong to it go
+    # before the first attempt.
+    kinds = [type(message) for message in received]
+    before = received[: kinds.index(messages.StartAttempt)]
+    version = received[len(before)].placement_version
+    assert version
+    assert any(
+        isinstance(message, messages.ForwardedKeys)
+        and message.placement_version == version
+        for message in before
+    )
     figures = [window.figures for window in entry.state.usage.windows.values()]
     assert figures == [{'growers': (1, 0, 0)}]
 
