Work out proposals and more record kinds on the capacity page

Proposed changes are listed with the figure that they move, worked out from the same slopes. Event loop time of a configuration change, expired entries, withdrawn keys and placements are measured too.

--- a/capacity/proposals.py
+++ b/capacity/proposals.py
@@ -7,7 +7,7 @@
 from capacity.costs import Costs
 from capacity.slopes import Results
 from capacity.tables import tables
-from capacity.text import percent, scaled, table
+from capacity.text import percent, plain, scaled, table
 
 
 class Proposal(NamedTuple):
@@ -127,7 +127,7 @@
         'Only the live entry that rendezvous assigns to the lost one '
         'appends `entry_expired`; the next one if it has not after 10 s',
         'appends after the loss of a zone of 70 entries',
-        lambda costs: str(
+        lambda costs: plain(
             target.NODES
             // target.ZONES
             * min(
@@ -151,7 +151,7 @@
         '`read_service_file` for its files in a worker thread; the fold '
         'then finds them in the cache of parsed files',
         'event loop occupied by a change of 1,100 teams',
-        lambda costs: f'{costs.config_loop_us() / 1000:.2g} ms',
+        lambda costs: f'{plain(costs.config_loop_us() / 1000)} ms',
     ),
     Proposal(
         '`channel`',
--- a/capacity/running.py
+++ b/capacity/running.py
@@ -26,6 +26,7 @@
 
     :return: content of the results file.
     """
+    load_average = os.getloadavg()[0]
     load_subjects()
     found = list(_registered())
     points = [
@@ -38,6 +39,7 @@
     return {
         'machine': {
             'cores': os.cpu_count(),
+            'load_average_before': round(load_average, 1),
             'python': platform.python_version(),
             'system': platform.system(),
         },
--- a/capacity/states.py
+++ b/capacity/states.py
@@ -8,13 +8,17 @@
 from capacity.service_files import make_key_grant, make_text
 from peridotrill.control_state import ControlState
 from peridotrill.keys import create_key
+from peridotrill.placement import PLACEMENT_LEASE
 from peridotrill.publishing import compute_change
 from peridotrill.records import (
     ConfigPublished,
+    EntryExpired,
     EntryRegistered,
     EntryRenewed,
+    KeyWithdrawn,
     LeaseClaimed,
     LeaseRenewed,
+    PlacementChanged,
     UsageAcknowledged,
     UsageClosed,
     UsageCounted,
@@ -175,6 +179,70 @@
     return _measure_fold(records())
 
 
+@measurement(
+    'fold_placement_changed',
+    'home targets in a record placement_changed, 100 records',
+    'control_state, placement',
+    (12, 117, 400),
+)
+def measure_placements(size: int) -> Quantities:
+    """Measure changes of the home targets of one service."""
+
+    def records() -> Iterator[Any]:
+        yield _claim(0) | {'lease': PLACEMENT_LEASE}
+        for number in range(100):
+            yield PlacementChanged(
+                kind='placement_changed',
+                service='assistant',
+                targets=[
+                    f'assistant-{target:04}'
+                    for target in range(number, number + size)
+                ],
+                epoch=1,
+            )
+
+    return _measure_fold(records())
+
+
+@measurement(
+    'fold_key_withdrawn',
+    'pairs of key_granted and key_withdrawn',
+    'control_state, keys',
+    (4000, 8000, 16000),
+)
+def measure_withdrawals(size: int) -> Quantities:
+    """Measure keys that are withdrawn at once."""
+
+    def records() -> Iterator[Any]:
+        for number in range(size):
+            grant = make_key_grant(number)
+            yield grant
+            yield KeyWithdrawn(kind='key_withdrawn', name=grant['name'])
+
+    return _measure_fold(records())
+
+
+@measurement(
+    'fold_entry_expired',
+    'pairs of entry_registered and entry_expired within a day',
+    'control_state',
+    (50, 200, 400),
+)
+def measure_expiry(size: int) -> Quantities:
+    """Measure entries that are lost; they are kept for a day."""
+
+    def records() -> Iterator[Any]:
+        for number in range(size):
+            yield _register(number)
+            yield EntryExpired(
+                kind='entry_expired',
+                entry_id=_entry_id(number),
+                incarnation=f'{number:016x}',
+            )
+
+    return _measure_fold(records())
+
+
 def _usage(number: int, teams: int, window_start_s: int = 60) -> UsageCounted:
     return UsageCounted(
         kind='usage_counted',
--- a/capacity/tables.py
+++ b/capacity/tables.py
@@ -181,6 +181,10 @@
     ]
     rows.extend(
         (
+            (
+                '**appends without snapshots**',
+                *_without_snapshots(built, proposed),
+            ),
             ('**all appends**', *sums),
             ('**reads by all entries**', *reads[0], *reads[1]),
         ),
@@ -192,6 +196,16 @@
     return table(header, rows)
 
 
+def _without_snapshots(*plans: Costs) -> tuple[str, ...]:
+    cells: list[str] = []
+    for costs in plans:
+        flows = [row for row in costs.flows() if row.kind != 'snapshot_part']
+        appends = sum(flow.per_s for flow in flows)
+        appended = sum(flow.bytes_per_s for flow in flows)
+        cells.extend((plain(appends), '', scaled(appended)))
+    return tuple(cells)
+
+
 @tables.register('requests')
 def render_requests(found: Results) -> str:
     """Render what requests cost an entry on its links."""
@@ -242,7 +256,7 @@
                 scaled(change.per_unit),
                 scaled(max(0, whole.per_unit)),
                 f'{whole_us / 1000:.2g} ms',
-                f'{costs.config_loop_us() / 1000:.2g} ms',
+                f'{plain(costs.config_loop_us() / 1000)} ms',
                 delay,
             ),
         )
