Measure announcements of entries and home targets

An entry sends its lists again on every link when one of them changes, and goes through all key records for each link when home targets change.

--- a/capacity/costs.py
+++ b/capacity/costs.py
@@ -5,6 +5,7 @@
 from typing import Final, NamedTuple, final
 
 from capacity import target
+from capacity.decisions import PUSHED_KEYS
 from capacity.slopes import Results
 
 _US: Final = 1e6
@@ -75,8 +76,41 @@
 
     def hello_bytes(self) -> float:
         """Bytes of Hello on one connection."""
-        slope = self._results.slope('hello_bytes', 'bytes')
-        return slope.at(self.plan.hello_entries)
+        return self._hello(self.plan.hello_entries, self.plan.hello_homes)
+
+    def announced_bytes(self) -> float:
+        """Bytes that an entry sends on all links when a list has changed."""
+        changed = self._hello(
+            self.plan.changed_entries,
+            self.plan.changed_homes,
+        )
+        return self.plan.links_per_entry * changed
+
+    def placement_us(self) -> float:
+        """Processor time of an entry for one changed set of home targets."""
+        keys = _keys_kept(target.NODES) / target.MODELS
+        homes = target.TARGETS / target.MODELS
+        if self.plan.indexes_homes:
+            # Measured with the targets of a service, by number of targets.
+            each_us = self._results.at(
+                'targets',
+                'home_cpu_us',
+                target.TARGETS,
+            )
+            return keys * each_us
+        push_us = self._results.at('key_push', 'cpu_us', homes)
+        return self.plan.links_per_entry * push_us * keys / PUSHED_KEYS
+
+    def announcing(self) -> Cost:
+        """Changes of the entries and of the home targets, over a day."""
+        nodes = target.NODES + target.TARGETS
+        changes = 2 * target.RESTARTS_PER_DAY
+        moved = changes * target.TARGETS / nodes
+        return Cost(
+            changes * self.plan.links_per_entry / target.DAY_S,
+            changes * self.announced_bytes() / target.DAY_S,
+            moved * self.placement_us() / _US / target.DAY_S,
+        )
 
     def connect_us(self) -> float:
         """Processor time of an entry to set up one link."""
@@ -363,6 +397,12 @@
     def _read_us(self) -> float:
         return max(1, self._results.slope('log_read', 'cpu_us').fixed)
 
+    def _hello(self, entries: float, homes: float) -> float:
+        per_home = self._slope('hello_home_bytes', 'bytes')
+        per_entry = self._slope('hello_bytes', 'bytes')
+        fixed = self._results.slope('hello_bytes', 'bytes').fixed
+        return fixed + entries * per_entry + homes * per_home
+
     def _teams_of_entry(self) -> float:
         requests = target.REQUESTS_PER_S / target.NODES
         share = requests * self.plan.usage_flush_s / target.TEAMS
--- a/capacity/decisions.py
+++ b/capacity/decisions.py
@@ -13,10 +13,12 @@
 from peridotrill.ledger import Ledger, StoredAnswer
 from peridotrill.limits import TeamLimiter
 from peridotrill.messages import Batch, StartAttempt, Welcome, encode_batch
+from peridotrill.placement import Placement, home_target
 from peridotrill.routing import RequestCost, choose_target
 from peridotrill.services import TeamPolicy
 from peridotrill.targets import TargetTable, VmRow
 
+PUSHED_KEYS: Final = 1000
 _REPEATS: Final = 200
 _SERVICES: Final = 7
 _clock: Final = SystemClock()
@@ -75,13 +77,14 @@
     held_bytes = resident_bytes() - before_bytes
     cost = RequestCost(4000, 400, tuple(range(16)))
     views = table.candidates('service-1')
+    homes = [view.target_id for view in views]
     return {
         'resident_bytes': held_bytes,
         'candidates_cpu_us': _repeat_us(lambda: table.candidates('service-1')),
         'choose_cpu_us': _repeat_us(
             lambda: choose_target(views, cost, 'z1', {}, Random(1)),
         ),
-        'home_cpu_us': _repeat_us(lambda: table.homes('service-1', b'k' * 32)),
+        'home_cpu_us': _repeat_us(lambda: home_target(b'k' * 32, homes)),
         'apply_list_cpu_us': _repeat_us(lambda: table.apply_vms(rows)),
     }
 
@@ -164,7 +167,7 @@
 )
 def measure_ledger(size: int) -> Quantities:
     """Measure keys of a ledger."""
-    ledger = Ledger(_clock)
+    ledger = Ledger(_clock, 'assistant')
 
     def fill() -> None:
         for number in range(size):
@@ -183,23 +186,51 @@
     }
 
 
+def _key_book(size: int) -> ForwardedKeyBook:
+    book = ForwardedKeyBook(_clock)
+    for number in range(size):
+        key_digest = b'%032d' % number
+        book.record('assistant', f'{number:032x}', key_digest, b'r' * 32, 900)
+    return book
+
+
+def _placement(targets: int) -> Placement:
+    names = tuple(f'assistant-{number:04}' for number in range(targets))
+    return Placement(1, names, 0)
+
+
 @measurement(
     'forwarded_keys',
-    'records of forwarded keys for one target',
+    'records of forwarded keys of one service',
     'forwarded_keys',
     (1000, 4000, 16000),
 )
 def measure_forwarded_keys(size: int) -> Quantities:
-    """Measure the records, and pushing them to an agent that restarted."""
-    book = ForwardedKeyBook(_clock)
+    """Measure the records, and pushing them to their only home."""
     before_bytes = resident_bytes()
-    for number in range(size):
-        key_digest = b'%032d' % number
-        book.record('t1', f'{number:032x}', key_digest, b'r' * 32, 900)
+    book = _key_book(size)
     held_bytes = resident_bytes() - before_bytes
-    pushed = [encode_batch(Batch(1, 1, [row])) for row in book.messages('t1')]
+    rows = book.messages('assistant', 'assistant-0000', _placement(1))
     return {
         'resident_bytes': held_bytes,
-        'pushed_bytes': sum(map(len, pushed)),
+        'pushed_bytes': sum(
+            len(encode_batch(Batch(1, 1, [row]))) for row in rows
+        ),
         'expire_cpu_us': best_cpu_us(book.expire),
     }
+
+
+@measurement(
+    'key_push',
+    f'home targets of the service, {PUSHED_KEYS} records, push to one',
+    'forwarded_keys, placement',
+    (10, 60, 117),
+)
+def measure_key_push(size: int) -> Quantities:
+    """Measure finding the records whose home is one target."""
+    book, placement = _key_book(PUSHED_KEYS), _placement(size)
+
+    def push() -> None:
+        book.messages('assistant', 'assistant-0000', placement)
+
+    return {'cpu_us': best_cpu_us(push)}
--- a/capacity/duties.py
+++ b/capacity/duties.py
@@ -126,6 +126,12 @@
             'row per target',
             lambda costs, _found: costs.target_table(),
         ),
+        Duty(
+            'announcing changed entries and home targets (320 a day)',
+            'entry, target_links, forwarded_keys',
+            'none',
+            lambda costs, _found: costs.announcing(),
+        ),
         Duty(
             'limits of teams',
             'limits',
--- a/capacity/event_tables.py
+++ b/capacity/event_tables.py
@@ -85,6 +85,25 @@
             f'{agents:.0f} agents: bytes of Hello that one receives',
             scaled(per_agent * hello),
         ),
+        (
+            '160 restarts a day',
+            'one entry leaves or registers: bytes of Hello from every entry',
+            scaled(costs.announced_bytes()),
+        ),
+        (
+            '160 restarts a day',
+            'one set of home targets changes: event loop of every entry '
+            'occupied',
+            f'{plain(costs.placement_us() / 1e6)} s',
+        ),
+        (
+            'start of all nodes',
+            'Hello that each entry sends again as the others register, if '
+            'each read has one registration',
+            scaled(target.NODES * costs.announced_bytes() / 2)
+            if plan is target.AS_BUILT
+            else scaled(target.NODES * costs.announced_bytes()),
+        ),
         (
             'start of all nodes',
             'registrations',
--- a/capacity/link_parts.py
+++ b/capacity/link_parts.py
@@ -40,16 +40,31 @@
     return Address(host, probe.getsockname()[1])
 
 
-def make_hello(entry_id: str, registered: int = 0) -> messages.Hello:
+def make_hello(
+    entry_id: str,
+    registered: int = 0,
+    homes: int = 0,
+) -> messages.Hello:
     """Return a Hello.
 
     :param registered: number of registered entries that it lists.
+    :param homes: number of home targets that it lists.
     """
     entries = [
-        messages.EntryRef(f'entry-z1-{number:04}', f'{number:032x}')
+        messages.EntryRef(f'entry-z1-{number:04}', f'{number:016x}')
         for number in range(registered)
     ]
-    return messages.Hello(1, entry_id, f'{1:032x}', 'z1', entries, [], 1000)
+    targets = [f'assistant-{number:04}' for number in range(homes)]
+    return messages.Hello(
+        messages.PROTOCOL_VERSION,
+        entry_id,
+        f'{1:016x}',
+        'z1',
+        entries,
+        [],
+        log_offset=1000,
+        placements={'assistant': [messages.PlacementRef(900, targets, 5)]},
+    )
 
 
 def make_link(address: Address, entry_id: str) -> AgentLink:
@@ -102,6 +117,7 @@
         start_before_s=1e12,
         timeout_s=60,
         resume_position=0,
+        placement_version=0,
     )
 
 
--- a/capacity/links.py
+++ b/capacity/links.py
@@ -195,6 +195,17 @@
     return {'bytes': _encoded_bytes(link_parts.make_hello('e1', size))}
 
 
+@measurement(
+    'hello_home_bytes',
+    'home targets listed in Hello',
+    'messages, placement',
+    (12, 117, 820),
+)
+def measure_hello_homes(size: int) -> Quantities:
+    """Measure the placements in the first message of a connection."""
+    return {'bytes': _encoded_bytes(link_parts.make_hello('e1', 0, size))}
+
+
 @measurement(
     'load_report_bytes',
     'cached prefixes listed in a load report',
--- a/capacity/proposals.py
+++ b/capacity/proposals.py
@@ -116,11 +116,22 @@
         lambda costs: f'{scaled(costs.vm_list().bytes_per_s)}/s',
     ),
     Proposal(
-        '`messages`, `ledger_recovery`',
-        'Leave the registered entries out of `Hello`; the entry sends them '
-        'after a `Welcome` with `ledger` other than `complete`',
-        'Hello on one connection',
-        lambda costs: scaled(costs.hello_bytes()),
+        '`messages`, `entry`, `ledger_recovery`',
+        'Leave the lists out of `Hello`: `Welcome` names the offset whose '
+        'lists the agent holds, and the entry sends what has changed since '
+        '(all of it to a new agent, and only the placements of its '
+        'service); on an existing connection send only the entry or the '
+        'target that changed',
+        'bytes from each entry when one entry registers',
+        lambda costs: scaled(costs.announced_bytes()),
+    ),
+    Proposal(
+        '`forwarded_keys`, `target_links`',
+        'In `announce_placements` work out the home of each record of the '
+        'changed service once, and push to each home its group, instead of '
+        'going through all records and all homes for each link',
+        'event loop occupied by one changed set of home targets',
+        lambda costs: f'{plain(costs.placement_us() / 1e6)} s',
     ),
     Proposal(
         '`registration`',
--- a/capacity/target.py
+++ b/capacity/target.py
@@ -53,7 +53,13 @@
     heartbeats_per_s: float
     reports_per_s: float
     prefixes_per_report: float
+    # Entries and home targets listed in Hello, on a new connection and when
+    # a list has changed.
     hello_entries: int
+    hello_homes: float
+    changed_entries: int
+    changed_homes: float
+    indexes_homes: bool
     read_pause_s: float
     renewal_s: float
     lease_renewal_s: float
@@ -81,6 +87,10 @@
     reports_per_s=1 / LOAD_INTERVAL.total_seconds(),
     prefixes_per_report=CACHED_PREFIXES,
     hello_entries=NODES,
+    hello_homes=TARGETS,
+    changed_entries=NODES,
+    changed_homes=TARGETS,
+    indexes_homes=False,
     read_pause_s=0,
     renewal_s=10,
     lease_renewal_s=2,
@@ -108,6 +118,10 @@
     # New ones only; a target starts 16 requests a second.
     prefixes_per_report=2 * REQUESTS_PER_S / TARGETS,
     hello_entries=0,
+    hello_homes=0,
+    changed_entries=1,
+    changed_homes=1,
+    indexes_homes=True,
     read_pause_s=2,
     renewal_s=120,
     lease_renewal_s=10,
