--- a/peridotrill/records.py
+++ b/peridotrill/records.py
@@ -122,11 +122,11 @@
 
 @record_types.register('usage_counted')
 class UsageCounted(TypedDict):
-    """Counts of one process for one window, cumulative.
+    """Usage of one window that a process has not written before.
 
-    ``counts`` maps a team to requests, prompt tokens and output tokens, for
-    the teams that changed. Of several records of a process and window a
-    later one replaces an earlier one by its sequence.
+    ``counts`` maps a team to requests, prompt tokens and output tokens. A
+    process appends its records in the order of ``sequence`` and repeats one
+    until it is known to be in the log; a repeated one does not count.
     """
 
     kind: Literal['usage_counted']
--- a/peridotrill/snapshots.py
+++ b/peridotrill/snapshots.py
@@ -161,11 +161,14 @@
 class SnapshotSettings(NamedTuple):
     """When a snapshot is due.
 
-    ``interval`` is well below the retention of the log.
+    ``interval`` is well below the retention of the log. With many records
+    one is due earlier, but never before ``min_interval``, because every
+    reader of the log reads it.
     """
 
     interval: timedelta = timedelta(minutes=10)
-    interval_records: int = 2000
+    interval_records: int = 20_000
+    min_interval: timedelta = timedelta(minutes=1)
 
 
 def snapshot_is_due(
@@ -178,11 +181,11 @@
     :param platform_time_s: None while it is not known.
     """
     records = state.offset - state.snapshot_offset
-    if records >= settings.interval_records:
-        return True
     if platform_time_s is None or not records:
         return False
     age_s = platform_time_s - state.snapshot_at_s
+    if records >= settings.interval_records:
+        return age_s >= settings.min_interval.total_seconds()
     return age_s >= settings.interval.total_seconds()
 
 
--- a/peridotrill/usage.py
+++ b/peridotrill/usage.py
@@ -1,5 +1,6 @@
 """Usage: counted per window, kept in the log, reported once."""
 
+from collections import deque
 from datetime import timedelta
 from typing import Any, Final, NamedTuple, Protocol, final
 
@@ -34,7 +35,7 @@
 
 @final
 class UsageCounter:
-    """Counts of this process, cumulative for each window."""
+    """Counts of this process that are not yet known to be in the log."""
 
     def __init__(
         self,
@@ -49,9 +50,9 @@
         self._window_s = int(window.total_seconds())
         self._time = time
         self._counts: dict[int, dict[str, UsageFigure]] = {}
-        self._changed: dict[int, set[str]] = {}
-        self._sequence = 0
         self._early: list[tuple[str, UsageFigure]] = []
+        self._records: deque[UsageCounted] = deque()
+        self._sequence = 0
 
     def count(
         self,
@@ -73,62 +74,48 @@
         else:
             self._add(now_s, team, figure)
 
-    def take_records(self) -> list[UsageCounted]:
-        """Return one record for each window with counts not yet written.
+    def next_record(self) -> UsageCounted | None:
+        """Return the record to append now.
 
-        The caller appends them, and calls ``put_back`` for those that
-        failed; counts are cumulative, so appending twice does no harm.
+        The same one until ``confirm``, since an append may have taken effect
+        although its answer was lost.
         """
+        if not self._records:
+            self._make_records()
+        return self._records[0] if self._records else None
+
+    def confirm(self) -> None:
+        """Note that the record of ``next_record`` is in the log."""
+        self._records.popleft()
+
+    @property
+    def is_written(self) -> bool:
+        """Tell whether all counts are known to be in the log."""
+        return not (self._counts or self._early or self._records)
+
+    def _make_records(self) -> None:
         now_s = self._time.platform_time_s()
         if now_s is not None:
             for team, figure in self._early:
                 self._add(now_s, team, figure)
             self._early.clear()
-        changed, self._changed = self._changed, {}
-        self._forget_written(set(changed))
-        return [
-            self._record(start_s, teams)
-            for start_s, teams in sorted(changed.items())
-        ]
-
-    def put_back(self, record: UsageCounted) -> None:
-        """Have the teams of a record written again."""
-        teams = self._changed.setdefault(record['window_start_s'], set())
-        teams.update(record['counts'])
-
-    @property
-    def is_written(self) -> bool:
-        """Tell whether all counts were handed out by ``take_records``."""
-        return not self._changed and not self._early
+        counts, self._counts = self._counts, {}
+        for start_s, figures in sorted(counts.items()):
+            self._sequence += 1
+            record = UsageCounted(
+                kind='usage_counted',
+                entry_id=self._entry_id,
+                incarnation=self._incarnation,
+                window_start_s=start_s,
+                sequence=self._sequence,
+                counts={name: list(used) for name, used in figures.items()},
+            )
+            self._records.append(record)
 
     def _add(self, now_s: float, team: str, figure: UsageFigure) -> None:
         start_s = int(now_s // self._window_s) * self._window_s
         counts = self._counts.setdefault(start_s, {})
         counts[team] = counts.get(team, NO_USAGE).plus(figure)
-        self._changed.setdefault(start_s, set()).add(team)
-
-    def _record(self, start_s: int, teams: set[str]) -> UsageCounted:
-        self._sequence += 1
-        return UsageCounted(
-            kind='usage_counted',
-            entry_id=self._entry_id,
-            incarnation=self._incarnation,
-            window_start_s=start_s,
-            sequence=self._sequence,
-            counts={
-                team: list(self._counts[start_s][team])
-                for team in sorted(teams)
-            },
-        )
-
-    def _forget_written(self, changed: set[int]) -> None:
-        # A window gets no counts after the next one has some; its counts
-        # are needed only while a record of it may have to be repeated.
-        newest = max(self._counts, default=0)
-        for start_s in list(self._counts):
-            old = start_s < newest - 2 * self._window_s
-            if old and start_s not in changed:
-                self._counts.pop(start_s)
 
 
 async def flush_usage(
@@ -140,15 +127,16 @@
 
     :return: whether all were appended; the rest is kept for the next call.
     """
-    complete = True
-    for record in counter.take_records():
+    record = counter.next_record()
+    while record is not None:
         try:
             await log.append(record)
         except LogError as error:
-            complete = False
-            counter.put_back(record)
             recorder.emit('usage_flush_failed', detail=str(error))
-    return complete
+            return False
+        counter.confirm()
+        record = counter.next_record()
+    return True
 
 
 @final
--- a/peridotrill/usage_windows.py
+++ b/peridotrill/usage_windows.py
@@ -5,7 +5,9 @@
 from peridotrill.records import UsageAcknowledged, UsageClosed, UsageCounted
 from peridotrill.statechart import Machine, load_chart
 
-KEPT_WINDOWS: Final = 240
+KEPT_WINDOWS: Final = 10
+# Sequence numbers are kept of this many processes, the newest ones.
+KEPT_PROCESSES: Final = 4096
 
 _chart: Final = load_chart('usage_window')
 
@@ -98,11 +100,6 @@
         self._machine.fire('acknowledge_last' if last else 'acknowledge')
 
 
-class _Counted(NamedTuple):
-    sequence: int
-    figures: dict[str, UsageFigure]
-
-
 class WindowSnapshot(NamedTuple):
     """Content of one window."""
 
@@ -114,21 +111,12 @@
     conflicts: list[str]
 
 
-class CountedSnapshot(NamedTuple):
-    """What one process has counted for one window so far."""
-
-    incarnation: str
-    start_s: int
-    sequence: int
-    figures: dict[str, UsageFigure]
-
-
 class UsageSnapshot(NamedTuple):
     """Content of all windows."""
 
     windows: list[WindowSnapshot]
     carried: dict[str, UsageFigure]
-    counted: list[CountedSnapshot]
+    sequences: dict[str, int]
     forgotten_before_s: int
 
 
@@ -140,29 +128,21 @@
         """Start without windows."""
         self.windows: dict[int, UsageWindow] = {}
         self.carried: dict[str, UsageFigure] = {}
-        self.dropped_records = 0
-        self._counted: dict[tuple[str, int], _Counted] = {}
+        self._sequences: dict[str, int] = {}
         self._forgotten_before_s = 0
 
     def count(self, record: UsageCounted) -> None:
-        """Apply counts; repeated and older records change nothing."""
-        start_s = record['window_start_s']
-        if start_s < self._forgotten_before_s:
-            # What was already counted for it is no longer known, so that
-            # adding the record could bill its usage twice.
-            self.dropped_records += 1
-            return
-        source = (record['incarnation'], start_s)
-        seen = self._counted.get(source, _Counted(0, {}))
-        if record['sequence'] <= seen.sequence:
+        """Apply counts; repeated records change nothing."""
+        source = record['incarnation']
+        if record['sequence'] <= self._sequences.get(source, 0):
             return
+        # Moved to the end, so that the oldest process comes first.
+        self._sequences.pop(source, None)
+        self._sequences[source] = record['sequence']
+        if len(self._sequences) > KEPT_PROCESSES:
+            self._sequences.pop(next(iter(self._sequences)))
         for team, numbers in record['counts'].items():
-            figure = UsageFigure(*numbers)
-            self._add(
-                start_s, team, figure.minus(seen.figures.get(team, NO_USAGE))
-            )
-            seen.figures[team] = figure
-        self._counted[source] = _Counted(record['sequence'], seen.figures)
+            self._add(record['window_start_s'], team, UsageFigure(*numbers))
 
     def close(self, record: UsageClosed) -> None:
         """Close a window with what was carried over; once per window."""
@@ -186,10 +166,7 @@
         return UsageSnapshot(
             [window.to_snapshot() for window in self.windows.values()],
             self.carried,
-            [
-                CountedSnapshot(*source, counted.sequence, counted.figures)
-                for source, counted in self._counted.items()
-            ],
+            self._sequences,
             self._forgotten_before_s,
         )
 
@@ -201,20 +178,16 @@
             window = UsageWindow.from_snapshot(content)
             restored.windows[content.start_s] = window
         restored.carried = dict(snapshot.carried)
-        for row in snapshot.counted:
-            source = (row.incarnation, row.start_s)
-            restored._counted[source] = _Counted(  # noqa: SLF001
-                row.sequence,
-                dict(row.figures),
-            )
+        restored._sequences = dict(snapshot.sequences)  # noqa: SLF001
         restored._forgotten_before_s = (  # noqa: SLF001
             snapshot.forgotten_before_s
         )
         return restored
 
     def _add(self, start_s: int, team: str, figure: UsageFigure) -> None:
-        window = self._window(start_s)
-        if window.state == 'open':
+        is_forgotten = start_s < self._forgotten_before_s
+        window = None if is_forgotten else self._window(start_s)
+        if window is not None and window.state == 'open':
             window.add(team, figure)
         else:
             self.carried[team] = self.carried.get(team, NO_USAGE).plus(figure)
@@ -233,8 +206,3 @@
         for start_s in done[:-KEPT_WINDOWS]:
             self.windows.pop(start_s)
             self._forgotten_before_s = start_s + 1
-        self._counted = {
-            source: counted
-            for source, counted in self._counted.items()
-            if source[1] >= self._forgotten_before_s
-        }
