--- a/capacity/probes.py
+++ b/capacity/probes.py
@@ -4,10 +4,13 @@
 import os
 import resource
 import time
+from collections import Counter
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Final, NamedTuple, final
 
+import pynng
+
 from peridotrill import messages
 
 _MICROSECONDS: Final = 1e6
@@ -54,41 +57,71 @@
 
 
 class LinkCounts(NamedTuple):
-    """Batches and their bytes, without headers of the transport."""
+    """Batches and their bytes, without headers of the transport.
+
+    A batch that the transport does not take at once is encoded again.
+    """
 
     sent_batches: int
     sent_bytes: int
     received_batches: int
     received_bytes: int
+    encoded_batches: int
 
 
 @final
 class LinkCounter:
-    """Counts the batches that this process encodes and decodes."""
+    """Counts the batches that this process encodes, sends and decodes."""
 
     def __init__(self) -> None:
-        """Put the counters between the channel and the codec."""
-        self._counts = [0, 0, 0, 0]
+        """Put the counters around the codec and the transport."""
+        self._counts: Counter[str] = Counter()
         self._encode = messages.encode_batch
         self._decode = messages.decode_batch
-        setattr(messages, 'encode_batch', self._count_sent)  # noqa: B010
-        setattr(messages, 'decode_batch', self._count_received)  # noqa: B010
+        self._send = pynng.Socket.send
+        self._send_message = pynng.Socket.send_msg
+        _replace(messages, 'encode_batch', self._count_encoded)
+        _replace(messages, 'decode_batch', self._count_received)
+        _replace(pynng.Socket, 'send', self._count_sent())
+        _replace(pynng.Socket, 'send_msg', self._count_sent_message())
 
     def read(self) -> LinkCounts:
         """Return the counts so far."""
-        return LinkCounts(*self._counts)
+        return LinkCounts(*map(self._counts.__getitem__, LinkCounts._fields))
 
-    def _count_sent(self, batch: messages.Batch) -> bytes:
-        payload = self._encode(batch)
-        self._counts[0] += 1
-        self._counts[1] += len(payload)
-        return payload
+    def _count_encoded(self, batch: messages.Batch) -> bytes:
+        self._counts['encoded_batches'] += 1
+        return self._encode(batch)
 
     def _count_received(self, payload: bytes) -> messages.Batch:
-        self._counts[2] += 1
-        self._counts[3] += len(payload)
+        self._counts['received_batches'] += 1
+        self._counts['received_bytes'] += len(payload)
         return self._decode(payload)
 
+    def _count_sent(self) -> Callable[..., None]:
+        def send(socket: Any, payload: bytes, *, block: bool) -> None:
+            self._send(socket, payload, block=block)
+            self._note_sent(payload)
+
+        return send
+
+    def _count_sent_message(self) -> Callable[..., None]:
+        def send(socket: Any, message: pynng.Message, *, block: bool) -> None:
+            # The message cannot be read after it was sent.
+            payload = message.bytes
+            self._send_message(socket, message, block=block)
+            self._note_sent(payload)
+
+        return send
+
+    def _note_sent(self, payload: bytes) -> None:
+        self._counts['sent_batches'] += 1
+        self._counts['sent_bytes'] += len(payload)
+
+
+def _replace(owner: Any, name: str, function: Callable[..., Any]) -> None:
+    setattr(owner, name, function)
+
 
 @final
 class Meter:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -29,19 +29,19 @@
     return 'asyncio'
 
 
-class SentCounter:
-    """Counts messages by type, and all bytes, of both ends."""
+class ReceivedCounter:
+    """Counts messages by type, and all bytes, that both ends receive."""
 
     def __init__(self):
         self.kinds = Counter()
         self.size_bytes = 0
-        self._encode = messages.encode_batch
+        self._decode = messages.decode_batch
 
-    def __call__(self, batch):
-        payload = self._encode(batch)
+    def __call__(self, payload):
+        batch = self._decode(payload)
         self.kinds.update(type(entry).__name__ for entry in batch.messages)
         self.size_bytes += len(payload)
-        return payload
+        return batch
 
 
 async def count_idle(links_count, counter):
@@ -74,8 +74,8 @@
 ):
     # Guards against an additional periodic message per link, which an entry
     # with 820 links would send or receive 820 times.
-    counter = SentCounter()
-    monkeypatch.setattr(messages, 'encode_batch', counter)
+    counter = ReceivedCounter()
+    monkeypatch.setattr(messages, 'decode_batch', counter)
     sizes = (4, 8, 16)
     counted = [await count_idle(size, counter) for size in sizes]
     sent = fit(sizes, [row[0] for row in counted])
