Bound what grows with entries times targets and with entries squared

An entry now links to 32 engines of a service at most (all, where requests can have idempotency keys), reads the VM list less often when it is long, lets a page of the log collect records for 200 ms, renews its registration at a rate that all entries share (4/s), leaves the record of an expired entry to one writer at a time, and works out the home of each forwarded key once per change.

--- a/peridotrill/entry.py
+++ b/peridotrill/entry.py
@@ -42,6 +42,7 @@
     platform_url: str
     usage: UsageSettings
     overrides: dict[str, str]
+    target_subset: int = 0
 
 
 @final
@@ -193,6 +194,7 @@
             self.state.placements,
             self._hello,
         )
+        self.links.subset_size = self._subset_size
 
     def _wire_duties(self) -> None:
         self._duties = EntryDuties(
@@ -317,9 +319,10 @@
             service: rows[-1].version
             for service, rows in self.state.placements.items()
         }
-        if versions != self._announced_placements:
-            self._announced_placements = versions
-            self.links.announce_placements()
+        known, self._announced_placements = self._announced_placements, versions
+        changed = dict(versions.items() - known.items())
+        if changed:
+            self.links.announce_placements(changed)
 
     def _configure_limits(self) -> None:
         catalog = self.state.catalog
@@ -332,6 +335,26 @@
         }
         self._limiter.configure_all(policies, shares, position)
 
+    def _needs_homes(self, service: str) -> bool:
+        """Tell whether requests of a service can have idempotency keys."""
+        known = self.state.catalog.services.get(service)
+        return known is None or any(
+            not route.idempotent for route in known.routes
+        )
+
+    def _homes(self) -> dict[str, frozenset[str]]:
+        return {
+            service: targets
+            for service, targets in self.table.possible_homes().items()
+            if self._needs_homes(service)
+        }
+
+    def _subset_size(self, service: str) -> int:
+        # Any entry must reach the home of a key, which can be any target.
+        if self._needs_homes(service):
+            return 0
+        return self._settings.target_subset
+
     async def _tick(self) -> None:
         while True:
             await anyio.sleep(_TICK.total_seconds())
@@ -344,4 +367,4 @@
                     now_s,
                 )
             if self.table.is_settled:
-                await self._duties.place(self.table.possible_homes())
+                await self._duties.place(self._homes())
--- a/peridotrill/entry_main.py
+++ b/peridotrill/entry_main.py
@@ -42,6 +42,12 @@
     Setting('usage_flush', 'duration', 'interval of usage records', '5s'),
     Setting('usage_window', 'duration', 'length of a usage window', '60s'),
     Setting('usage_grace', 'duration', 'wait before a window closes', '10s'),
+    Setting(
+        'target_subset',
+        'integer',
+        'number of engines of a service to link to, 0 for all',
+        '32',
+    ),
     Setting(
         'address_overrides',
         'address_overrides',
@@ -78,6 +84,7 @@
             parsed['usage_grace'],
         ),
         parsed['address_overrides'] or {},
+        parsed['target_subset'],
     )
     left = anyio.Event()
     async with (
--- a/peridotrill/forwarded_keys.py
+++ b/peridotrill/forwarded_keys.py
@@ -63,6 +63,31 @@
         """Remove the record of an attempt that has not run and never will."""
         self._rows.pop(attempt_id, None)
 
+    def by_home(
+        self,
+        service: str,
+        placement: Placement,
+    ) -> dict[str, list[ForwardedKey]]:
+        """Return the records of a service by the home of their keys.
+
+        :param placement: the newest one of the service.
+        """
+        self.expire()
+        now_s = self._clock.monotonic_s()
+        homes: dict[str, list[ForwardedKey]] = {}
+        for attempt_id, row in self._rows.items():
+            home = home_target(row.key_digest, placement.targets)
+            if row.service == service and home is not None:
+                record = ForwardedKey(
+                    row.key_digest,
+                    row.request_digest,
+                    attempt_id,
+                    now_s - row.recorded_at_s,
+                    row.state,
+                )
+                homes.setdefault(home, []).append(record)
+        return homes
+
     def messages(
         self,
         service: str,
@@ -73,29 +98,8 @@
 
         :param placement: the newest one of the service.
         """
-        self.expire()
-        now_s = self._clock.monotonic_s()
-        records = [
-            ForwardedKey(
-                row.key_digest,
-                row.request_digest,
-                attempt_id,
-                now_s - row.recorded_at_s,
-                row.state,
-            )
-            for attempt_id, row in self._rows.items()
-            if row.service == service
-            and home_target(row.key_digest, placement.targets) == target_id
-        ]
-        starts = range(0, max(1, len(records)), RECORDS_PER_MESSAGE)
-        return [
-            ForwardedKeys(
-                records[start : start + RECORDS_PER_MESSAGE],
-                is_last=start + RECORDS_PER_MESSAGE >= len(records),
-                placement_version=placement.version,
-            )
-            for start in starts
-        ]
+        records = self.by_home(service, placement).get(target_id, [])
+        return split_records(records, placement.version)
 
     def expire(self) -> None:
         """Remove the records whose retention has passed."""
@@ -109,3 +113,22 @@
     def __len__(self) -> int:
         """Return the number of records."""
         return len(self._rows)
+
+
+def split_records(
+    records: list[ForwardedKey],
+    version: int,
+) -> list[ForwardedKeys]:
+    """Return the messages for an agent, at least one.
+
+    :param version: placement by which the records were chosen.
+    """
+    starts = range(0, max(1, len(records)), RECORDS_PER_MESSAGE)
+    return [
+        ForwardedKeys(
+            records[start : start + RECORDS_PER_MESSAGE],
+            is_last=start + RECORDS_PER_MESSAGE >= len(records),
+            placement_version=version,
+        )
+        for start in starts
+    ]
--- a/peridotrill/log_client.py
+++ b/peridotrill/log_client.py
@@ -33,6 +33,9 @@
 _BEYOND_END: Final = 2**53
 _BACKOFF_START: Final = timedelta(milliseconds=100)
 _BACKOFF_LIMIT: Final = timedelta(seconds=2)
+# One read for each appended record would cost more than the records: with
+# hundreds of appends per second, this pause lets a page collect them.
+_PAGE_PAUSE: Final = timedelta(milliseconds=200)
 
 
 class LogRow(NamedTuple):
@@ -247,16 +250,25 @@
                     self._state.offset + 1,
                     READ_WAIT,
                 )
-            except RecordsExpired as error:
-                self._recorder.emit('log_gap', detail=str(error))
-                await self._restore()
             except LogError as error:
-                if self._backoff == _BACKOFF_START:
-                    self._recorder.emit('log_unreadable', detail=str(error))
-                await self._back_off()
+                await self._recover(error)
             else:
-                self._backoff = _BACKOFF_START
-                self._apply_page(page)
+                await self._follow_page(page)
+
+    async def _follow_page(self, page: LogPage) -> None:
+        self._backoff = _BACKOFF_START
+        self._apply_page(page)
+        if page.records and self.caught_up.is_set():
+            await anyio.sleep(_PAGE_PAUSE.total_seconds())
+
+    async def _recover(self, error: LogError) -> None:
+        if isinstance(error, RecordsExpired):
+            self._recorder.emit('log_gap', detail=str(error))
+            await self._restore()
+            return
+        if self._backoff == _BACKOFF_START:
+            self._recorder.emit('log_unreadable', detail=str(error))
+        await self._back_off()
 
     async def _restore(self) -> None:
         try:
--- a/peridotrill/registration.py
+++ b/peridotrill/registration.py
@@ -1,5 +1,6 @@
 """Registration of an entry in the log, and its share of the limits."""
 
+import hashlib
 from datetime import timedelta
 from typing import Any, Final, Protocol, final
 
@@ -17,13 +18,31 @@
 from peridotrill.timeline import Recorder
 
 RENEW_INTERVAL: Final = timedelta(seconds=10)
-EXPIRE_AFTER: Final = timedelta(seconds=30)
+# All entries together renew at most at this rate, because every entry reads
+# every renewal.
+RENEWALS_PER_S: Final = 4
+_MISSED_RENEWALS: Final = 3
 # Longer than STALE_AFTER of the entry, so that each other entry has applied
 # the new number of entries or refuses keyed requests.
 SHARE_DELAY: Final = timedelta(seconds=6)
+# How long an entry waits for the one before it to write an expiry.
+_TURN: Final = timedelta(seconds=5)
 _RETRY_PAUSE: Final = timedelta(milliseconds=500)
 
 
+def renew_interval_s(entries: int) -> float:
+    """Return the time between two renewals of an entry.
+
+    :param entries: number of registered entries.
+    """
+    return max(RENEW_INTERVAL.total_seconds(), entries / RENEWALS_PER_S)
+
+
+def expiry_rank(incarnation: str, entry_id: str) -> bytes:
+    """Return the rank of an entry for writing that another has expired."""
+    return hashlib.sha256(f'{incarnation} {entry_id}'.encode()).digest()
+
+
 class Appender(Protocol):
     """The part of the log client that registrations use."""
 
@@ -102,7 +121,7 @@
     async def renew(self) -> None:
         """Renew the registration until cancelled."""
         while True:
-            await anyio.sleep(RENEW_INTERVAL.total_seconds())
+            await anyio.sleep(renew_interval_s(len(self._state.entries)))
             await self._append(
                 EntryRenewed(
                     kind='entry_renewed',
@@ -150,14 +169,37 @@
         live_entries: frozenset[str],
         now_s: float,
     ) -> list[EntryState]:
-        limit_s = now_s - EXPIRE_AFTER.total_seconds()
-        return [
+        expire_s = _MISSED_RENEWALS * renew_interval_s(len(self._state.entries))
+        lost = [
             entry
             for entry in self._state.entries.values()
-            if entry.renewed_at_s < limit_s
+            if entry.renewed_at_s < now_s - expire_s
             and entry.entry_id not in live_entries
             and entry.entry_id != self.entry_id
         ]
+        return [entry for entry in lost if self._is_writer(entry, lost, now_s)]
+
+    def _is_writer(
+        self,
+        entry: EntryState,
+        lost: list[EntryState],
+        now_s: float,
+    ) -> bool:
+        """Tell whether this entry appends that another has expired.
+
+        One entry writes first; each of the others follows only if it has not
+        done so, so that the loss of a zone does not flood the log.
+        """
+        alive = sorted(
+            self._state.entries.keys() - {gone.entry_id for gone in lost},
+            key=lambda name: expiry_rank(entry.incarnation, name),
+        )
+        interval_s = renew_interval_s(len(self._state.entries))
+        overdue_s = now_s - entry.renewed_at_s - _MISSED_RENEWALS * interval_s
+        if self.entry_id not in alive:
+            return False
+        turn_s = alive.index(self.entry_id) * _TURN.total_seconds()
+        return overdue_s >= turn_s
 
     async def _append(self, record: Any) -> bool:
         try:
--- a/peridotrill/target_links.py
+++ b/peridotrill/target_links.py
@@ -1,7 +1,8 @@
 """Polls the VM list and keeps a link to the agent of each target."""
 
+import hashlib
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from contextlib import suppress
 from datetime import timedelta
 from typing import Any, Final, NamedTuple, final
@@ -13,17 +14,27 @@
 
 from peridotrill.clock import Clock
 from peridotrill.exceptions import LinkClosed
-from peridotrill.forwarded_keys import ForwardedKeyBook
+from peridotrill.forwarded_keys import ForwardedKeyBook, split_records
 from peridotrill.inboxes import Inboxes
 from peridotrill.link import AgentLink, LinkDown, LinkUp
-from peridotrill.messages import Draining, Heartbeat, Hello, LoadReport
+from peridotrill.messages import (
+    Draining,
+    ForwardedKeys,
+    Heartbeat,
+    Hello,
+    LoadReport,
+)
 from peridotrill.placement import Placement as HomePlacement
 from peridotrill.registry import Registry
+from peridotrill.routing import TargetView
 from peridotrill.settings import Address, parse_address
 from peridotrill.targets import TargetTable, parse_vms
 from peridotrill.timeline import Recorder
 
 POLL_INTERVAL: Final = timedelta(seconds=1)
+# A long list is read less often, so that its bytes stay bounded; targets that
+# leave announce it on their links.
+POLL_BYTES_PER_S: Final = 4000
 POLL_TIMEOUT: Final = timedelta(seconds=2)
 MAX_POLL_BACK_OFF: Final = timedelta(seconds=10)
 
@@ -58,6 +69,28 @@
         return self._clock.monotonic_s() - self._heard_at_s
 
 
+def choose_subset(
+    entry_id: str,
+    views: list[TargetView],
+    size: int,
+) -> list[TargetView]:
+    """Return the targets of a service that an entry links to.
+
+    Chosen by rendezvous hashing, so that each target has links to about as
+    many entries, and a target that leaves changes only its own links.
+
+    :param size: number of targets, 0 for all.
+    """
+    if not size or len(views) <= size:
+        return views
+    return sorted(
+        views,
+        key=lambda view: hashlib.sha256(
+            f'{entry_id} {view.target_id}'.encode(),
+        ).digest(),
+    )[:size]
+
+
 @final
 class TargetLinks:
     """The links of an entry; feeds the target table and the inboxes."""
@@ -78,6 +111,8 @@
         """
         self.table = table
         self.placements = placements
+        self._poll_interval_s = POLL_INTERVAL.total_seconds()
+        self.subset_size: Callable[[str], int] = lambda _service: 0
         self._hello = hello
         self.inboxes = Inboxes()
         self.book = ForwardedKeyBook(clock)
@@ -122,7 +157,7 @@
 
         :param url: base URL of the platform.
         """
-        pause_s = POLL_INTERVAL.total_seconds()
+        pause_s = self._poll_interval_s
         async with anyio.create_task_group() as tasks:
             while True:
                 try:
@@ -132,7 +167,7 @@
                     limit_s = MAX_POLL_BACK_OFF.total_seconds()
                     pause_s = min(pause_s * 2, limit_s)
                 else:
-                    pause_s = POLL_INTERVAL.total_seconds()
+                    pause_s = self._poll_interval_s
                     self._update_links(tasks)
                     self.on_change()
                 # Spreads the polls of many entries.
@@ -144,12 +179,16 @@
             timeout=POLL_TIMEOUT.total_seconds(),
         )
         answer.raise_for_status()
+        self._poll_interval_s = max(
+            POLL_INTERVAL.total_seconds(),
+            len(answer.content) / POLL_BYTES_PER_S,
+        )
         self.table.apply_vms(parse_vms(answer.content))
 
     def _update_links(self, tasks: TaskGroup) -> None:
         wanted = {
             view.target_id: self._overrides.get(view.target_id, view.address)
-            for view in self.table.views()
+            for view in self._wanted_targets()
         }
         for target_id, task in list(self._tasks.items()):
             if wanted.get(target_id) != task.address:
@@ -160,6 +199,17 @@
             if target_id not in self._tasks:
                 self._start_link(tasks, target_id, address)
 
+    def _wanted_targets(self) -> list[TargetView]:
+        by_service: dict[str, list[TargetView]] = {}
+        for view in self.table.views():
+            by_service.setdefault(view.service, []).append(view)
+        entry_id = self._hello().entry_id
+        wanted: list[TargetView] = []
+        for service, views in by_service.items():
+            size = self.subset_size(service)
+            wanted.extend(choose_subset(entry_id, views, size))
+        return wanted
+
     def _start_link(
         self,
         tasks: TaskGroup,
@@ -211,20 +261,34 @@
         self.inboxes.broadcast(target_id, event)
         self.on_change()
 
-    def announce_placements(self) -> None:
-        """Send changed placements, and to each home what it needs."""
-        for view in self.table.views():
-            if view.linked:
-                self._push_keys(view.target_id)
+    def announce_placements(self, services: Iterable[str]) -> None:
+        """Send changed placements, and to each home what it needs.
+
+        :param services: those whose placement has changed.
+        """
+        for service in services:
+            placement = self._placement(service)
+            homes = self.book.by_home(service, placement)
+            for view in self.table.views():
+                if view.linked and view.service == service:
+                    records = homes.get(view.target_id, [])
+                    pushed = split_records(records, placement.version)
+                    self._push(view.target_id, pushed)
         self.on_change()
 
+    def _placement(self, service: str) -> HomePlacement:
+        rows = self.placements.get(service, ())
+        return rows[-1] if rows else HomePlacement(0, (), 0)
+
     def _push_keys(self, target_id: str) -> None:
-        # The records go before any attempt that relies on them.
         view = self.table.find(target_id)
-        rows = self.placements.get(view.service, ()) if view else ()
-        placement = rows[-1] if rows else HomePlacement(0, (), 0)
-        service = view.service if view else ''
-        pushed = self.book.messages(service, target_id, placement)
+        if view is not None:
+            placement = self._placement(view.service)
+            pushed = self.book.messages(view.service, target_id, placement)
+            self._push(target_id, pushed)
+
+    def _push(self, target_id: str, pushed: list[ForwardedKeys]) -> None:
+        # The records go before any attempt that relies on them.
         try:
             for message in (self._hello(), *pushed):
                 self.send(target_id, message)
--- a/tests/test_targets.py
+++ b/tests/test_targets.py
@@ -1,9 +1,11 @@
 import json
+from collections import Counter
 from datetime import timedelta
 
 from peridotrill.clock import ManualClock
 from peridotrill.forwarded_keys import RECORDS_PER_MESSAGE, ForwardedKeyBook
 from peridotrill.placement import Placement
+from peridotrill.target_links import choose_subset
 from peridotrill.targets import HOME_LOST_AFTER, TargetTable, VmRow, parse_vms
 from tests import builders
 
@@ -57,6 +59,22 @@
     assert table.possible_homes()['s'] == names
 
 
+def test_entries_link_to_a_subset_that_covers_all_targets():
+    # Guards against links that grow with entries times targets, and against
+    # targets that no entry reaches.
+    table = TargetTable(ManualClock())
+    table.apply_vms([row(f't{number}') for number in range(40)])
+    views = table.views()
+    assert choose_subset('e1', views, 0) == views
+    links = Counter()
+    for number in range(60):
+        chosen = choose_subset(f'e{number}', views, 8)
+        assert chosen == choose_subset(f'e{number}', views[::-1], 8)
+        links.update(view.target_id for view in chosen)
+    assert links.total() == 60 * 8
+    assert len(links) == 40
+
+
 def test_vm_rows_without_needed_fields_are_left_out():
     # Guards against one bad row hiding all targets.
     rows = [
