--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -21,6 +21,7 @@
   alpha: {rate_per_s: 1000, burst: 1000, weight: 1}
   beta: {rate_per_s: 1000, burst: 1000, weight: 1}
   gamma: {rate_per_s: 1000, burst: 1000, weight: 1}
+  delta: {rate_per_s: 2, burst: 8, weight: 1}
 targets: {min_per_zone: 0, max_total: 8}
 """
 SERVICES = {
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -9,11 +9,12 @@
 
 from standins.completions import answer_text
 from tests.callers import PROMPT, StreamCall, bearer, completion
-from tests.cluster import MODEL, run_cluster
+from tests.cluster import MODEL, SERVICES, run_cluster
 from tests.observer import Counts, is_short, read_error
 from tests.processes import wait_for
 
 WITHDRAWAL_S = 5.0
+CONFIGURATION_S = 5.0
 
 
 @pytest.fixture(scope='module')
@@ -217,3 +218,59 @@
         )
         assert response.status_code == 404
         assert read_error(response.json())['outcome'] == 'not_run'
+
+
+def test_entries_together_keep_a_team_within_its_limit(cluster):
+    # Guards against each entry admitting the whole rate and burst.
+    key = cluster.grant('delta')
+    urls = list(cluster.entry_urls.values())
+    for url in urls:
+        wait_for(
+            lambda entry=url: (
+                cluster.client.get(
+                    f'{entry}/v1/models', headers=bearer(key)
+                ).is_success
+            )
+        )
+    started_s = time.monotonic()
+    statuses = [
+        cluster.client.get(
+            f'{urls[number % len(urls)]}/stock/1', headers=bearer(key)
+        ).status_code
+        for number in range(60)
+    ]
+    allowed = 8 + 2 * (time.monotonic() - started_s)
+    assert set(statuses) == {200, 429}
+    assert statuses.count(200) <= allowed
+
+
+def test_new_configuration_is_in_force_everywhere_and_stays(cluster):
+    # Guards against entries that differ or take an outdated change.
+    texts = {'till': SERVICES['till'].replace('/stock/', '/shelf/')}
+    version = cluster.status('entry-1')['config_version']
+    cluster.publish(texts, base_version=version)
+    published_s = time.monotonic()
+    for url in cluster.entry_urls.values():
+        wait_for(
+            lambda entry=url: (
+                cluster.client.get(
+                    f'{entry}/shelf/1', headers=bearer(cluster.key)
+                ).is_success
+            )
+        )
+    assert time.monotonic() - published_s < CONFIGURATION_S
+    newest = cluster.status('entry-1')['config_version']
+    assert newest > version
+    cluster.publish({'till': SERVICES['till']}, base_version=version)
+    cluster.withdraw('alpha-key')
+    for entry_id, url in cluster.entry_urls.items():
+        # The withdrawal comes after the outdated change in the log.
+        wait_for(
+            lambda entry=url: (
+                cluster.client.get(
+                    f'{entry}/v1/models', headers=bearer(cluster.key)
+                ).status_code
+                == 401
+            )
+        )
+        assert cluster.status(entry_id)['config_version'] == newest
