--- a/peridotrill/process_reports.py
+++ b/peridotrill/process_reports.py
@@ -81,15 +81,20 @@
     url = httpx.URL(scheme='http', host=host, port=port, path=path)
     try:
         response = await http.get(url)
-        return ProcessReport(str(address), _decode_answer(response), '')
-    except (httpx.HTTPError, CodecError) as error:
+    except httpx.HTTPError as error:
         message = str(error) or type(error).__name__
         return ProcessReport(str(address), None, message)
+    return _decode_answer(str(address), response)
 
 
-def _decode_answer(response: httpx.Response) -> Any:
-    response.raise_for_status()
-    return decode_json(response.content)
+def _decode_answer(address: str, response: httpx.Response) -> ProcessReport:
+    if not response.is_success:
+        message = f'answered with status {response.status_code}'
+        return ProcessReport(address, None, message)
+    try:
+        return ProcessReport(address, decode_json(response.content), '')
+    except CodecError as error:
+        return ProcessReport(address, None, str(error))
 
 
 def find_differences(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -38,6 +38,8 @@
         body = self.answers.get((request.url.port, request.url.path))
         if body is None:
             raise httpx.ConnectError('refused', request=request)
+        if isinstance(body, httpx.Response):
+            return body
         return httpx.Response(200, json=body)
 
     def run(self, *words):
@@ -245,8 +247,13 @@
     assert program.run('timeline', *flags, tmp_path / 'no' / 'x')[0] == 2
 
 
-def test_malformed_timeline_counts_as_not_reachable():
-    program = Program({(9001, '/timeline'): [{'kind': 1}]})
+@pytest.mark.parametrize(
+    'body',
+    [[{'kind': 1}], httpx.Response(404), httpx.Response(200, content=b'{')],
+)
+def test_malformed_answers_count_as_not_reachable(body):
+    program = Program({(9001, '/timeline'): body, (9002, '/timeline'): []})
     code, document = program.run_json('timeline', '--entries', ENTRIES)
     assert code == 3
-    assert len(document['errors']) == 2
+    assert document['errors'].keys() == {'127.0.0.1:9001'}
+    assert len(document['errors']['127.0.0.1:9001'].splitlines()) == 1
