--- a/capacity/proposals.py
+++ b/capacity/proposals.py
@@ -7,7 +7,7 @@
 from capacity.costs import Costs
 from capacity.slopes import Results
 from capacity.tables import tables
-from capacity.text import percent, scaled, table
+from capacity.text import percent, plain, scaled, table
 
 
 class Proposal(NamedTuple):
@@ -116,18 +116,29 @@
         lambda costs: f'{scaled(costs.vm_list().bytes_per_s)}/s',
     ),
     Proposal(
-        '`messages`, `ledger_recovery`',
-        'Leave the registered entries out of `Hello`; the entry sends them '
-        'after a `Welcome` with `ledger` other than `complete`',
-        'Hello on one connection',
-        lambda costs: scaled(costs.hello_bytes()),
+        '`messages`, `entry`, `ledger_recovery`',
+        'Leave the lists out of `Hello`: `Welcome` names the offset whose '
+        'lists the agent holds, and the entry sends what has changed since '
+        '(all of it to a new agent, and only the placements of its '
+        'service); on an existing connection send only the entry or the '
+        'target that changed',
+        'bytes from each entry when one entry registers',
+        lambda costs: scaled(costs.announced_bytes()),
+    ),
+    Proposal(
+        '`forwarded_keys`, `target_links`',
+        'In `announce_placements` work out the home of each record of the '
+        'changed service once, and push to each home its group, instead of '
+        'going through all records and all homes for each link',
+        'event loop occupied by one changed set of home targets',
+        lambda costs: f'{plain(costs.placement_us() / 1e6)} s',
     ),
     Proposal(
         '`registration`',
         'Only the live entry that rendezvous assigns to the lost one '
         'appends `entry_expired`; the next one if it has not after 10 s',
         'appends after the loss of a zone of 70 entries',
-        lambda costs: str(
+        lambda costs: plain(
             target.NODES
             // target.ZONES
             * min(
@@ -151,7 +162,7 @@
         '`read_service_file` for its files in a worker thread; the fold '
         'then finds them in the cache of parsed files',
         'event loop occupied by a change of 1,100 teams',
-        lambda costs: f'{costs.config_loop_us() / 1000:.2g} ms',
+        lambda costs: f'{plain(costs.config_loop_us() / 1000)} ms',
     ),
     Proposal(
         '`channel`',
