Describe the changed mechanisms on the capacity page; link to 8 engines by default

Calculated from the kept slopes: control work of an entry at the target size 27% of a core, 64 MB and 684 kB/s instead of 314%, 17 GB and 172 MB/s; still over its budget of 3.7% of a core and 15 kB/s. The page lists what is made and what is open.

--- a/capacity/costs.py
+++ b/capacity/costs.py
@@ -7,6 +7,7 @@
 from capacity import target
 from capacity.decisions import PUSHED_KEYS
 from capacity.slopes import Results
+from peridotrill.snapshots import SnapshotSettings
 
 _US: Final = 1e6
 # Bytes of a payload become this many in the JSON of a page (base64).
@@ -433,7 +434,14 @@
     def _snapshot_flow(self, flows: list[RecordFlow]) -> RecordFlow:
         interval_s = self.plan.snapshot_s
         if not interval_s:
-            interval_s = 2000 / sum(flow.per_s for flow in flows)
+            settings = SnapshotSettings()
+            records_s = settings.interval_records / sum(
+                flow.per_s for flow in flows
+            )
+            interval_s = min(
+                settings.interval.total_seconds(),
+                max(settings.min_interval.total_seconds(), records_s),
+            )
         part_bytes = 512 * 1024
         parts = math.ceil(self.snapshot_bytes() / part_bytes)
         size_bytes = self.snapshot_bytes() / parts
--- a/capacity/proposals.py
+++ b/capacity/proposals.py
@@ -40,6 +40,10 @@
     return f'{scaled(cost.bytes_per_s)}/s'
 
 
+# Numbers of the proposals that are part of the code by now.
+_MADE: Final = frozenset((6, 7, 11, 12))
+_PARTLY_MADE: Final = frozenset((1, 3, 4, 8, 9))
+
 _PROPOSALS: Final = (
     Proposal(
         '`target_links`',
@@ -96,7 +100,7 @@
     ),
     Proposal(
         '`usage_windows`',
-        'Set `KEPT_WINDOWS` to 8 once differences are in use',
+        'Set `KEPT_WINDOWS` to 10 once differences are in use',
         'memory of figures',
         lambda costs: scaled(costs.usage_figures().memory_bytes),
     ),
@@ -193,7 +197,17 @@
             row.figure,
             row.render(built),
             row.render(proposed),
+            _state(number),
         )
         for number, row in enumerate(_PROPOSALS, start=1)
     ]
-    return table('no. | module | change | figure | as built | expected', rows)
+    return table(
+        'no. | module | change | figure | as built | expected | state',
+        rows,
+    )
+
+
+def _state(number: int) -> str:
+    if number in _MADE:
+        return 'made'
+    return 'partly made' if number in _PARTLY_MADE else 'open'
--- a/capacity/target.py
+++ b/capacity/target.py
@@ -5,6 +5,10 @@
 from peridotrill.agent import LOAD_INTERVAL
 from peridotrill.channel import FLUSH_INTERVAL
 from peridotrill.engine_client import MAX_CACHED_PREFIXES
+from peridotrill.log_client import PAGE_PAUSE
+from peridotrill.registration import renew_interval_s
+from peridotrill.target_links import POLL_BYTES_PER_S
+from peridotrill.usage_windows import KEPT_WINDOWS
 
 DAY_S: Final = 86_400
 
@@ -32,6 +36,8 @@
 KEYS_PER_TEAM: Final = 2
 # Most that an agent of an engine reports.
 CACHED_PREFIXES: Final = MAX_CACHED_PREFIXES
+# Default of the setting of the entry.
+TARGET_SUBSET: Final = 8
 TOKENS_PER_S_PER_STREAM: Final = 18
 PLAIN_SHARE: Final = 0.1
 RETENTION_S: Final = 900
@@ -77,11 +83,13 @@
     parses_in_thread: bool
 
 
+# A row of the VM list of the stand-in.
+VM_ROW_BYTES: Final = 165
 LEASES: Final = MODELS * ZONES + ZONES + 3
 
 AS_BUILT: Final = Plan(
     name='as built',
-    links_per_entry=TARGETS,
+    links_per_entry=TARGET_SUBSET * MODELS,
     batches_per_s=0,
     heartbeats_per_s=2,
     reports_per_s=1 / LOAD_INTERVAL.total_seconds(),
@@ -90,20 +98,20 @@
     hello_homes=TARGETS,
     changed_entries=NODES,
     changed_homes=TARGETS,
-    indexes_homes=False,
-    read_pause_s=0,
-    renewal_s=10,
+    indexes_homes=True,
+    read_pause_s=PAGE_PAUSE.total_seconds(),
+    renewal_s=renew_interval_s(NODES),
     lease_renewal_s=2,
     held_leases=LEASES,
     usage_writers=NODES,
     usage_flush_s=5,
     usage_reporters=1,
-    kept_counts=240 * NODES,
-    kept_windows=240,
-    vm_poll_s=1,
-    # Every 2,000 records instead.
+    kept_counts=0,
+    kept_windows=KEPT_WINDOWS,
+    vm_poll_s=(NODES + TARGETS) * VM_ROW_BYTES / POLL_BYTES_PER_S,
+    # By number of records, within the bounds of SnapshotSettings.
     snapshot_s=0,
-    expiry_writers=NODES,
+    expiry_writers=1,
     indexed_targets=False,
     flush_s=FLUSH_INTERVAL.total_seconds(),
     parses_in_thread=False,
@@ -130,7 +138,7 @@
     usage_flush_s=60,
     usage_reporters=ZONES,
     kept_counts=0,
-    kept_windows=8,
+    kept_windows=KEPT_WINDOWS,
     vm_poll_s=120,
     snapshot_s=1800,
     expiry_writers=1,
--- a/peridotrill/entry_main.py
+++ b/peridotrill/entry_main.py
@@ -46,7 +46,7 @@
         'target_subset',
         'integer',
         'number of engines of a service to link to, 0 for all',
-        '32',
+        '8',
     ),
     Setting(
         'address_overrides',
--- a/peridotrill/log_client.py
+++ b/peridotrill/log_client.py
@@ -35,7 +35,7 @@
 _BACKOFF_LIMIT: Final = timedelta(seconds=2)
 # One read for each appended record would cost more than the records: with
 # hundreds of appends per second, this pause lets a page collect them.
-_PAGE_PAUSE: Final = timedelta(milliseconds=200)
+PAGE_PAUSE: Final = timedelta(milliseconds=200)
 
 
 class LogRow(NamedTuple):
@@ -259,7 +259,7 @@
         self._backoff = _BACKOFF_START
         self._apply_page(page)
         if page.records and self.caught_up.is_set():
-            await anyio.sleep(_PAGE_PAUSE.total_seconds())
+            await anyio.sleep(PAGE_PAUSE.total_seconds())
 
     async def _recover(self, error: LogError) -> None:
         if isinstance(error, RecordsExpired):
