Join the chunks of a stream that wait; send its first bytes at once

Cause: with 5 ms between flushes nearly every token was a message, a batch and a write to the caller.

The agent's end now sends the first 512 bytes and the end of an answer at once, and joins the chunks of an attempt that wait, up to 20 ms. The entry joins what has arrived for a caller into one write and takes what waits on a link without a wait per message. Bytes are acknowledged by what the caller took, not by what was handled.

--- a/peridotrill/attempts.py
+++ b/peridotrill/attempts.py
@@ -1,7 +1,7 @@
 """Runs requests: attempts at targets, their outcomes, and retries."""
 
 from collections.abc import AsyncGenerator, Callable
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 from datetime import timedelta
 from typing import Any, Final, NamedTuple, Protocol, Self, final
 
@@ -154,6 +154,8 @@
             self.attempt_id,
         )
         self._acknowledged = 0
+        # The caller has taken the bytes before this position.
+        self._taken = 0
         self._down_since_s: float | None = None
         self._requested_at_s = float('-inf')
 
@@ -168,7 +170,7 @@
             while not self.machine.is_final:
                 for answer in await self._next_answers():
                     yield answer
-                    self._acknowledge(ACKNOWLEDGE_BYTES)
+                    self._note_taken(answer)
             if self.error is not None:
                 raise self.error
             # The agent keeps the answer until all of it is acknowledged.
@@ -311,21 +313,37 @@
         )
 
     async def _next_answers(self) -> Answers:
-        """Handle the next event, or the end of the time for it."""
+        """Handle what has arrived, or the end of the time for it."""
         deadline_s = self._request.deadline_s
         limit_s = deadline_s
         if self._down_since_s is not None:
             lost_s = self._down_since_s + TARGET_LOST_AFTER.total_seconds()
             limit_s = min(limit_s, lost_s)
-        now_s = self._ports.clock.monotonic_s()
-        with anyio.move_on_after(max(0, limit_s - now_s)):
-            return self._handle(await self._inbox.receive())
+        remaining_s = max(0, limit_s - self._ports.clock.monotonic_s())
+        if remaining_s:
+            with suppress(anyio.WouldBlock):
+                return self._handle_waiting(self._inbox.receive_nowait())
+        with anyio.move_on_after(remaining_s):
+            return self._handle_waiting(await self._inbox.receive())
         if limit_s < deadline_s:
             self.lose('The connection to the agent was lost.')
         else:
             await self._cancel()
         return _NOTHING
 
+    def _handle_waiting(self, event: Any) -> Answers:
+        """Handle an event and those that wait; join the bytes they bring.
+
+        No more than a step of acknowledgement is joined, so that bytes are
+        acknowledged only as the caller takes them.
+        """
+        limit = self.position + ACKNOWLEDGE_BYTES
+        answers = list(self._handle(event))
+        with suppress(anyio.WouldBlock):
+            while self.position < limit and not self.machine.is_final:
+                answers.extend(self._handle(self._inbox.receive_nowait()))
+        return _join_bytes(answers)
+
     def _handle(self, event: Any) -> Answers:
         handler = _handlers.get(type(event))
         if handler is None or self.machine.is_final:
@@ -357,11 +375,16 @@
         if not self.machine.is_final:
             self.machine.fire('lost')
 
+    def _note_taken(self, answer: Answer) -> None:
+        if isinstance(answer, AnswerBytes):
+            self._taken += len(answer.payload)
+            self._acknowledge(ACKNOWLEDGE_BYTES)
+
     def _acknowledge(self, step_bytes: int) -> None:
-        if self.position - self._acknowledged >= step_bytes:
-            self._acknowledged = self.position
+        if self._taken - self._acknowledged >= step_bytes:
+            self._acknowledged = self._taken
             self._send(
-                messages.AcknowledgeBytes(self.attempt_id, self.position),
+                messages.AcknowledgeBytes(self.attempt_id, self._taken),
             )
 
     def _send(self, message: Any) -> None:
@@ -397,6 +420,16 @@
         )
 
 
+def _join_bytes(answers: list[Answer]) -> Answers:
+    parts = [row.payload for row in answers if isinstance(row, AnswerBytes)]
+    if len(parts) < 2:
+        return tuple(answers)
+    # Bytes come after the head and before the end.
+    before = [row for row in answers if isinstance(row, AnswerHead)]
+    after = [row for row in answers if isinstance(row, AnswerEnd)]
+    return (*before, AnswerBytes(b''.join(parts)), *after)
+
+
 @_handlers.register(messages.AttemptStarted)
 def _handle_started(
     attempt: Attempt,
--- a/peridotrill/channel.py
+++ b/peridotrill/channel.py
@@ -15,7 +15,14 @@
 
 HEARTBEAT_INTERVAL: Final = timedelta(milliseconds=500)
 SILENCE_LIMIT: Final = timedelta(seconds=2)
-FLUSH_INTERVAL: Final = timedelta(milliseconds=5)
+# Bounds what an answer chunk waits for others; far within the 55 ms that are
+# allowed between tokens.
+FLUSH_INTERVAL: Final = timedelta(milliseconds=20)
+SHORT_DELAY: Final = timedelta(milliseconds=5)
+# The first events of a stream, with its first token, do not wait.
+UNDELAYED_BYTES: Final = 512
+# Larger answers are sent without waiting for the interval.
+FULL_BATCH_BYTES: Final = 64 * 1024
 # The peer's connection is closed when more than this waits for a flush.
 MAX_OUTBOX_BYTES: Final = 10 * 1024 * 1024
 MAX_OUTBOX_MESSAGES: Final = 4096
@@ -28,8 +35,12 @@
 PROBE_DELAY: Final = timedelta(milliseconds=20)
 MAX_EVENTS: Final = 1024
 
-# They tolerate a short delay; every other message is sent at once.
-_DELAYED: Final = (messages.AttemptChunk, messages.AcknowledgeBytes)
+# Usually followed soon by a message that is sent at once.
+_DELAYED: Final = (
+    messages.AcknowledgeBytes,
+    messages.AttemptHead,
+    messages.AttemptStarted,
+)
 _FIELDS_BYTES: Final = 256
 
 
@@ -95,9 +106,11 @@
 class Channel:
     """State of one connection; it ends with the connection.
 
-    Control messages are sent at once, unless the previous batch left less
-    than the spacing of the role ago. Answer chunks and acknowledgements wait up to
-    ``FLUSH_INTERVAL``. Messages keep their order.
+    Messages are sent at once, unless the previous batch left less than the
+    spacing of the role ago. Answer chunks after the first bytes wait up to
+    ``FLUSH_INTERVAL``, and those of one attempt that wait are joined. The
+    start of an answer, before its first chunk, and acknowledgements wait up to
+    ``SHORT_DELAY``. Messages of an attempt keep their order.
     """
 
     def __init__(
@@ -122,6 +135,8 @@
         self._resend_s = float('-inf')
         self._probe: asyncio.TimerHandle | None = None
         self._outbox: list[Any] = []
+        # Place in the outbox of the last chunk of each attempt.
+        self._last_chunks: dict[str, int] = {}
         self._outbox_bytes = 0
         self._sent = 0
         self._sent_s = self.received_s - role.spacing.total_seconds()
@@ -138,8 +153,7 @@
         """
         if self.close_reason:
             raise LinkClosed(self.close_reason)
-        self._outbox.append(message)
-        self._outbox_bytes += _size_bytes(message)
+        self._add(message)
         if self._is_overfull():
             self.close('overflow')
             raise LinkClosed('overflow')
@@ -157,7 +171,7 @@
         if self.close_reason or not self._outbox:
             return
         pending, size_bytes = self._outbox, self._outbox_bytes
-        self._outbox, self._outbox_bytes = [], 0
+        self._clear_outbox()
         self._send_batch(pending, size_bytes)
 
     def receive(self, payload: bytes) -> list[Any]:
@@ -208,7 +222,29 @@
         self._cancel_timer()
         if self._probe is not None:
             self._probe.cancel()
+        self._clear_outbox()
+
+    def _add(self, message: Any) -> None:
+        """Add to the outbox; a chunk is joined with those before it."""
+        self._outbox_bytes += _size_bytes(message)
+        if isinstance(message, messages.AttemptChunk):
+            if self._join_chunk(message):
+                return
+            self._last_chunks[message.attempt_id] = len(self._outbox)
+        self._outbox.append(message)
+
+    def _join_chunk(self, chunk: messages.AttemptChunk) -> bool:
+        place = self._last_chunks.get(chunk.attempt_id)
+        if place is None or not _can_join(self._outbox[place], chunk):
+            return False
+        last = self._outbox[place]
+        joined = last.payload + chunk.payload
+        self._outbox[place] = last._replace(payload=joined)
+        return True
+
+    def _clear_outbox(self) -> None:
         self._outbox, self._outbox_bytes = [], 0
+        self._last_chunks.clear()
 
     def _send_batch(self, pending: list[Any], size_bytes: int) -> None:
         batch = messages.Batch(self._sent + 1, self._recorder.lamport, pending)
@@ -231,6 +267,7 @@
             self.close('overflow')
             return
         self._outbox = [*pending, *self._outbox]
+        self._last_chunks.clear()
         self._outbox_bytes += size_bytes
         if self._outbox:
             self._schedule(self._role.spacing.total_seconds())
@@ -322,7 +359,11 @@
 
     def _delay_s(self, message: Any) -> float:
         if isinstance(message, _DELAYED):
-            return FLUSH_INTERVAL.total_seconds()
+            return SHORT_DELAY.total_seconds()
+        if isinstance(message, messages.AttemptChunk):
+            is_first = message.position < UNDELAYED_BYTES
+            if not is_first and self._outbox_bytes < FULL_BATCH_BYTES:
+                return FLUSH_INTERVAL.total_seconds()
         return (
             self._sent_s
             + self._role.spacing.total_seconds()
@@ -354,6 +395,15 @@
     return str(error)
 
 
+def _can_join(
+    last: messages.AttemptChunk,
+    following: messages.AttemptChunk,
+) -> bool:
+    end = last.position + len(last.payload)
+    size_bytes = len(last.payload) + len(following.payload)
+    return end == following.position and size_bytes <= FULL_BATCH_BYTES
+
+
 def _size_bytes(message: Any) -> int:
     if isinstance(message, messages.AttemptChunk):
         return len(message.payload) + _FIELDS_BYTES
--- a/peridotrill/link.py
+++ b/peridotrill/link.py
@@ -195,7 +195,11 @@
             return
         if isinstance(entry, messages.Heartbeat):
             self._observe_clock(entry.clock_s)
-        await self._sending.send(entry)
+        try:
+            # Costs a fraction of a send that may wait.
+            self._sending.send_nowait(entry)
+        except anyio.WouldBlock:
+            await self._sending.send(entry)
 
     async def _welcome(
         self,
--- a/peridotrill/target_links.py
+++ b/peridotrill/target_links.py
@@ -12,6 +12,7 @@
 import msgspec
 from anyio.abc import TaskGroup
 
+from peridotrill.channel import MAX_EVENTS
 from peridotrill.clock import Clock
 from peridotrill.exceptions import LinkClosed
 from peridotrill.forwarded_keys import ForwardedKeyBook, split_records
@@ -235,6 +236,13 @@
                 tasks.start_soon(task.link.run)
                 async for event in task.link.events:
                     self._handle(target_id, event)
+                    self._handle_waiting(target_id, task.link)
+
+    def _handle_waiting(self, target_id: str, link: AgentLink) -> None:
+        """Handle what waits, at most as much as the stream holds."""
+        with suppress(anyio.WouldBlock):
+            for _ in range(MAX_EVENTS):
+                self._handle(target_id, link.events.receive_nowait())
 
     def _handle(self, target_id: str, event: Any) -> None:
         handler = _handlers.get(type(event))
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -279,3 +279,14 @@
         positions = [entry.position for entry in acknowledged]
         assert positions == [len(block) * num for num in range(1, taken)]
     await answers.aclose()
+
+
+async def test_chunks_that_wait_are_written_to_the_caller_as_one():
+    # Guards against a write to the caller's socket for each token.
+    pieces = [b'%03d' % number for number in range(100)]
+    chunks = [chunk(3 * number, piece) for number, piece in enumerate(pieces)]
+    agent = Agent([HEAD, *chunks, END._replace(total_bytes=300)])
+    request = make_request(agent.clock)
+    answers = [row async for row in attempts.run_request(request, agent.ports)]
+    written = [row for row in answers if isinstance(row, attempts.AnswerBytes)]
+    assert [row.payload for row in written] == [b''.join(pieces)]
