Keep connections to the target for idempotent requests

Cause: a connection to the target for each request. A non-idempotent request still gets one of its own, since a kept one may be closed while the request is written and its outcome would be unknown. An idempotent request is written again, once, on a new connection if the kept one was closed before an answer; if that connection cannot be made the outcome is unknown, never not_run.

--- a/peridotrill/agent_main.py
+++ b/peridotrill/agent_main.py
@@ -27,6 +27,9 @@
 
 PROGRAM: Final = 'peridotrill-agent'
 
+# About as many as a target serves at once.
+_KEPT_CONNECTIONS: Final = 64
+
 SETTINGS: Final = (
     Setting('target_id', 'text', 'stable id of the target'),
     Setting('service', 'text', 'name of the service'),
@@ -63,7 +66,7 @@
     url = settings['target_url']
     async with (
         create_http_client(url) as http,
-        create_http_client(url, kept=1) as control,
+        create_http_client(url, kept=_KEPT_CONNECTIONS) as control,
     ):
         client = _create_client(settings['kind'], http, control)
         config = AgentConfig(
--- a/peridotrill/engine_client.py
+++ b/peridotrill/engine_client.py
@@ -39,7 +39,11 @@
         http: httpx.AsyncClient,
         control: httpx.AsyncClient,
     ) -> None:
-        """:param control: used for all calls but requests of callers."""
+        """:param http: opens a connection for each request.
+
+        :param control: keeps connections, for control calls and idempotent
+            requests.
+        """
         self._http = http
         self._control = control
         self._next_event = 0
@@ -59,7 +63,7 @@
         }
         if start.resume_position:
             headers['X-Resume-Tokens'] = str(start.resume_position)
-        return open_answer(self._http, start, headers)
+        return open_answer(self._http, self._control, start, headers)
 
     def create_counter(self, content_type: str) -> TokenCounter:
         """Return a counter for one answer.
--- a/peridotrill/plain_client.py
+++ b/peridotrill/plain_client.py
@@ -23,7 +23,11 @@
         http: httpx.AsyncClient,
         control: httpx.AsyncClient,
     ) -> None:
-        """:param control: used for all calls but requests of callers."""
+        """:param http: opens a connection for each request.
+
+        :param control: keeps connections, for control calls and idempotent
+            requests.
+        """
         self._http = http
         self._control = control
 
@@ -36,7 +40,7 @@
         :param start: the request; errors as in ``open_answer``.
         """
         headers = {'X-Attempt-Id': start.attempt_id}
-        return open_answer(self._http, start, headers)
+        return open_answer(self._http, self._control, start, headers)
 
     def create_counter(self, content_type: str) -> NoCounter:
         """Return a counter that counts nothing.
--- a/peridotrill/target_client.py
+++ b/peridotrill/target_client.py
@@ -2,7 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any, Final, NamedTuple
+from typing import Any, Final, NamedTuple, final
 
 import anyio
 import httpx
@@ -20,6 +20,12 @@
 _CONNECT_TIMEOUT_S: Final = 2.0
 _CONTROL_TIMEOUT_S: Final = 2.0
 _MAX_CONNECTIONS: Final = 2048
+_CONNECTING: Final = 'connection.connect_tcp.started'
+_CLOSED_ERRORS: Final = (
+    httpx.ReadError,
+    httpx.WriteError,
+    httpx.RemoteProtocolError,
+)
 # They belong to one connection or are set by the client. Answers are not
 # compressed, so that tokens can be counted.
 _DROPPED_HEADERS: Final = frozenset(
@@ -65,15 +71,28 @@
         return TokenCount()
 
 
+@final
+class _ConnectTrace:
+    """Notes whether a request has opened a connection."""
+
+    def __init__(self) -> None:
+        self.has_connected = False
+
+    async def __call__(self, name: str, _fields: Any) -> None:
+        """Take an event of the HTTP library."""
+        self.has_connected |= name == _CONNECTING
+
+
 def create_http_client(target_url: str, kept: int = 0) -> httpx.AsyncClient:
     """Create a client of the target.
 
-    Requests of callers get a connection each: a kept one may be closed by
-    the target while a request is written to it, and the outcome of a request
-    that never ran would then be unknown.
+    Non-idempotent requests get a connection each: a kept one may be closed
+    by the target while a request is written to it, and the outcome of a
+    request that never ran would then be unknown.
 
     :param target_url: URL of the target.
-    :param kept: idle connections that are kept, for control calls.
+    :param kept: idle connections that are kept, for control calls and
+        idempotent requests.
     """
     return httpx.AsyncClient(
         base_url=target_url,
@@ -92,6 +111,7 @@
 @asynccontextmanager
 async def open_answer(
     http: httpx.AsyncClient,
+    kept: httpx.AsyncClient,
     start: StartAttempt,
     extra_headers: dict[str, str],
 ) -> AsyncIterator[httpx.Response]:
@@ -100,12 +120,15 @@
     Raises TargetUnreachable if no connection was made, so that no byte of
     the request has left; every other failure is TargetOutcomeUnknown.
 
+    :param kept: client that keeps connections, for idempotent requests.
     :param start: the request.
     :param extra_headers: added to the headers of the request.
     """
     request = _build_request(http, start, extra_headers)
     try:
-        response = await http.send(request, stream=True)
+        response = await _send(
+            http, kept if start.idempotent else None, request
+        )
     except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as err:
         raise TargetUnreachable(type(err).__name__) from err
     except httpx.HTTPError as error:
@@ -119,6 +142,28 @@
             await response.aclose()
 
 
+async def _send(
+    http: httpx.AsyncClient,
+    kept: httpx.AsyncClient | None,
+    request: httpx.Request,
+) -> httpx.Response:
+    if kept is None:
+        return await http.send(request, stream=True)
+    trace = _ConnectTrace()
+    request.extensions['trace'] = trace
+    try:
+        return await kept.send(request, stream=True)
+    except _CLOSED_ERRORS:
+        # Only a connection that was kept may have been closed while idle.
+        if trace.has_connected:
+            raise
+    try:
+        return await http.send(request, stream=True)
+    except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+        # The request was written once, so this is not ``not_run``.
+        raise TargetOutcomeUnknown(type(error).__name__) from error
+
+
 def _build_request(
     http: httpx.AsyncClient,
     start: StartAttempt,
--- /dev/null
+++ b/tests/test_target_client.py
@@ -0,0 +1,113 @@
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+
+from peridotrill.exceptions import TargetOutcomeUnknown
+from peridotrill.target_client import create_http_client, open_answer
+from tests import builders
+
+pytestmark = pytest.mark.anyio
+ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+class Target:
+    """Serves so many requests on a connection, then closes on the next."""
+
+    def __init__(self, per_connection):
+        self.per_connection = per_connection
+        self.connections = 0
+        self.requests = []
+        self.leaves = False
+        self.listener = None
+
+    async def serve(self, stream):
+        self.connections += 1
+        async with stream:
+            for number in range(self.per_connection + 1):
+                try:
+                    head = await stream.receive()
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    return
+                if number == self.per_connection:
+                    if self.leaves:
+                        await self.listener.aclose()
+                    return
+                self.requests.append(head.split()[1].decode())
+                await stream.send(ANSWER)
+
+
+async def _listen(target):
+    try:
+        await target.listener.serve(target.serve)
+    except* anyio.ClosedResourceError:
+        target.listener = None
+
+
+@asynccontextmanager
+async def serving(per_connection):
+    target = Target(per_connection)
+    port = builders.free_port()
+    url = f'http://127.0.0.1:{port}'
+    listener = await anyio.create_tcp_listener(
+        local_host='127.0.0.1', local_port=port
+    )
+    target.listener = listener
+    async with (
+        anyio.create_task_group() as tasks,
+        create_http_client(url) as http,
+        create_http_client(url, kept=4) as kept,
+    ):
+
+        async def fetch(path, idempotent):
+            start = builders.start('x', path=path, idempotent=idempotent)
+            async with open_answer(http, kept, start, {}) as response:
+                return await response.aread()
+
+        tasks.start_soon(_listen, target)
+        yield target, fetch
+        tasks.cancel_scope.cancel()
+    await listener.aclose()
+
+
+@pytest.mark.parametrize(('idempotent', 'connections'), [(True, 1), (False, 5)])
+async def test_only_idempotent_requests_share_connections(
+    idempotent, connections
+):
+    # Guards against a connection for each lookup, and against a kept one for
+    # a request whose outcome would be unknown when it is closed.
+    async with serving(per_connection=10) as (target, fetch):
+        for number in range(5):
+            assert await fetch(f'/{number}', idempotent) == b'ok'
+        assert target.connections == connections
+
+
+async def test_a_kept_connection_that_is_closed_is_not_a_failure():
+    # Guards against an unknown outcome after an idle close.
+    async with serving(per_connection=1) as (target, fetch):
+        for number in range(3):
+            assert await fetch(f'/{number}', idempotent=True) == b'ok'
+        assert target.requests == ['/0', '/1', '/2']
+
+
+async def test_a_failure_on_a_new_connection_is_not_repeated():
+    # Guards against runs that the retry budget of the entry does not count.
+    async with serving(per_connection=0) as (target, fetch):
+        with pytest.raises(TargetOutcomeUnknown):
+            await fetch('/0', idempotent=True)
+        assert target.connections == 1
+
+
+async def test_a_target_that_is_gone_after_a_close_is_unknown():
+    # Guards against a false not_run after the request was written once.
+    async with serving(per_connection=1) as (target, fetch):
+        assert await fetch('/0', idempotent=True) == b'ok'
+        target.leaves = True
+        with pytest.raises(TargetOutcomeUnknown):
+            await fetch('/1', idempotent=True)
+        assert target.connections == 1
