--- a/peridotrill/attempt_runner.py
+++ b/peridotrill/attempt_runner.py
@@ -22,7 +22,6 @@
 from peridotrill.token_counter import TokenCount
 
 READ_BYTES: Final = 64 * 1024
-_NO_LENGTH: Final = -1
 
 
 class Counter(Protocol):
@@ -148,15 +147,11 @@
     answer: Answer,
     counter: Counter,
 ) -> None:
-    length = int(response.headers.get('content-length', _NO_LENGTH))
     async for payload in response.aiter_raw():
         counter.feed(payload)
         for first in range(0, len(payload), READ_BYTES):
             await answer.wait_for_room()
-            part = payload[first : first + READ_BYTES]
-            # The last bytes are sent together with the end.
-            is_last = answer.total_bytes + len(part) == length
-            answer.append(part, is_last)
+            answer.append(payload[first : first + READ_BYTES])
 
 
 def _to_store(answer: Answer) -> StoredAnswer | None:
--- a/peridotrill/running_attempts.py
+++ b/peridotrill/running_attempts.py
@@ -61,15 +61,11 @@
         self.headers = headers
         self.pump()
 
-    def append(self, payload: bytes, is_last: bool = False) -> None:
-        """:param payload: the next bytes.
-
-        :param is_last: the end follows at once and sends them.
-        """
+    def append(self, payload: bytes) -> None:
+        """:param payload: the next bytes."""
         self._kept += payload
         self.total_bytes += len(payload)
-        if not is_last:
-            self.pump()
+        self.pump()
 
     def end(self, now_s: float, failure: Failure | None) -> None:
         """:param failure: code, detail and outcome; None if it is complete."""
