Report an unchanged load of a target once a second

Cause: an idle agent sent a report every 250 ms to every entry, and the entry acknowledged nearly each of them. The load is read as often as before and sent when it has changed, at least once a second, and to each new connection. A longer interval is not chosen because entries correct a report for their own attempts until the next one.

--- a/peridotrill/agent.py
+++ b/peridotrill/agent.py
@@ -24,6 +24,9 @@
 from peridotrill.timeline import Recorder
 
 LOAD_INTERVAL: Final = timedelta(milliseconds=250)
+# An unchanged load is reported so often, since entries correct a report for
+# their own attempts until the next one arrives.
+UNCHANGED_LOAD_INTERVAL: Final = timedelta(seconds=1)
 # Cache events are late anyway, and a second call with each load report would
 # double the cost of an idle agent.
 CACHE_INTERVAL: Final = timedelta(seconds=1)
@@ -73,6 +76,7 @@
             recorder,
         )
         self._load = TargetLoad(ready=False)
+        self._sent_load: messages.LoadReport | None = None
         self._prefixes: list[int] = []
         self._attempts = AttemptTable(clock)
 
@@ -140,6 +144,7 @@
             case PeerUp():
                 self._attempts.connect(event.peer_id, event.hello)
                 self._ledger.observe(event.hello)
+                self._send(event.peer_id, self._load_report())
             case PeerDown():
                 self._attempts.disconnect(event.peer_id)
             case PeerMessage() if not self._attempts.knows(event.peer_id):
@@ -324,9 +329,22 @@
     async def _report_load(self) -> None:
         while True:
             self._load = await self._client.load()
-            self._send_to_all(self._load_report())
+            self._send_changed_load()
             await anyio.sleep(LOAD_INTERVAL.total_seconds())
 
+    def _send_changed_load(self) -> None:
+        """Send the load if it has changed, or was not sent for a while."""
+        report = self._load_report()
+        last = self._sent_load
+        if last is not None:
+            is_same = report == last._replace(clock_s=report.clock_s)
+            age_s = report.clock_s - last.clock_s
+            limit_s = UNCHANGED_LOAD_INTERVAL.total_seconds()
+            if is_same and age_s < limit_s:
+                return
+        self._sent_load = report
+        self._send_to_all(report)
+
     async def _follow_cache(self) -> None:
         while True:
             self._prefixes = await self._client.cached_prefixes()
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -366,3 +366,21 @@
     assert b'event=drained' in output
     resident = re.search(r'VmRSS:\s+(\d+) kB', status)
     assert int(resident[1]) < 64 * 1024
+
+
+async def test_an_unchanged_load_is_reported_rarely():
+    # Guards against control work that grows with entries times targets while
+    # nothing happens.
+    async with serving() as setup:
+        await setup.receive(messages.LoadReport)
+        await anyio.sleep(1.5)
+        reports = []
+        with anyio.move_on_after(2):
+            while True:
+                reports.append(await setup.receive(messages.LoadReport))
+        # Each poll would give 14; the first ones may show the new cache.
+        assert 2 <= len(reports) <= 6
+        setup.agent.is_draining = True
+        with anyio.fail_after(2):
+            while not (await setup.receive(messages.LoadReport)).draining:
+                pass
