--- a/peridotrill/attempts.py
+++ b/peridotrill/attempts.py
@@ -1,15 +1,22 @@
-"""Runs requests: attempts at targets, their outcomes, and retries."""
+"""Attempts at targets: their messages, answers and exact outcomes."""
 
 from collections.abc import AsyncGenerator, Callable
-from contextlib import aclosing, suppress
+from contextlib import suppress
 from datetime import timedelta
-from typing import Any, Final, NamedTuple, Protocol, Self, final
+from typing import Any, Final, final
 
 import anyio
 
 from peridotrill import messages
-from peridotrill.clock import Clock
-from peridotrill.dispatch import Dispatcher, Placement, Request
+from peridotrill.answers import (
+    Answer,
+    AnswerBytes,
+    AnswerEnd,
+    AnswerHead,
+    Answers,
+)
+from peridotrill.attempt_ports import Ports
+from peridotrill.dispatch import Placement, Request
 from peridotrill.errors import (
     NOT_RUN,
     RAN,
@@ -18,13 +25,9 @@
     error_codes,
 )
 from peridotrill.exceptions import LinkClosed
-from peridotrill.forwarded_keys import ForwardedKeyBook
-from peridotrill.inboxes import Inboxes
 from peridotrill.link import LinkDown, LinkUp
 from peridotrill.registry import Registry
-from peridotrill.retry_budget import RetryBudget
 from peridotrill.statechart import Machine, load_chart
-from peridotrill.timeline import Recorder
 
 # Without a connection for this long, the attempts at a target are lost.
 TARGET_LOST_AFTER: Final = timedelta(seconds=5)
@@ -34,20 +37,9 @@
 # A quarter of the flow-control window, so that the agent never waits for an
 # acknowledgement while the caller reads.
 ACKNOWLEDGE_BYTES: Final = 64 * 1024
-MAX_BUFFERED_BYTES: Final = 8 * 1024 * 1024
 _REQUEST_AGAIN_AFTER: Final = timedelta(milliseconds=500)
-_MIN_BACK_OFF: Final = timedelta(milliseconds=50)
-_MAX_BACK_OFF: Final = timedelta(seconds=1)
 _RETRY_AFTER_S: Final = 1.0
 
-# Refusals after which the same request cannot be started by another attempt.
-_FINAL_REASONS: Final = frozenset(
-    ('idempotency_key_reused', 'deadline_exceeded', 'invalid_request'),
-)
-
-# Refusals while the agent cannot tell whether the key is new.
-_UNDECIDED_REASONS: Final = frozenset(('recovering', 'placement_old'))
-
 _chart: Final = load_chart('attempt')
 _handlers: Registry[
     type,
@@ -55,81 +47,9 @@
 ] = Registry('attempt message')
 
 
-class AnswerHead(NamedTuple):
-    """Status and headers of the answer."""
-
-    status: int
-    headers: list[tuple[str, str]]
-    replayed: bool
-
-
-class AnswerBytes(NamedTuple):
-    """The next bytes of the answer."""
-
-    payload: bytes
-
-
-class AnswerEnd(NamedTuple):
-    """The answer is whole."""
-
-    total_bytes: int
-
-
-Answer = AnswerHead | AnswerBytes | AnswerEnd
-Answers = tuple[Answer, ...]
-
 _NOTHING: Final[Answers] = ()
 
 
-class Links(Protocol):
-    """The part of the target links that attempts use."""
-
-    inboxes: Inboxes
-    book: ForwardedKeyBook
-
-    def send(self, target_id: str, message: Any) -> None:
-        """Send, or raise LinkClosed if no byte has left."""
-
-    def agent_clock_s(self, target_id: str) -> float:
-        """Return the lowest value of the agent's clock."""
-
-
-class Counter(Protocol):
-    """The part of the usage counter that attempts use."""
-
-    def count(
-        self,
-        team: str,
-        requests: int,
-        prompt_tokens: int,
-        output_tokens: int,
-    ) -> None:
-        """Count usage of a team."""
-
-
-class Ports(NamedTuple):
-    """What attempts need from the rest of the entry."""
-
-    links: Links
-    dispatcher: Dispatcher
-    budget: RetryBudget
-    usage: Counter
-    clock: Clock
-    recorder: Recorder
-
-    @classmethod
-    def from_config(
-        cls,
-        links: Links,
-        dispatcher: Dispatcher,
-        usage: Counter,
-        clock: Clock,
-        recorder: Recorder,
-    ) -> Self:
-        """Return the ports with a new retry budget."""
-        return cls(links, dispatcher, RetryBudget(), usage, clock, recorder)
-
-
 @final
 class Attempt:
     """One attempt; a single task runs it and handles its messages."""
@@ -568,121 +488,3 @@
 def _handle_link_up(attempt: Attempt, event: LinkUp) -> Answers:
     attempt.reconnect(event.is_new_incarnation)
     return _NOTHING
-
-
-@final
-class _Run:
-    """The attempts of one request; decides whether there is another."""
-
-    def __init__(self, request: Request, ports: Ports) -> None:
-        self.is_wanted = True
-        self._request = request
-        self._ports = ports
-        self._avoided: set[str] = set()
-        self._back_off_s = _MIN_BACK_OFF.total_seconds()
-
-    async def attempt(self) -> AsyncGenerator[Answer, None]:
-        """Make one attempt and yield its answer; wait if it is repeated."""
-        placement = await self._place()
-        attempt = Attempt(self._request, placement, self._ports)
-        self.is_wanted = False
-        is_yielded = False
-        try:
-            async with aclosing(_shape(self._request, attempt)) as answers:
-                async for answer in answers:
-                    is_yielded = True
-                    yield answer
-        except RequestError as error:
-            if is_yielded or not self._allows(error, placement.target_id):
-                raise _final_error(error) from error
-            self.is_wanted = True
-            await self._pause()
-
-    async def _place(self) -> Placement:
-        dispatcher = self._ports.dispatcher
-        if self._request.caller_key:
-            return await dispatcher.place_at_home(self._request)
-        return await dispatcher.place(self._request, self._avoided)
-
-    def _allows(self, error: RequestError, target_id: str) -> bool:
-        request = self._request
-        now_s = self._ports.clock.monotonic_s()
-        is_late = now_s + self._back_off_s >= request.deadline_s
-        if is_late or error.reason in _FINAL_REASONS:
-            return False
-        self._avoided.add(target_id)
-        if error.outcome == NOT_RUN:
-            return True
-        if not request.idempotent or error.outcome == RAN:
-            return False
-        return self._ports.budget.try_retry(request.service.name)
-
-    async def _pause(self) -> None:
-        await anyio.sleep(self._back_off_s)
-        self._back_off_s = min(
-            self._back_off_s * 2,
-            _MAX_BACK_OFF.total_seconds(),
-        )
-
-
-def _final_error(error: RequestError) -> RequestError:
-    """Return what the caller is told when there is no other attempt."""
-    if error.reason not in _UNDECIDED_REASONS:
-        return error
-    # This attempt was refused because an earlier one may have run.
-    return RequestError(
-        'outcome_unknown',
-        'It is not yet known whether the key was used before.',
-        UNKNOWN,
-        error.retry_after_s,
-        error.reason,
-    )
-
-
-async def run_request(
-    request: Request,
-    ports: Ports,
-) -> AsyncGenerator[Answer, None]:
-    """Run a request and yield its answer.
-
-    Attempts are repeated only before any part of the answer was yielded.
-    Answers without streaming are yielded when they are whole.
-
-    :param request: admitted; raises RequestError with code and outcome.
-    """
-    ports.budget.record_request(request.service.name)
-    run = _Run(request, ports)
-    while run.is_wanted:
-        async with aclosing(run.attempt()) as answers:
-            async for answer in answers:
-                yield answer
-
-
-async def _shape(
-    request: Request,
-    attempt: Attempt,
-) -> AsyncGenerator[Answer, None]:
-    async with aclosing(attempt.answers()) as answers:
-        if request.streaming:
-            async for answer in answers:
-                yield answer
-            return
-        collected = await _collect(answers)
-    for part in collected:
-        yield part
-
-
-async def _collect(answers: AsyncGenerator[Answer, None]) -> list[Answer]:
-    """Return head, all bytes as one part, and end of an answer."""
-    heads: list[Answer] = []
-    chunks: list[bytes] = []
-    size_bytes = 0
-    async for answer in answers:
-        if isinstance(answer, AnswerBytes):
-            chunks.append(answer.payload)
-            size_bytes += len(answer.payload)
-            if size_bytes > MAX_BUFFERED_BYTES:
-                raise RequestError('answer_too_large', reason='too_large')
-        elif isinstance(answer, AnswerHead):
-            heads.append(answer)
-    return [*heads, AnswerBytes(b''.join(chunks)), AnswerEnd(size_bytes)]
--- a/peridotrill/callers.py
+++ b/peridotrill/callers.py
@@ -16,17 +16,13 @@
     forwarded_headers,
     seconds_for_header,
 )
-from peridotrill.attempts import (
-    Answer,
-    AnswerBytes,
-    AnswerHead,
-    Ports,
-    run_request,
-)
+from peridotrill.answers import Answer, AnswerBytes, AnswerHead
+from peridotrill.attempt_ports import Ports
 from peridotrill.codec import encode_json
 from peridotrill.entry_metrics import EntryMetrics
 from peridotrill.errors import RequestError
 from peridotrill.exceptions import PeridotrillError
+from peridotrill.request_runs import run_request
 
 MAX_HEADER_BYTES: Final = 16 * 1024
 MAX_BODY_BYTES: Final = 8 * 1024 * 1024
--- a/peridotrill/entry.py
+++ b/peridotrill/entry.py
@@ -13,7 +13,7 @@
 
 from peridotrill import messages
 from peridotrill.admission import Admission, RunningRequests
-from peridotrill.attempts import Ports
+from peridotrill.attempt_ports import Ports
 from peridotrill.callers import CallerApp
 from peridotrill.channel import LogPosition
 from peridotrill.clock import Clock
--- a/tests/scripted_agent.py
+++ b/tests/scripted_agent.py
@@ -3,7 +3,7 @@
 from random import Random
 
 from peridotrill import messages
-from peridotrill.attempts import Ports
+from peridotrill.attempt_ports import Ports
 from peridotrill.clock import SystemClock
 from peridotrill.dispatch import Dispatcher
 from peridotrill.exceptions import LinkClosed
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -4,7 +4,8 @@
 import pytest
 
 from peridotrill import attempts, messages, services
-from peridotrill.attempts import AnswerEnd, AnswerHead
+from peridotrill.answers import AnswerBytes, AnswerEnd, AnswerHead
+from peridotrill.request_runs import run_request
 from peridotrill.dispatch import Request
 from peridotrill.errors import RequestError
 from peridotrill.routing import RequestCost
@@ -44,8 +45,7 @@
         request = make_request(self.clock, **changes)
         with anyio.fail_after(20):
             answers = [
-                answer
-                async for answer in attempts.run_request(request, self.ports)
+                answer async for answer in run_request(request, self.ports)
             ]
         assert len(self.inboxes) == 0
         assert self.own.running('t1') + self.own.running('t2') == 0
@@ -256,7 +256,7 @@
     # Guards against targets that go on for callers who have hung up.
     confirmation = messages.CancelConfirmed('', True, 3, 1)
     agent = Agent([*WHOLE[:3], messages.CancelAttempt, confirmation, END])
-    answers = attempts.run_request(make_request(agent.clock), agent.ports)
+    answers = run_request(make_request(agent.clock), agent.ports)
     await anext(answers)
     await answers.aclose()
     assert len(agent.of_type(messages.CancelAttempt)) == 1
@@ -272,7 +272,7 @@
         [HEAD, *[chunk(pos, block) for pos in range(0, total, len(block))]]
         + [END._replace(total_bytes=total)]
     )
-    answers = attempts.run_request(make_request(agent.clock), agent.ports)
+    answers = run_request(make_request(agent.clock), agent.ports)
     for taken in range(3):
         await anext(answers)
         acknowledged = agent.of_type(messages.AcknowledgeBytes)
@@ -287,6 +287,6 @@
     chunks = [chunk(3 * number, piece) for number, piece in enumerate(pieces)]
     agent = Agent([HEAD, *chunks, END._replace(total_bytes=300)])
     request = make_request(agent.clock)
-    answers = [row async for row in attempts.run_request(request, agent.ports)]
-    written = [row for row in answers if isinstance(row, attempts.AnswerBytes)]
+    answers = [row async for row in run_request(request, agent.ports)]
+    written = [row for row in answers if isinstance(row, AnswerBytes)]
     assert [row.payload for row in written] == [b''.join(pieces)]
