Test faults of the control plane; mend ages, reports and catch-up

Faults mended: - A follower took the first full page of the log for its end. - The age of a read counted from its answer, and the age of a heartbeat from its arrival. Both can wait in a paused process, which then took an old key table for a new one. - The time limit of a usage report applied to each step of the call, so a report could outlast the margin of the lease. - The last flush of usage could overtake one under way; the fold then dropped the teams of the earlier record. It is also tried five times now. - Usage reports had no X-Sender. - An entry that was one record behind when the log went away refused keyed requests for the whole outage. Entries now take the state over from `peers` at /control-state while they cannot read the log.

New settings: `peers`, and `snapshot_interval`, which has to suit the retention of the log.

--- a/peridotrill/control_port.py
+++ b/peridotrill/control_port.py
@@ -18,6 +18,7 @@
 _NOT_FOUND: Final = 404
 _UNAVAILABLE: Final = 503
 _JSON: Final = 'application/json'
+_MSGPACK: Final = 'application/vnd.msgpack'
 _TEXT: Final = 'text/plain; charset=utf-8'
 
 
@@ -27,6 +28,7 @@
     recorder: Recorder
     is_ready: Callable[[], bool]
     status: Callable[[], dict[str, Any]]
+    control_state: Callable[[int], bytes] | None = None
 
 
 class _Reply(NamedTuple):
@@ -72,6 +74,18 @@
     return _Reply(_OK, _JSON, encode_json({'events': events}))
 
 
+@_views.register('/control-state')
+def _show_control_state(
+    source: ControlSource,
+    query: dict[str, list[str]],
+) -> _Reply:
+    if source.control_state is None:
+        return _Reply(_NOT_FOUND, _TEXT, b'not an entry\n')
+    after = query.get('from', ['1'])[0]
+    number = int(after) if after.isdecimal() else 1
+    return _Reply(_OK, _MSGPACK, source.control_state(number))
+
+
 def create_control_app(source: ControlSource) -> Callable[..., Awaitable[None]]:
     """Return the ASGI application of a control port.
 
--- a/peridotrill/entry.py
+++ b/peridotrill/entry.py
@@ -19,11 +19,17 @@
 from peridotrill.clock import Clock
 from peridotrill.dispatch import Dispatcher
 from peridotrill.entry_metrics import EntryMetrics
-from peridotrill.entry_duties import EntryDuties, LogParts, UsageSettings
+from peridotrill.entry_duties import (
+    EntryDuties,
+    LogParts,
+    SnapshotSettings,
+    UsageSettings,
+)
 from peridotrill.limits import TeamLimiter
 from peridotrill.link import AgentLink
 from peridotrill.registration import Registration
 from peridotrill.settings import Address
+
 from peridotrill.target_links import TargetLinks
 from peridotrill.targets import TargetTable
 from peridotrill.timeline import Recorder
@@ -42,6 +48,8 @@
     platform_url: str
     usage: UsageSettings
     overrides: dict[str, str]
+    snapshots: SnapshotSettings = SnapshotSettings()
+    peers: tuple[Address, ...] = ()
 
 
 @final
@@ -72,6 +80,7 @@
             http,
             clock,
             recorder,
+            settings.peers,
         )
         self.state = self._log.state
         self.follower = self._log.follower
@@ -124,6 +133,10 @@
             return 'Others have read further in the log, or may have.'
         return ''
 
+    def control_state(self, from_offset: int) -> bytes:
+        """Return what ``/control-state`` shows to other entries."""
+        return self._log.peers.encode(from_offset)
+
     def status(self) -> dict[str, Any]:
         """Return what ``/status`` shows."""
         return {
@@ -161,6 +174,7 @@
         changes = self.follower.subscribe()
         tasks.start_soon(self._apply_changes, changes)
         tasks.start_soon(self.follower.run)
+        tasks.start_soon(self._log.peers.run)
         await self.follower.caught_up.wait()
         self._apply_state()
         await self.registration.register()
@@ -202,6 +216,7 @@
             (self._settings.platform_url, self._http),
             self._clock,
             self._recorder,
+            self._settings.snapshots,
         )
 
     def _wire_callers(self) -> None:
--- a/peridotrill/entry_duties.py
+++ b/peridotrill/entry_duties.py
@@ -1,8 +1,8 @@
 """What an entry does besides requests: usage, snapshots, their leases."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from functools import partial
-from typing import NamedTuple, Self, final
+from typing import Final, NamedTuple, Self, final
 
 import anyio
 import httpx
@@ -13,8 +13,10 @@
 from peridotrill.exceptions import LogError
 from peridotrill.leases import DEFAULT_TTL, Lease
 from peridotrill.log_client import LogClient, LogFollower
+from peridotrill.peer_state import PeerStates
 from peridotrill.placement import PLACEMENT_LEASE, PlacementPlanner
 from peridotrill.records import PlacementChanged
+from peridotrill.settings import Address
 from peridotrill.snapshots import (
     SNAPSHOT_LEASE,
     SnapshotAssembler,
@@ -29,6 +31,11 @@
     flush_usage,
 )
 
+# The last counts of a process are tried for a few seconds, since they are
+# lost with it.
+_LAST_FLUSHES: Final = 5
+_LAST_FLUSH_PAUSE_S: Final = 0.5
+
 
 class LogParts(NamedTuple):
     """The log as the parts of an entry use it."""
@@ -36,6 +43,7 @@
     client: LogClient
     follower: LogFollower
     state: ControlState
+    peers: PeerStates
 
     @classmethod
     def from_config(
@@ -44,8 +52,12 @@
         http: httpx.AsyncClient,
         clock: Clock,
         recorder: Recorder,
+        peers: Iterable[Address] = (),
     ) -> Self:
-        """Create the parts, with a state before the first record."""
+        """Create the parts, with a state before the first record.
+
+        :param peers: control addresses of other entries.
+        """
         client = LogClient.from_config(url, http)
         state = ControlState()
         follower = LogFollower(
@@ -55,7 +67,8 @@
             recorder,
             partial(SnapshotAssembler, state),
         )
-        return cls(client, follower, state)
+        peer_states = PeerStates(peers, http, state, follower, clock, recorder)
+        return cls(client, follower, state, peer_states)
 
 
 @final
@@ -70,6 +83,7 @@
         platform: tuple[str, httpx.AsyncClient],
         clock: Clock,
         recorder: Recorder,
+        snapshots: SnapshotSettings,
     ) -> None:
         """:param process: id of the entry and its incarnation."""
         self.counter = UsageCounter(*process, settings.window, log.follower)
@@ -85,7 +99,9 @@
             for name in (USAGE_LEASE, SNAPSHOT_LEASE, PLACEMENT_LEASE)
         }
         self._planner = PlacementPlanner(clock)
+        self._flushing = anyio.Lock()
         self._log = log
+        self._snapshots = snapshots
         self._recorder = recorder
         self._flush_s = settings.flush.total_seconds()
         self._reporter = UsageReporter(
@@ -96,6 +112,7 @@
             log.follower,
             settings,
             recorder,
+            '/'.join(process),
         )
 
     def start(self, tasks: TaskGroup) -> None:
@@ -111,7 +128,7 @@
             self._log.follower,
             self._log.client,
             self._recorder,
-            SnapshotSettings(),
+            self._snapshots,
         )
 
     async def place(self, homes: Mapping[str, frozenset[str]]) -> None:
@@ -141,9 +158,23 @@
         """Release the leases and write the last counts."""
         for lease in self._leases.values():
             await lease.release(self._log.client)
-        await flush_usage(self.counter, self._log.client, self._recorder)
+        for _ in range(_LAST_FLUSHES):
+            if await self._flush_once():
+                return
+            await anyio.sleep(_LAST_FLUSH_PAUSE_S)
+        self._recorder.emit('usage_not_written')
 
     async def _flush(self) -> None:
         while True:
             await anyio.sleep(self._flush_s)
-            await flush_usage(self.counter, self._log.client, self._recorder)
+            await self._flush_once()
+
+    async def _flush_once(self) -> bool:
+        # A later record that reaches the log first would make the fold pass
+        # over the teams of the earlier one.
+        async with self._flushing:
+            return await flush_usage(
+                self.counter,
+                self._log.client,
+                self._recorder,
+            )
--- a/peridotrill/entry_main.py
+++ b/peridotrill/entry_main.py
@@ -20,6 +20,7 @@
     parse_address,
     setting_kinds,
 )
+from peridotrill.snapshots import SnapshotSettings
 from peridotrill.timeline import Recorder
 from peridotrill.usage import UsageSettings
 
@@ -42,6 +43,18 @@
     Setting('usage_flush', 'duration', 'interval of usage records', '5s'),
     Setting('usage_window', 'duration', 'length of a usage window', '60s'),
     Setting('usage_grace', 'duration', 'wait before a window closes', '10s'),
+    Setting(
+        'snapshot_interval',
+        'duration',
+        'age of the newest snapshot; well below the retention of the log',
+        '10m',
+    ),
+    Setting(
+        'peers',
+        'addresses',
+        'control addresses of other entries, asked while the log is away',
+        '',
+    ),
     Setting(
         'address_overrides',
         'address_overrides',
@@ -78,6 +91,8 @@
             parsed['usage_grace'],
         ),
         parsed['address_overrides'] or {},
+        SnapshotSettings(parsed['snapshot_interval']),
+        parsed['peers'] or (),
     )
     left = anyio.Event()
     async with (
@@ -88,7 +103,12 @@
         control.start_soon(
             serve_control_port,
             parsed['control_listen'],
-            ControlSource(recorder, entry.is_ready, entry.status),
+            ControlSource(
+                recorder,
+                entry.is_ready,
+                entry.status,
+                entry.control_state,
+            ),
             left.wait,
         )
         await _run_until_left(entry, parsed)
--- a/peridotrill/log_client.py
+++ b/peridotrill/log_client.py
@@ -228,7 +228,10 @@
         return receiver
 
     def log_age_s(self) -> float:
-        """Return seconds since the last successful read; inf if none."""
+        """Return seconds since the last read of the log's end; inf if none.
+
+        The time counts from before the read was sent.
+        """
         if self._read_at_s is None:
             return math.inf
         return self._clock.monotonic_s() - self._read_at_s
@@ -242,11 +245,10 @@
     async def run(self) -> None:
         """Follow the log until cancelled; never raises on its failures."""
         while True:
+            sent_s = self._clock.monotonic_s()
+            wait = READ_WAIT if self.caught_up.is_set() else _NO_WAIT
             try:
-                page = await self._client.read(
-                    self._state.offset + 1,
-                    READ_WAIT,
-                )
+                page = await self._client.read(self._state.offset + 1, wait)
             except RecordsExpired as error:
                 self._recorder.emit('log_gap', detail=str(error))
                 await self._restore()
@@ -256,7 +258,15 @@
                 await self._back_off()
             else:
                 self._backoff = _BACKOFF_START
-                self._apply_page(page)
+                self._apply_page(page, sent_s)
+
+    def confirm(self, as_of_s: float) -> None:
+        """Note that the state is as new as the log was at a time.
+
+        :param as_of_s: in the clock of this process.
+        """
+        self._read_at_s = max(as_of_s, self._read_at_s or as_of_s)
+        self._notify()
 
     async def _restore(self) -> None:
         try:
@@ -292,12 +302,15 @@
         await anyio.sleep(self._backoff.total_seconds())
         self._backoff = min(self._backoff * 2, _BACKOFF_LIMIT)
 
-    def _apply_page(self, page: LogPage) -> None:
-        self._read_at_s = self._clock.monotonic_s()
-        self._platform_offset_s = page.now_s - self._read_at_s
+    def _apply_page(self, page: LogPage, sent_s: float) -> None:
+        self._platform_offset_s = page.now_s - self._clock.monotonic_s()
         for row in page.records:
             self._apply_row(row)
-        if self._state.offset + 1 >= page.next_offset:
+        # A full page says nothing about the records after it.
+        if len(page.records) < _PAGE_RECORDS:
+            # The answer may have waited for a process that was paused, so
+            # that only the time before the read tells how old it can be.
+            self._read_at_s = max(sent_s, self._read_at_s or sent_s)
             self.caught_up.set()
         if page.records:
             self._notify()
--- a/peridotrill/operator_command.py
+++ b/peridotrill/operator_command.py
@@ -27,9 +27,7 @@
 from peridotrill.findings import Finding, format_findings
 from peridotrill.settings import (
     EXIT_USAGE,
-    Address,
     Setting,
-    parse_address,
     parse_settings,
     setting_kinds,
 )
@@ -62,12 +60,6 @@
 _FOLDER: Final = argument('dir', 'Folder with service files.')
 
 
-@setting_kinds.register('addresses')
-def parse_addresses(text: str) -> tuple[Address, ...]:
-    """:param text: ``IP:port`` separated by commas; raises ValueError."""
-    return tuple(parse_address(part.strip()) for part in text.split(','))
-
-
 @setting_kinds.register('output_format')
 def parse_output_format(text: str) -> str:
     """:param text: raises ValueError if it is not json or text."""
--- a/peridotrill/settings.py
+++ b/peridotrill/settings.py
@@ -88,6 +88,12 @@
     return Address(host, int(port))
 
 
+@setting_kinds.register('addresses')
+def parse_addresses(text: str) -> tuple[Address, ...]:
+    """:param text: ``IP:port`` separated by commas; raises ValueError."""
+    return tuple(parse_address(part.strip()) for part in text.split(','))
+
+
 @setting_kinds.register('url')
 def parse_url(text: str) -> str:
     """:param text: ``http`` or ``https`` URL; raises ValueError."""
--- a/peridotrill/target_links.py
+++ b/peridotrill/target_links.py
@@ -47,12 +47,17 @@
         self.offset = 0
 
     def observe(self, beat: Heartbeat) -> None:
-        """Take over the position in a heartbeat of an agent."""
-        self._heard_at_s = self._clock.monotonic_s()
+        """Take over the position in a heartbeat of an agent.
+
+        A heartbeat can wait while this process is paused. It was sent after
+        the agent received the clock that it echoes.
+        """
+        heard_at_s = self._heard_at_s or beat.echo_clock_s
+        self._heard_at_s = max(heard_at_s, beat.echo_clock_s)
         self.offset = max(self.offset, beat.log_offset)
 
     def age_s(self) -> float:
-        """Return the time since the last heartbeat; inf if none."""
+        """Return the greatest age of the newest heartbeat; inf if none."""
         if self._heard_at_s is None:
             return float('inf')
         return self._clock.monotonic_s() - self._heard_at_s
--- a/peridotrill/usage.py
+++ b/peridotrill/usage.py
@@ -165,9 +165,14 @@
         time: PlatformTime,
         settings: UsageSettings,
         recorder: Recorder,
+        sender: str,
     ) -> None:
-        """:param url: base URL of the platform."""
+        """:param url: base URL of the platform.
+
+        :param sender: names this process to the platform.
+        """
         self._url = url
+        self._sender = sender
         self._http = http
         self._log = log
         self._lease = lease
@@ -244,20 +249,13 @@
             )
 
     async def _send(self, window: UsageWindow, team: str) -> int:
-        figure = window.figures[team]
+        timeout_s = REPORT_TIMEOUT.total_seconds()
         try:
-            answer = await self._http.post(
-                f'{self._url}/usage',
-                json={
-                    'team': team,
-                    'window_start_s': window.start_s,
-                    'window_end_s': window.end_s,
-                    'epoch': self._lease.epoch,
-                    **figure._asdict(),
-                },
-                timeout=REPORT_TIMEOUT.total_seconds(),
-            )
-        except httpx.TransportError as error:
+            # The timeouts of the client apply to each step of a call, so the
+            # whole call could otherwise outlast the margin of the lease.
+            with anyio.fail_after(timeout_s):
+                answer = await self._post(window, team, timeout_s)
+        except (httpx.TransportError, TimeoutError) as error:
             self._recorder.emit('usage_report_failed', detail=repr(error))
             return 0
         self._recorder.emit(
@@ -268,6 +266,25 @@
         )
         return answer.status_code
 
+    async def _post(
+        self,
+        window: UsageWindow,
+        team: str,
+        timeout_s: float,
+    ) -> httpx.Response:
+        return await self._http.post(
+            f'{self._url}/usage',
+            json={
+                'team': team,
+                'window_start_s': window.start_s,
+                'window_end_s': window.end_s,
+                'epoch': self._lease.epoch,
+                **window.figures[team]._asdict(),
+            },
+            headers={'X-Sender': self._sender},
+            timeout=timeout_s,
+        )
+
     async def _append(self, record: Any) -> None:
         try:
             await self._log.append(record)
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -132,6 +132,7 @@
         self.targets: dict[str, dict[str, Any]] = {}
         self.orders: dict[str, dict[str, Any]] = {}
         self.usage: dict[tuple[str, int], dict[str, Any]] = {}
+        self.usage_reports: list[dict[str, Any]] = []
         self.order_counts: Counter[str] = Counter()
         self.weight_counts: Counter[str] = Counter()
 
@@ -343,7 +344,16 @@
         (body['team'], body['window_start_s']),
         {'figure': figure, 'reports': 0, 'conflicts': 0, 'senders': []},
     )
-    window['senders'].append(request.headers.get('x-sender', 'unknown'))
+    sender = request.headers.get('x-sender', 'unknown')
+    window['senders'].append(sender)
+    platform.usage_reports.append(
+        {
+            'sender': sender,
+            'epoch': body.get('epoch'),
+            'team': body['team'],
+            'window_start_s': body['window_start_s'],
+        },
+    )
     if window['figure'] != figure:
         window['conflicts'] += 1
         raise web.HttpError(409, 'figure_conflict')
@@ -406,6 +416,7 @@
             'orders_by_sender': platform.order_counts,
             'orders': list(platform.orders.values()),
             'usage': usage,
+            'usage_reports': platform.usage_reports,
             'weights': platform.weight_counts,
         },
     )
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -184,12 +184,13 @@
             return False
 
     def append(self, record):
-        self.client.post(
+        answer = self.client.post(
             f'{self._platform_url}/log/append', content=encode_record(record)
-        ).raise_for_status()
+        )
+        return answer.raise_for_status().json()['offset']
 
     def publish(self, texts, base_version=0):
-        self.append(
+        return self.append(
             {
                 'kind': 'config_published',
                 'publish_id': uuid.uuid4().hex,
@@ -235,7 +236,9 @@
 
 
 @contextmanager
-def run_cluster(folder, engines=2, plain=2, entries=2, **entry_settings):
+def run_cluster(
+    folder, engines=2, plain=2, entries=2, platform=None, **entry_settings
+):
     """Run a deployment that is ready to serve; yields a Cluster."""
     targets = [
         topology.Target(
@@ -258,7 +261,7 @@
     ):
         cluster = Cluster(processes, proxies, client)
         cluster.entry_settings = {'drain_delay': '300ms', **entry_settings}
-        cluster.start_platform(vms_lag='100ms')
+        cluster.start_platform(vms_lag='100ms', **(platform or {}))
         cluster.publish(SERVICES)
         cluster.start_targets(targets)
         for number in range(1, entries + 1):
--- /dev/null
+++ b/tests/test_log_follower.py
@@ -0,0 +1,102 @@
+"""The follower of the log and the age of what it has read."""
+
+import math
+from datetime import timedelta
+
+import anyio
+
+from peridotrill.clock import ManualClock
+from peridotrill.control_state import ControlState
+from peridotrill.log_client import LogFollower, LogPage, LogRow
+from peridotrill.messages import Heartbeat
+from peridotrill.records import encode_record
+from peridotrill.target_links import PeerLogPosition
+from peridotrill.timeline import Recorder
+from tests import builders
+
+PAGE_RECORDS = 500
+
+
+class SlowLog:
+    """Answers after ``answer_s`` of the clock, in pages of the log."""
+
+    def __init__(self, clock, record_count=0, answer_s=0.0):
+        self.clock = clock
+        self.answer_s = answer_s
+        record = encode_record(
+            builders.usage_counted(0, {'growers': [1, 1, 1]})
+        )
+        self.rows = [LogRow(it + 1, 0, record) for it in range(record_count)]
+
+    async def read(self, from_offset, wait):
+        await anyio.sleep(0)
+        self.clock.advance(timedelta(seconds=self.answer_s))
+        rows = self.rows[from_offset - 1 :][:PAGE_RECORDS]
+        return LogPage(tuple(rows), 1, from_offset + len(rows), 0)
+
+
+def follow(log, clock):
+    state = ControlState()
+    follower = LogFollower(log, state, clock, Recorder('e1', clock))
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(follower.run)
+            with anyio.fail_after(5):
+                await follower.caught_up.wait()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    return follower, state
+
+
+def test_a_full_page_is_not_the_end_of_the_log():
+    # Guards against an entry that starts on the first page of a long log.
+    clock = ManualClock()
+    _, state = follow(SlowLog(clock, record_count=1200), clock)
+    assert state.offset == 1200
+
+
+def test_a_full_page_does_not_make_the_state_new():
+    # Guards against an entry that is far behind and tells its peers that it
+    # has just read the log.
+    clock = ManualClock()
+    log = SlowLog(clock, record_count=PAGE_RECORDS)
+    read = log.read
+
+    async def read_once(from_offset, wait):
+        if from_offset > 1:
+            await anyio.sleep_forever()
+        return await read(from_offset, wait)
+
+    log.read = read_once
+    state = ControlState()
+    follower = LogFollower(log, state, clock, Recorder('e1', clock))
+
+    async def run():
+        with anyio.move_on_after(0.3):
+            await follower.run()
+
+    anyio.run(run)
+    assert state.offset == PAGE_RECORDS
+    assert follower.log_age_s() == math.inf
+
+
+def test_age_of_a_read_counts_from_before_it_was_sent():
+    # Guards against an answer that waited in a paused process and then
+    # makes an old key table look new.
+    clock = ManualClock()
+    follower, _ = follow(SlowLog(clock, answer_s=7), clock)
+    assert follower.log_age_s() >= 7
+
+
+def test_age_of_a_heartbeat_counts_from_the_clock_that_it_echoes():
+    # Guards against heartbeats that waited in a paused process and then
+    # confirm that no other entry has read further.
+    clock = ManualClock()
+    position = PeerLogPosition(clock)
+    sent_s = clock.monotonic_s()
+    clock.advance(timedelta(seconds=7))
+    position.observe(Heartbeat(0, sent_s, 5, 0))
+    assert position.age_s() == 7
+    assert position.offset == 5
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -6,10 +6,14 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from peridotrill import usage
 from peridotrill.clock import ManualClock
 from peridotrill.codec import decode_json
 from peridotrill.control_state import USAGE_LEASE, ControlState
+from peridotrill.entry_duties import EntryDuties, LogParts
+from peridotrill.exceptions import LogUnavailable
 from peridotrill.leases import DEFAULT_TTL, Lease
+from peridotrill.snapshots import SnapshotSettings
 from peridotrill.timeline import Recorder
 from peridotrill.usage import (
     UsageCounter,
@@ -17,6 +21,7 @@
     UsageSettings,
     flush_usage,
 )
+from peridotrill.usage_windows import UsageFigure, UsageWindow
 from tests.memory_log import MemoryLog
 
 WINDOW = timedelta(seconds=60)
@@ -66,6 +71,7 @@
             self,
             SETTINGS,
             recorder,
+            'e1',
         )
 
     def platform_time_s(self) -> float:
@@ -202,3 +208,73 @@
     assert reported[('a', 0)] == 1
     assert sum(reported.values()) == 2
     assert not platform.conflicts
+
+
+def test_a_report_does_not_outlast_the_margin_of_the_lease(monkeypatch):
+    # Guards against a slow call that has its effect after the lease ended;
+    # the timeouts of the HTTP client apply to each step only.
+    monkeypatch.setattr(usage, 'REPORT_TIMEOUT', timedelta(milliseconds=50))
+    log, clock = MemoryLog(), ManualClock()
+
+    class SlowPlatform:
+        async def answer(self, request):
+            await anyio.sleep(10)
+
+    entry = _Entry('e1', clock, log, SlowPlatform())
+    window = UsageWindow(0)
+    window.add('growers', UsageFigure(1, 1, 1))
+
+    async def report():
+        with anyio.fail_after(5):
+            return await entry.reporter._send(window, 'growers')
+
+    assert anyio.run(report) == 0
+
+
+def test_last_counts_wait_for_a_flush_that_is_under_way():
+    # Guards against a later record that overtakes an earlier one, whose
+    # teams the fold would then pass over.
+    log, clock = MemoryLog(), ManualClock()
+
+    class SlowFirstAppend:
+        calls = 0
+
+        async def append(self, record):
+            if record['kind'] == 'usage_counted':
+                self.calls += 1
+                if self.calls == 1:
+                    await anyio.sleep(0.2)
+                return log.store(record)
+            raise LogUnavailable('down')
+
+    class Time:
+        def platform_time_s(self):
+            return 5.0
+
+    state, client = ControlState(), SlowFirstAppend()
+
+    async def run():
+        async with (
+            httpx.AsyncClient() as http,
+            anyio.create_task_group() as tasks,
+        ):
+            duties = EntryDuties(
+                ('e1', 'i1'),
+                UsageSettings(timedelta(milliseconds=20), WINDOW, WINDOW),
+                LogParts(client, Time(), state, None),
+                ('http://platform', http),
+                clock,
+                Recorder('e1', clock),
+                SnapshotSettings(),
+            )
+            duties.counter.count('growers', 1, 0, 0)
+            duties.start(tasks)
+            while not client.calls:
+                await anyio.sleep(0.01)
+            duties.counter.count('buyers', 1, 0, 0)
+            await duties.finish()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(run)
+    log.read_into(state)
+    assert set(state.usage.windows[0].figures) == {'growers', 'buyers'}
