--- a/peridotrill/entry_main.py
+++ b/peridotrill/entry_main.py
@@ -55,6 +55,12 @@
         'control addresses of other entries, asked while the log is away',
         '',
     ),
+    Setting(
+        'target_subset',
+        'integer',
+        'number of engines of a service to link to, 0 for all',
+        '8',
+    ),
     Setting(
         'address_overrides',
         'address_overrides',
@@ -91,6 +97,7 @@
             parsed['usage_grace'],
         ),
         parsed['address_overrides'] or {},
+        parsed['target_subset'],
         SnapshotSettings(parsed['snapshot_interval']),
         parsed['peers'] or (),
     )
--- a/peridotrill/peer_state.py
+++ b/peridotrill/peer_state.py
@@ -89,15 +89,25 @@
         :param sent_s: clock of this process before it asked.
         """
         if answer.parts and answer.offset > self._state.offset:
-            try:
-                restore_snapshot(self._state, answer.parts)
-            except RecordError as error:
-                self._recorder.emit('peer_state_rejected', detail=str(error))
+            if not self._restore(answer.parts):
                 return
             self._recorder.emit('peer_state_restored', offset=answer.offset)
         if self._state.offset == answer.offset:
             self._follower.confirm(sent_s - answer.log_age_s)
 
+    def _restore(self, parts: list[SnapshotPart]) -> bool:
+        state = self._state
+        in_log = state.snapshot_offset, state.snapshot_at_s
+        try:
+            restore_snapshot(state, parts)
+        except RecordError as error:
+            self._recorder.emit('peer_state_rejected', detail=str(error))
+            return False
+        # The snapshot of a peer is not in the log; taking it for the newest
+        # one there would delay the next.
+        state.snapshot_offset, state.snapshot_at_s = in_log
+        return True
+
     async def _ask_all(self) -> None:
         async with anyio.create_task_group() as tasks:
             for peer in self._peers:
--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -40,6 +40,8 @@
     state, follower = take_over(5, answer_of(9))
     assert state.offset == 9
     assert follower.log_age_s() == 1.0 - SENT_S
+    # Guards against a log without a new snapshot for another interval.
+    assert state.snapshot_offset == 0
 
 
 def test_older_state_is_not_taken_over_and_confirms_nothing():
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -9,11 +9,12 @@
 
 from standins.completions import answer_text
 from tests.callers import PROMPT, StreamCall, bearer, completion
-from tests.cluster import MODEL, run_cluster
+from tests.cluster import MODEL, SERVICES, run_cluster
 from tests.observer import Counts, is_short, read_error
 from tests.processes import wait_for
 
 WITHDRAWAL_S = 5.0
+CONFIGURATION_S = 5.0
 
 
 @pytest.fixture(scope='module')
@@ -175,25 +176,28 @@
                 ).is_success
             )
         )
-    for number in range(10):
-        cluster.client.post(
-            f'{urls[number % len(urls)]}/v1/completions',
-            json=completion('x' * 40, max_tokens=7),
-            headers=bearer(key),
-        ).raise_for_status()
-    expected = [10, 100, 70]
-    wait_for(
-        lambda: reported(cluster, 'gamma')[0] >= expected[0],
-        timeout_s=20,
-        what='usage reports',
-    )
-    assert reported(cluster, 'gamma') == expected
+    # A second report of the first window would come before the first one
+    # of a later window.
+    for request_count in (10, 20):
+        for number in range(10):
+            cluster.client.post(
+                f'{urls[number % len(urls)]}/v1/completions',
+                json=completion('x' * 40, max_tokens=7),
+                headers=bearer(key),
+            ).raise_for_status()
+        wait_for(
+            lambda total=request_count: reported(cluster)[0] >= total,
+            timeout_s=20,
+            what='usage reports',
+        )
+        expected = [request_count, request_count * 10, request_count * 7]
+        assert reported(cluster) == expected
     windows = cluster.observe_platform()['usage']
-    assert all(window['reports'] == 1 for window in windows)
+    assert [window['reports'] for window in windows] == [1] * len(windows)
     assert not any(window['conflicts'] for window in windows)
 
 
-def reported(cluster, team):
+def reported(cluster, team='gamma'):
     """Sum the reported requests, prompt tokens and output tokens."""
     figures = [
         window['figure'][1:]
@@ -214,3 +218,59 @@
         )
         assert response.status_code == 404
         assert read_error(response.json())['outcome'] == 'not_run'
+
+
+def test_entries_together_keep_a_team_within_its_limit(cluster):
+    # Guards against each entry admitting the whole rate and burst.
+    key = cluster.grant('delta')
+    urls = list(cluster.entry_urls.values())
+    for url in urls:
+        wait_for(
+            lambda entry=url: (
+                cluster.client.get(
+                    f'{entry}/v1/models', headers=bearer(key)
+                ).is_success
+            )
+        )
+    started_s = time.monotonic()
+    statuses = [
+        cluster.client.get(
+            f'{urls[number % len(urls)]}/stock/1', headers=bearer(key)
+        ).status_code
+        for number in range(60)
+    ]
+    allowed = 8 + 2 * (time.monotonic() - started_s)
+    assert set(statuses) == {200, 429}
+    assert statuses.count(200) <= allowed
+
+
+def test_new_configuration_is_in_force_everywhere_and_stays(cluster):
+    # Guards against entries that differ or take an outdated change.
+    texts = {'till': SERVICES['till'].replace('/stock/', '/shelf/')}
+    version = cluster.status('entry-1')['config_version']
+    cluster.publish(texts, base_version=version)
+    published_s = time.monotonic()
+    for url in cluster.entry_urls.values():
+        wait_for(
+            lambda entry=url: (
+                cluster.client.get(
+                    f'{entry}/shelf/1', headers=bearer(cluster.key)
+                ).is_success
+            )
+        )
+    assert time.monotonic() - published_s < CONFIGURATION_S
+    newest = cluster.status('entry-1')['config_version']
+    assert newest > version
+    cluster.publish({'till': SERVICES['till']}, base_version=version)
+    cluster.withdraw('alpha-key')
+    for entry_id, url in cluster.entry_urls.items():
+        # The withdrawal comes after the outdated change in the log.
+        wait_for(
+            lambda entry=url: (
+                cluster.client.get(
+                    f'{entry}/v1/models', headers=bearer(cluster.key)
+                ).status_code
+                == 401
+            )
+        )
+        assert cluster.status(entry_id)['config_version'] == newest
