--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
 VENV ?= .venv
 PYTHON ?= python3
 DEPLOYMENT ?= ledger
+SEED ?= 1
 BIN = $(VENV)/bin
 
-.PHONY: setup run test lint format types lock
+.PHONY: setup run measure test lint format types lock
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -16,9 +17,12 @@
 run: setup
 	$(BIN)/python -m standins.run_deployment $(DEPLOYMENT)
 
+measure: setup
+	@$(BIN)/python -m measurement $(SEED)
+
 lint: setup
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 --jobs 4 peridotrill standins tests
+	$(BIN)/flake8 --jobs 4 peridotrill standins tests measurement
 
 types: setup
 	$(BIN)/mypy
--- /dev/null
+++ b/measurement/__main__.py
@@ -0,0 +1,87 @@
+"""Runs the measurement; its arguments are the seed and the trace's length."""
+
+import json
+import os
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any, Final
+
+from measurement import figures, systems
+from measurement.node import measure_node
+from measurement.process_cost import Cost
+from measurement.report import LATEST, missed, write_report
+from measurement.run import IDLE_S, Shift
+from standins import topology
+
+# All three plays of both deployments then take under five minutes together.
+DURATION_S: Final = 34.0
+
+
+def measure(seed: int, folder: Path, duration_s: float) -> dict[str, Any]:
+    """Run both deployments and one entry; returns figures and settings."""
+    measured: dict[str, Any] = {
+        'line': {},
+        'settings': describe(seed, duration_s),
+        'details': {},
+        'series': {},
+    }
+    idle = Cost()
+    started_s = time.monotonic()
+    for name in topology.DEPLOYMENTS:
+        below = folder / name
+        below.mkdir()
+        shift = Shift(name, seed, duration_s)
+        played = shift.run(below)
+        idle = shift.idle
+        for part, compute in (
+            ('line', figures.compute_figures),
+            ('details', figures.compute_details),
+            ('series', figures.compute_series),
+        ):
+            measured[part][name] = figures.rounded(compute(shift, played))
+        sys.stderr.write(
+            f'{name} done after {time.monotonic() - started_s:.0f} s\n'
+        )
+    measured['settings']['deployments_s'] = round(time.monotonic() - started_s)
+    measured['line']['node'] = figures.rounded(
+        measure_node(folder / 'node', idle)
+    )
+    measured['settings']['load_average_at_end'] = os.getloadavg()[0]
+    return measured
+
+
+def describe(seed: int, duration_s: float) -> dict[str, Any]:
+    """Return the settings of a run."""
+    return {
+        'seed': seed,
+        'duration_s': duration_s,
+        'time_scale': 1,
+        'idle_s': IDLE_S,
+        'usage_window_s': systems.USAGE_WINDOW_S,
+        'usage_grace_s': systems.USAGE_GRACE_S,
+        'zone_delay_s': systems.ZONE_DELAY_S,
+        'caller_delay_s': systems.CALLER_DELAY_S,
+        'cores': os.cpu_count(),
+        # Others may use the machine at the same time.
+        'load_average_at_start': os.getloadavg()[0],
+    }
+
+
+def main() -> None:
+    """Run the program."""
+    seed = int(sys.argv[1]) if len(sys.argv) > 1 else 1
+    duration_s = float(sys.argv[2]) if len(sys.argv) > 2 else DURATION_S
+    with tempfile.TemporaryDirectory() as folder:
+        measured = measure(seed, Path(folder), duration_s)
+    LATEST.parent.mkdir(exist_ok=True)
+    LATEST.write_text(f'{json.dumps(measured, indent=1)}\n', 'utf-8')
+    write_report(measured)
+    for row in missed(measured):
+        sys.stderr.write(f'missed: {row}\n')
+    sys.stdout.write(f'{json.dumps(measured["line"])}\n')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/measurement/naive.py
@@ -0,0 +1,153 @@
+"""The naive version that the system is compared with.
+
+It takes targets in turn, divides each limit evenly by the number of entry
+VMs, queues in one FIFO for each service, leaves the roles as they are and
+retries only when a connection was refused. Its plan (JSON) is read from the
+path given as argument.
+"""
+
+import itertools
+import json
+import sys
+import time
+from collections.abc import AsyncGenerator
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any, Final
+
+import anyio
+import httpx
+
+from measurement.ideal import TokenBucket
+from peridotrill.registry import Registry
+from peridotrill.settings import parse_address
+from standins import web
+
+# Requests that run at each target at a time.
+_TARGET_SLOTS: Final = 16
+_TIMEOUT_S: Final = 30.0
+
+routes: web.Routes = Registry('route')
+
+
+class Service:
+    """Targets and queue of one service."""
+
+    def __init__(self, plan: dict[str, Any], entries: int) -> None:
+        """:param plan: ``targets`` (URLs), ``teams`` (rate and burst)."""
+        self.targets: list[str] = plan['targets']
+        self._turn = itertools.cycle(self.targets)
+        slots = len(self.targets) * _TARGET_SLOTS // entries
+        # Waiters of a semaphore are served in the order of their arrival.
+        self.slots = anyio.Semaphore(slots)
+        self._buckets = {
+            team: TokenBucket(rate / entries, burst / entries)
+            for team, (rate, burst) in plan['teams'].items()
+        }
+        self._started_s = time.monotonic()
+
+    def next_target(self) -> str:
+        """Return the next target in turn."""
+        return next(self._turn)
+
+    def admits(self, team: str) -> bool:
+        """Take one request of the team's part of the limit."""
+        return self._buckets[team].take(time.monotonic() - self._started_s)
+
+
+class NaiveEntry:
+    """State of the program."""
+
+    def __init__(self, plan: dict[str, Any], http: httpx.AsyncClient) -> None:
+        """:param plan: ``services``, ``keys`` (team by key), ``entries``."""
+        self.http = http
+        self.teams: dict[str, str] = plan['keys']
+        self.services = {
+            name: Service(service, plan['entries'])
+            for name, service in plan['services'].items()
+        }
+        self._models: str = plan['model_service']
+        self._plain: str = plan['plain_service']
+
+    def find(self, path: str) -> Service:
+        """Return the service of a path."""
+        is_model = path.startswith('/v1/')
+        return self.services[self._models if is_model else self._plain]
+
+
+@routes.register('GET /readyz')
+async def show_ready(_: NaiveEntry, request: web.Request) -> web.Response:
+    """Tell the balancer that the program runs."""
+    return web.json_response({})
+
+
+@routes.register('GET /{path:path}')
+@routes.register('POST /{path:path}')
+async def forward(entry: NaiveEntry, request: web.Request) -> web.Response:
+    """Send a request to the next target."""
+    key = request.headers.get('authorization', '').removeprefix('Bearer ')
+    service = entry.find(request.path)
+    if key not in entry.teams:
+        raise web.HttpError(401, 'key_invalid')
+    if not service.admits(entry.teams[key]):
+        return _refuse(429, 'rate_limited')
+    stack = AsyncExitStack()
+    await stack.enter_async_context(service.slots)
+    for _ in service.targets:
+        try:
+            response = await stack.enter_async_context(
+                entry.http.stream(
+                    request.method,
+                    service.next_target() + request.path,
+                    content=request.body,
+                    headers={'Content-Type': 'application/json'},
+                ),
+            )
+        except httpx.ConnectError:
+            continue
+        except httpx.HTTPError:
+            await stack.aclose()
+            return _refuse(502, 'target_failed', 'unknown')
+        return web.Response(
+            _pass_on(stack, response),
+            response.status_code,
+            response.headers.get('content-type', web.JSON_TYPE),
+        )
+    await stack.aclose()
+    return _refuse(503, 'no_target')
+
+
+def _refuse(status: int, code: str, outcome: str = 'not_run') -> web.Response:
+    error = {'code': code, 'outcome': outcome}
+    return web.json_response({'error': error}, status)
+
+
+async def _pass_on(
+    stack: AsyncExitStack,
+    response: httpx.Response,
+) -> AsyncGenerator[bytes, None]:
+    async with stack:
+        try:
+            async for chunk in response.aiter_raw():
+                yield chunk
+        except httpx.HTTPError as error:
+            raise web.ConnectionDropped from error
+
+
+async def run(plan: dict[str, Any]) -> None:
+    """Serve until a signal arrives."""
+    limits = httpx.Limits(max_connections=None, max_keepalive_connections=0)
+    async with httpx.AsyncClient(
+        limits=limits, timeout=_TIMEOUT_S, trust_env=False, verify=False
+    ) as http:
+        app = web.App(routes, NaiveEntry(plan, http))
+        await web.serve(app, parse_address(plan['listen']))
+
+
+def main() -> None:
+    """Run the program."""
+    anyio.run(run, json.loads(Path(sys.argv[1]).read_text('utf-8')))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/measurement/process_cost.py
@@ -0,0 +1,46 @@
+"""Processor time and memory of a process, from the proc file system."""
+
+import os
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Final
+
+_TICKS_PER_S: Final = os.sysconf('SC_CLK_TCK')
+_KIB_PER_MB: Final = 1e6 / 1024
+# Places of the times in user and kernel mode after the name of the program.
+_USER, _KERNEL = 11, 12
+
+
+class Cost:
+    """What a process used during a span of time."""
+
+    def __init__(self) -> None:
+        """All figures are set at the end of the span."""
+        self.cpu_ratio = 0.0
+        self.rss_mb = 0.0
+        self.kb_per_s = 0.0
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    stat = Path(f'/proc/{pid}/stat').read_text('utf-8')
+    fields = stat.rpartition(')')[2].split()
+    return (int(fields[_USER]) + int(fields[_KERNEL])) / _TICKS_PER_S
+
+
+def rss_mb(pid: int) -> float:
+    """Return the memory that a process occupies."""
+    status = Path(f'/proc/{pid}/status').read_text('utf-8')
+    kib = next(row for row in status.splitlines() if row.startswith('VmRSS'))
+    return int(kib.split()[1]) / _KIB_PER_MB
+
+
+@contextmanager
+def read_cost(pid: int) -> Iterator[Cost]:
+    """Measure a process during the block."""
+    cost, before_s, start_s = Cost(), cpu_s(pid), time.monotonic()
+    yield cost
+    cost.cpu_ratio = (cpu_s(pid) - before_s) / (time.monotonic() - start_s)
+    cost.rss_mb = rss_mb(pid)
--- /dev/null
+++ b/measurement/report.py
@@ -0,0 +1,219 @@
+"""Writes ``docs/MEASUREMENTS.md`` and its plots from the newest run."""
+
+import json
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+import matplotlib as mpl
+from matplotlib import pyplot
+
+ROOT: Final = Path(__file__).parent.parent
+LATEST: Final = ROOT / 'measurements' / 'latest.json'
+PAGE: Final = ROOT / 'docs' / 'MEASUREMENTS.md'
+PLOTS: Final = ROOT / 'docs' / 'measurements'
+BEGIN: Final = '<!-- tables: begin -->'
+END: Final = '<!-- tables: end -->'
+_PLOT_SIZE: Final = (9, 6)
+
+
+class Bound(NamedTuple):
+    """A stated target and how to check it on the figures."""
+
+    name: str
+    stated: str
+    holds: Callable[[Mapping[str, Any]], bool]
+
+
+def _at_most(name: str, limit: float) -> Callable[[Mapping[str, Any]], bool]:
+    return lambda found: found[name] is not None and found[name] <= limit
+
+
+def _is_cheap(found: Mapping[str, Any]) -> bool:
+    ideal = found['cost_by_service_ideal']
+    return all(
+        cost <= ideal[service] * 1.15
+        for service, cost in found['cost_by_service'].items()
+    )
+
+
+DEPLOYMENT_BOUNDS: Final = (
+    Bound(
+        'goodput_ratio',
+        'at least 0.95 of the ideal',
+        lambda it: it['goodput_ratio'] >= 0.95 * it['goodput_ratio_ideal'],
+    ),
+    Bound(
+        'goodput_ratio',
+        'above the naive',
+        lambda it: it['goodput_ratio'] > it['goodput_ratio_naive'],
+    ),
+    Bound(
+        'worst_team_p99_s',
+        'at most 1.5 times alone',
+        lambda it: it['worst_team_p99_s'] <= 1.5 * it['worst_team_p99_alone_s'],
+    ),
+    Bound('cost_by_service', 'at most 1.15 of the ideal', _is_cheap),
+    Bound(
+        'wrongful_refusals',
+        'at most 0.1%',
+        _at_most('wrongful_refusals', 0.001),
+    ),
+    Bound(
+        'wrongful_refusals',
+        "under a tenth of the naive's",
+        lambda it: it['wrongful_refusals'] < it['wrongful_refusals_naive'] / 10,
+    ),
+    Bound('double_runs', '0', _at_most('double_runs', 0)),
+    Bound('lost_answers', '0', _at_most('lost_answers', 0)),
+    Bound('false_not_run', '0', _at_most('false_not_run', 0)),
+    Bound('over_limit', '0', _at_most('over_limit', 0)),
+    Bound('withdrawn_key_s', 'at most 5 s', _at_most('withdrawn_key_s', 5)),
+    Bound('config_in_force_s', 'at most 5 s', _at_most('config_in_force_s', 5)),
+)
+NODE_BOUNDS: Final = (
+    Bound(
+        'added_latency_p50_ms',
+        'under 5 ms',
+        lambda it: it['added_latency_p50_ms'] < 5,
+    ),
+    Bound(
+        'requests_per_s',
+        'at least 31 requests/s',
+        lambda it: it['requests_per_s'] >= 31,
+    ),
+    Bound(
+        'tokens_per_s',
+        'at least 6,900 tokens/s',
+        lambda it: it['tokens_per_s'] >= 6900,
+    ),
+    Bound('cpu_ratio', 'at most half a core', _at_most('cpu_ratio', 0.5)),
+)
+
+
+def missed(measured: Mapping[str, Any]) -> list[str]:
+    """Return the stated targets that a run missed."""
+    return [
+        f'{part} {bound.name}: {bound.stated}'
+        for part, found in measured['line'].items()
+        for bound in _bounds(part)
+        if not bound.holds(found)
+    ]
+
+
+def write_report(measured: Mapping[str, Any]) -> None:
+    """Write the tables between the markers of the page, and the plots."""
+    PLOTS.mkdir(exist_ok=True)
+    for name, series in measured['series'].items():
+        _plot(name, series)
+    page = PAGE.read_text('utf-8')
+    head, _, rest = page.partition(BEGIN)
+    tail = rest.partition(END)[2]
+    tables = '\n'.join(_tables(measured))
+    PAGE.write_text(f'{head}{BEGIN}\n{tables}\n{END}{tail}', 'utf-8')
+
+
+def _bounds(part: str) -> tuple[Bound, ...]:
+    return NODE_BOUNDS if part == 'node' else DEPLOYMENT_BOUNDS
+
+
+def _tables(measured: Mapping[str, Any]) -> Iterator[str]:
+    settings = measured['settings']
+    yield f'Seed {settings["seed"]}; settings:'
+    yield ''
+    yield from _table(('setting', 'value'), settings.items())
+    for part, found in measured['line'].items():
+        yield f'\n### {part}\n'
+        yield from _table(
+            ('figure', 'measured'),
+            ((f'`{name}`', _show(figure)) for name, figure in found.items()),
+        )
+        yield ''
+        yield from _table(
+            ('figure', 'stated target', 'result'),
+            (
+                (
+                    f'`{bound.name}`',
+                    bound.stated,
+                    'met' if bound.holds(found) else '**missed**',
+                )
+                for bound in _bounds(part)
+            ),
+        )
+        if part in measured['series']:
+            yield f'\n![{part}](measurements/{part}.svg)'
+            yield '\nWhat was not served well, by service and code:\n'
+            yield from _failures(measured['details'][part])
+
+
+def _failures(details: Mapping[str, Any]) -> Iterator[str]:
+    naive = details['failures_naive']
+    names = sorted({*details['failures'], *naive})
+    yield from _table(
+        ('service and code', 'system', 'naive'),
+        (
+            (name, details['failures'].get(name, 0), naive.get(name, 0))
+            for name in names
+        ),
+    )
+
+
+def _table(
+    head: tuple[str, ...],
+    rows: Iterable[tuple[Any, ...]],
+) -> Iterator[str]:
+    yield _row(head)
+    yield _row('---' for _ in head)
+    yield from map(_row, rows)
+
+
+def _row(cells: Iterable[Any]) -> str:
+    return '| {0} |'.format(' | '.join(map(str, cells)))
+
+
+def _show(figure: Any) -> str:
+    if isinstance(figure, dict):
+        return ', '.join(f'{name} {part}' for name, part in figure.items())
+    return str(figure)
+
+
+def _plot(name: str, series: Mapping[str, Any]) -> None:
+    # Fixed ids and no date, so that equal figures give equal files.
+    mpl.rcParams['svg.hashsalt'] = name
+    figure, (upper, lower) = pyplot.subplots(2, sharex=True, figsize=_PLOT_SIZE)
+    for run, row in series['good_per_s'].items():
+        upper.plot(row, label=run)
+    upper.set_ylabel('requests served well, per s')
+    for run, row in series['open_requests'].items():
+        lower.plot(row, label=run)
+    lower.set_ylabel('requests waiting or running')
+    lower.set_xlabel('seconds of the shift')
+    for axes in (upper, lower):
+        axes.legend()
+        for at_s, label in series['faults']:
+            axes.axvline(at_s, color='0.85', zorder=0)
+            if axes is upper:
+                axes.text(
+                    at_s,
+                    1,
+                    f' {label}',
+                    rotation=90,
+                    fontsize=6,
+                    va='top',
+                    transform=axes.get_xaxis_transform(),
+                )
+    figure.suptitle(f'{name}: goodput and queue through the shift')
+    figure.savefig(
+        PLOTS / f'{name}.svg',
+        metadata={'Date': None},
+    )
+    pyplot.close(figure)
+
+
+def main() -> None:
+    """Write the report again from the figures of the newest run."""
+    write_report(json.loads(LATEST.read_text('utf-8')))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/measurement/trace.py
@@ -0,0 +1,154 @@
+"""The trace of a shift: arrivals and faults, made from a seed."""
+
+import math
+from collections.abc import Iterable, Iterator
+from random import Random
+from typing import Final, NamedTuple
+
+from peridotrill.services import Service
+
+STREAM: Final = 'stream'
+POST: Final = 'post'
+LOOKUP: Final = 'lookup'
+
+# Offered load as a part of a team's rate: the mean and how far it swings.
+_LOAD: Final = 0.6
+_LOAD_SWING: Final = 0.25
+# The bursting team is quiet but for two bursts of several times its rate.
+_QUIET_LOAD: Final = 0.4
+_BURST_LOAD: Final = 4
+_BURSTS: Final = ((0.3, 0.4), (0.7, 0.8))
+_MIX_SWINGS: Final = 3
+_PROMPT_TOKENS: Final = (300, 2500)
+_OUTPUT_TOKENS: Final = (100, 30)
+_POST_SHARE: Final = 0.4
+
+PARTS: Final = ('entry', 'agent', 'platform')
+KINDS: Final = ('kill', 'pause', 'partition', 'silence', 'lose_answers')
+_FIRST_FAULT: Final = 0.06
+_LAST_FAULT: Final = 0.9
+_FAULT_SPAN_S: Final = (1.5, 3)
+
+
+class Arrival(NamedTuple):
+    """One request that a caller sends; ``at_s`` counts from the start."""
+
+    number: int
+    at_s: float
+    service: str
+    team: str
+    operation: str
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+
+
+class Fault(NamedTuple):
+    """A fault of one part; ``choice`` selects which of its kind."""
+
+    at_s: float
+    span_s: float
+    part: str
+    kind: str
+    choice: int
+
+
+def bursting_team(services: Iterable[Service]) -> str:
+    """Return the team whose bursts are largest compared with its rates."""
+    ratios: dict[str, float] = {}
+    for service in services:
+        for team, policy in service.teams.items():
+            ratio = policy.burst / policy.rate_per_s
+            ratios[team] = ratios.get(team, 0) + ratio
+    return max(sorted(ratios), key=ratios.__getitem__)
+
+
+def make_trace(
+    services: Iterable[Service],
+    seed: int,
+    duration_s: float,
+) -> list[Arrival]:
+    """Return the arrivals of all teams in the order of time."""
+    services = sorted(services, key=lambda service: service.name)
+    bursting = bursting_team(services)
+    arrivals = []
+    for service in services:
+        for team, policy in sorted(service.teams.items()):
+            random = Random(f'{seed}/{service.name}/{team}')
+            for phase in _phases(
+                random,
+                policy.rate_per_s * duration_s,
+                team == bursting,
+            ):
+                operation, prompt, output = _size(service, phase, random)
+                arrivals.append(
+                    Arrival(
+                        0,
+                        phase * duration_s,
+                        service.name,
+                        team,
+                        operation,
+                        prompt,
+                        output,
+                    ),
+                )
+    arrivals.sort(key=lambda arrival: arrival.at_s)
+    return [
+        arrival._replace(number=number)
+        for number, arrival in enumerate(arrivals)
+    ]
+
+
+def make_faults(seed: int, duration_s: float) -> list[Fault]:
+    """Return one fault of each kind of each part, in the order of time."""
+    random = Random(f'{seed}/faults')
+    pairs = [(part, kind) for part in PARTS for kind in KINDS]
+    random.shuffle(pairs)
+    step_s = (_LAST_FAULT - _FIRST_FAULT) * duration_s / len(pairs)
+    return [
+        Fault(
+            _FIRST_FAULT * duration_s + number * step_s,
+            random.uniform(*_FAULT_SPAN_S),
+            part,
+            kind,
+            random.randrange(1000),
+        )
+        for number, (part, kind) in enumerate(pairs)
+    ]
+
+
+def _phases(
+    random: Random,
+    expected: float,
+    bursts: bool,
+) -> Iterator[float]:
+    """Yield arrivals of a Poisson process with a varying rate.
+
+    :param expected: arrivals in the whole trace at the team's full rate.
+    """
+    shift = random.random()
+    most = _BURST_LOAD if bursts else _LOAD + _LOAD_SWING
+    phase = random.expovariate(expected * most)
+    while phase < 1:
+        load = _LOAD + _LOAD_SWING * math.sin(math.tau * (phase + shift))
+        if bursts:
+            in_burst = any(start <= phase < end for start, end in _BURSTS)
+            load = _BURST_LOAD if in_burst else _QUIET_LOAD
+        if random.random() * most < load:
+            yield phase
+        phase += random.expovariate(expected * most)
+
+
+def _size(
+    service: Service,
+    phase: float,
+    random: Random,
+) -> tuple[str, int, int]:
+    if service.kind == 'plain':
+        return (POST if random.random() < _POST_SHARE else LOOKUP), 0, 0
+    share = 0.5 + 0.5 * math.sin(math.tau * _MIX_SWINGS * phase)
+    spread = random.uniform(0.7, 1.3)
+    prompt, output = (
+        round(spread * (low + (high - low) * share))
+        for low, high in (_PROMPT_TOKENS, _OUTPUT_TOKENS)
+    )
+    return STREAM, prompt, output
--- /dev/null
+++ b/tests/test_measurement.py
@@ -0,0 +1,167 @@
+"""The measurement itself: its trace, its bounds and its counting."""
+
+from collections import Counter
+
+import pytest
+
+from measurement import counting, ideal, trace
+from measurement.player import ANSWERED, Outcome, make_body, make_prompt
+from peridotrill.services import TeamPolicy
+from standins import topology
+from standins.completions import count_tokens
+from standins.prepare_deployment import DEPLOYMENTS_FOLDER, load_catalog
+
+DURATION_S = 30.0
+NOT_RUN = counting.NOT_RUN
+
+
+@pytest.fixture(params=list(topology.DEPLOYMENTS))
+def services(request):
+    return load_catalog(DEPLOYMENTS_FOLDER / request.param).services
+
+
+def outcome(number, kind=ANSWERED, **fields):
+    whole = kind == ANSWERED
+    found = Outcome(
+        number, 0.0, 0.01, 0.1, 200, '', kind, whole, f'digest-{number}', 1
+    )
+    return found._replace(**fields)
+
+
+def posts(*outcomes, team='alpha'):
+    arrivals = [
+        trace.Arrival(it.number, it.number / 10, 'till', team, trace.POST)
+        for it in outcomes
+    ]
+    return counting.Seen(arrivals, {it.number: it for it in outcomes})
+
+
+def test_trace_depends_on_the_seed_alone(services):
+    # Guards against runs of the same seed that cannot be compared.
+    rows = services.values()
+    first = trace.make_trace(rows, 1, DURATION_S)
+    assert first == trace.make_trace(reversed(rows), 1, DURATION_S)
+    assert first != trace.make_trace(rows, 2, DURATION_S)
+    assert trace.make_faults(1, DURATION_S) == trace.make_faults(1, DURATION_S)
+    assert [it.number for it in first] == list(range(len(first)))
+    assert all(0 <= it.at_s < DURATION_S for it in first)
+
+
+def test_trace_has_all_teams_a_burst_and_a_swing(services):
+    # Guards against a trace that does not test what the figures are about.
+    arrivals = trace.make_trace(services.values(), 1, DURATION_S)
+    pairs = {(it.service, it.team) for it in arrivals}
+    assert pairs == {
+        (name, team) for name, row in services.items() for team in row.teams
+    }
+    bursting = trace.bursting_team(services.values())
+    rate = sum(row.teams[bursting].rate_per_s for row in services.values())
+    starts = [int(it.at_s) for it in arrivals if it.team == bursting]
+    assert max(Counter(starts).values()) > 2 * rate
+    sizes = [it for it in arrivals if it.operation == trace.STREAM]
+    ratios = [it.prompt_tokens / it.output_tokens for it in sizes]
+    assert max(ratios) > 10 * min(ratios)
+
+
+def test_faults_are_one_of_each_kind_of_each_part():
+    # Guards against a run that leaves a kind of fault out.
+    faults = trace.make_faults(3, DURATION_S)
+    pairs = Counter((it.part, it.kind) for it in faults)
+    assert pairs == Counter(
+        (part, kind) for part in trace.PARTS for kind in trace.KINDS
+    )
+    assert max(it.at_s + it.span_s for it in faults) < DURATION_S
+
+
+def test_bodies_are_different_and_of_the_stated_size():
+    # Guards against executions that are attributed to another request.
+    row = trace.Arrival(1, 0.0, 'assistant', 'alpha', trace.STREAM, 400, 20)
+    others = [row, row._replace(number=2), row._replace(operation=trace.POST)]
+    bodies = {make_body(run, it, 'm') for run in 'ab' for it in others}
+    assert len(bodies) == 6
+    assert count_tokens(make_prompt('a', row)) == 400
+
+
+def test_ideal_bucket_admits_burst_then_rate():
+    bucket = ideal.TokenBucket(2, 3)
+    assert [bucket.take(0) for _ in range(4)] == [True] * 3 + [False]
+    assert bucket.take(0.5)
+    assert not bucket.take(0.6)
+    # It never holds more than the burst.
+    assert [bucket.take(100) for _ in range(4)] == [True] * 3 + [False]
+
+
+def test_ideal_plan_drops_what_no_plan_serves_in_time(services):
+    model = next(row for row in services.values() if row.kind == 'model')
+    team = next(iter(model.teams))
+    jobs = [
+        trace.Arrival(it, 0.0, model.name, team, trace.STREAM, 2000, 10)
+        for it in range(100)
+    ]
+    good = ideal.schedule_ideally(
+        jobs, {it.number for it in jobs}, services, {model.name: 2}
+    )
+    limit_s = model.latency_target.total_seconds()
+    assert len(good) == 2 * int(limit_s / ideal.prefill_s(jobs[0]))
+
+
+def test_excess_is_counted_only_if_it_is_certain():
+    # Guards against a limit that is called broken for a late answer.
+    policy = TeamPolicy(1.0, 2, 1.0)
+    assert ideal.excess([(0.0, 0.1)] * 2, policy) == 0
+    assert ideal.excess([(0.0, 0.1)] * 4, policy) == 2
+    assert ideal.excess([(0.0, 0.1)] * 2 + [(0.0, 2.5)], policy) == 0
+
+
+def test_violations_are_counted():
+    # Guards against an observer that cannot see what it counts.
+    seen = posts(
+        outcome(1),
+        outcome(2),
+        outcome(3, NOT_RUN),
+        outcome(4, NOT_RUN),
+        outcome(5, complete=False),
+        outcome(6, 'unknown'),
+    )
+    runs = {'digest-1': 2, 'digest-3': 1, 'digest-5': 1, 'digest-6': 1}
+    assert counting.run_counts(seen, runs) == {
+        'double_runs': 1,
+        'lost_answers': 2,
+        'false_not_run': 1,
+    }
+
+
+def test_refusal_is_wrongful_only_within_the_limit():
+    seen = posts(
+        outcome(1, NOT_RUN, code='rate_limited'),
+        outcome(2, NOT_RUN, code='rate_limited'),
+        outcome(3),
+    )
+    assert counting.wrongful(seen, {1, 3}) == {'rate_limited': 1}
+
+
+def test_p99_counts_failures_and_leaves_out_refusals():
+    seen = posts(
+        outcome(1),
+        outcome(2, 'broken', first_s=None, end_s=9.0),
+        outcome(3, NOT_RUN, first_s=None, end_s=50.0),
+    )
+    assert counting.team_p99_s(seen) == {'alpha': 9.0}
+
+
+@pytest.mark.parametrize(
+    ('requests', 'conflicts', 'wrong'),
+    [(2, 0, 0), (1, 0, 1), (4, 0, 1), (2, 1, 1), (3, 0, 0)],
+)
+def test_wrong_reports_are_counted(requests, conflicts, wrong):
+    # Two whole answers and a request whose outcome is unknown.
+    seen = posts(outcome(1), outcome(2), outcome(3, 'unknown'))
+    windows = [
+        {
+            'team': 'alpha',
+            'conflicts': conflicts,
+            'figure': [60, requests, 0, 0],
+        }
+    ]
+    bounds = counting.usage_bounds([seen])
+    assert counting.wrong_reports(windows, bounds, lost=0) == wrong
