--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 BIN = $(VENV)/bin
 
-.PHONY: setup run measure test lint format types lock
+.PHONY: setup run measure test lint format types lock capacity
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -22,7 +22,7 @@
 
 lint: setup
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 --jobs 4 peridotrill standins tests measurement
+	$(BIN)/flake8 --jobs 4 peridotrill standins tests capacity measurement
 
 types: setup
 	$(BIN)/mypy
@@ -33,5 +33,9 @@
 test: lint types
 	$(BIN)/python -m tests.known_red
 
+# Measures for about two minutes; writes the results and the page's tables.
+capacity: setup
+	$(BIN)/python -m capacity
+
 lock:
 	$(BIN)/pip freeze --exclude-editable > requirements.lock
