--- a/measurement/__main__.py
+++ b/measurement/__main__.py
@@ -45,9 +45,9 @@
             f'{name} done after {time.monotonic() - started_s:.0f} s\n'
         )
     measured['settings']['deployments_s'] = round(time.monotonic() - started_s)
-    measured['line']['node'] = figures.rounded(
-        measure_node(folder / 'node', idle)
-    )
+    node, details = measure_node(folder / 'node', idle)
+    measured['line']['node'] = figures.rounded(node)
+    measured['details']['node'] = figures.rounded(details)
     measured['settings']['load_average_at_end'] = os.getloadavg()[0]
     return measured
 
--- a/measurement/report.py
+++ b/measurement/report.py
@@ -140,6 +140,11 @@
                 for bound in _bounds(part)
             ),
         )
+        if part == 'node':
+            yield '\nProcessor time under the load, as a part of a core:\n'
+            yield from _table(
+                ('process', 'measured'), measured['details'][part].items()
+            )
         if part in measured['series']:
             yield f'\n![{part}](measurements/{part}.svg)'
             yield '\nWhat was not served well, by service and code:\n'
