--- a/measurement/figures.py
+++ b/measurement/figures.py
@@ -92,6 +92,11 @@
         'failures': counting.failures(played.product, shift.services),
         'failures_naive': counting.failures(played.naive, shift.services),
         'counts_naive': counting.run_counts(played.naive, played.runs),
+        # Cores of the machine that nobody used, in the median second.
+        'idle_cores_median': {
+            run: counting.percentile(row, 0.5)
+            for run, row in shift.idle_cores.items()
+        },
         'changes_observed': len(played.config_s),
         'callers_late_p99_s': counting.percentile(late_s, _P99),
         'usage_reports': len(played.windows),
@@ -116,6 +121,10 @@
             run: counting.open_requests(seen, seconds)
             for run, seen in plays.items()
         },
+        'idle_cores': {
+            'system': shift.idle_cores['product'][:seconds],
+            'naive': shift.idle_cores['naive'][:seconds],
+        },
         'faults': [
             (round(fault.at_s, 2), f'{fault.part} {fault.kind}')
             for fault in shift.faults
--- a/measurement/process_cost.py
+++ b/measurement/process_cost.py
@@ -1,6 +1,7 @@
 """Processor time and memory of a process, from the proc file system."""
 
 import os
+import threading
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -11,6 +12,8 @@
 _KIB_PER_MB: Final = 1e6 / 1024
 # Places of the times in user and kernel mode after the name of the program.
 _USER, _KERNEL = 11, 12
+# Place of the idle time in the first line of the machine's counters.
+_IDLE: Final = 4
 
 
 class Cost:
@@ -37,6 +40,41 @@
     return int(kib.split()[1]) / _KIB_PER_MB
 
 
+def idle_cores_s() -> float:
+    """Return the time that the cores of the machine have been idle."""
+    fields = Path('/proc/stat').read_text('utf-8').split('\n', 1)[0].split()
+    return int(fields[_IDLE]) / _TICKS_PER_S
+
+
+class IdleWatch:
+    """Samples once a second how many cores of the machine are idle.
+
+    Others may use the machine; late answers while no core is idle say more
+    about the machine than about the system.
+    """
+
+    def __init__(self) -> None:
+        """Start to sample."""
+        self.samples: list[float] = []
+        self._stop = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def stop(self) -> list[float]:
+        """End and return the samples."""
+        self._stop.set()
+        self._thread.join()
+        return self.samples
+
+    def _run(self) -> None:
+        before_s, since_s = idle_cores_s(), time.monotonic()
+        while not self._stop.wait(1):
+            idle_s, now_s = idle_cores_s(), time.monotonic()
+            ratio = (idle_s - before_s) / (now_s - since_s)
+            self.samples.append(round(ratio, 1))
+            before_s, since_s = idle_s, now_s
+
+
 @contextmanager
 def read_cost(pid: int) -> Iterator[Cost]:
     """Measure a process during the block."""
--- a/measurement/report.py
+++ b/measurement/report.py
@@ -14,7 +14,12 @@
 PLOTS: Final = ROOT / 'docs' / 'measurements'
 BEGIN: Final = '<!-- tables: begin -->'
 END: Final = '<!-- tables: end -->'
-_PLOT_SIZE: Final = (9, 6)
+_PLOT_SIZE: Final = (9, 8)
+_CURVES: Final = (
+    ('good_per_s', 'served well, per s'),
+    ('open_requests', 'waiting or running'),
+    ('idle_cores', 'idle cores of the machine'),
+)
 
 
 class Bound(NamedTuple):
@@ -147,6 +152,8 @@
             )
         if part in measured['series']:
             yield f'\n![{part}](measurements/{part}.svg)'
+            idle = _show(measured['details'][part]['idle_cores_median'])
+            yield f'\nIdle cores of the machine in the median second: {idle}.'
             yield '\nWhat was not served well, by service and code:\n'
             yield from _failures(measured['details'][part])
 
@@ -185,28 +192,27 @@
 def _plot(name: str, series: Mapping[str, Any]) -> None:
     # Fixed ids and no date, so that equal figures give equal files.
     mpl.rcParams['svg.hashsalt'] = name
-    figure, (upper, lower) = pyplot.subplots(2, sharex=True, figsize=_PLOT_SIZE)
-    for run, row in series['good_per_s'].items():
-        upper.plot(row, label=run)
-    upper.set_ylabel('requests served well, per s')
-    for run, row in series['open_requests'].items():
-        lower.plot(row, label=run)
-    lower.set_ylabel('requests waiting or running')
-    lower.set_xlabel('seconds of the shift')
-    for axes in (upper, lower):
-        axes.legend()
-        for at_s, label in series['faults']:
+    figure, rows = pyplot.subplots(
+        len(_CURVES), sharex=True, figsize=_PLOT_SIZE
+    )
+    for axes, (part, label) in zip(rows, _CURVES):
+        for run, row in series[part].items():
+            axes.plot(row, label=run)
+        axes.set_ylabel(label)
+        for at_s, _ in series['faults']:
             axes.axvline(at_s, color='0.85', zorder=0)
-            if axes is upper:
-                axes.text(
-                    at_s,
-                    1,
-                    f' {label}',
-                    rotation=90,
-                    fontsize=6,
-                    va='top',
-                    transform=axes.get_xaxis_transform(),
-                )
+    rows[0].legend()
+    for at_s, fault in series['faults']:
+        rows[0].text(
+            at_s,
+            1,
+            f' {fault}',
+            rotation=90,
+            fontsize=6,
+            va='top',
+            transform=rows[0].get_xaxis_transform(),
+        )
+    rows[-1].set_xlabel('seconds of the shift')
     figure.suptitle(f'{name}: goodput and queue through the shift')
     figure.savefig(
         PLOTS / f'{name}.svg',
--- a/measurement/run.py
+++ b/measurement/run.py
@@ -15,7 +15,7 @@
 
 from measurement import counting
 from measurement.player import Outcome
-from measurement.process_cost import Cost, read_cost
+from measurement.process_cost import Cost, IdleWatch, read_cost
 from measurement.systems import (
     USAGE_GRACE_S,
     USAGE_WINDOW_S,
@@ -174,6 +174,7 @@
         self.trace = make_trace(self.services.values(), seed, duration_s)
         self.faults = make_faults(seed, duration_s)
         self.idle = Cost()
+        self.idle_cores: dict[str, list[float]] = {}
 
     def run(self, folder: Path) -> Played:
         """Run the system, the worst-served team alone and the naive one."""
@@ -250,10 +251,13 @@
                 (part * self.duration_s, changes.change, names)
                 for part, names in zip(_CHANGES, granted)
             ]
+        sleep_until(start_s)
+        watch = IdleWatch()
         for at_s, act, arguments in sorted(acts, key=lambda row: row[0]):
             sleep_until(start_s + at_s)
             act(*arguments)
         player.wait(_PLAY_TIMEOUT_S)
+        self.idle_cores[run] = watch.stop()
         if changes:
             changes.wait()
         rows = json.loads(results.read_text('utf-8'))
