--- a/measurement/report.py
+++ b/measurement/report.py
@@ -199,9 +199,10 @@
         for run, row in series[part].items():
             axes.plot(row, label=run)
         axes.set_ylabel(label)
+        axes.set_ylim(bottom=0)
         for at_s, _ in series['faults']:
             axes.axvline(at_s, color='0.85', zorder=0)
-    rows[0].legend()
+    figure.legend(*rows[0].get_legend_handles_labels(), loc='upper right')
     for at_s, fault in series['faults']:
         rows[0].text(
             at_s,
--- a/tests/test_measurement.py
+++ b/tests/test_measurement.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from measurement import counting, ideal, trace
+from measurement import counting, ideal, report, trace
 from measurement.player import ANSWERED, Outcome, make_body, make_prompt
 from peridotrill.services import TeamPolicy
 from standins import topology
@@ -165,3 +165,30 @@
     ]
     bounds = counting.usage_bounds([seen])
     assert counting.wrong_reports(windows, bounds, lost=0) == wrong
+
+
+def test_missed_targets_are_named():
+    # Guards against a report that calls a missed target met.
+    found = {
+        'goodput_ratio': 0.9,
+        'goodput_ratio_naive': 0.5,
+        'goodput_ratio_ideal': 0.99,
+        'worst_team_p99_s': 3.0,
+        'worst_team_p99_alone_s': 2.0,
+        'cost_by_service': {'till': 1.2},
+        'cost_by_service_ideal': {'till': 1.0},
+        'wrongful_refusals': 0.0009,
+        'wrongful_refusals_naive': 0.01,
+        'double_runs': 0,
+        'lost_answers': 1,
+        'false_not_run': 0,
+        'over_limit': 0,
+        'withdrawn_key_s': None,
+        'config_in_force_s': 5.0,
+    }
+    assert report.missed({'line': {'saltbush': found}}) == [
+        'saltbush goodput_ratio: at least 0.95 of the ideal',
+        'saltbush cost_by_service: at most 1.15 of the ideal',
+        'saltbush lost_answers: 0',
+        'saltbush withdrawn_key_s: at most 5 s',
+    ]
