--- a/measurement/counting.py
+++ b/measurement/counting.py
@@ -205,8 +205,9 @@
             row = (1, arrival.prompt_tokens, arrival.output_tokens)
             for place, count in enumerate(row):
                 usage.least[place] += count * outcome.complete
-                if outcome.outcome != NOT_RUN:
-                    usage.most[place] += count * outcome.tries
+                # A try that was refused did not run, those before may have.
+                ran = outcome.tries - (outcome.outcome == NOT_RUN)
+                usage.most[place] += count * ran
     return bounds
 
 
--- a/tests/test_measurement.py
+++ b/tests/test_measurement.py
@@ -167,6 +167,12 @@
     assert counting.wrong_reports(windows, bounds, lost=0) == wrong
 
 
+def test_usage_of_a_try_before_a_refusal_is_not_wrong():
+    # Guards against a report called wrong for a broken try that ran.
+    bounds = counting.usage_bounds([posts(outcome(1, NOT_RUN, tries=2))])
+    assert bounds['alpha'].most[0] == 1
+
+
 def test_missed_targets_are_named():
     # Guards against a report that calls a missed target met.
     found = {
