--- a/Makefile
+++ b/Makefile
@@ -38,4 +38,4 @@
 	$(BIN)/python -m capacity
 
 lock:
-	$(BIN)/pip freeze --exclude-editable > requirements.lock
+	$(BIN)/pip freeze --all --exclude pip --exclude-editable > requirements.lock
