Ask the home of a key before a limit refuses it; turn the engine's priority

A charge had run and its answer was lost; its repetition with the same key was refused by the limit of the other entry before the home was asked. Ruled out: answering unknown for every limited request with a key, which tells callers less than is known. With only_if_known the agent replays, joins, or refuses truthfully. test_a_limit_never_says_not_run_of_a_key_that_ran gives 429 in place of the stored answer without the change.

Cause of the second, found by reading: service files call 0 the most urgent, engines start the highest number first.

--- a/peridotrill/admission.py
+++ b/peridotrill/admission.py
@@ -246,7 +246,7 @@
         service = self._state.catalog.find_model(model)
         if service is None:
             raise RequestError('model_not_found')
-        self._apply_limit(service, grant.team)
+        _refuse_limited(self._limit_wait_s(service, grant.team))
         request = self._request(caller, service, grant.team)._replace(
             path=caller.path,
             streaming=document.get('stream') is True,
@@ -259,22 +259,30 @@
         if found is None:
             raise RequestError('route_not_found')
         service, route = found
-        grant = None
+        grant, wait_s = None, 0.0
         if not route.open:
             grant = self.find_grant(caller)
-            self._apply_limit(service, grant.team)
+            wait_s = self._limit_wait_s(service, grant.team)
         team = grant.team if grant else ''
         request = self._request(caller, service, team)
         if not route.idempotent:
             request = _add_key(request, caller)
+        if request.caller_key:
+            # The key's home tells whether an earlier request with it ran; a
+            # refusal before that could say `not_run` of a key that ran.
+            request = request._replace(limit_wait_s=wait_s)
+        else:
+            _refuse_limited(wait_s)
         return Admitted(request, grant)
 
-    def _apply_limit(self, service: Service, team: str) -> None:
+    def _limit_wait_s(self, service: Service, team: str) -> float:
+        """Take one request from the team's limit.
+
+        :return: 0, or the time in seconds after which to try again.
+        """
         if team not in service.teams:
             raise RequestError('team_not_allowed')
-        admitted = self._limiter.admit(service.name, team)
-        if admitted.is_error():
-            raise RequestError('rate_limited', retry_after_s=admitted.error)
+        return self._limiter.admit(service.name, team).swap().default_value(0)
 
     def _request(
         self,
@@ -301,6 +309,11 @@
         )
 
 
+def _refuse_limited(wait_s: float) -> None:
+    if wait_s > 0:
+        raise RequestError('rate_limited', retry_after_s=wait_s)
+
+
 def _read_document(body: bytes) -> dict[str, Any]:
     try:
         document = decode_json(body)
--- a/peridotrill/agent.py
+++ b/peridotrill/agent.py
@@ -198,7 +198,11 @@
                 )
                 self._send(peer_id, failed)
             case ledger.Refusal():
-                self._refuse(peer_id, start.attempt_id, decision)
+                # A start that can never run by itself needs no memory, which
+                # a team over its limit could otherwise fill.
+                if not start.only_if_known:
+                    self._ledger.refuse_attempt(start.attempt_id)
+                self._send_refusal(peer_id, start.attempt_id, decision)
 
     def _decide(self, start: messages.StartAttempt) -> ledger.Decision:
         decision: ledger.Decision = ledger.Run()
@@ -224,6 +228,14 @@
         refusal: ledger.Refusal,
     ) -> None:
         self._ledger.refuse_attempt(attempt_id)
+        self._send_refusal(peer_id, attempt_id, refusal)
+
+    def _send_refusal(
+        self,
+        peer_id: int,
+        attempt_id: str,
+        refusal: ledger.Refusal,
+    ) -> None:
         self._recorder.emit(
             'attempt_refused',
             attempt=attempt_id,
--- a/peridotrill/attempts.py
+++ b/peridotrill/attempts.py
@@ -230,6 +230,7 @@
             timeout_s=remaining_s,
             resume_position=0,
             placement_version=self._version,
+            only_if_known=request.limit_wait_s > 0,
         )
 
     async def _next_answers(self) -> Answers:
--- a/peridotrill/dispatch.py
+++ b/peridotrill/dispatch.py
@@ -36,7 +36,9 @@
     """An admitted request; ``deadline_s`` is monotonic time.
 
     ``team`` is empty on open routes. ``caller_key`` tells that the
-    idempotency key came from the caller.
+    idempotency key came from the caller. ``limit_wait_s`` is positive if the
+    team is over its limit: the request is then answered only from what its
+    key's home knows of an earlier one.
     """
 
     request_id: str
@@ -53,6 +55,7 @@
     caller_key: bool
     cost: RequestCost
     deadline_s: float
+    limit_wait_s: float = 0.0
 
 
 class Placement(NamedTuple):
--- a/peridotrill/engine_client.py
+++ b/peridotrill/engine_client.py
@@ -18,6 +18,8 @@
 _CANCEL_TIMEOUT_S: Final = 2.0
 # The newest are reported; a report four times a second must stay small.
 MAX_CACHED_PREFIXES: Final = 128
+# Highest number that a service file can give.
+LEAST_URGENT: Final = 9
 
 
 class _CacheEvent(msgspec.Struct):
@@ -30,6 +32,14 @@
     next: int = 0
 
 
+def engine_priority(priority: int) -> int:
+    """Return the priority for an engine, where the highest starts first.
+
+    :param priority: of a service file, where 0 is the most urgent.
+    """
+    return max(0, LEAST_URGENT - priority)
+
+
 @final
 class EngineClient:
     """Calls an engine on the same VM and follows its cache events."""
@@ -59,7 +69,7 @@
         """
         headers = {
             'X-Attempt-Id': start.attempt_id,
-            'X-Priority': str(start.priority),
+            'X-Priority': str(engine_priority(start.priority)),
         }
         if start.resume_position:
             headers['X-Resume-Tokens'] = str(start.resume_position)
--- a/peridotrill/ledger.py
+++ b/peridotrill/ledger.py
@@ -129,6 +129,8 @@
         refusal = self._refuse_unknown_key(start) if start.caller_key else None
         if refusal is not None:
             return refusal
+        if start.only_if_known:
+            return Refusal('rate_limited', '', True)
         if self.used_bytes + _KEY_BYTES > self._capacity_bytes:
             return Refusal('ledger_full', '', True, self._next_expiry_s())
         return Run()
--- a/peridotrill/messages.py
+++ b/peridotrill/messages.py
@@ -138,6 +138,8 @@
     The agent refuses it when its clock is past ``start_before_s``.
     ``key_digest`` is empty for idempotent requests. ``caller_key`` tells
     that the key came from the caller, so that it may have been used before.
+    With ``only_if_known`` a request whose key the ledger does not know is
+    refused as ``rate_limited``.
     """
 
     attempt_id: str
@@ -159,6 +161,7 @@
     timeout_s: float
     resume_position: int
     placement_version: int
+    only_if_known: bool = False
 
 
 @message(6)
--- a/peridotrill/request_runs.py
+++ b/peridotrill/request_runs.py
@@ -19,7 +19,12 @@
 
 # Refusals after which the same request cannot be started by another attempt.
 _FINAL_REASONS: Final = frozenset(
-    ('idempotency_key_reused', 'deadline_exceeded', 'invalid_request'),
+    (
+        'idempotency_key_reused',
+        'deadline_exceeded',
+        'invalid_request',
+        'rate_limited',
+    ),
 )
 
 # Refusals while the agent cannot tell whether the key is new.
@@ -50,7 +55,7 @@
                     yield answer
         except RequestError as error:
             if is_yielded or not self._allows(error, placement.target_id):
-                raise _final_error(error) from error
+                raise _final_error(error, self._request) from error
             self.is_wanted = True
             await self._pause()
 
@@ -81,8 +86,11 @@
         )
 
 
-def _final_error(error: RequestError) -> RequestError:
+def _final_error(error: RequestError, request: Request) -> RequestError:
     """Return what the caller is told when there is no other attempt."""
+    if error.reason == 'rate_limited':
+        wait_s = request.limit_wait_s
+        return RequestError('rate_limited', retry_after_s=wait_s)
     if error.reason not in _UNDECIDED_REASONS:
         return error
     # This attempt was refused because an earlier one may have run.
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -179,6 +179,15 @@
     assert started == [agent.home(b'k' * 32)] * 3
 
 
+async def test_a_limited_request_is_not_repeated():
+    # Guards against one refusal after another while a team is over its
+    # limit, and against a wait that the caller is not told.
+    agent = Agent([refused('rate_limited')])
+    fields = {**KEYED, 'limit_wait_s': 2.5}
+    assert await agent.fail(**fields) == ('rate_limited', 'not_run')
+    assert agent.of_type(START)[0].only_if_known
+
+
 @pytest.mark.parametrize('code', ['recovering', 'placement_old'])
 async def test_no_not_run_while_the_home_cannot_tell(code):
     # Guards against `not_run` said of a key whose first request may have run.
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -275,3 +275,21 @@
     assert ledger.decide(keyed('x2')).code == 'outcome_unknown'
     clock.advance(timedelta(seconds=2))
     assert ledger.decide(keyed('x2')) == Run()
+
+
+def test_a_team_over_its_limit_learns_only_of_earlier_requests():
+    # Guards against `not_run` said of a key that ran, when its repetition
+    # is refused by a limit, and against a run beyond the limit.
+    ledger = complete_ledger(ManualClock())
+    limited = keyed('x1', only_if_known=True)
+    assert ledger.decide(limited) == Refusal('rate_limited', '', True)
+    ledger.begin(keyed('x2'))
+    assert ledger.decide(keyed('x3', only_if_known=True)) == Join('x2')
+    ledger.answer(b'k1', ANSWER)
+    assert ledger.decide(keyed('x4', only_if_known=True)) == Replay(ANSWER)
+
+
+def test_limited_request_is_undecided_while_the_ledger_recovers():
+    # Guards against `not_run` said by an agent that lost its memory.
+    ledger = Ledger(ManualClock(), 'receipts')
+    assert ledger.decide(keyed(only_if_known=True)).code == 'recovering'
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from peridotrill.engine_client import engine_priority
 from peridotrill.exceptions import TargetOutcomeUnknown
 from peridotrill.target_client import create_http_client, open_answer
 from tests import builders
@@ -111,3 +112,9 @@
         with pytest.raises(TargetOutcomeUnknown):
             await fetch('/1', idempotent=True)
         assert target.connections == 1
+
+
+def test_the_most_urgent_service_starts_first_at_an_engine():
+    # Guards against the two scales, which run in opposite directions.
+    urgent, relaxed = engine_priority(0), engine_priority(9)
+    assert urgent > relaxed >= 0
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -244,6 +244,29 @@
     assert statuses.count(200) <= allowed
 
 
+def test_a_limit_never_says_not_run_of_a_key_that_ran(cluster):
+    # Guards against `rate_limited` for the repetition of a charge that ran,
+    # from which its caller would conclude that it did not run.
+    key = cluster.grant('delta', 'delta-charges')
+    first, *_, last = cluster.entry_urls.values()
+
+    def charge(url, name):
+        headers = {**bearer(key), 'Idempotency-Key': name}
+        return cluster.client.post(
+            f'{url}/charges', headers=headers, json={'charge': name}
+        )
+
+    for url in (first, last):
+        wait_for(lambda entry=url: charge(entry, 'limit-0').is_success)
+    statuses = [charge(last, f'limit-{number}') for number in range(1, 20)]
+    refused = [row for row in statuses if row.status_code == 429]
+    assert refused
+    assert read_error(refused[-1].json())['outcome'] == 'not_run'
+    repeated = charge(last, 'limit-0')
+    assert repeated.status_code == 201
+    assert repeated.headers['Idempotency-Replayed'] == 'true'
+
+
 def test_new_configuration_is_in_force_everywhere_and_stays(cluster):
     # Guards against entries that differ or take an outdated change.
     texts = {'till': SERVICES['till'].replace('/stock/', '/shelf/')}
