--- a/peridotrill/clock.py
+++ b/peridotrill/clock.py
@@ -53,3 +53,19 @@
         if duration < timedelta(0):
             raise ValueError('time does not go back')
         self._elapsed_s += duration.total_seconds()
+
+
+@final
+class SuspendAwareClock:
+    """System clock whose monotonic time goes on while a VM is suspended.
+
+    Beliefs with a time limit, such as leases, must end during a suspension.
+    """
+
+    def monotonic_s(self) -> float:
+        """Return seconds since the boot of the machine."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def now(self) -> datetime:
+        """Return the wall clock in UTC."""
+        return datetime.now(UTC)
--- a/peridotrill/exceptions.py
+++ b/peridotrill/exceptions.py
@@ -48,6 +48,11 @@
 class RecordsExpired(LogError):
     """The requested offset is older than the retention of the log."""
 
+    def __init__(self, message: str, first_kept: int | None = None) -> None:
+        """:param first_kept: offset of the oldest record that is kept."""
+        super().__init__(message)
+        self.first_kept = first_kept
+
 
 class LinkError(PeridotrillError):
     """A connection between an entry and an agent failed."""
--- /dev/null
+++ b/peridotrill/gateway/beliefs.py
@@ -0,0 +1,175 @@
+"""What a gateway process believes of configuration and targets."""
+
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+from typing import Final, NamedTuple, final
+
+from peridotrill.clock import Clock
+from peridotrill.gateway.configuration import Configuration
+from peridotrill.gateway.event_log import EventLog
+from peridotrill.gateway.targets import TargetRecord, TargetRole
+
+
+class FreshnessBounds(NamedTuple):
+    """How old beliefs may be.
+
+    ``config_max_age`` bounds the age of the configuration with which
+    requests with keys are served, because keys may have been withdrawn.
+    ``removal_grace`` is how long a target is still used after its record
+    disappeared without notice: records also lapse while the store is away.
+    """
+
+    config_max_age: timedelta
+    removal_grace: timedelta
+
+
+@final
+class Beliefs:
+    """The newest configuration and the targets, with their ages."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        bounds: FreshnessBounds,
+        log: EventLog,
+    ) -> None:
+        """Nothing is known at the start."""
+        self._clock = clock
+        self._max_age_s = bounds.config_max_age.total_seconds()
+        self._grace_s = bounds.removal_grace.total_seconds()
+        self._log = log
+        self._targets: dict[str, TargetRecord] = {}
+        self._removed_s: dict[str, float] = {}
+        self._confirmed_s: float | None = None
+        self._targets_known = False
+        self.configuration: Configuration | None = None
+        self.on_target_gone: Callable[[TargetRecord], None] = _ignore
+        self.on_change: Callable[[], None] = _ignore_change
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether configuration and targets have been read once."""
+        return self.configuration is not None and self._targets_known
+
+    def config_age_s(self) -> float | None:
+        """Return the age of the last proof that no newer version exists."""
+        if self._confirmed_s is None:
+            return None
+        return self._clock.monotonic_s() - self._confirmed_s
+
+    @property
+    def is_fresh(self) -> bool:
+        """Tell whether requests with keys may be served."""
+        age_s = self.config_age_s()
+        return age_s is not None and age_s < self._max_age_s
+
+    def confirm_configuration(self, asked_s: float) -> None:
+        """Note that all versions up to a moment have been seen.
+
+        :param asked_s: monotonic time at which the store was asked.
+        """
+        self._confirmed_s = max(self._confirmed_s or asked_s, asked_s)
+
+    def adopt_configuration(self, found: Configuration) -> None:
+        """Use a version unless a newer one is in force."""
+        known = self.configuration
+        if known is not None and found.version <= known.version:
+            return
+        self.configuration = found
+        self._log.write(
+            'configuration_adopted',
+            version=found.version,
+            previous=known.version if known else None,
+            routes=found.route_count,
+            teams=len(found.teams),
+        )
+        self.on_change()
+
+    def adopt_target(self, record: TargetRecord) -> None:
+        """Use what a target says of itself."""
+        known = self._targets.get(record.target_id)
+        self._removed_s.pop(record.target_id, None)
+        if known is not None and record.started_ms < known.started_ms:
+            return
+        self._targets[record.target_id] = record
+        if known == record:
+            return
+        self._log.write(
+            'target_changed',
+            target=record.target_id,
+            service=record.service,
+            address=str(record.address),
+            zone=record.zone,
+            leaving=record.is_leaving,
+            role=record.role.value if record.role else None,
+            started_ms=record.started_ms,
+        )
+        if known is not None and (
+            known.started_ms != record.started_ms
+            or known.address != record.address
+        ):
+            self.on_target_gone(known)
+        self.on_change()
+
+    def remove_target(self, target_id: str, reason: str) -> None:
+        """Stop using a target after the grace time."""
+        if target_id in self._targets and target_id not in self._removed_s:
+            self._removed_s[target_id] = self._clock.monotonic_s()
+            self._log.write(
+                'target_record_removed',
+                target=target_id,
+                reason=reason,
+            )
+
+    def retain_targets(self, target_ids: Iterable[str]) -> None:
+        """Remove the targets that a full listing does not name."""
+        self._targets_known = True
+        for target_id in self._targets.keys() - set(target_ids):
+            self.remove_target(target_id, 'not listed')
+
+    def forget_removed(self) -> None:
+        """Drop the targets whose grace time is over."""
+        now_s = self._clock.monotonic_s()
+        for target_id, removed_s in list(self._removed_s.items()):
+            if now_s - removed_s >= self._grace_s:
+                self._removed_s.pop(target_id)
+                gone = self._targets.pop(target_id)
+                self._log.write('target_gone', target=target_id)
+                self.on_target_gone(gone)
+
+    def find_target(self, target_id: str) -> TargetRecord | None:
+        """Return a target by its id."""
+        return self._targets.get(target_id)
+
+    def usable_targets(
+        self,
+        service: str,
+        role: TargetRole | None = None,
+    ) -> list[TargetRecord]:
+        """Return the targets of a service that take new requests.
+
+        :param role: only targets with this role, or all if None.
+        """
+        self.forget_removed()
+        return [
+            row
+            for row in self._targets.values()
+            if row.service == service
+            and not row.is_leaving
+            and (role is None or row.role is role)
+        ]
+
+    def all_targets(self) -> list[TargetRecord]:
+        """Return all targets, leaving ones included."""
+        return list(self._targets.values())
+
+
+def _ignore(record: TargetRecord) -> None:
+    """Nothing depends on the target."""
+
+
+def _ignore_change() -> None:
+    """Nothing depends on the change."""
+
+
+DEFAULT_REMOVAL_GRACE: Final = timedelta(seconds=1)
--- /dev/null
+++ b/peridotrill/gateway/callers_port.py
@@ -0,0 +1,434 @@
+"""Connections of callers: HTTP/1.1 requests in, responses out.
+
+Built on asyncio protocols instead of hypercorn, because a request must be
+cancelled at the moment its caller leaves, and because a response that ends
+early must not look complete.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, NamedTuple, Protocol, final
+
+import anyio
+import httptools
+from anyio.abc import TaskGroup
+
+from peridotrill.gateway.configuration import CallerLimits
+from peridotrill.gateway.http_text import (
+    LAST_CHUNK,
+    format_chunk,
+    format_head,
+    format_status_line,
+)
+from peridotrill.gateway.requests import Headers
+
+# Complete requests that may wait behind the one in progress before the
+# connection is no longer read.
+_MAX_PIPELINED: Final = 2
+_BAD_REQUEST: Final = 400
+_REQUEST_TIMEOUT: Final = 408
+_CONTENT_TOO_LARGE: Final = 413
+_HEADERS_TOO_LARGE: Final = 431
+_CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
+# After an error the rest of what the caller sends is discarded for this
+# long, so that closing with unread bytes does not reset the response.
+_DISCARD_S: Final = 1.0
+
+
+class RawRequest(NamedTuple):
+    """A request as received; header names are in lower case."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    received_s: float
+
+
+class Responder(Protocol):
+    """Writes the response to one request."""
+
+    @property
+    def has_started(self) -> bool:
+        """Tell whether a part of the response was written."""
+
+    def send(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write a complete response."""
+
+    def start_stream(self, status: int, headers: Headers) -> None:
+        """Write the head of a response of unknown length."""
+
+    def send_part(self, content: bytes) -> None:
+        """Write a part of the body."""
+
+    async def drain(self) -> None:
+        """Wait until the caller has read enough of what was written."""
+
+    def end_stream(self) -> None:
+        """Write the end of the body."""
+
+    def abort(self) -> None:
+        """Break the connection, so that the response looks incomplete."""
+
+
+Handler = Callable[[RawRequest, Responder], Coroutine[Any, Any, None]]
+
+
+@final
+class CallerPort:
+    """What the connections of one listening port share."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        task_group: TaskGroup,
+        limits: Callable[[], CallerLimits],
+        now_s: Callable[[], float],
+    ) -> None:
+        """:param limits: returns the limits in force."""
+        self.handler = handler
+        self.task_group = task_group
+        self.limits = limits
+        self.now_s = now_s
+        self.is_draining = False
+        self.connections: set[CallerConnection] = set()
+
+    def create_connection(self) -> 'CallerConnection':
+        """Return the protocol of a new connection."""
+        return CallerConnection(self)
+
+    def drain(self) -> None:
+        """End connections after their present request from now on."""
+        self.is_draining = True
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is in progress."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+
+@final
+class CallerConnection(asyncio.Protocol):  # noqa: WPS338
+    """One connection; requests are handled one after another."""
+
+    def __init__(self, port: CallerPort) -> None:
+        """:param port: of which this is a connection."""
+        self._port = port
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._waiting: deque[tuple[RawRequest, bool]] = deque()
+        self._exchange: _Exchange | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_status = 0
+        self._is_closing = False
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+        self._reset_message()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to wait for the first request."""
+        self._transport = transport  # type: ignore[assignment]
+        self._port.connections.add(self)
+        self._arm_idle_timer()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived."""
+        if self._is_closing:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail(_BAD_REQUEST)
+        except httptools.HttpParserError:
+            self._fail(self._error_status or _BAD_REQUEST)
+
+    def eof_received(self) -> bool:
+        """Treat a caller that closes its side as gone."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the request in progress."""
+        self._is_closing = True
+        self._port.connections.discard(self)
+        self._cancel_timer()
+        self._waiting.clear()
+        self._can_write.set()
+        if self._exchange is not None:
+            self._exchange.caller_left()
+
+    def pause_writing(self) -> None:
+        """The caller reads more slowly than the response is written."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """The caller has read enough."""
+        self._can_write.set()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """A request begins."""
+        self._reset_message()
+        self._is_in_message = True
+        self._arm_timer(
+            self._port.limits().header_timeout_ms / 1000,
+            _REQUEST_TIMEOUT,
+        )
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the request target."""
+        self._target += url
+        self._count_header_bytes(len(url))
+
+    def on_header(self, name: bytes, header: bytes) -> None:
+        """Collect a header; trailers are dropped."""
+        if self._is_in_body:
+            return
+        # Counted as on the wire, with the separator and the line end.
+        self._count_header_bytes(len(name) + len(header) + 4)
+        if b'\r' in header or b'\n' in header:
+            self._refuse(_BAD_REQUEST)
+        self._headers.append((name.lower(), header.strip()))
+
+    def on_headers_complete(self) -> None:
+        """Check the head before the body arrives."""
+        self._is_in_body = True
+        fields = dict(self._headers)
+        length = fields.get(b'content-length', b'0')
+        if int(length or 0) > self._port.limits().max_body_bytes:
+            self._refuse(_CONTENT_TOO_LARGE)
+        if fields.get(b'expect', b'').lower() == b'100-continue':
+            if self._exchange is None and self._transport is not None:
+                self._transport.write(_CONTINUE)
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > self._port.limits().max_body_bytes:
+            self._refuse(_CONTENT_TOO_LARGE)
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Handle the request, or let it wait for the one before."""
+        self._is_in_message = False
+        self._cancel_timer()
+        request = RawRequest(
+            self._parser.get_method(),
+            self._target,
+            self._headers,
+            b''.join(self._body),
+            self._port.now_s(),
+        )
+        self._waiting.append((request, self._parser.should_keep_alive()))
+        if self._exchange is None:
+            self._start_next()
+        elif len(self._waiting) > _MAX_PIPELINED and self._transport:
+            self._transport.pause_reading()
+
+    # Used by the port and by exchanges.
+
+    def close_if_idle(self) -> None:
+        """Close unless a request is in progress or arriving."""
+        is_busy = self._exchange is not None or self._waiting
+        if not is_busy and not self._is_in_message:
+            self._close()
+
+    def write(self, content: bytes) -> None:
+        """Write bytes of a response unless the caller has left."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(content)
+
+    async def drain(self) -> None:
+        """Wait until more may be written."""
+        await self._can_write.wait()
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._is_closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def finish_exchange(self, keep_alive: bool) -> None:
+        """Go on with the next request, or close."""
+        self._exchange = None
+        if self._is_closing:
+            return
+        if not keep_alive:
+            self._close()
+        elif self._waiting:
+            self._start_next()
+        elif not self._is_in_message:
+            self._arm_idle_timer()
+
+    def _start_next(self) -> None:
+        request, keep_alive = self._waiting.popleft()
+        if self._transport is not None and not self._waiting:
+            self._transport.resume_reading()
+        self._cancel_timer()
+        self._exchange = _Exchange(self, self._port, keep_alive)
+        self._port.task_group.start_soon(self._exchange.run, request)
+
+    def _reset_message(self) -> None:
+        self._target = b''
+        self._headers: Headers = []
+        self._header_bytes = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._is_in_message = False
+        self._is_in_body = False
+        self._error_status = 0
+
+    def _count_header_bytes(self, count: int) -> None:
+        self._header_bytes += count
+        if self._header_bytes > self._port.limits().max_header_bytes:
+            self._refuse(_HEADERS_TOO_LARGE)
+
+    def _refuse(self, status: int) -> None:
+        """Stop parsing; ``data_received`` sends the status."""
+        self._error_status = status
+        raise ValueError('the request breaks a limit')
+
+    def _fail(self, status: int) -> None:
+        """Send an error for a request that could not be read, and close."""
+        self._is_closing = True
+        self._cancel_timer()
+        if self._exchange is not None or self._transport is None:
+            # The response in progress is still completed.
+            self._is_closing = False
+            self._port.task_group.start_soon(self._fail_later, status)
+            return
+        self._send_failure(status)
+
+    async def _fail_later(self, status: int) -> None:
+        exchange = self._exchange
+        if self._transport is not None:
+            self._transport.pause_reading()
+        if exchange is not None:
+            await exchange.finished.wait()
+        if self._transport is not None and not self._transport.is_closing():
+            self._is_closing = True
+            self._send_failure(status)
+
+    def _send_failure(self, status: int) -> None:
+        head = format_head(
+            format_status_line(status),
+            [(b'Content-Length', b'0'), (b'Connection', b'close')],
+        )
+        self.write(head)
+        if self._transport is not None:
+            if self._transport.can_write_eof():
+                self._transport.write_eof()
+            loop = asyncio.get_running_loop()
+            loop.call_later(_DISCARD_S, self._transport.close)
+
+    def _arm_idle_timer(self) -> None:
+        self._arm_timer(self._port.limits().idle_timeout_ms / 1000, 0)
+
+    def _arm_timer(self, delay_s: float, status: int) -> None:
+        self._cancel_timer()
+        self._timer_status = status
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay_s, self._on_timer)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        if self._exchange is not None or self._is_closing:
+            return
+        if self._timer_status:
+            self._fail(self._timer_status)
+        else:
+            self._close()
+
+    def _close(self) -> None:
+        self._is_closing = True
+        self._cancel_timer()
+        if self._transport is not None:
+            self._transport.close()
+
+
+@final
+class _Exchange:  # noqa: WPS214
+    """One request and its response."""
+
+    def __init__(
+        self,
+        connection: CallerConnection,
+        port: CallerPort,
+        keep_alive: bool,
+    ) -> None:
+        self._connection = connection
+        self._port = port
+        self._keep_alive = keep_alive
+        self._scope = anyio.CancelScope()
+        self._is_complete = False
+        self.has_started = False
+        self.finished = asyncio.Event()
+
+    async def run(self, request: RawRequest) -> None:
+        """Call the handler; a caller that leaves cancels it."""
+        with self._scope:
+            await self._port.handler(request, self)
+        if not self._is_complete:
+            self._connection.abort()
+        self.finished.set()
+        self._connection.finish_exchange(self._keep_alive)
+
+    def caller_left(self) -> None:
+        """Cancel the handler."""
+        self._is_complete = True
+        self._scope.cancel()
+
+    def send(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write a complete response."""
+        length = str(len(body)).encode()
+        head = self._format_head(status, headers, (b'Content-Length', length))
+        self._connection.write(head + body)
+        self._is_complete = True
+
+    def start_stream(self, status: int, headers: Headers) -> None:
+        """Write the head of a chunked response."""
+        head = self._format_head(
+            status,
+            headers,
+            (b'Transfer-Encoding', b'chunked'),
+        )
+        self._connection.write(head)
+
+    def send_part(self, content: bytes) -> None:
+        """Write one chunk."""
+        if content:
+            self._connection.write(format_chunk(content))
+
+    async def drain(self) -> None:
+        """Wait until the caller has read enough."""
+        await self._connection.drain()
+
+    def end_stream(self) -> None:
+        """Write the last chunk."""
+        self._connection.write(LAST_CHUNK)
+        self._is_complete = True
+
+    def abort(self) -> None:
+        """Break the connection."""
+        self._is_complete = True
+        self._connection.abort()
+
+    def _format_head(
+        self,
+        status: int,
+        headers: Headers,
+        framing: tuple[bytes, bytes],
+    ) -> bytes:
+        self.has_started = True
+        rows = [*headers, framing]
+        if self._port.is_draining:
+            self._keep_alive = False
+        if not self._keep_alive:
+            rows.append((b'Connection', b'close'))
+        return format_head(format_status_line(status), rows)
--- /dev/null
+++ b/peridotrill/gateway/configuration.py
@@ -0,0 +1,126 @@
+"""The configuration in force: routes, services, teams and limits."""
+
+from typing import Final, NamedTuple, final
+
+from peridotrill.gateway.requests import RequestKind
+
+
+class ServiceWeight(NamedTuple):
+    """Share of a route's requests that a service receives."""
+
+    service: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """One route; ``max_targets`` bounds the targets that run a request."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RequestKind
+    timeout_ms: float
+    goal_ms: float
+    priority: int
+    services: tuple[ServiceWeight, ...]
+    max_targets: int
+    is_public: bool
+    can_resume: bool
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Tell whether a request may run more than once."""
+        if self.kind is RequestKind.STREAM:
+            return self.can_resume
+        return self.kind is RequestKind.IDEMPOTENT
+
+
+class EngineModel(NamedTuple):
+    """Declared properties of the model engines of a service."""
+
+    slots: int
+    kv_tokens: int
+    kv_bytes_per_token: float
+    link_mbps: float
+    switch_s: float
+    max_event_waiters: int
+
+
+class ServiceSpec(NamedTuple):
+    """One service; ``engine`` is None for plain services."""
+
+    name: str
+    max_connections: int
+    engine: EngineModel | None
+
+
+class Team(NamedTuple):
+    """One team; a rate of zero means that it has no limit.
+
+    ``counts_tokens`` tells whether rate and burst are in tokens, with
+    ``plain_tokens`` for a request without a prompt, or in requests.
+    """
+
+    name: str
+    api_keys: frozenset[str]
+    priority: int | None
+    rate_per_s: float
+    burst: float
+    counts_tokens: bool
+    plain_tokens: float
+
+
+class CallerLimits(NamedTuple):
+    """What a caller may send, and how long it may take or stay idle."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+DEFAULT_CALLER_LIMITS: Final = CallerLimits()
+
+
+@final
+class Configuration:
+    """One version of the configuration, with its look-ups."""
+
+    def __init__(
+        self,
+        version: int,
+        routes: tuple[Route, ...],
+        services: dict[str, ServiceSpec],
+        teams: tuple[Team, ...],
+        limits: CallerLimits,
+    ) -> None:
+        """:param version: increases with each publish."""
+        self.version = version
+        self.services = services
+        self.teams = {team.name: team for team in teams}
+        self.limits = limits
+        self.route_count = len(routes)
+        self._team_by_key = {
+            key: team for team in teams for key in team.api_keys
+        }
+        self._routes_by_host: dict[str, list[Route]] = {}
+        for route in routes:
+            self._routes_by_host.setdefault(route.host, []).append(route)
+        for rows in self._routes_by_host.values():
+            rows.sort(key=lambda row: len(row.path_prefix), reverse=True)
+
+    @property
+    def requires_keys(self) -> bool:
+        """Tell whether requests on routes that are not public need a key."""
+        return bool(self.teams)
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path."""
+        for route in self._routes_by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def find_team(self, api_key: str) -> Team | None:
+        """Return the team that holds a key."""
+        return self._team_by_key.get(api_key)
--- /dev/null
+++ b/peridotrill/gateway/coordinator.py
@@ -0,0 +1,240 @@
+"""One gateway at a time acts for all: a lease over conditional appends.
+
+Each record of the coordination log is appended at the offset at which its
+writer believes the log to end. A holder renews by appending; whoever else
+appends makes the holder's next append fail. A gateway takes the lease only
+after it has seen no new record for the whole lease time, counted on its own
+clock; a holder stops that time after it sent its last renewal. So the two
+never overlap, without synchronised clocks.
+"""
+
+import secrets
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any, Final, NamedTuple, Protocol, final
+
+import anyio
+
+from peridotrill.clock import MAX_CLOCK_DRIFT, Clock
+from peridotrill.codec import decode_json, encode_json
+from peridotrill.exceptions import (
+    AppendUnknown,
+    CodecError,
+    LogUnavailable,
+    RecordsExpired,
+)
+from peridotrill.gateway.event_log import EventLog
+
+TICK: Final = timedelta(milliseconds=250)
+_RENEWALS_PER_TTL: Final = 3
+# Fixed usage windows that are kept, to send them again after a take-over.
+_KEPT_WINDOWS: Final = 8
+
+
+class AppendOutcome(Protocol):
+    """Outcome of a conditional append: appended, or where the log ends."""
+
+    @property
+    def appended(self) -> bool:
+        """Tell whether the record was appended."""
+
+    @property
+    def offset(self) -> int:
+        """Offset of the record, or the end of the log."""
+
+
+class LogPage(Protocol):
+    """Records that were read."""
+
+    @property
+    def records(self) -> list[bytes]:
+        """The records in order."""
+
+
+class CoordinationLog(Protocol):
+    """One partition of the store's log."""
+
+    async def read(self, start: int) -> LogPage:
+        """Read on; raises LogUnavailable, RecordsExpired."""
+
+    async def append(self, record: bytes, at: int) -> AppendOutcome:
+        """Append at an offset; raises LogUnavailable, AppendUnknown."""
+
+
+class Lease(NamedTuple):
+    """A lease that this process holds; ``fence`` grows with each holder."""
+
+    fence: int
+    valid_until_s: float
+
+
+@final
+class Coordinator:
+    """This process as a candidate for the lease, and as its holder."""
+
+    def __init__(  # noqa: WPS211
+        self,
+        node: str,
+        log: CoordinationLog,
+        ttl: timedelta,
+        clock: Clock,
+        events: EventLog,
+    ) -> None:
+        """:param ttl: how long the lease lasts after a renewal."""
+        self._node = node
+        self._log = log
+        self._ttl_s = ttl.total_seconds()
+        self._clock = clock
+        self._events = events
+        self._position = 0
+        self._changed_s: float | None = None
+        self._lease: Lease | None = None
+        self._renewed_s = 0.0
+        # Counts of usage windows that were fixed in the log, by window.
+        self.fixed_usage: dict[int, dict[str, int]] = {}
+
+    def held_lease(self, margin: timedelta) -> Lease | None:
+        """Return the lease if this process may act for it.
+
+        :param margin: longest time that the act can take to have effect.
+        """
+        lease = self._lease
+        if lease is None:
+            return None
+        left_s = lease.valid_until_s - self._clock.monotonic_s()
+        return lease if left_s > margin.total_seconds() else None
+
+    async def step(self, may_claim: bool) -> None:
+        """Renew the lease, or take it if nobody else holds it.
+
+        :param may_claim: whether this process should become the holder.
+        """
+        try:
+            if self._lease is not None:
+                await self._renew()
+            elif may_claim:
+                await self._claim()
+        except (LogUnavailable, AppendUnknown) as error:
+            self._events.write('coordination_failed', error=str(error))
+        self._drop_expired()
+
+    async def fix_usage(self, window: int, counts: dict[str, int]) -> bool:
+        """Fix the counts of a window before they are reported.
+
+        :return: whether the counts are in the log under this lease.
+        """
+        if self._lease is None:
+            return False
+        record = {'kind': 'usage', 'window': window, 'counts': counts}
+        if not await self._append(record):
+            return False
+        self._keep_usage(window, counts)
+        return True
+
+    async def _renew(self) -> None:
+        now_s = self._clock.monotonic_s()
+        if now_s - self._renewed_s < self._ttl_s / _RENEWALS_PER_TTL:
+            return
+        await self._append({'kind': 'lease', 'holder': self._node})
+
+    async def _claim(self) -> None:
+        if await self._read_on() or self._changed_s is None:
+            self._changed_s = self._clock.monotonic_s()
+        quiet_s = self._clock.monotonic_s() - self._changed_s
+        is_first = self._position == 0
+        if not is_first and quiet_s < self._ttl_s * (1 + MAX_CLOCK_DRIFT):
+            return
+        offset = self._position
+        if await self._append({'kind': 'lease', 'holder': self._node}):
+            lease = Lease(offset + 1, self._renewed_s + self._valid_s)
+            self._lease = lease
+            self._events.write('lease_taken', fence=lease.fence)
+
+    @property
+    def _valid_s(self) -> float:
+        return self._ttl_s * (1 - MAX_CLOCK_DRIFT)
+
+    async def _read_on(self) -> bool:
+        """Read new records; return whether there were any."""
+        try:
+            page = await self._log.read(self._position)
+        except RecordsExpired as error:
+            if error.first_kept is None:
+                raise LogUnavailable('records expired') from error
+            self._position = error.first_kept
+            return True
+        for record in page.records:
+            self._apply(record)
+        self._position += len(page.records)
+        return bool(page.records)
+
+    def _apply(self, record: bytes) -> None:
+        try:
+            content: Any = decode_json(record)
+        except CodecError as error:
+            self._events.write('coordination_unreadable', error=str(error))
+            return
+        if isinstance(content, dict) and content.get('kind') == 'usage':
+            self._keep_usage(int(content['window']), dict(content['counts']))
+
+    def _keep_usage(self, window: int, counts: dict[str, int]) -> None:
+        self.fixed_usage[window] = counts
+        for old in sorted(self.fixed_usage)[:-_KEPT_WINDOWS]:
+            self.fixed_usage.pop(old)
+
+    async def _append(self, content: dict[str, Any]) -> bool:
+        """Append at the known end; a lost answer is settled by reading."""
+        nonce = secrets.token_hex(6)
+        record = encode_json({**content, 'nonce': nonce})
+        sent_s = self._clock.monotonic_s()
+        try:
+            outcome = await self._log.append(record, self._position)
+        except AppendUnknown:
+            # Sent again at the same offset: at most one of both takes effect.
+            outcome = await self._log.append(record, self._position)
+        is_mine = outcome.appended
+        if not is_mine:
+            is_mine = await self._find_own(nonce)
+        if not is_mine:
+            self._lose('another process appended')
+            return False
+        if outcome.appended:
+            self._position = outcome.offset + 1
+        self._note_renewed(sent_s)
+        return True
+
+    async def _find_own(self, nonce: str) -> bool:
+        """Tell whether the next record is the one with the nonce, alone."""
+        start = self._position
+        page = await self._log.read(start)
+        is_mine = len(page.records) == 1 and nonce.encode() in page.records[0]
+        for record in page.records:
+            self._apply(record)
+        self._position = start + len(page.records)
+        if not is_mine:
+            self._changed_s = self._clock.monotonic_s()
+        return is_mine
+
+    def _note_renewed(self, sent_s: float) -> None:
+        self._renewed_s = sent_s
+        if self._lease is not None:
+            self._lease = Lease(self._lease.fence, sent_s + self._valid_s)
+
+    def _drop_expired(self) -> None:
+        lease = self._lease
+        now_s = self._clock.monotonic_s()
+        if lease is not None and now_s >= lease.valid_until_s:
+            self._lose('expired')
+
+    def _lose(self, reason: str) -> None:
+        if self._lease is not None:
+            self._events.write(
+                'lease_lost',
+                fence=self._lease.fence,
+                reason=reason,
+            )
+        self._lease = None
+        self._changed_s = self._clock.monotonic_s()
+
+
+DutyTask = Callable[[Lease], Any]
--- /dev/null
+++ b/peridotrill/gateway/event_stream.py
@@ -0,0 +1,55 @@
+"""Splits an event stream into whole events."""
+
+from typing import Final, NamedTuple, final
+
+_BLANK_LINES: Final = (b'\n\n', b'\r\n\r\n')
+_ID: Final = b'id:'
+
+
+class StreamEvent(NamedTuple):
+    """One whole event with its end; ``event_id`` is None if it has none."""
+
+    content: bytes
+    event_id: bytes | None
+
+
+@final
+class EventSplitter:
+    """Collects bytes until an event is complete."""
+
+    def __init__(self) -> None:
+        """Nothing has arrived yet."""
+        self._rest = b''
+
+    @property
+    def has_rest(self) -> bool:
+        """Tell whether a part of an event has arrived."""
+        return bool(self._rest)
+
+    def feed(self, content: bytes) -> list[StreamEvent]:
+        """Return the events that are complete now."""
+        self._rest += content
+        events: list[StreamEvent] = []
+        while True:
+            end = _find_end(self._rest)
+            if end < 0:
+                return events
+            event = self._rest[:end]
+            self._rest = self._rest[end:]
+            events.append(StreamEvent(event, _find_id(event)))
+
+
+def _find_end(content: bytes) -> int:
+    ends = [
+        position + len(blank)
+        for blank in _BLANK_LINES
+        if (position := content.find(blank)) >= 0
+    ]
+    return min(ends, default=-1)
+
+
+def _find_id(event: bytes) -> bytes | None:
+    for line in event.splitlines():
+        if line.startswith(_ID):
+            return line[len(_ID) :].strip()
+    return None
--- /dev/null
+++ b/peridotrill/gateway/metrics.py
@@ -0,0 +1,50 @@
+"""Counters and latency histograms of a gateway."""
+
+from typing import Final
+
+from prometheus_client import Counter, Gauge, Histogram
+
+_SECONDS: Final = (
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 3, 5, 10,
+)  # fmt: skip
+
+REQUESTS: Final = Counter(
+    'peridotrill_requests',
+    'Requests by route and outcome',
+    ['route', 'outcome'],
+)
+FIRST_BYTE_S: Final = Histogram(
+    'peridotrill_first_byte_seconds',
+    'Time from the request to the first byte of the answer',
+    ['route'],
+    buckets=_SECONDS,
+)
+DURATION_S: Final = Histogram(
+    'peridotrill_request_seconds',
+    'Time from the request to the end of the answer',
+    ['route'],
+    buckets=_SECONDS,
+)
+QUEUE_S: Final = Histogram(
+    'peridotrill_queue_seconds',
+    'Time in the queue for a target',
+    ['pool'],
+    buckets=_SECONDS,
+)
+ATTEMPTS: Final = Counter(
+    'peridotrill_attempts',
+    'Requests sent to targets by outcome',
+    ['service', 'outcome'],
+)
+CONFIG_AGE_S: Final = Gauge(
+    'peridotrill_configuration_age_seconds',
+    'Age of the last proof that no newer configuration exists',
+)
+STORE_CALLS: Final = Gauge(
+    'peridotrill_store_calls',
+    'Calls of the store since the start',
+)
+LEASE_HELD: Final = Gauge(
+    'peridotrill_coordinator',
+    'Whether this process holds the lease of the coordinator',
+)
--- /dev/null
+++ b/peridotrill/gateway/request_handler.py
@@ -0,0 +1,186 @@
+"""Handles each request of a caller: route, team, limits, then its run."""
+
+import random
+from typing import final
+
+import anyio
+
+from peridotrill.gateway.callers_port import RawRequest, Responder
+from peridotrill.gateway.configuration import Configuration, Route, Team
+from peridotrill.gateway.metrics import (
+    DURATION_S,
+    FIRST_BYTE_S,
+    REQUESTS,
+)
+from peridotrill.gateway.plain_runs import run_plain
+from peridotrill.gateway.refusals import (
+    BAD_REQUEST,
+    NOT_FOUND,
+    TOO_MANY_REQUESTS,
+    UNAUTHORIZED,
+    UNAVAILABLE,
+    send_error,
+)
+from peridotrill.gateway.requests import CallerRequest, RequestKind
+from peridotrill.gateway.serving import Refused, RequestRun, Services
+from peridotrill.gateway.stream_runs import run_stream
+
+# Retry-After of a gateway that has no usable configuration: another gateway
+# most likely has one.
+_RETRY_ELSEWHERE_S = 0.1
+
+
+@final
+class RequestHandler:
+    """Entry point of all requests of callers."""
+
+    def __init__(self, shared: Services) -> None:
+        """:param shared: parts of the gateway."""
+        self._shared = shared
+        self.in_progress = 0
+
+    async def handle(self, raw: RawRequest, responder: Responder) -> None:
+        """Answer one request."""
+        request = self._shared.wire.decode_request(raw)
+        if request is None:
+            send_error(responder, BAD_REQUEST, 'malformed_request')
+            return
+        self.in_progress += 1
+        try:
+            await self._handle(request, responder)
+        finally:
+            self.in_progress -= 1
+
+    async def _handle(
+        self,
+        request: CallerRequest,
+        responder: Responder,
+    ) -> None:
+        try:
+            run = self._admit(request, responder)
+        except Refused as error:
+            self._log_refusal(request, error)
+            send_error(
+                responder,
+                error.status,
+                error.reason,
+                error.retry_after_s,
+            )
+            return
+        try:
+            await self._run(run)
+        finally:
+            self._log_end(run)
+
+    async def _run(self, run: RequestRun) -> None:
+        execute = run_plain
+        if run.route.kind is RequestKind.STREAM:
+            execute = run_stream
+        with anyio.move_on_after(max(0, run.left_s())) as scope:
+            try:
+                await execute(run)
+            except Refused as error:
+                run.fail(error)
+        if scope.cancelled_caught:
+            run.expire()
+
+    def _admit(
+        self,
+        request: CallerRequest,
+        responder: Responder,
+    ) -> RequestRun:
+        shared = self._shared
+        configuration = shared.beliefs.configuration
+        if configuration is None:
+            raise Refused(
+                UNAVAILABLE,
+                'configuration_unknown',
+                _RETRY_ELSEWHERE_S,
+            )
+        route = configuration.find_route(request.host, request.path)
+        if route is None:
+            raise Refused(NOT_FOUND, 'route_unknown')
+        team = self._find_team(request, route, configuration)
+        service = random.choices(  # noqa: S311
+            [row.service for row in route.services],
+            [row.weight for row in route.services],
+        )[0]
+        if team is not None:
+            self._take_quota(request, team)
+        shared.budget.record_request(service)
+        return RequestRun(request, route, team, service, responder, shared)
+
+    def _find_team(
+        self,
+        request: CallerRequest,
+        route: Route,
+        configuration: Configuration,
+    ) -> Team | None:
+        if route.is_public or not configuration.requires_keys:
+            return None
+        if not self._shared.beliefs.is_fresh:
+            raise Refused(
+                UNAVAILABLE,
+                'configuration_stale',
+                _RETRY_ELSEWHERE_S,
+            )
+        team = None
+        if request.api_key is not None:
+            team = configuration.find_team(request.api_key)
+        if team is None:
+            raise Refused(UNAUTHORIZED, 'key_unknown')
+        return team
+
+    def _take_quota(self, request: CallerRequest, team: Team) -> None:
+        cost = 1.0
+        if team.counts_tokens:
+            cost = team.plain_tokens
+            if request.prompt is not None:
+                cost = request.prompt.total_tokens
+        decision = self._shared.quotas.admit(team, cost)
+        if not decision.is_admitted:
+            raise Refused(
+                TOO_MANY_REQUESTS,
+                'team_over_limit',
+                decision.retry_after_s,
+            )
+
+    def _log_refusal(self, request: CallerRequest, error: Refused) -> None:
+        beliefs = self._shared.beliefs
+        known = beliefs.configuration
+        REQUESTS.labels('', error.reason).inc()
+        self._shared.log.write(
+            'request_refused',
+            request=request.request_id,
+            path=request.path,
+            status=error.status,
+            reason=error.reason,
+            retry_after_s=error.retry_after_s,
+            version=known.version if known else None,
+            config_age_s=beliefs.config_age_s(),
+        )
+
+    def _log_end(self, run: RequestRun) -> None:
+        now_s = self._shared.clock.monotonic_s()
+        route = run.route.name
+        duration_s = now_s - run.request.received_s
+        first_s = None
+        if run.first_byte_s is not None:
+            first_s = run.first_byte_s - run.request.received_s
+            FIRST_BYTE_S.labels(route).observe(first_s)
+        DURATION_S.labels(route).observe(duration_s)
+        REQUESTS.labels(route, run.outcome).inc()
+        known = self._shared.beliefs.configuration
+        self._shared.log.write(
+            'request_ended',
+            request=run.request.request_id,
+            route=route,
+            team=run.team.name if run.team else None,
+            service=run.service,
+            outcome=run.outcome,
+            targets=','.join(run.targets_used) or None,
+            queue_ms=round(run.queue_s * 1000),
+            first_ms=None if first_s is None else round(first_s * 1000),
+            total_ms=round(duration_s * 1000),
+            version=known.version if known else None,
+        )
--- /dev/null
+++ b/peridotrill/gateway/serving.py
@@ -0,0 +1,181 @@
+"""What the handling of one request needs, and what all requests share."""
+
+from collections.abc import Callable, Coroutine
+from typing import Any, Final, NamedTuple, final
+
+from peridotrill.clock import Clock
+from peridotrill.exceptions import PeridotrillError
+from peridotrill.gateway.beliefs import Beliefs
+from peridotrill.gateway.callers_port import Responder
+from peridotrill.gateway.configuration import Route, Team
+from peridotrill.gateway.event_log import EventLog
+from peridotrill.gateway.metrics import ATTEMPTS
+from peridotrill.gateway.pools import Placement
+from peridotrill.gateway.refusals import (
+    BAD_GATEWAY,
+    GATEWAY_TIMEOUT,
+    UNAVAILABLE,
+    send_error,
+)
+from peridotrill.gateway.repeat_budget import RepeatBudget
+from peridotrill.gateway.requests import CallerRequest
+from peridotrill.gateway.target_calls import TargetCaller
+from peridotrill.gateway.target_health import Failure, TargetHealth
+from peridotrill.gateway.target_messages import Wire
+from peridotrill.gateway.targets import TargetRecord
+from peridotrill.gateway.team_quotas import TeamQuotas
+from peridotrill.gateway.usage_counts import UsageCounts
+
+# Retry-After where nothing better is known.
+DEFAULT_RETRY_AFTER_S: Final = 0.5
+
+
+class Services(NamedTuple):
+    """Parts of the gateway that all requests share."""
+
+    clock: Clock
+    beliefs: Beliefs
+    wire: Wire
+    targets: TargetCaller
+    placement: Placement
+    health: TargetHealth
+    quotas: TeamQuotas
+    budget: RepeatBudget
+    usage: UsageCounts
+    log: EventLog
+    start_task: Callable[..., None]
+
+
+class Refused(PeridotrillError):
+    """The request ends with an error of the gateway."""
+
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        retry_after_s: float | None = None,
+    ) -> None:
+        """:param reason: a code in snake case."""
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+@final
+class RequestRun:
+    """One admitted request and what is known of its runs."""
+
+    def __init__(
+        self,
+        request: CallerRequest,
+        route: Route,
+        team: Team | None,
+        service: str,
+        responder: Responder,
+        shared: Services,
+    ) -> None:
+        """:param service: chosen from the route's services."""
+        self.request = request
+        self.route = route
+        self.team = team
+        self.service = service
+        self.responder = responder
+        self.shared = shared
+        self.may_have_run = False
+        self.outcome = 'cancelled'
+        self.targets_used: list[str] = []
+        self.excluded: set[str] = set()
+        self.queue_s = 0.0
+        self.first_byte_s: float | None = None
+        self.was_counted = False
+        wait_ms = route.timeout_ms
+        if request.wait_ms is not None:
+            wait_ms = min(wait_ms, request.wait_ms)
+        self.deadline_s = request.received_s + wait_ms / 1000
+
+    @property
+    def priority(self) -> int:
+        """Return the rank; the team's goes before the route's."""
+        if self.team is not None and self.team.priority is not None:
+            return self.team.priority
+        return self.route.priority
+
+    def left_s(self) -> float:
+        """Return the time until the caller stops waiting."""
+        return self.deadline_s - self.shared.clock.monotonic_s()
+
+    def note_sent(self, target: TargetRecord) -> None:
+        """Note that a target has been given the request to run."""
+        self.targets_used.append(target.target_id)
+        self.may_have_run = True
+
+    def note_not_run(self) -> None:
+        """Note that the target says it did not run the request."""
+        self.may_have_run = len(self.targets_used) > 1 and self.may_have_run
+        self.targets_used.pop()
+        if not self.targets_used:
+            self.may_have_run = False
+
+    def count_start(self) -> None:
+        """Count the request as begun, once, for the usage reports."""
+        if self.team is not None and not self.was_counted:
+            self.was_counted = True
+            self.shared.usage.count(self.team.name)
+
+    def note_failure(
+        self,
+        target: TargetRecord,
+        failure: Failure,
+        detail: str,
+    ) -> None:
+        """Log a failed attempt and remember it against the target."""
+        self.shared.health.record_failure(target.target_id, failure)
+        ATTEMPTS.labels(self.service, failure.name.lower()).inc()
+        self.shared.log.write(
+            'attempt_failed',
+            request=self.request.request_id,
+            target=target.target_id,
+            failure=failure.name.lower(),
+            detail=detail,
+            left_ms=round(self.left_s() * 1000),
+        )
+
+    def refuse(
+        self,
+        reason: str,
+        retry_after_s: float | None = DEFAULT_RETRY_AFTER_S,
+    ) -> Refused:
+        """Return the true error for a request that is given up."""
+        if self.may_have_run:
+            return Refused(BAD_GATEWAY, reason)
+        return Refused(UNAVAILABLE, reason, retry_after_s)
+
+    def fail(self, error: Refused) -> None:
+        """Send an error, or break an answer that has begun."""
+        self.outcome = error.reason
+        if self.responder.has_started:
+            self.responder.abort()
+        else:
+            send_error(
+                self.responder,
+                error.status,
+                error.reason,
+                error.retry_after_s,
+            )
+
+    def expire(self) -> None:
+        """End a request whose time is over."""
+        if self.may_have_run:
+            self.fail(Refused(GATEWAY_TIMEOUT, 'deadline_passed'))
+        else:
+            self.fail(
+                Refused(
+                    UNAVAILABLE,
+                    'no_place_in_time',
+                    DEFAULT_RETRY_AFTER_S,
+                ),
+            )
+
+
+RunTask = Callable[[RequestRun], Coroutine[Any, Any, None]]
--- /dev/null
+++ b/peridotrill/gateway/store_follower.py
@@ -0,0 +1,202 @@
+"""Follows the store: configuration, targets and members of the system."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Final, NamedTuple, Protocol, final
+
+import anyio
+
+from peridotrill.clock import Clock
+from peridotrill.exceptions import (
+    CodecError,
+    LogUnavailable,
+    RecordsExpired,
+)
+from peridotrill.gateway.beliefs import Beliefs
+from peridotrill.gateway.configuration import Configuration
+from peridotrill.gateway.event_log import EventLog
+from peridotrill.gateway.targets import TargetRecord
+
+_MIN_RETRY_S: Final = 0.1
+# Bounds the calls of a process whose store is away, and the delay until it
+# is found again.
+_MAX_RETRY_S: Final = 0.5
+
+
+class Page(Protocol):
+    """Records of a keyed topic; ``end`` is where to read on."""
+
+    @property
+    def rows(self) -> list[tuple[str, bytes]]:
+        """Key and content of each record; empty content drops the key."""
+
+    @property
+    def end(self) -> int:
+        """Offset after the last record."""
+
+
+class KeyedReader(Protocol):
+    """One topic of which only the newest record of each key counts."""
+
+    async def newest(self) -> Page:
+        """Read the newest records; raises LogUnavailable."""
+
+    async def read(self, start: int, wait_s: float) -> Page:
+        """Read on; raises LogUnavailable, RecordsExpired, CodecError."""
+
+
+class FollowTimes(NamedTuple):
+    """Times of one follower.
+
+    ``wait`` is how long the store holds a read without news, ``pause`` the
+    least time between two reads, so that frequent records are read together.
+    """
+
+    wait: timedelta
+    pause: timedelta
+
+
+@final
+class TopicFollower:
+    """Reads a keyed topic for as long as the process runs."""
+
+    def __init__(  # noqa: WPS211
+        self,
+        topic: str,
+        reader: KeyedReader,
+        times: FollowTimes,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        """:param topic: name for log lines."""
+        self._topic = topic
+        self._reader = reader
+        self._times = times
+        self._clock = clock
+        self._log = log
+        self._is_connected = True
+        self._retry_s = _MIN_RETRY_S
+
+    async def run(
+        self,
+        on_listing: Callable[[list[tuple[str, bytes]]], None],
+        on_row: Callable[[str, bytes], None],
+        on_confirmed: Callable[[float], None],
+    ) -> None:
+        """Follow the topic.
+
+        :param on_listing: called with all rows after a full reading.
+        :param on_row: called with each later row.
+        :param on_confirmed: called with the time of each complete reading.
+        """
+        end: int | None = None
+        while True:
+            asked_s = self._clock.monotonic_s()
+            try:
+                if end is None:
+                    page = await self._reader.newest()
+                    on_listing(page.rows)
+                else:
+                    page = await self._reader.read(
+                        end,
+                        self._times.wait.total_seconds(),
+                    )
+                    for key, content in page.rows:
+                        on_row(key, content)
+            except RecordsExpired:
+                self._log.write('records_expired', topic=self._topic, at=end)
+                end = None
+                continue
+            except (LogUnavailable, CodecError) as error:
+                await self._wait_after(error)
+                continue
+            self._note_connected()
+            end = page.end
+            on_confirmed(asked_s)
+            await anyio.sleep(self._times.pause.total_seconds())
+
+    async def _wait_after(self, error: Exception) -> None:
+        if self._is_connected:
+            self._is_connected = False
+            self._log.write(
+                'store_lost',
+                topic=self._topic,
+                error=str(error),
+            )
+        await anyio.sleep(self._retry_s)
+        self._retry_s = min(_MAX_RETRY_S, self._retry_s * 2)
+
+    def _note_connected(self) -> None:
+        self._retry_s = _MIN_RETRY_S
+        if not self._is_connected:
+            self._is_connected = True
+            self._log.write('store_regained', topic=self._topic)
+
+
+class Decoders(NamedTuple):
+    """Decode records of the topics; raise CodecError."""
+
+    configuration_key: str
+    configuration: Callable[[bytes], Configuration]
+    target: Callable[[str, bytes], TargetRecord]
+
+
+@final
+class BeliefUpdater:
+    """Turns records into beliefs."""
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        decoders: Decoders,
+        log: EventLog,
+    ) -> None:
+        """:param beliefs: that are kept up to date."""
+        self._beliefs = beliefs
+        self._decoders = decoders
+        self._log = log
+
+    def apply_configuration_row(self, key: str, content: bytes) -> None:
+        """Adopt a configuration; one that cannot be read is logged."""
+        if key != self._decoders.configuration_key or not content:
+            return
+        try:
+            found = self._decoders.configuration(content)
+        except CodecError as error:
+            self._log.write('configuration_unreadable', error=str(error))
+            return
+        self._beliefs.adopt_configuration(found)
+
+    def apply_configuration_listing(
+        self,
+        rows: list[tuple[str, bytes]],
+    ) -> None:
+        """Adopt the configuration of a full reading."""
+        for key, content in rows:
+            self.apply_configuration_row(key, content)
+
+    def apply_target_row(self, key: str, content: bytes) -> None:
+        """Adopt a target's record; an unreadable one names no target."""
+        if not content:
+            self._beliefs.remove_target(key, 'deleted')
+            return
+        try:
+            record = self._decoders.target(key, content)
+        except CodecError as error:
+            self._log.write(
+                'target_record_unreadable',
+                target=key,
+                error=str(error),
+            )
+            self._beliefs.remove_target(key, 'unreadable')
+            return
+        self._beliefs.adopt_target(record)
+
+    def apply_target_listing(self, rows: list[tuple[str, bytes]]) -> None:
+        """Adopt a full reading; targets that it lacks are removed."""
+        for key, content in rows:
+            self.apply_target_row(key, content)
+        self._beliefs.retain_targets(key for key, content in rows if content)
+
+
+FollowerTask = Callable[[], Awaitable[None]]
--- /dev/null
+++ b/peridotrill/gateway/stream_runs.py
@@ -0,0 +1,347 @@
+"""Runs requests of model engines: prompt reading, then a stream of events."""
+
+from typing import Final, NamedTuple, final
+
+from peridotrill.exceptions import (
+    CodecError,
+    TargetError,
+    TargetOutcomeUnknown,
+    TargetUnreachable,
+)
+from peridotrill.gateway.admission_queue import Place
+from peridotrill.gateway.event_stream import EventSplitter
+from peridotrill.gateway.metrics import ATTEMPTS, QUEUE_S
+from peridotrill.gateway.serving import RequestRun
+from peridotrill.gateway.target_health import Failure
+from peridotrill.gateway.target_messages import RequestOptions, TargetReply
+from peridotrill.gateway.target_port import TargetExchange
+from peridotrill.gateway.targets import TargetRecord, TargetRole
+
+_OK: Final = 200
+_FIRST_ERROR: Final = 300
+_MIN_USEFUL_S: Final = 0.05
+# Rank of a route with priority 0 at an engine, where 5 is the default.
+_ENGINE_PRIORITY_BASE: Final = 3
+_ENGINE_PRIORITY_MAX: Final = 9
+
+
+class PreparedPrompt(NamedTuple):
+    """A prompt that was read at ``target`` and is kept there."""
+
+    target: TargetRecord
+    handle: str
+
+
+async def run_stream(run: RequestRun) -> None:
+    """Serve a request; raises Refused."""
+    prepared = None
+    if run.shared.placement.needs_prefill(run.service, run.request.prompt):
+        prepared = await _prepare(run)
+    generation = _Generation(run, prepared)
+    try:
+        await generation.execute()
+    finally:
+        if prepared is not None and not generation.took_prompt:
+            run.shared.start_task(_release, run, prepared)
+
+
+async def _release(run: RequestRun, prepared: PreparedPrompt) -> None:
+    try:
+        await run.shared.targets.release_prompt(
+            prepared.target,
+            prepared.handle,
+        )
+    except TargetError as error:
+        run.shared.log.write(
+            'prompt_release_failed',
+            request=run.request.request_id,
+            target=prepared.target.target_id,
+            error=str(error),
+        )
+
+
+async def _prepare(run: RequestRun) -> PreparedPrompt | None:
+    """Have the prompt read; None if the output engine must read it."""
+    excluded: set[str] = set()
+    while True:
+        place = await _find_prefill(run, excluded)
+        excluded.add(place.target.target_id)
+        prepared, was_sent = await _try_prefill(run, place)
+        if prepared is not None:
+            return prepared
+        if was_sent and not run.shared.budget.try_repeat(
+            run.service,
+            run.shared.quotas.gateways,
+        ):
+            raise run.refuse('prefill_failed')
+        others = run.shared.beliefs.usable_targets(
+            run.service,
+            TargetRole.PREFILL,
+        )
+        if not any(row.target_id not in excluded for row in others):
+            return None
+
+
+async def _find_prefill(run: RequestRun, excluded: set[str]) -> Place:
+    shared = run.shared
+    prompt = run.request.prompt
+    if prompt is None:
+        raise run.refuse('no_prompt')
+    queued_s = shared.clock.monotonic_s()
+    queue = shared.placement.queue(run.service, TargetRole.PREFILL)
+    place = await queue.acquire(
+        shared.placement.prefill_finder(run.service, prompt, excluded),
+        (run.priority, run.request.received_s),
+        run.deadline_s - _MIN_USEFUL_S,
+        shared.placement.prefill_work_ms(prompt),
+    )
+    _note_queued(run, 'prefill', queued_s)
+    if place is None:
+        raise run.refuse('no_place_in_time')
+    return place
+
+
+async def _try_prefill(
+    run: RequestRun,
+    place: Place,
+) -> tuple[PreparedPrompt | None, bool]:
+    """Return the prepared prompt, and whether the target got the call."""
+    shared = run.shared
+    target = place.target
+    exchange = None
+    home = None
+    if run.request.prompt is not None:
+        home = shared.placement.decode_home(run.service, run.request.prompt)
+    try:
+        exchange = await shared.targets.send(
+            run.request,
+            target,
+            RequestOptions(
+                target.target_id,
+                run.team.name if run.team else None,
+                run.left_s() * 1000,
+                _engine_priority(run),
+                role=TargetRole.PREFILL,
+                kv_fetch=None if home is None else str(home.address),
+            ),
+            may_repeat=True,
+        )
+        reply = await shared.targets.read_reply(exchange)
+        body = await exchange.read_body()
+    except TargetUnreachable as error:
+        run.note_failure(target, Failure.UNREACHABLE, str(error))
+        return None, False
+    except TargetOutcomeUnknown as error:
+        run.note_failure(target, Failure.BROKEN, str(error))
+        return None, True
+    finally:
+        if exchange is not None:
+            exchange.close()
+        shared.placement.release(place, run.service)
+    if reply.status != _OK:
+        run.note_failure(target, Failure.REFUSED, f'prefill {reply.status}')
+        return None, True
+    try:
+        handle = shared.wire.decode_prefilled(body).handle
+    except CodecError as error:
+        run.note_failure(target, Failure.BROKEN, str(error))
+        return None, True
+    shared.health.record_success(target.target_id)
+    return PreparedPrompt(target, handle), True
+
+
+def _engine_priority(run: RequestRun) -> int:
+    return min(_ENGINE_PRIORITY_MAX, _ENGINE_PRIORITY_BASE + run.priority)
+
+
+def _note_queued(run: RequestRun, pool: str, queued_s: float) -> None:
+    waited_s = run.shared.clock.monotonic_s() - queued_s
+    run.queue_s += waited_s
+    QUEUE_S.labels(f'{run.service}/{pool}').observe(waited_s)
+
+
+@final
+class _Generation:
+    """The output of one request, from one engine or several in turn."""
+
+    def __init__(
+        self,
+        run: RequestRun,
+        prepared: PreparedPrompt | None,
+    ) -> None:
+        self._run = run
+        self._prepared = prepared
+        self._last_id = run.request.resume_after
+        self._events = 0
+        self.took_prompt = False
+
+    async def execute(self) -> None:
+        """Stream the whole output; raises Refused."""
+        while True:
+            place = await self._find_place()
+            try:
+                if await self._try_target(place):
+                    return
+            finally:
+                self._run.shared.placement.release(place, self._run.service)
+
+    async def _find_place(self) -> Place:
+        run = self._run
+        queued_s = run.shared.clock.monotonic_s()
+        queue = run.shared.placement.queue(run.service, TargetRole.DECODE)
+        place = await queue.acquire(
+            run.shared.placement.decode_finder(
+                run.service,
+                run.request.prompt,
+                run.excluded,
+            ),
+            (run.priority, run.request.received_s),
+            run.deadline_s - _MIN_USEFUL_S,
+        )
+        _note_queued(run, 'decode', queued_s)
+        if place is None:
+            raise run.refuse('no_place_in_time')
+        return place
+
+    async def _try_target(self, place: Place) -> bool:
+        """Return whether the answer is complete; else try another."""
+        run = self._run
+        target = place.target
+        run.excluded.add(target.target_id)
+        exchange = None
+        try:
+            exchange = await self._send(target)
+            reply = await run.shared.targets.read_reply(exchange)
+            if reply.not_run:
+                return await self._note_not_run(target, reply)
+            self.took_prompt = True
+            if not reply.is_genuine:
+                raise TargetOutcomeUnknown('no stamp')
+            if reply.status >= _FIRST_ERROR:
+                return await self._pass_error(target, reply, exchange)
+            await self._pass_events(reply, exchange)
+        except TargetUnreachable as error:
+            run.note_failure(target, Failure.UNREACHABLE, str(error))
+            return False
+        except TargetOutcomeUnknown as error:
+            run.note_failure(target, Failure.BROKEN, str(error))
+            self._require_repeat()
+            return False
+        finally:
+            if exchange is not None:
+                exchange.close()
+        run.shared.health.record_success(target.target_id)
+        ATTEMPTS.labels(run.service, 'answered').inc()
+        run.outcome = 'answered'
+        return True
+
+    async def _send(self, target: TargetRecord) -> TargetExchange:
+        run = self._run
+        source = None
+        fetch = None
+        if self._prepared is not None and not self.took_prompt:
+            address = self._prepared.target.address
+            source = f'{address}/{self._prepared.handle}'
+        elif self._prepared is not None:
+            fetch = str(self._prepared.target.address)
+        exchange = await run.shared.targets.send(
+            run.request,
+            target,
+            RequestOptions(
+                target.target_id,
+                run.team.name if run.team else None,
+                run.left_s() * 1000,
+                _engine_priority(run),
+                kv_source=source,
+                kv_fetch=fetch,
+                resume_after=self._last_id,
+            ),
+            run.route.is_repeatable,
+        )
+        run.note_sent(target)
+        return exchange
+
+    async def _note_not_run(
+        self,
+        target: TargetRecord,
+        reply: TargetReply,
+    ) -> bool:
+        run = self._run
+        run.note_failure(target, Failure.REFUSED, f'status {reply.status}')
+        run.note_not_run()
+        # The prompt may be gone from the engine that read it: the next
+        # engine reads what it lacks itself.
+        self.took_prompt = True
+        if not run.shared.budget.try_repeat(
+            run.service,
+            run.shared.quotas.gateways,
+        ):
+            raise run.refuse('targets_full')
+        return False
+
+    async def _pass_error(
+        self,
+        target: TargetRecord,
+        reply: TargetReply,
+        exchange: TargetExchange,
+    ) -> bool:
+        run = self._run
+        body = await exchange.read_body()
+        run.note_failure(target, Failure.ERROR, f'status {reply.status}')
+        if self._events:
+            self._require_repeat()
+            return False
+        if run.route.is_repeatable and self._may_repeat():
+            return False
+        run.responder.send(reply.status, reply.headers, body)
+        run.outcome = 'target_error'
+        return True
+
+    async def _pass_events(
+        self,
+        reply: TargetReply,
+        exchange: TargetExchange,
+    ) -> None:
+        run = self._run
+        splitter = EventSplitter()
+        while True:
+            part = await exchange.read_part()
+            if part is None:
+                break
+            for event in splitter.feed(part):
+                self._pass_event(reply, event.content, event.event_id)
+            await run.responder.drain()
+        if splitter.has_rest or not run.responder.has_started:
+            raise TargetOutcomeUnknown('stream ended inside an event')
+        run.responder.end_stream()
+
+    def _pass_event(
+        self,
+        reply: TargetReply,
+        content: bytes,
+        event_id: bytes | None,
+    ) -> None:
+        run = self._run
+        if not run.responder.has_started:
+            run.first_byte_s = run.shared.clock.monotonic_s()
+            run.count_start()
+            run.responder.start_stream(reply.status, reply.headers)
+        run.responder.send_part(content)
+        self._events += 1
+        if event_id is not None:
+            self._last_id = event_id
+
+    def _may_repeat(self) -> bool:
+        run = self._run
+        if len(run.targets_used) >= run.route.max_targets:
+            return False
+        return run.left_s() > _MIN_USEFUL_S and run.shared.budget.try_repeat(
+            run.service,
+            run.shared.quotas.gateways,
+        )
+
+    def _require_repeat(self) -> None:
+        """Raise Refused unless the request may go on at another engine."""
+        run = self._run
+        if not run.route.is_repeatable or not self._may_repeat():
+            raise run.refuse('target_failed')
--- /dev/null
+++ b/peridotrill/gateway/target_port.py
@@ -0,0 +1,427 @@
+"""Connections to targets and to the store: HTTP/1.1 requests out.
+
+Built on asyncio protocols instead of httpx: the response to a request must be
+told from late and extra responses on the same connection, and a request is
+cancelled by closing its connection at once.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Final, NamedTuple, final
+
+import httptools
+
+from peridotrill.exceptions import TargetOutcomeUnknown, TargetUnreachable
+from peridotrill.gateway.http_text import format_head
+from peridotrill.gateway.requests import Headers
+from peridotrill.settings import Address
+
+# Body bytes that may wait for a slow caller before reading stops.
+_MAX_BUFFERED_BYTES: Final = 262144
+# A response that belongs to another request is skipped up to this many times.
+_MAX_SKIPPED: Final = 4
+_NO_BODY: Final = frozenset((204, 304))
+_MIN_FINAL_STATUS: Final = 200
+
+
+class ResponseHead(NamedTuple):
+    """Head of a response; header names are in lower case."""
+
+    status: int
+    headers: Headers
+
+    def get(self, name: bytes) -> bytes | None:
+        """Return the first header of a name."""
+        for found, content in self.headers:
+            if found == name:
+                return content
+        return None
+
+
+class Response(NamedTuple):
+    """A complete response."""
+
+    head: ResponseHead
+    body: bytes
+
+
+HeadMatcher = Callable[[ResponseHead], bool]
+
+
+def _match_any(head: ResponseHead) -> bool:
+    return True
+
+
+@final
+class TargetExchange:
+    """One request on a connection, and the response as it arrives."""
+
+    def __init__(
+        self,
+        connection: 'TargetConnection',
+        matches: HeadMatcher,
+    ) -> None:
+        """:param matches: tells whether a response belongs to the request."""
+        self._connection = connection
+        self.matches = matches
+        self._head: ResponseHead | None = None
+        self._parts: deque[bytes] = deque()
+        self._buffered_bytes = 0
+        self._is_complete = False
+        self._error: str | None = None
+        self._wake: asyncio.Future[None] | None = None
+
+    async def read_head(self) -> ResponseHead:
+        """Wait for the head; raises TargetOutcomeUnknown."""
+        while self._head is None:
+            self._raise_if_broken()
+            await self._wait()
+        return self._head
+
+    async def read_part(self) -> bytes | None:
+        """Wait for a part of the body.
+
+        :return: None after the last part; raises TargetOutcomeUnknown if the
+            response ends before it is complete.
+        """
+        while not self._parts:
+            if self._is_complete:
+                return None
+            self._raise_if_broken()
+            await self._wait()
+        part = self._parts.popleft()
+        self._buffered_bytes -= len(part)
+        if self._buffered_bytes < _MAX_BUFFERED_BYTES:
+            self._connection.resume_reading()
+        return part
+
+    async def read_body(self) -> bytes:
+        """Wait for the whole body; raises TargetOutcomeUnknown."""
+        parts: list[bytes] = []
+        while True:
+            part = await self.read_part()
+            if part is None:
+                return b''.join(parts)
+            parts.append(part)
+
+    def close(self) -> None:
+        """End the exchange; an incomplete one closes its connection."""
+        if not self._is_complete:
+            self._connection.abort('cancelled')
+
+    # Called by the connection.
+
+    def deliver_head(self, head: ResponseHead) -> None:
+        """Take the head of the response."""
+        self._head = head
+        self._notify()
+
+    def deliver_part(self, part: bytes) -> None:
+        """Take a part of the body."""
+        self._parts.append(part)
+        self._buffered_bytes += len(part)
+        if self._buffered_bytes > _MAX_BUFFERED_BYTES:
+            self._connection.pause_reading()
+        self._notify()
+
+    def deliver_end(self) -> None:
+        """Note that the response is complete."""
+        self._is_complete = True
+        self._notify()
+
+    def deliver_break(self, reason: str) -> None:
+        """Note that nothing more will arrive."""
+        if not self._is_complete and self._error is None:
+            self._error = reason
+            self._notify()
+
+    @property
+    def has_head(self) -> bool:
+        """Tell whether the head has arrived."""
+        return self._head is not None
+
+    def _raise_if_broken(self) -> None:
+        if self._error is not None:
+            raise TargetOutcomeUnknown(self._error)
+
+    async def _wait(self) -> None:
+        self._wake = asyncio.get_running_loop().create_future()
+        await self._wake
+
+    def _notify(self) -> None:
+        if self._wake is not None and not self._wake.done():
+            self._wake.set_result(None)
+
+
+@final
+class TargetConnection(asyncio.Protocol):  # noqa: WPS338
+    """One connection to a target; one request at a time."""
+
+    def __init__(self, on_idle: Callable[['TargetConnection'], None]) -> None:
+        """:param on_idle: called when the connection can be used again."""
+        self._on_idle = on_idle
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._exchange: TargetExchange | None = None
+        self._is_paused = False
+        self.is_open = False
+        self.idle_since_s = 0.0
+        self.requests_sent = 0
+        # Seconds for which the target keeps an idle connection, if it says.
+        self.keep_alive_s: float | None = None
+        self._skipped = 0
+        self._reset_message()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is open."""
+        self._transport = transport  # type: ignore[assignment]
+        self.is_open = True
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived; bytes without a request end the connection."""
+        if self._exchange is None:
+            self.abort('bytes without a request')
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.abort('malformed response')
+
+    def eof_received(self) -> bool:
+        """A response without a length ends here; others are broken."""
+        ends_response = self._is_in_message and self._is_until_eof
+        if ends_response and self._headers_done:
+            self._is_last = True
+            self._complete_message()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the request in progress."""
+        self.is_open = False
+        reason = 'connection closed' if exc is None else 'connection reset'
+        if self._exchange is not None:
+            exchange = self._exchange
+            self._exchange = None
+            exchange.deliver_break(reason)
+
+    def start(
+        self,
+        first_line: bytes,
+        headers: Headers,
+        body: bytes,
+        matches: HeadMatcher = _match_any,
+    ) -> TargetExchange:
+        """Write a request.
+
+        :param matches: tells whether a response belongs to it.
+        """
+        if self._transport is None:
+            raise TargetUnreachable('not connected')
+        self._exchange = TargetExchange(self, matches)
+        self._skipped = 0
+        self.requests_sent += 1
+        self._transport.write(format_head(first_line, headers) + body)
+        return self._exchange
+
+    def abort(self, reason: str) -> None:
+        """Close at once; a request in progress fails."""
+        self.is_open = False
+        if self._transport is not None:
+            self._transport.abort()
+        exchange = self._exchange
+        self._exchange = None
+        if exchange is not None:
+            exchange.deliver_break(reason)
+
+    def pause_reading(self) -> None:
+        """Stop reading until the caller has caught up."""
+        if self._transport is not None and not self._is_paused:
+            self._is_paused = True
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read on."""
+        if self._transport is not None and self._is_paused:
+            self._is_paused = False
+            if not self._transport.is_closing():
+                self._transport.resume_reading()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        """A response begins."""
+        self._reset_message()
+        self._is_in_message = True
+
+    def on_header(self, name: bytes, content: bytes) -> None:
+        """Collect a header; trailers are dropped."""
+        if not self._headers_done:
+            self._headers.append((name.lower(), content))
+
+    def on_headers_complete(self) -> None:
+        """Pass the head on if it belongs to the request."""
+        head = ResponseHead(self._parser.get_status_code(), self._headers)
+        if head.status < _MIN_FINAL_STATUS:
+            self._is_interim = True
+            return
+        self._headers_done = True
+        self._is_last = not self._parser.should_keep_alive()
+        self._is_until_eof = (
+            head.get(b'content-length') is None
+            and head.get(b'transfer-encoding') is None
+            and head.status not in _NO_BODY
+        )
+        exchange = self._exchange
+        if exchange is None or exchange.has_head:
+            raise ValueError('a response without a request')
+        if exchange.matches(head):
+            self._note_keep_alive(head)
+            exchange.deliver_head(head)
+            return
+        self._is_skipped = True
+        self._skipped += 1
+        if self._skipped > _MAX_SKIPPED:
+            raise ValueError('too many responses to other requests')
+
+    def on_body(self, body: bytes) -> None:
+        """Pass a part of the body on."""
+        if self._exchange is not None and not self._is_skipped:
+            self._exchange.deliver_part(body)
+
+    def on_message_complete(self) -> None:
+        """The response is complete by its own framing."""
+        self._complete_message()
+
+    def _complete_message(self) -> None:
+        self._is_in_message = False
+        if self._is_interim or self._is_skipped:
+            return
+        exchange = self._exchange
+        self._exchange = None
+        if exchange is None:
+            return
+        if self._is_last and self._transport is not None:
+            self.is_open = False
+            self._transport.close()
+        exchange.deliver_end()
+        if self.is_open:
+            # Bytes behind the response in the same read close the
+            # connection before it is used again.
+            loop = asyncio.get_running_loop()
+            loop.call_soon(self._become_idle)
+
+    def _become_idle(self) -> None:
+        if self.is_open and self._exchange is None:
+            if self._is_in_message:
+                self.abort('bytes without a request')
+                return
+            self.resume_reading()
+            self._on_idle(self)
+
+    def _note_keep_alive(self, head: ResponseHead) -> None:
+        row = head.get(b'keep-alive')
+        if row is None:
+            return
+        for part in row.split(b','):
+            name, _, seconds = part.strip().partition(b'=')
+            if name.lower() == b'timeout' and seconds.isdigit():
+                self.keep_alive_s = float(seconds)
+
+    def _reset_message(self) -> None:
+        self._headers: Headers = []
+        self._headers_done = False
+        self._is_in_message = False
+        self._is_interim = False
+        self._is_skipped = False
+        self._is_last = False
+        self._is_until_eof = False
+
+
+async def open_connection(
+    address: Address,
+    timeout_s: float,
+    on_idle: Callable[[TargetConnection], None],
+) -> TargetConnection:
+    """Connect to a target.
+
+    :param timeout_s: for the connection; raises TargetUnreachable.
+    """
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, connection = await loop.create_connection(
+                lambda: TargetConnection(on_idle),
+                address.host,
+                address.port,
+            )
+    except TimeoutError as error:
+        raise TargetUnreachable('connect timeout') from error
+    except OSError as error:
+        raise TargetUnreachable(f'connect failed: {error}') from error
+    return connection
+
+
+@final
+class ConnectionPool:
+    """Idle connections to one address."""
+
+    def __init__(
+        self,
+        address: Address,
+        now_s: Callable[[], float],
+        connect_timeout_s: float,
+        max_idle: int,
+    ) -> None:
+        """:param max_idle: idle connections that are kept at most."""
+        self.address = address
+        self._now_s = now_s
+        self._connect_timeout_s = connect_timeout_s
+        self._max_idle = max_idle
+        self._idle: deque[TargetConnection] = deque()
+        self._is_closed = False
+        self.opened = 0
+
+    async def acquire(self, max_idle_s: float) -> TargetConnection:
+        """Return a connection for one request.
+
+        :param max_idle_s: older idle connections are not used again.
+        """
+        connection = self._pop_idle(max_idle_s)
+        if connection is not None:
+            return connection
+        self.opened += 1
+        return await open_connection(
+            self.address,
+            self._connect_timeout_s,
+            self._release,
+        )
+
+    def close(self) -> None:
+        """Close the idle connections; those in use close after use."""
+        self._is_closed = True
+        while self._idle:
+            self._idle.pop().abort('pool closed')
+
+    def _pop_idle(self, max_idle_s: float) -> TargetConnection | None:
+        now_s = self._now_s()
+        while self._idle:
+            connection = self._idle.pop()
+            limit_s = max_idle_s
+            if connection.keep_alive_s is not None:
+                # Half of the declared time, so that a request never crosses
+                # the close of the target.
+                limit_s = min(limit_s, connection.keep_alive_s / 2)
+            if not connection.is_open:
+                continue
+            if now_s - connection.idle_since_s <= limit_s:
+                return connection
+            connection.abort('idle for too long')
+        return None
+
+    def _release(self, connection: TargetConnection) -> None:
+        connection.idle_since_s = self._now_s()
+        if self._is_closed or len(self._idle) >= self._max_idle:
+            connection.abort('not needed')
+        else:
+            self._idle.append(connection)
--- /dev/null
+++ b/peridotrill/gateway/team_quotas.py
@@ -0,0 +1,153 @@
+"""Rate limits of teams, held by all gateways together.
+
+Each gateway keeps a token bucket of the whole system. It subtracts its own
+admissions and those that the others report a few times per second. Between
+two reports a gateway spends at most its part of what is left, so that the
+sum stays within the bucket although nobody coordinates. A gateway that has
+not reported for a while is taken to use its full part of the rate.
+"""
+
+from collections.abc import Mapping
+from typing import Final, NamedTuple, final
+
+from peridotrill.clock import Clock
+from peridotrill.gateway.configuration import Team
+
+# A peer without reports for longer than this is taken to spend its share.
+PEER_STALE_S: Final = 0.6
+_MAX_RETRY_AFTER_S: Final = 5.0
+# Bounds the refill after a pause of the process.
+_MAX_REFILL_S: Final = 1.0
+
+
+class QuotaDecision(NamedTuple):
+    """Outcome; ``retry_after_s`` is 0 if the request is admitted."""
+
+    is_admitted: bool
+    retry_after_s: float
+
+
+@final
+class _Bucket:
+    def __init__(self, now_s: float) -> None:
+        self.level = 0.0
+        self.filled_s = now_s
+        self.spent_since_report = 0.0
+
+
+@final
+class TeamQuotas:
+    """The buckets of all teams, as one gateway sees them."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Buckets start empty: what was spent before is not known."""
+        self._clock = clock
+        self._buckets: dict[str, _Bucket] = {}
+        self._teams: Mapping[str, Team] = {}
+        self._spent: dict[str, float] = {}
+        self._peer_spent: dict[tuple[str, str], float] = {}
+        self._peer_heard_s: dict[str, float] = {}
+
+    def configure(self, teams: Mapping[str, Team]) -> None:
+        """Apply the limits of a configuration."""
+        self._teams = teams
+        for gone in self._buckets.keys() - teams.keys():
+            self._buckets.pop(gone)
+
+    def add_peer(self, peer: str) -> None:
+        """Count a gateway that shares the limits; it may be silent."""
+        self._peer_heard_s.setdefault(peer, float('-inf'))
+
+    def remove_peer(self, peer: str) -> None:
+        """Forget a gateway that is gone for good."""
+        self._peer_heard_s.pop(peer, None)
+
+    @property
+    def gateways(self) -> int:
+        """Number of gateways that share the limits, with this one."""
+        return len(self._peer_heard_s) + 1
+
+    def spent(self) -> dict[str, float]:
+        """Return what this process admitted since its start, by team."""
+        return self._spent
+
+    def observe_peer(
+        self,
+        peer: str,
+        incarnation: str,
+        spent: Mapping[str, float],
+    ) -> None:
+        """Take over a report of another gateway.
+
+        :param incarnation: start of the process that counted.
+        :param spent: totals since its start, by team.
+        """
+        now_s = self._clock.monotonic_s()
+        self._refill_all(now_s)
+        self._peer_heard_s[peer] = now_s
+        source = f'{peer}/{incarnation}'
+        for team, total in spent.items():
+            before = self._peer_spent.get((source, team))
+            self._peer_spent[source, team] = max(total, before or 0)
+            if before is not None and team in self._buckets:
+                self._buckets[team].level -= max(0, total - before)
+
+    def end_report_interval(self) -> None:
+        """Start a new interval; the own totals are being reported."""
+        for bucket in self._buckets.values():
+            bucket.spent_since_report = 0
+
+    def admit(self, team: Team, cost: float) -> QuotaDecision:
+        """Take the cost of a request if the team's limit allows it.
+
+        :param cost: in the unit of the team's limit.
+        """
+        if team.rate_per_s <= 0:
+            return QuotaDecision(True, 0)
+        now_s = self._clock.monotonic_s()
+        bucket = self._refill(team, now_s)
+        part = bucket.level / self.gateways
+        available = min(bucket.level, part - bucket.spent_since_report)
+        # A request larger than a gateway's part passes when the bucket as a
+        # whole can bear it and this gateway has just reported.
+        fits = available >= cost or (
+            bucket.level >= max(cost, team.burst / 2)
+            and bucket.spent_since_report <= 0
+        )
+        if not fits:
+            wait_s = (cost - min(available, bucket.level)) / team.rate_per_s
+            return QuotaDecision(
+                False,
+                min(_MAX_RETRY_AFTER_S, max(0.1, wait_s)),
+            )
+        bucket.level -= cost
+        bucket.spent_since_report += cost
+        self._spent[team.name] = self._spent.get(team.name, 0) + cost
+        return QuotaDecision(True, 0)
+
+    def refund(self, team: Team, cost: float) -> None:
+        """Give back the cost of a request that did not run."""
+        bucket = self._buckets.get(team.name)
+        if bucket is not None and team.rate_per_s > 0:
+            bucket.level = min(team.burst, bucket.level + cost)
+
+    def _refill_all(self, now_s: float) -> None:
+        for team in self._teams.values():
+            if team.name in self._buckets:
+                self._refill(team, now_s)
+
+    def _refill(self, team: Team, now_s: float) -> _Bucket:
+        bucket = self._buckets.get(team.name)
+        if bucket is None:
+            bucket = _Bucket(now_s)
+            self._buckets[team.name] = bucket
+        elapsed_s = max(0, now_s - bucket.filled_s)
+        bucket.filled_s = max(now_s, bucket.filled_s)
+        silent = sum(
+            now_s - heard_s > PEER_STALE_S
+            for heard_s in self._peer_heard_s.values()
+        )
+        rate = team.rate_per_s * (1 - silent / self.gateways)
+        refill = min(elapsed_s, _MAX_REFILL_S) * rate
+        bucket.level = min(team.burst, bucket.level + refill)
+        return bucket
--- /dev/null
+++ b/peridotrill/gateway/usage_duty.py
@@ -0,0 +1,82 @@
+"""Reports the usage of each window once, as the holder of the lease."""
+
+from datetime import timedelta
+from typing import Final, Protocol, final
+
+from peridotrill.gateway.coordinator import Coordinator
+from peridotrill.gateway.event_log import EventLog
+from peridotrill.gateway.usage_counts import UsageCounts
+
+# Time after the end of a window in which the counts of all gateways arrive.
+_SETTLE_S: Final = 1.5
+# Longest time that a call takes to have effect; the client breaks it off
+# before.
+ACT_MARGIN: Final = timedelta(seconds=1.2)
+
+
+class UsagePort(Protocol):
+    """The call that reports usage."""
+
+    async def report_usage(
+        self,
+        fence: int,
+        window: int,
+        counts: dict[str, int],
+    ) -> str:
+        """Report a window; return ``ok`` or what went wrong."""
+
+
+@final
+class UsageDuty:
+    """Fixes and reports windows after their end."""
+
+    def __init__(
+        self,
+        counts: UsageCounts,
+        coordinator: Coordinator,
+        port: UsagePort,
+        late_s: float,
+        log: EventLog,
+    ) -> None:
+        """:param late_s: time after a window by which it is due."""
+        self._counts = counts
+        self._coordinator = coordinator
+        self._port = port
+        self._late_s = late_s
+        self._log = log
+        self._reported: set[int] = set()
+
+    async def step(self) -> None:
+        """Report the windows that are due and not yet reported."""
+        present = self._counts.present_window()
+        for window in range(present - 4, present):
+            age_s = self._counts.window_age_s(window)
+            is_due = _SETTLE_S <= age_s <= self._late_s
+            if is_due and window not in self._reported:
+                await self._report(window)
+        self._reported = {row for row in self._reported if row > present - 10}
+
+    async def _report(self, window: int) -> None:
+        if self._coordinator.held_lease(ACT_MARGIN) is None:
+            return
+        counts = self._coordinator.fixed_usage.get(window)
+        if counts is None:
+            counts = self._counts.total(window)
+            if not counts:
+                return
+            if not await self._coordinator.fix_usage(window, counts):
+                return
+        lease = self._coordinator.held_lease(ACT_MARGIN)
+        if lease is None:
+            return
+        outcome = await self._port.report_usage(lease.fence, window, counts)
+        if outcome == 'ok':
+            self._reported.add(window)
+        self._log.write(
+            'usage_reported',
+            window=window,
+            fence=lease.fence,
+            requests=sum(counts.values()),
+            age_s=self._counts.window_age_s(window),
+            outcome=outcome,
+        )
--- /dev/null
+++ b/peridotrill/gateway_main.py
@@ -0,0 +1,512 @@
+"""Program ``peridotrill-gateway``: composes gateway and platform."""
+
+import gc
+import os
+import secrets
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from pathlib import Path
+from typing import Final, final
+
+import anyio
+from anyio.abc import TaskGroup
+from expression import Result
+from prometheus_client import REGISTRY, generate_latest
+
+from peridotrill.clock import SuspendAwareClock
+from peridotrill.exceptions import AppendUnknown, LogUnavailable
+from peridotrill.findings import format_findings
+from peridotrill.gateway.beliefs import (
+    DEFAULT_REMOVAL_GRACE,
+    Beliefs,
+    FreshnessBounds,
+)
+from peridotrill.gateway.callers_port import (
+    CallerPort,
+    RawRequest,
+    Responder,
+)
+from peridotrill.gateway.configuration import DEFAULT_CALLER_LIMITS
+from peridotrill.gateway.coordinator import TICK, Coordinator
+from peridotrill.gateway.event_log import EventLog
+from peridotrill.gateway.loads import LoadBook
+from peridotrill.gateway.metrics import (
+    CONFIG_AGE_S,
+    LEASE_HELD,
+    STORE_CALLS,
+)
+from peridotrill.gateway.peers import (
+    LeaseNotice,
+    PeerExchange,
+    Report,
+    report_interval_s,
+)
+from peridotrill.gateway.pools import Placement
+from peridotrill.gateway.repeat_budget import RepeatBounds, RepeatBudget
+from peridotrill.gateway.request_handler import RequestHandler
+from peridotrill.gateway.serving import Services
+from peridotrill.gateway.store_follower import (
+    BeliefUpdater,
+    Decoders,
+    FollowTimes,
+    TopicFollower,
+)
+from peridotrill.gateway.target_calls import ConnectionTimes, TargetCaller
+from peridotrill.gateway.target_health import TargetHealth
+from peridotrill.gateway.target_port import ConnectionPool
+from peridotrill.gateway.team_quotas import TeamQuotas
+from peridotrill.gateway.true_time import TrueTime
+from peridotrill.gateway.usage_counts import UsageCounts
+from peridotrill.gateway.usage_duty import ACT_MARGIN, UsageDuty
+from peridotrill.platform import names, wire
+from peridotrill.platform.configuration import decode_configuration
+from peridotrill.platform.coordination import CoordinationTopic
+from peridotrill.platform.directory import decode_target
+from peridotrill.platform.duties import DutyClient
+from peridotrill.platform.node_settings import (
+    SETTINGS_VARIABLE,
+    NodeSettings,
+    read_node_settings,
+)
+from peridotrill.platform.store import StoreClient
+from peridotrill.platform.topics import KeyedTopic
+from peridotrill.settings import EXIT_USAGE, Address, parse_address
+
+# Time limit of one call of the store, without the time that it waits.
+_STORE_TIMEOUT_S: Final = 1.0
+_STORE_CONNECT_S: Final = 0.6
+_STORE_IDLE: Final = 4
+# How long the store holds a read without news. Twice this is the greatest
+# age of the configuration while all is well.
+_CONFIG_WAIT: Final = timedelta(seconds=1.2)
+_TARGETS_WAIT: Final = timedelta(seconds=1.5)
+# Targets write often; reading them together saves calls.
+_TARGETS_PAUSE: Final = timedelta(milliseconds=400)
+_NO_PAUSE: Final = timedelta(0)
+# Part of the time within which withdrawn keys must stop that an unconfirmed
+# configuration may be used for.
+_FRESH_PART: Final = 0.88
+_MEMBER_RETRY_S: Final = 0.5
+_MIN_LEASE_S: Final = 4.0
+_DUTY_TIMEOUT_S: Final = 1.0
+# A lease notice of a peer is believed for this long without a new one.
+_NOTICE_LIFETIME_S: Final = 1.0
+# Time from the start after which the lease may be claimed: by then the
+# reports of a present holder have arrived.
+_CLAIM_DELAY_S: Final = 1.0
+# Questions for readiness come once per second, and two in a row without
+# success take a gateway out of rotation.
+_ROTATION_S: Final = 2.6
+_EXIT_MARGIN_S: Final = 0.9
+_BACKLOG: Final = 1024
+_METRICS_PATH: Final = b'/metrics'
+_OK: Final = 200
+_NOT_FOUND: Final = 404
+_UNAVAILABLE: Final = 503
+
+
+@final
+class GatewayProgram:
+    """All tasks of one gateway process."""
+
+    def __init__(self, node: NodeSettings) -> None:
+        """:param node: checked settings."""
+        self._node = node
+        self._clock = SuspendAwareClock()
+        self._started_s = self._clock.monotonic_s()
+        self._incarnation = secrets.token_hex(4)
+        self._log = EventLog.from_settings(node.node, 'INFO', self._clock)
+        self._beliefs = Beliefs(
+            self._clock,
+            FreshnessBounds(
+                timedelta(milliseconds=node.bounds.revoke_ms * _FRESH_PART),
+                DEFAULT_REMOVAL_GRACE,
+            ),
+            self._log,
+        )
+        self._store = StoreClient(
+            ConnectionPool(
+                node.store_address,
+                self._clock.monotonic_s,
+                _STORE_CONNECT_S,
+                _STORE_IDLE,
+            ),
+            _STORE_TIMEOUT_S,
+        )
+        self._loads = LoadBook(self._clock)
+        self._health = TargetHealth(self._clock)
+        self._quotas = TeamQuotas(self._clock)
+        self._true_time = TrueTime(self._clock)
+        self._usage = UsageCounts(node.bounds.usage_window_s, self._true_time)
+        self._peers = PeerExchange(node.node, self._clock, self._log)
+        self._targets = TargetCaller(wire, self._clock, ConnectionTimes())
+        self._placement = Placement(
+            self._beliefs,
+            self._loads,
+            self._health,
+            self._clock,
+            node.zone,
+        )
+        self._coordinator = Coordinator(
+            node.node,
+            CoordinationTopic(self._store),
+            timedelta(
+                seconds=max(_MIN_LEASE_S, node.bounds.lease_ms / 1000),
+            ),
+            self._clock,
+            self._log,
+        )
+        self._is_leaving = False
+        self._sequence = 0
+        self._notice_until_s = 0.0
+        self._beliefs.on_change = self._on_beliefs_changed
+        self._beliefs.on_target_gone = self._on_target_gone
+        self._peers.on_report = self._on_report
+        self._peers.on_member = self._quotas.add_peer
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then finish what is in progress."""
+        self._log.write(
+            'process_started',
+            incarnation=self._incarnation,
+            zone=self._node.zone,
+            pid=os.getpid(),
+        )
+        async with anyio.create_task_group() as tasks:
+            handler = self._create_handler(tasks)
+            port = await self._listen(tasks, handler)
+            for task in self._tasks():
+                tasks.start_soon(task)
+            gc.collect()
+            gc.freeze()
+            await self._wait_for_stop()
+            await self._drain(port, handler)
+            tasks.cancel_scope.cancel()
+        self._log.write('process_stopped')
+
+    def _create_handler(self, tasks: TaskGroup) -> RequestHandler:
+        bounds = self._node.bounds
+        return RequestHandler(
+            Services(
+                clock=self._clock,
+                beliefs=self._beliefs,
+                wire=wire,
+                targets=self._targets,
+                placement=self._placement,
+                health=self._health,
+                quotas=self._quotas,
+                budget=RepeatBudget(
+                    RepeatBounds(
+                        bounds.retry_ratio,
+                        bounds.retry_slack,
+                        bounds.retry_window_s,
+                    ),
+                    self._clock,
+                ),
+                usage=self._usage,
+                log=self._log,
+                start_task=tasks.start_soon,
+            ),
+        )
+
+    async def _listen(
+        self,
+        tasks: TaskGroup,
+        handler: RequestHandler,
+    ) -> CallerPort:
+        import asyncio  # noqa: PLC0415
+
+        loop = asyncio.get_running_loop()
+        callers = CallerPort(
+            handler.handle,
+            tasks,
+            self._caller_limits,
+            self._clock.monotonic_s,
+        )
+        control = CallerPort(
+            self._answer_control,
+            tasks,
+            lambda: DEFAULT_CALLER_LIMITS,
+            self._clock.monotonic_s,
+        )
+        node = self._node
+        metrics = Address(node.ip, node.peer_port + 1)
+        for port, address in (
+            (callers, node.caller_address),
+            (control, node.ready_address),
+            (control, metrics),
+        ):
+            await loop.create_server(
+                port.create_connection,
+                address.host,
+                address.port,
+                backlog=_BACKLOG,
+            )
+        await loop.create_datagram_endpoint(
+            lambda: self._peers,
+            (node.ip, node.peer_port),
+        )
+        return callers
+
+    def _tasks(self) -> list[Callable[[], Awaitable[None]]]:
+        tasks = [
+            self._follow_configuration,
+            self._follow_targets,
+            self._join_members,
+            self._report_to_peers,
+        ]
+        if 'usage' in self._node.duties and self._node.duties_address:
+            tasks.append(self._coordinate)
+        return tasks
+
+    def _caller_limits(self):  # noqa: ANN202
+        known = self._beliefs.configuration
+        return DEFAULT_CALLER_LIMITS if known is None else known.limits
+
+    async def _answer_control(
+        self,
+        raw: RawRequest,
+        responder: Responder,
+    ) -> None:
+        path = raw.target.split(b'?', 1)[0]
+        if path == _METRICS_PATH:
+            self._update_gauges()
+            responder.send(_OK, [], generate_latest(REGISTRY))
+        elif path == names.READY_PATH.encode():
+            responder.send(_OK if self._is_ready else _UNAVAILABLE, [], b'')
+        else:
+            responder.send(_NOT_FOUND, [], b'')
+
+    @property
+    def _is_ready(self) -> bool:
+        return (
+            not self._is_leaving
+            and self._beliefs.is_complete
+            and self._beliefs.is_fresh
+        )
+
+    def _update_gauges(self) -> None:
+        CONFIG_AGE_S.set(self._beliefs.config_age_s() or -1)
+        STORE_CALLS.set(self._store.calls)
+        held = self._coordinator.held_lease(timedelta(0))
+        LEASE_HELD.set(0 if held is None else 1)
+
+    async def _follow_configuration(self) -> None:
+        updater = self._updater()
+        follower = TopicFollower(
+            names.CONFIG_TOPIC,
+            KeyedTopic(self._store, names.CONFIG_TOPIC),
+            FollowTimes(_CONFIG_WAIT, _NO_PAUSE),
+            self._clock,
+            self._log,
+        )
+        await follower.run(
+            updater.apply_configuration_listing,
+            updater.apply_configuration_row,
+            self._beliefs.confirm_configuration,
+        )
+
+    async def _follow_targets(self) -> None:
+        updater = self._updater()
+        follower = TopicFollower(
+            names.SERVERS_TOPIC,
+            KeyedTopic(self._store, names.SERVERS_TOPIC),
+            FollowTimes(_TARGETS_WAIT, _TARGETS_PAUSE),
+            self._clock,
+            self._log,
+        )
+        await follower.run(
+            updater.apply_target_listing,
+            updater.apply_target_row,
+            lambda asked_s: None,
+        )
+
+    def _updater(self) -> BeliefUpdater:
+        return BeliefUpdater(
+            self._beliefs,
+            Decoders(names.CONFIG_KEY, decode_configuration, decode_target),
+            self._log,
+        )
+
+    async def _join_members(self) -> None:
+        """Write the own address, then read those of the others."""
+        topic = KeyedTopic(self._store, names.MEMBERS_TOPIC)
+        own = Address(self._node.ip, self._node.peer_port)
+        is_written = False
+        while True:
+            try:
+                if not is_written:
+                    await topic.put(self._node.node, str(own).encode())
+                    is_written = True
+                page = await topic.newest()
+            except (AppendUnknown, LogUnavailable) as error:
+                self._log.write('join_failed', error=str(error))
+                await anyio.sleep(_MEMBER_RETRY_S)
+                continue
+            for node, address in page.rows:
+                if address:
+                    self._add_member(node, address)
+            return
+
+    def _add_member(self, node: str, address: bytes) -> None:
+        try:
+            self._peers.add_member(node, parse_address(address.decode()))
+        except ValueError as error:
+            self._log.write('member_unreadable', node=node, error=str(error))
+
+    async def _report_to_peers(self) -> None:
+        while True:
+            self._sequence += 1
+            self._peers.send(self._make_report())
+            self._quotas.end_report_interval()
+            await anyio.sleep(report_interval_s(len(self._peers.members)))
+
+    def _make_report(self) -> Report:
+        held = self._coordinator.held_lease(timedelta(0))
+        notice = None
+        if held is not None:
+            left_s = held.valid_until_s - self._clock.monotonic_s()
+            notice = LeaseNotice(self._node.node, held.fence, left_s)
+        return Report(
+            self._node.node,
+            self._incarnation,
+            self._sequence,
+            self._node.ip,
+            self._node.peer_port,
+            self._true_time.own_unix_s(),
+            self._is_leaving,
+            self._quotas.spent(),
+            dict(self._loads.own()),
+            self._usage.own(),
+            notice,
+        )
+
+    def _on_report(self, report: Report) -> None:
+        self._quotas.observe_peer(
+            report.node,
+            report.incarnation,
+            report.spent,
+        )
+        self._loads.observe_peer(report.node, report.work)
+        self._usage.observe_peer(
+            f'{report.node}/{report.incarnation}',
+            report.usage,
+        )
+        self._true_time.observe_peer(report.node, report.unix_s)
+        if report.lease is not None:
+            self._notice_until_s = (
+                self._clock.monotonic_s() + _NOTICE_LIFETIME_S
+            )
+
+    def _on_beliefs_changed(self) -> None:
+        known = self._beliefs.configuration
+        if known is not None:
+            self._quotas.configure(known.teams)
+        self._placement.pump()
+
+    def _on_target_gone(self, target) -> None:  # noqa: ANN001
+        self._targets.forget(target)
+        self._health.forget(target.target_id)
+
+    async def _coordinate(self) -> None:
+        duties = self._node.duties_address
+        if duties is None:
+            return
+        client = DutyClient(
+            ConnectionPool(
+                duties,
+                self._clock.monotonic_s,
+                _STORE_CONNECT_S,
+                1,
+            ),
+            self._node.node,
+            _DUTY_TIMEOUT_S,
+        )
+        usage = UsageDuty(
+            self._usage,
+            self._coordinator,
+            client,
+            self._node.bounds.usage_late_s,
+            self._log,
+        )
+        while True:
+            await self._coordinator.step(self._may_claim())
+            if self._coordinator.held_lease(ACT_MARGIN) is not None:
+                await usage.step()
+            await anyio.sleep(TICK.total_seconds())
+
+    def _may_claim(self) -> bool:
+        """Tell whether this gateway should take the lease.
+
+        Only the first gateway by name tries while a holder is not heard of,
+        so that candidates do not compete.
+        """
+        now_s = self._clock.monotonic_s()
+        if self._is_leaving or now_s < self._notice_until_s:
+            return False
+        if now_s - self._started_s < _CLAIM_DELAY_S:
+            return False
+        alive = self._peers.heard_within(_NOTICE_LIFETIME_S)
+        return all(self._node.node < peer for peer in alive)
+
+    async def _wait_for_stop(self) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM,
+            signal.SIGINT,
+            signal.SIGHUP,
+        ) as received:
+            async for number in received:
+                if number != signal.SIGHUP:
+                    self._log.write('stop_requested', signal=number)
+                    return
+                self._reload()
+
+    def _reload(self) -> None:
+        match _read_settings():
+            case Result(tag='ok', ok=node):
+                self._log.write('settings_reloaded', changed=node != self._node)
+            case Result(error=findings):
+                self._log.write(
+                    'settings_invalid',
+                    findings=format_findings(findings),
+                )
+
+    async def _drain(self, port: CallerPort, handler: RequestHandler) -> None:
+        """Leave the rotation, then finish the requests in progress."""
+        self._is_leaving = True
+        port.drain()
+        stop_s = self._clock.monotonic_s() + (
+            self._node.bounds.grace_s - _EXIT_MARGIN_S
+        )
+        await anyio.sleep(
+            min(_ROTATION_S, self._node.bounds.grace_s - _EXIT_MARGIN_S),
+        )
+        port.close_idle()
+        while handler.in_progress and self._clock.monotonic_s() < stop_s:
+            await anyio.sleep(0.02)
+        port.close_idle()
+        self._log.write('drained', in_progress=handler.in_progress)
+
+
+def _read_settings():  # noqa: ANN202
+    return read_node_settings(Path(os.environ.get(SETTINGS_VARIABLE, '')))
+
+
+def main() -> None:
+    """Run the gateway; exit with status 2 if the settings are invalid."""
+    match _read_settings():
+        case Result(tag='ok', ok=node):
+            anyio.run(
+                GatewayProgram(node).run,
+                backend='asyncio',
+                backend_options={'use_uvloop': True},
+            )
+        case Result(error=findings):
+            sys.stderr.write(f'{format_findings(findings)}\n')
+            sys.exit(EXIT_USAGE)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/peridotrill/platform/configuration.py
@@ -0,0 +1,95 @@
+"""Decoding of the operator's configuration record."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from peridotrill.codec import decode_json
+from peridotrill.exceptions import CodecError
+from peridotrill.gateway.configuration import (
+    CallerLimits,
+    Configuration,
+    EngineModel,
+    Route,
+    ServiceSpec,
+    ServiceWeight,
+    Team,
+)
+from peridotrill.gateway.requests import RequestKind
+
+
+def decode_configuration(content: bytes) -> Configuration:
+    """Decode one version; raises CodecError if it cannot be used."""
+    document = decode_json(content)
+    try:
+        return Configuration(
+            int(document['version']),
+            tuple(_decode_route(row) for row in document['routes']),
+            {row['name']: _decode_service(row) for row in document['services']},
+            tuple(_decode_team(row) for row in document.get('tenants') or ()),
+            _decode_limits(document.get('limits') or {}),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise CodecError(f'invalid configuration: {error!r}') from error
+
+
+def _decode_route(row: Mapping[str, Any]) -> Route:
+    split = row.get('split')
+    services = (
+        tuple(
+            ServiceWeight(part['service'], float(part['weight']))
+            for part in split
+        )
+        if split
+        else (ServiceWeight(row['service'], 1.0),)
+    )
+    return Route(
+        name=row['name'],
+        host=row['host'].lower(),
+        path_prefix=row['path-prefix'],
+        kind=RequestKind(row['kind']),
+        timeout_ms=float(row.get('timeout-ms') or 30000),
+        goal_ms=float(row.get('goal-ms') or 1000),
+        priority=int(row.get('priority') or 0),
+        services=services,
+        max_targets=max(1, int(row.get('attempts') or 1)),
+        is_public=bool(row.get('public')),
+        can_resume=bool(row.get('can-resume')),
+    )
+
+
+def _decode_service(row: Mapping[str, Any]) -> ServiceSpec:
+    engine = row.get('engine')
+    model = None
+    if engine:
+        model = EngineModel(
+            slots=int(engine.get('slots') or 1),
+            kv_tokens=int(engine.get('kv-tokens') or 0),
+            kv_bytes_per_token=float(engine.get('kv-bytes') or 0),
+            link_mbps=float(engine.get('link-mbps') or 0),
+            switch_s=float(engine.get('switch-s') or 0),
+            max_event_waiters=int(engine.get('most') or 0),
+        )
+    return ServiceSpec(row['name'], int(row.get('max-conns') or 64), model)
+
+
+def _decode_team(row: Mapping[str, Any]) -> Team:
+    priority = row.get('priority')
+    return Team(
+        name=row['name'],
+        api_keys=frozenset(row.get('api-keys') or ()),
+        priority=None if priority is None else int(priority),
+        rate_per_s=float(row.get('rate-per-s') or 0),
+        burst=float(row.get('burst') or 0),
+        counts_tokens=row.get('unit') == 'token_stream',
+        plain_tokens=float(row.get('plain-tokens') or 1),
+    )
+
+
+def _decode_limits(row: Mapping[str, Any]) -> CallerLimits:
+    known = CallerLimits()
+    return CallerLimits(
+        int(row.get('max-header-bytes') or known.max_header_bytes),
+        int(row.get('max-body-bytes') or known.max_body_bytes),
+        float(row.get('header-timeout-ms') or known.header_timeout_ms),
+        float(row.get('idle-timeout-ms') or known.idle_timeout_ms),
+    )
--- /dev/null
+++ b/peridotrill/platform/coordination.py
@@ -0,0 +1,23 @@
+"""The coordination log of the gateways, in a topic of the store."""
+
+from typing import final
+
+from peridotrill.platform.names import LEASE_TOPIC
+from peridotrill.platform.store import AppendResult, StoreClient, StorePage
+
+
+@final
+class CoordinationTopic:
+    """Partition 0 of the topic in which leases and usage are kept."""
+
+    def __init__(self, store: StoreClient) -> None:
+        """:param store: the platform's store."""
+        self._store = store
+
+    async def read(self, start: int) -> StorePage:
+        """Read on; raises LogUnavailable, RecordsExpired."""
+        return await self._store.read(LEASE_TOPIC, start, 0)
+
+    async def append(self, record: bytes, at: int) -> AppendResult:
+        """Append at an offset; raises LogUnavailable, AppendUnknown."""
+        return await self._store.append(LEASE_TOPIC, [record], at)
--- /dev/null
+++ b/peridotrill/platform/names.py
@@ -0,0 +1,73 @@
+"""Names of the platform's headers and calls, in one place."""
+
+from typing import Final
+
+REQUEST_ID: Final = b'x-peridotrill-request-id'
+MODEL: Final = b'x-peridotrill-model'
+TOKEN_COUNT: Final = b'x-peridotrill-token-count'
+PROMPT_PREFIX: Final = b'x-peridotrill-prompt-prefix'
+LENGTH_HINT: Final = b'x-peridotrill-length-hint'
+# How long the caller waits, in ms from now; not a point in time.
+DEADLINE_MS: Final = b'x-peridotrill-deadline-ms'
+EXPECT_INSTANCE: Final = b'x-peridotrill-expect-instance'
+EXPECT_VERSION: Final = b'x-peridotrill-expect-version'
+TENANT: Final = b'x-peridotrill-tenant'
+REQ_PRIORITY: Final = b'x-peridotrill-req-priority'
+STAGE: Final = b'x-peridotrill-stage'
+KV_SOURCE: Final = b'x-peridotrill-kv-source'
+KV_HOLD: Final = b'x-peridotrill-kv-hold'
+KV_BACKUP: Final = b'x-peridotrill-kv-backup'
+PIN_MS: Final = b'x-peridotrill-pin-ms'
+KV_FETCH: Final = b'kv-fetch'
+ENGINE_STAMP: Final = b'x-peridotrill-engine-stamp'
+NOT_RUN: Final = b'x-peridotrill-not-run'
+ENGINE_ID: Final = b'x-peridotrill-engine-id'
+ENGINE_LOAD: Final = b'x-peridotrill-engine-load'
+LAST_EVENT_ID: Final = b'last-event-id'
+AUTHORIZATION: Final = b'authorization'
+KEEP_ALIVE: Final = b'keep-alive'
+
+# Set by the system only, whatever a caller sends.
+SYSTEM_HEADERS: Final = frozenset(
+    (
+        DEADLINE_MS,
+        EXPECT_INSTANCE,
+        EXPECT_VERSION,
+        TENANT,
+        REQ_PRIORITY,
+        STAGE,
+        KV_SOURCE,
+        KV_HOLD,
+        KV_BACKUP,
+        PIN_MS,
+        KV_FETCH,
+        b'x-peridotrill-kv-fetch',
+        b'x-peridotrill-duty-holder',
+        b'x-peridotrill-fence-token',
+        LAST_EVENT_ID,
+        AUTHORIZATION,
+    ),
+)
+# Headers that concern one connection only.
+CONNECTION_HEADERS: Final = frozenset(
+    (
+        b'connection',
+        b'keep-alive',
+        b'proxy-connection',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+        b'content-length',
+        b'expect',
+    ),
+)
+
+READY_PATH: Final = '/-/ready'
+CONFIG_TOPIC: Final = 'keyed.op'
+CONFIG_KEY: Final = 'config'
+SERVERS_TOPIC: Final = 'keyed.servers'
+MEMBERS_TOPIC: Final = 'keyed.peridotrill-members'
+LEASE_TOPIC: Final = 'peridotrill-coordination'
--- /dev/null
+++ b/peridotrill/platform/node_settings.py
@@ -0,0 +1,156 @@
+"""Settings that the platform gives to a process, decoded and checked."""
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, Final, NamedTuple
+
+import yaml
+from expression import Error, Ok, Result
+
+from peridotrill.findings import Finding
+from peridotrill.settings import Address, parse_address
+
+SETTINGS_VARIABLE: Final = 'PERIDOTRILL_BOOT'
+
+_Loader: Final = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
+
+
+class Bounds(NamedTuple):
+    """Bounds in force at this deployment; defaults where none is given."""
+
+    drain_ms: float = 2000
+    grace_s: float = 8
+    revoke_ms: float = 5000
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10
+    retry_slack: float = 50
+    quota_window_s: float = 8
+    quota_slack: float = 0
+    lease_ms: float = 3000
+    usage_window_s: float = 5
+    usage_late_s: float = 10
+
+
+class NodeSettings(NamedTuple):
+    """Settings of one gateway process; ``peer_port`` is for datagrams."""
+
+    node: str
+    zone: str
+    ip: str
+    caller_address: Address
+    ready_address: Address
+    peer_port: int
+    memory_limit_mb: float
+    max_fds: int
+    link_mbps: float
+    store_address: Address
+    duties_address: Address | None
+    duties: tuple[str, ...]
+    bounds: Bounds
+
+
+# Field of ``Bounds`` and the platform's name for it.
+_BOUND_NAMES: Final = (
+    ('drain_ms', 'drain-ms'),
+    ('grace_s', 'grace-s'),
+    ('revoke_ms', 'revoke-ms'),
+    ('retry_ratio', 'budget-ratio'),
+    ('retry_window_s', 'budget-window-s'),
+    ('retry_slack', 'budget-slack'),
+    ('quota_window_s', 'quota-window-s'),
+    ('quota_slack', 'quota-slack'),
+    ('lease_ms', 'lease-ms'),
+    ('usage_window_s', 'window-s'),
+    ('usage_late_s', 'usage-late-s'),
+)
+
+
+def read_node_settings(
+    path: Path,
+) -> Result[NodeSettings, list[Finding]]:
+    """Read the settings file; all findings are returned together."""
+    try:
+        document = yaml.load(path.read_bytes(), Loader=_Loader)  # noqa: S506
+    except (OSError, yaml.YAMLError) as error:
+        return Error([Finding(str(path), 0, 0, 'unreadable', str(error))])
+    if not isinstance(document, dict):
+        return Error([Finding(str(path), 0, 0, 'invalid', 'not a table')])
+    return _Reader(str(path), document).read()
+
+
+class _Reader:
+    """Collects values and findings of one settings file."""
+
+    def __init__(self, place: str, document: Mapping[str, Any]) -> None:
+        self._place = place
+        self._document = document
+        self._findings: list[Finding] = []
+
+    def read(self) -> Result[NodeSettings, list[Finding]]:
+        """Return the settings, or what is missing or invalid."""
+        duties_address = None
+        if self._get('cloud') is not None:
+            duties_address = self._address('cloud', 'addr')
+        node = NodeSettings(
+            node=self._text('node'),
+            zone=self._text('zone'),
+            ip=self._text('ip'),
+            caller_address=self._address('listen', 'front'),
+            ready_address=self._address('listen', 'ready'),
+            peer_port=int(self._number(0, 'port-range', 0)),
+            memory_limit_mb=self._number(256, 'limits', 'memory-limit-mb'),
+            max_fds=int(self._number(1024, 'limits', 'max-fds')),
+            link_mbps=self._number(1000, 'limits', 'link-mbps'),
+            store_address=self._address('platform', 'addr'),
+            duties_address=duties_address,
+            duties=tuple(self._get('cloud', 'duties') or ()),
+            bounds=self._bounds(),
+        )
+        return Error(self._findings) if self._findings else Ok(node)
+
+    def _bounds(self) -> Bounds:
+        defaults = Bounds()
+        return Bounds(
+            **{
+                field: self._number(getattr(defaults, field), 'bounds', name)
+                for field, name in _BOUND_NAMES
+            },
+        )
+
+    def _get(self, *keys: Any) -> Any:
+        found: Any = self._document
+        for key in keys:
+            try:
+                found = found[key]
+            except (KeyError, IndexError, TypeError):
+                return None
+        return found
+
+    def _text(self, *keys: Any) -> str:
+        found = self._get(*keys)
+        if isinstance(found, str) and found:
+            return found
+        self._add(keys, 'missing', 'a text is needed')
+        return ''
+
+    def _number(self, default: float, *keys: Any) -> float:
+        found = self._get(*keys)
+        if found is None:
+            return default
+        if isinstance(found, (int, float)):
+            return float(found)
+        self._add(keys, 'invalid', 'must be a number')
+        return default
+
+    def _address(self, *keys: Any) -> Address:
+        text = self._text(*keys)
+        try:
+            return parse_address(text)
+        except ValueError as error:
+            if text:
+                self._add(keys, 'invalid', str(error))
+        return Address('', 0)
+
+    def _add(self, keys: tuple[Any, ...], code: str, message: str) -> None:
+        place = '{0}:{1}'.format(self._place, '.'.join(map(str, keys)))
+        self._findings.append(Finding(place, 0, 0, code, message))
--- /dev/null
+++ b/peridotrill/platform/store.py
@@ -0,0 +1,248 @@
+"""Client of the platform's metadata store: appends, reads, newest records."""
+
+import base64
+import struct
+from typing import Any, Final, NamedTuple, final
+from urllib.parse import quote
+
+import anyio
+
+from peridotrill.codec import decode_json
+from peridotrill.exceptions import (
+    AppendUnknown,
+    CodecError,
+    LogUnavailable,
+    RecordsExpired,
+    TargetOutcomeUnknown,
+    TargetUnreachable,
+)
+from peridotrill.gateway.target_port import ConnectionPool, Response
+
+_OK: Final = 200
+_GONE: Final = 410
+_PRECONDITION_FAILED: Final = 412
+_LENGTH: Final = struct.Struct('>I')
+_OFFSETS: Final = struct.Struct('>QQ')
+# How long an idle connection to the store is used again; the store declares
+# no limit.
+_MAX_IDLE_S: Final = 5.0
+
+
+class StorePage(NamedTuple):
+    """Records from ``first_read`` on; ``end`` is the next offset."""
+
+    end: int
+    first_kept: int
+    records: list[bytes]
+
+
+class NewestRecord(NamedTuple):
+    """The newest record of a key; ``offset`` orders versions."""
+
+    key: str
+    content: bytes
+    offset: int
+
+
+class NewestPage(NamedTuple):
+    """The newest records of a topic; ``end`` is where to read on."""
+
+    records: list[NewestRecord]
+    end: int
+
+
+class AppendResult(NamedTuple):
+    """Outcome of a conditional append: appended, or where the log ends."""
+
+    appended: bool
+    offset: int
+
+
+def split_records(content: bytes) -> list[bytes]:
+    """Split framed records; raises CodecError if the last one is cut."""
+    records: list[bytes] = []
+    position = 0
+    while position < len(content):
+        if position + _LENGTH.size > len(content):
+            raise CodecError('cut record length')
+        (length,) = _LENGTH.unpack_from(content, position)
+        position += _LENGTH.size
+        if position + length > len(content):
+            raise CodecError('cut record')
+        records.append(content[position : position + length])
+        position += length
+    return records
+
+
+def join_records(records: list[bytes]) -> bytes:
+    """Frame records for an append."""
+    return b''.join(_LENGTH.pack(len(row)) + row for row in records)
+
+
+def format_keyed(key: str, content: bytes) -> bytes:
+    """Return a record of a keyed topic; empty content drops the key."""
+    name = key.encode()
+    return bytes((len(name),)) + name + content
+
+
+def parse_keyed(record: bytes) -> tuple[str, bytes]:
+    """Return key and content; raises CodecError."""
+    if not record or len(record) < record[0] + 1:
+        raise CodecError('cut key')
+    end = record[0] + 1
+    try:
+        return record[1:end].decode(), record[end:]
+    except UnicodeDecodeError as error:
+        raise CodecError('key is not text') from error
+
+
+@final
+class StoreClient:
+    """Calls of the store, each with its own time limit."""
+
+    def __init__(self, pool: ConnectionPool, timeout_s: float) -> None:
+        """:param timeout_s: for one call, without the time it waits."""
+        self._pool = pool
+        self._timeout_s = timeout_s
+        self.calls = 0
+
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_s: float,
+        partition: int = 0,
+    ) -> StorePage:
+        """Read records; wait if there are none yet.
+
+        Raises RecordsExpired or LogUnavailable.
+        """
+        response = await self._call(
+            b'GET',
+            f'/-/log-read?topic={quote(topic)}&part={partition}'
+            + f'&from={start}&wait-ms={int(wait_s * 1000)}',
+            b'',
+            wait_s,
+        )
+        if response.head.status == _GONE:
+            first = _decode(response).get('first')
+            raise RecordsExpired(f'{topic} at {start}', first)
+        _require_ok(response)
+        if len(response.body) < _OFFSETS.size:
+            raise LogUnavailable('cut page')
+        end, first_kept = _OFFSETS.unpack_from(response.body)
+        try:
+            records = split_records(response.body[_OFFSETS.size :])
+        except CodecError as error:
+            raise LogUnavailable(str(error)) from error
+        return StorePage(end, first_kept, records)
+
+    async def newest(self, topic: str) -> NewestPage:
+        """Read the newest record of each key; raises LogUnavailable."""
+        records: list[NewestRecord] = []
+        path = f'/-/log-newest?topic={quote(topic)}&part=0'
+        after: str | None = None
+        end: int | None = None
+        while True:
+            suffix = '' if after is None else f'&after={quote(after)}'
+            response = await self._call(b'GET', path + suffix, b'', 0)
+            _require_ok(response)
+            page = _decode(response)
+            # Pages are not one snapshot: reading on from the end of the
+            # first page repeats what changed between them.
+            end = int(page['end']) if end is None else end
+            for item in page.get('items', ()):
+                records.append(
+                    NewestRecord(
+                        str(item['key']),
+                        base64.b64decode(item['value']),
+                        int(item['offset']),
+                    ),
+                )
+            if not page.get('has-more') or not records:
+                return NewestPage(records, end)
+            after = records[-1].key
+
+    async def append(
+        self,
+        topic: str,
+        records: list[bytes],
+        at: int | None = None,
+        partition: int = 0,
+    ) -> AppendResult:
+        """Append records.
+
+        :param at: offset at which the log must end, or None.
+        :return: offset of the first record, or the end if ``at`` differs;
+            raises AppendUnknown or LogUnavailable.
+        """
+        path = f'/-/log-append?topic={quote(topic)}&part={partition}'
+        if at is not None:
+            path = f'{path}&at={at}'
+        try:
+            response = await self._exchange(
+                b'POST',
+                path,
+                join_records(records),
+                0,
+            )
+        except (TargetOutcomeUnknown, TimeoutError) as error:
+            raise AppendUnknown(f'no answer: {error}') from error
+        except TargetUnreachable as error:
+            raise LogUnavailable(str(error)) from error
+        if response.head.status == _PRECONDITION_FAILED:
+            return AppendResult(False, int(_decode(response)['end']))
+        _require_ok(response)
+        return AppendResult(True, int(_decode(response)['offset']))
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._pool.close()
+
+    async def _call(
+        self,
+        method: bytes,
+        path: str,
+        body: bytes,
+        wait_s: float,
+    ) -> Response:
+        try:
+            return await self._exchange(method, path, body, wait_s)
+        except (TargetOutcomeUnknown, TargetUnreachable, TimeoutError) as error:
+            raise LogUnavailable(str(error) or 'timeout') from error
+
+    async def _exchange(
+        self,
+        method: bytes,
+        path: str,
+        body: bytes,
+        wait_s: float,
+    ) -> Response:
+        self.calls += 1
+        connection = await self._pool.acquire(_MAX_IDLE_S)
+        exchange = connection.start(
+            b'%b %b HTTP/1.1' % (method, path.encode()),
+            [
+                (b'Host', str(self._pool.address).encode()),
+                (b'Content-Length', str(len(body)).encode()),
+            ],
+            body,
+        )
+        try:
+            with anyio.fail_after(self._timeout_s + wait_s):
+                head = await exchange.read_head()
+                return Response(head, await exchange.read_body())
+        finally:
+            exchange.close()
+
+
+def _require_ok(response: Response) -> None:
+    if response.head.status != _OK:
+        raise LogUnavailable(f'status {response.head.status}')
+
+
+def _decode(response: Response) -> Any:
+    try:
+        return decode_json(response.body)
+    except CodecError as error:
+        raise LogUnavailable(str(error)) from error
--- /dev/null
+++ b/peridotrill/platform/topics.py
@@ -0,0 +1,54 @@
+"""Keyed topics of the store, read as rows of key and content."""
+
+from typing import NamedTuple, final
+
+from peridotrill.exceptions import CodecError
+from peridotrill.platform.store import (
+    StoreClient,
+    format_keyed,
+    parse_keyed,
+)
+
+
+class KeyedPage(NamedTuple):
+    """Rows of key and content; ``end`` is where to read on."""
+
+    rows: list[tuple[str, bytes]]
+    end: int
+
+
+@final
+class KeyedTopic:
+    """Partition 0 of one keyed topic."""
+
+    def __init__(self, store: StoreClient, topic: str) -> None:
+        """:param topic: its name in the store."""
+        self.unreadable_records = 0
+        self._store = store
+        self._topic = topic
+
+    async def newest(self) -> KeyedPage:
+        """Read the newest record of each key; raises LogUnavailable."""
+        page = await self._store.newest(self._topic)
+        return KeyedPage(
+            [(row.key, row.content) for row in page.records],
+            page.end,
+        )
+
+    async def read(self, start: int, wait_s: float) -> KeyedPage:
+        """Read on from an offset; raises LogUnavailable, RecordsExpired.
+
+        Records that cannot be read are left out: they name no key.
+        """
+        page = await self._store.read(self._topic, start, wait_s)
+        rows: list[tuple[str, bytes]] = []
+        for record in page.records:
+            try:
+                rows.append(parse_keyed(record))
+            except CodecError:
+                self.unreadable_records += 1
+        return KeyedPage(rows, start + len(page.records))
+
+    async def put(self, key: str, content: bytes) -> None:
+        """Write a record; raises AppendUnknown or LogUnavailable."""
+        await self._store.append(self._topic, [format_keyed(key, content)])
--- /dev/null
+++ b/peridotrill/platform/wire.py
@@ -0,0 +1,179 @@
+"""Headers of requests and responses, decoded and written."""
+
+from typing import Any, Final
+
+from peridotrill.codec import decode_json
+from peridotrill.exceptions import CodecError
+from peridotrill.gateway.callers_port import RawRequest
+from peridotrill.gateway.requests import (
+    CallerRequest,
+    Headers,
+    Prompt,
+    PromptPart,
+)
+from peridotrill.gateway.target_messages import (
+    PrefilledPrompt,
+    RequestOptions,
+    TargetLoad,
+    TargetReply,
+)
+from peridotrill.gateway.target_port import ResponseHead
+from peridotrill.platform import names
+
+_BEARER: Final = b'bearer '
+_MISDIRECTED: Final = 421
+
+
+def decode_request(raw: RawRequest) -> CallerRequest | None:
+    """Decode a request; None if its head is not usable."""
+    fields: dict[bytes, bytes] = {}
+    dropped = {
+        token.strip().lower()
+        for name, content in raw.headers
+        if name == b'connection'
+        for token in content.split(b',')
+    }
+    dropped |= names.SYSTEM_HEADERS | names.CONNECTION_HEADERS
+    passed: Headers = []
+    for name, content in raw.headers:
+        fields.setdefault(name, content)
+        if name not in dropped:
+            passed.append((name, content))
+    host = fields.get(b'host')
+    if host is None or not raw.target.startswith(b'/'):
+        return None
+    try:
+        prompt = _decode_prompt(fields)
+        wait_ms = _decode_wait(fields.get(names.DEADLINE_MS))
+    except (ValueError, UnicodeDecodeError):
+        return None
+    return CallerRequest(
+        request_id=fields.get(names.REQUEST_ID, b'').decode('latin-1'),
+        method=raw.method,
+        target=raw.target,
+        host=host.decode('latin-1').rsplit(':', 1)[0].lower(),
+        path=raw.target.split(b'?', 1)[0].decode('latin-1'),
+        headers=passed,
+        body=raw.body,
+        api_key=_decode_key(fields.get(names.AUTHORIZATION)),
+        wait_ms=wait_ms,
+        prompt=prompt,
+        resume_after=fields.get(names.LAST_EVENT_ID),
+        received_s=raw.received_s,
+    )
+
+
+def format_target_request(
+    request: CallerRequest,
+    added: RequestOptions,
+) -> tuple[bytes, Headers]:
+    """Return the request line and the headers for a target."""
+    headers = [
+        *request.headers,
+        (names.EXPECT_INSTANCE, added.target_id.encode()),
+        (names.DEADLINE_MS, b'%d' % max(1, int(added.wait_ms))),
+    ]
+    optional: tuple[tuple[bytes, str | None], ...] = (
+        (names.TENANT, added.team),
+        (names.STAGE, added.role.value if added.role else None),
+        (names.KV_SOURCE, added.kv_source),
+        (names.KV_FETCH, added.kv_fetch),
+    )
+    headers.extend(
+        (name, content.encode()) for name, content in optional if content
+    )
+    if added.priority is not None:
+        headers.append((names.REQ_PRIORITY, b'%d' % added.priority))
+    if added.resume_after is not None:
+        headers.append((names.LAST_EVENT_ID, added.resume_after))
+    if request.body or request.method not in {b'GET', b'HEAD'}:
+        length = str(len(request.body)).encode()
+        headers.append((b'content-length', length))
+    return b'%b %b HTTP/1.1' % (request.method, request.target), headers
+
+
+def matches_request(request_id: str, head: ResponseHead) -> bool:
+    """Tell whether a response belongs to a request.
+
+    A response without an id is taken for the request, because a target that
+    rejects it may leave the id out.
+    """
+    found = head.get(names.REQUEST_ID)
+    return found is None or found.decode('latin-1') == request_id
+
+
+def decode_reply(head: ResponseHead) -> TargetReply:
+    """Decode the head of a target's response."""
+    other = head.status == _MISDIRECTED
+    return TargetReply(
+        status=head.status,
+        headers=[row for row in head.headers if row[0] not in _NOT_RETURNED],
+        is_genuine=head.get(names.ENGINE_STAMP) is not None,
+        not_run=head.get(names.NOT_RUN) is not None or other,
+        is_other_target=other,
+        load=_decode_load(head.get(names.ENGINE_LOAD)),
+    )
+
+
+_NOT_RETURNED: Final = names.CONNECTION_HEADERS | frozenset(
+    (names.ENGINE_LOAD, names.NOT_RUN),
+)
+
+
+def decode_prefilled(body: bytes) -> PrefilledPrompt:
+    """Decode the answer to a prefill; raises CodecError."""
+    document: Any = decode_json(body)
+    try:
+        return PrefilledPrompt(
+            str(document['handle']),
+            int(document['tokens']),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise CodecError(f'invalid prefill answer: {error!r}') from error
+
+
+def format_release(handle: str) -> bytes:
+    """Return the request line that frees a prompt."""
+    return b'DELETE /-/kv-handle/%b HTTP/1.1' % handle.encode()
+
+
+def _decode_key(content: bytes | None) -> str | None:
+    if content is None or not content.lower().startswith(_BEARER):
+        return None
+    return content[len(_BEARER) :].strip().decode('latin-1')
+
+
+def _decode_wait(content: bytes | None) -> float | None:
+    if content is None:
+        return None
+    return float(content) if content.strip() else None
+
+
+def _decode_prompt(fields: dict[bytes, bytes]) -> Prompt | None:
+    counts = fields.get(names.TOKEN_COUNT)
+    if counts is None:
+        return None
+    prompt_tokens, output_tokens = counts.split(b',')
+    parts: list[PromptPart] = []
+    for row in fields.get(names.PROMPT_PREFIX, b'').split(b','):
+        part_id, _, tokens = row.strip().partition(b':')
+        if part_id:
+            parts.append(PromptPart(part_id.decode(), int(tokens)))
+    hint = fields.get(names.LENGTH_HINT)
+    return Prompt(
+        model=fields.get(names.MODEL, b'').decode('latin-1'),
+        prompt_tokens=int(prompt_tokens),
+        max_output_tokens=int(output_tokens),
+        parts=tuple(parts),
+        expected_output_tokens=None if hint is None else int(float(hint)),
+    )
+
+
+def _decode_load(content: bytes | None) -> TargetLoad | None:
+    if content is None:
+        return None
+    try:
+        running, waiting, slots = (int(part) for part in content.split(b','))
+    except ValueError:
+        return None
+    return TargetLoad(running, waiting, slots)
