Queue requests fairly at the gateway and refuse those that come in vain

The gateway's queues now use the product's FairQueue; loads of peers are summed once per report. Short prompts are read at prefill engines, too, long ones at decode engines only while those are nearly idle.

--- a/peridotrill/fair_queue.py
+++ b/peridotrill/fair_queue.py
@@ -141,8 +141,9 @@
 class _ServedRate:
     """Average of the cost that was served per second while some waited."""
 
-    def __init__(self) -> None:
+    def __init__(self, span_s: float) -> None:
         self.tokens_per_s: float | None = None
+        self._span_s = span_s
         self._since_s: float | None = None
         self._tokens = 0.0
 
@@ -151,7 +152,7 @@
             self._since_s = now_s
         self._tokens += cost_tokens
         elapsed_s = now_s - self._since_s
-        if elapsed_s >= _RATE_SPAN_S:
+        if elapsed_s >= self._span_s:
             self.tokens_per_s = self._tokens / elapsed_s
             self._since_s, self._tokens = now_s, 0
 
@@ -167,15 +168,23 @@
     A class with a lower priority number is served first.
     """
 
-    def __init__(self, clock: Clock, bounds: QueueBounds) -> None:
-        """:param bounds: requests beyond them are refused."""
+    def __init__(
+        self,
+        clock: Clock,
+        bounds: QueueBounds,
+        rate_span_s: float = _RATE_SPAN_S,
+    ) -> None:
+        """:param bounds: requests beyond them are refused.
+
+        :param rate_span_s: over which the rate of served cost is averaged.
+        """
         self._clock = clock
         self._bounds = bounds
         self._numbers = itertools.count()
         self._classes: dict[int, _PriorityClass] = {}
         self._tickets: dict[int, Ticket] = {}
         self._size_bytes = 0
-        self._rate = _ServedRate()
+        self._rate = _ServedRate(rate_span_s)
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
--- a/peridotrill/gateway/admission_queue.py
+++ b/peridotrill/gateway/admission_queue.py
@@ -3,131 +3,160 @@
 Targets get little more than they work on at once, so that a request that
 becomes urgent, is cancelled or finds a better target is not stuck behind
 others. Answers the load of days on which callers ask for more than the
-targets give.
+targets give: requests that can still be answered within their goal go first,
+those that cannot be served before their deadline are refused on arrival.
 """
 
 import asyncio
-import heapq
-import itertools
 from collections.abc import Callable
 from typing import Final, NamedTuple, final
 
+from expression import Result
+
 from peridotrill.clock import Clock
+from peridotrill.fair_queue import FairQueue, QueueBounds, Ticket
 from peridotrill.gateway.targets import TargetRecord
 
 # Waiting requests are also looked at without news, since the reports of
 # other gateways free places, too.
 POLL_S: Final = 0.02
+# Added to the priority of requests that missed their goal while waiting.
+_LATE: Final = 100
+# Span over which the rate of a queue is measured; bursts last some seconds.
+_RATE_SPAN_S: Final = 0.6
+_TEAM_WEIGHT: Final = 1.0
 
 
 class Place(NamedTuple):
-    """A place at a target; ``work`` is in the unit of its load."""
+    """A place at a target: a running request, or prompt reading in ms."""
 
     target: TargetRecord
-    work: float
+    running: float = 0
+    reading_ms: float = 0
 
 
 # Returns a place for a request, or None while there is none.
 PlaceFinder = Callable[[], Place | None]
 
 
-class _Waiter(NamedTuple):
-    rank: tuple[float, ...]
-    number: int
+class Wish(NamedTuple):
+    """A request for a place.
+
+    ``goal_s`` and ``give_up_s`` are monotonic times: until when a place lets
+    the request meet its goal, and until when a place is of use at all.
+    """
+
     find: PlaceFinder
-    granted: asyncio.Future[Place | None]
+    team: str
+    priority: int
+    cost: float
+    goal_s: float
     give_up_s: float
-    work: float
+
+
+class _Waiter(NamedTuple):
+    wish: Wish
+    granted: asyncio.Future[Place | None]
 
 
 @final
 class AdmissionQueue:
-    """Requests that wait for the targets of one pool, best rank first."""
+    """Requests that wait for the targets of one pool, fair between teams."""
 
-    def __init__(self, clock: Clock, on_grant: Callable[[Place], None]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        bounds: QueueBounds,
+        on_grant: Callable[[Place], None],
+    ) -> None:
         """:param on_grant: called before a place is handed out."""
         self._clock = clock
         self._on_grant = on_grant
-        self._waiters: list[_Waiter] = []
-        self._numbers = itertools.count()
+        self._queue = FairQueue(clock, bounds, _RATE_SPAN_S)
         self._timer: asyncio.TimerHandle | None = None
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
-        return len(self._waiters)
+        return len(self._queue)
 
-    def waiting_work(self) -> float:
-        """Return the work of the waiting requests."""
-        return sum(waiter.work for waiter in self._waiters)
+    def estimate_wait_s(self, team: str, priority: int) -> float:
+        """Estimate how long a new request would wait."""
+        return self._queue.estimate_wait_s(team, _TEAM_WEIGHT, priority)
 
-    async def acquire(
-        self,
-        find: PlaceFinder,
-        rank: tuple[float, ...],
-        give_up_s: float,
-        work: float = 1,
-    ) -> Place | None:
+    async def acquire(self, wish: Wish) -> Place | None:
         """Wait for a place.
 
-        :param find: looks for a place now.
-        :param rank: lower ones go first.
-        :param give_up_s: monotonic time at which waiting is useless.
-        :return: None if there was no place in time.
+        :return: None, at once if the wait would be in vain, else when the
+            time is over.
         """
-        if not self._waiters or rank < self._waiters[0].rank:
-            place = find()
+        if not self._queue:
+            place = wish.find()
             if place is not None:
                 self._on_grant(place)
                 return place
-        loop = asyncio.get_running_loop()
-        waiter = _Waiter(
-            rank,
-            next(self._numbers),
-            find,
-            loop.create_future(),
-            give_up_s,
-            work,
-        )
-        heapq.heappush(self._waiters, waiter)
-        self._arm()
-        try:
-            return await waiter.granted
-        finally:
-            if not waiter.granted.done() or waiter.granted.cancelled():
-                self._remove(waiter)
+        future = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(wish, future)
+        match self._push(waiter, wish.priority):
+            case Result(tag='ok', ok=_):
+                self.pump()
+                self._arm()
+            case _:
+                return None
+        # A cancelled future is dropped by the next ``pump``.
+        return await future
 
     def pump(self) -> None:
         """Hand out the places that are free now."""
+        for late in self._queue.expire():
+            _settle(late.item, None)
         now_s = self._clock.monotonic_s()
-        blocked: list[_Waiter] = []
-        while self._waiters:
-            waiter = heapq.heappop(self._waiters)
+        while True:
+            ticket = self._queue.peek()
+            if ticket is None:
+                return
+            waiter: _Waiter = ticket.item
             if waiter.granted.done():
-                continue
-            if now_s >= waiter.give_up_s:
-                waiter.granted.set_result(None)
-                continue
-            place = waiter.find()
-            if place is None:
-                blocked.append(waiter)
-                continue
-            self._on_grant(place)
-            waiter.granted.set_result(place)
-        for waiter in blocked:
-            heapq.heappush(self._waiters, waiter)
-
-    def _remove(self, waiter: _Waiter) -> None:
-        if waiter in self._waiters:
-            self._waiters.remove(waiter)
-            heapq.heapify(self._waiters)
+                self._queue.remove(ticket)
+            elif ticket.priority < _LATE and now_s > waiter.wish.goal_s:
+                self._postpone(ticket)
+            else:
+                place = waiter.wish.find()
+                if place is None:
+                    return
+                self._queue.pop()
+                self._on_grant(place)
+                _settle(waiter, place)
+
+    def _push(self, waiter: _Waiter, priority: int) -> Result[Ticket, str]:
+        wish = waiter.wish
+        return self._queue.push(
+            waiter,
+            wish.team,
+            _TEAM_WEIGHT,
+            wish.cost,
+            priority,
+            wish.give_up_s,
+        )
+
+    def _postpone(self, ticket: Ticket) -> None:
+        """Let those go first that can still meet their goal."""
+        self._queue.remove(ticket)
+        waiter: _Waiter = ticket.item
+        pushed = self._push(waiter, ticket.priority + _LATE)
+        if pushed.is_error():
+            _settle(waiter, None)
 
     def _arm(self) -> None:
-        if self._timer is None:
+        if self._timer is None and self._queue:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(POLL_S, self._on_timer)
 
     def _on_timer(self) -> None:
         self._timer = None
         self.pump()
-        if self._waiters:
-            self._arm()
+        self._arm()
+
+
+def _settle(waiter: _Waiter, place: Place | None) -> None:
+    if not waiter.granted.done():
+        waiter.granted.set_result(place)
--- a/peridotrill/gateway/coordinator.py
+++ b/peridotrill/gateway/coordinator.py
@@ -13,8 +13,6 @@
 from datetime import timedelta
 from typing import Any, Final, NamedTuple, Protocol, final
 
-import anyio
-
 from peridotrill.clock import MAX_CLOCK_DRIFT, Clock
 from peridotrill.codec import decode_json, encode_json
 from peridotrill.exceptions import (
@@ -114,7 +112,7 @@
                 await self._renew()
             elif may_claim:
                 await self._claim()
-        except (LogUnavailable, AppendUnknown) as error:
+        except (LogUnavailable, AppendUnknown, RecordsExpired) as error:
             self._events.write('coordination_failed', error=str(error))
         self._drop_expired()
 
@@ -126,7 +124,12 @@
         if self._lease is None:
             return False
         record = {'kind': 'usage', 'window': window, 'counts': counts}
-        if not await self._append(record):
+        try:
+            is_mine = await self._append(record)
+        except (LogUnavailable, AppendUnknown, RecordsExpired) as error:
+            self._events.write('coordination_failed', error=str(error))
+            return False
+        if not is_mine:
             return False
         self._keep_usage(window, counts)
         return True
--- a/peridotrill/gateway/event_log.py
+++ b/peridotrill/gateway/event_log.py
@@ -2,6 +2,7 @@
 
 import logging
 import sys
+import traceback
 from typing import Any, Final, final
 
 from peridotrill.clock import Clock
@@ -54,3 +55,8 @@
             self.dropped_lines += 1
             return
         self._logger.info(event, extra=fields)
+
+    def write_fault(self, event: str, error: Exception, **fields: Any) -> None:
+        """Write an event for an unexpected error, with its traceback."""
+        trace = ''.join(traceback.format_exception(error))
+        self.write(event, error=repr(error), trace=trace, **fields)
--- a/peridotrill/gateway/loads.py
+++ b/peridotrill/gateway/loads.py
@@ -4,17 +4,24 @@
 from typing import Final, final
 
 from peridotrill.clock import Clock
+from peridotrill.gateway.admission_queue import Place
 
 # A report of another gateway counts for this long; its process may be gone.
 _REPORT_LIFETIME_S: Final = 1.0
+# A target's own figure counts for this long; requests end meanwhile.
+_REPORTED_LIFETIME_S: Final = 0.15
+
+
+def reading_key(target_id: str) -> str:
+    """Return the key under which a target's prompt reading is counted."""
+    return f'{target_id}/read'
 
 
 @final
 class LoadBook:
-    """Work in progress by target.
+    """Work in progress by target or by the key of its prompt reading.
 
-    The unit depends on the target: running requests, or milliseconds of
-    prompt reading for prefill engines.
+    The unit is running requests, or milliseconds of prompt reading.
     """
 
     def __init__(self, clock: Clock) -> None:
@@ -22,9 +29,25 @@
         self._clock = clock
         self._own: dict[str, float] = {}
         self._peers: dict[str, tuple[float, Mapping[str, float]]] = {}
+        self._peer_sums: dict[str, float] = {}
+        self._reported: dict[str, tuple[float, float]] = {}
+
+    def begin(self, place: Place) -> None:
+        """Count the work of a place."""
+        target_id = place.target.target_id
+        self.add(target_id, place.running)
+        self.add(reading_key(target_id), place.reading_ms)
+
+    def end(self, place: Place) -> None:
+        """End the work of a place."""
+        target_id = place.target.target_id
+        self.remove(target_id, place.running)
+        self.remove(reading_key(target_id), place.reading_ms)
 
     def add(self, target_id: str, work: float) -> None:
         """Begin work at a target."""
+        if not work:
+            return
         self._own[target_id] = self._own.get(target_id, 0) + work
 
     def remove(self, target_id: str, work: float) -> None:
@@ -42,13 +65,36 @@
 
     def observe_peer(self, peer: str, work: Mapping[str, float]) -> None:
         """Take over a report of another gateway."""
-        self._peers[peer] = (self._clock.monotonic_s(), work)
+        now_s = self._clock.monotonic_s()
+        self._peers[peer] = (now_s, work)
+        sums: dict[str, float] = {}
+        for name, (heard_s, rows) in list(self._peers.items()):
+            if now_s - heard_s > _REPORT_LIFETIME_S:
+                self._peers.pop(name)
+                continue
+            for key, amount in rows.items():
+                sums[key] = sums.get(key, 0) + amount
+        self._peer_sums = sums
 
-    def total(self, target_id: str) -> float:
-        """Return the work of all gateways at a target."""
+    def observe_target(self, target_id: str, requests: float) -> None:
+        """Take over the number of requests that a target says it has."""
+        self._reported[target_id] = (self._clock.monotonic_s(), requests)
+
+    def forget_silent_peers(self) -> None:
+        """Drop the reports that are too old, while no new ones arrive."""
         oldest_s = self._clock.monotonic_s() - _REPORT_LIFETIME_S
-        return self._own.get(target_id, 0) + sum(
-            work.get(target_id, 0)
-            for heard_s, work in self._peers.values()
-            if heard_s >= oldest_s
-        )
+        if all(heard_s < oldest_s for heard_s, _ in self._peers.values()):
+            self._peers.clear()
+            self._peer_sums = {}
+
+    def total(self, key: str) -> float:
+        """Return the work of all gateways at a target.
+
+        A recent figure of the target itself counts if it is higher.
+        """
+        counted = self._own.get(key, 0) + self._peer_sums.get(key, 0)
+        reported = self._reported.get(key)
+        if reported is None or reported[1] <= counted:
+            return counted
+        age_s = self._clock.monotonic_s() - reported[0]
+        return reported[1] if age_s < _REPORTED_LIFETIME_S else counted
--- a/peridotrill/gateway/plain_runs.py
+++ b/peridotrill/gateway/plain_runs.py
@@ -4,7 +4,8 @@
 
 from peridotrill.exceptions import TargetOutcomeUnknown, TargetUnreachable
 from peridotrill.gateway.admission_queue import Place
-from peridotrill.gateway.metrics import ATTEMPTS, QUEUE_S
+from peridotrill.gateway.metrics import ATTEMPTS
+from peridotrill.gateway.pools import Pool
 from peridotrill.gateway.serving import RequestRun
 from peridotrill.gateway.target_health import Failure
 from peridotrill.gateway.target_messages import RequestOptions, TargetReply
@@ -39,19 +40,16 @@
 
 
 async def _find_place(run: RequestRun) -> Place:
-    shared = run.shared
-    queued_s = shared.clock.monotonic_s()
-    place = await shared.placement.queue(run.service, None).acquire(
-        shared.placement.plain_finder(run.service, run.excluded),
-        (run.priority, run.request.received_s),
+    placement = run.shared.placement
+    if not placement.has_target(run.service, run.excluded):
+        raise run.refuse('no_target')
+    finder = placement.plain_finder(run.service, run.excluded)
+    return await run.find_place(
+        Pool.PLAIN,
+        finder,
+        1,
         run.deadline_s - _MIN_USEFUL_S,
     )
-    waited_s = shared.clock.monotonic_s() - queued_s
-    run.queue_s += waited_s
-    QUEUE_S.labels(run.service).observe(waited_s)
-    if place is None:
-        raise run.refuse('no_place_in_time')
-    return place
 
 
 async def _try_target(
@@ -76,6 +74,7 @@
         )
         run.note_sent(target)
         reply = await shared.targets.read_reply(exchange)
+        run.note_load(target, reply)
         body = await exchange.read_body()
     except TargetUnreachable as error:
         run.note_failure(target, Failure.UNREACHABLE, str(error))
--- a/peridotrill/gateway/pools.py
+++ b/peridotrill/gateway/pools.py
@@ -1,21 +1,25 @@
 """Places at targets: which targets may take a request, and how many."""
 
+import enum
 from typing import Final, final
 
 from peridotrill.clock import Clock
+from peridotrill.fair_queue import QueueBounds
 from peridotrill.gateway.admission_queue import (
     AdmissionQueue,
     Place,
     PlaceFinder,
 )
 from peridotrill.gateway.beliefs import Beliefs
-from peridotrill.gateway.loads import LoadBook
+from peridotrill.gateway.loads import LoadBook, reading_key
 from peridotrill.gateway.prompt_placement import (
     MIN_SPLIT_TOKENS,
+    EngineLoads,
     Loads,
+    ReadingLimits,
     choose_decode,
     choose_least_loaded,
-    choose_prefill,
+    choose_reader,
     estimate_prefill_ms,
     find_home,
 )
@@ -23,12 +27,28 @@
 from peridotrill.gateway.target_health import TargetHealth
 from peridotrill.gateway.targets import TargetRecord, TargetRole
 
-# Prompt reading that may be in progress or waiting at one prefill engine.
-# Enough to keep it busy between two reports, little enough that the order of
-# the queue decides.
-MAX_PREFILL_WORK_MS: Final = 160.0
-# Reading at another engine than the home means moving the shared part.
-_MOVED_MS: Final = 25.0
+# Enough to keep an engine busy between two reports of the gateways, little
+# enough that the order of the queue decides. Decode engines get less, since
+# reading delays the tokens of their running requests.
+READING_LIMITS: Final = ReadingLimits(
+    prefill_ms=160,
+    short_ms=60,
+    long_ms=4,
+    long_running=12,
+)
+
+
+# Bounds the memory and the time that waiting requests take.
+_QUEUE_BOUNDS: Final = QueueBounds(max_requests=400, max_bytes=1)
+
+
+class Pool(enum.Enum):
+    """What requests of a service wait for, in the order of service."""
+
+    PLAIN = 0
+    DECODE = 1
+    SHORT_READING = 2
+    LONG_READING = 3
 
 
 @final
@@ -49,38 +69,54 @@
         self._clock = clock
         self._own_zone = own_zone
         self._loads = Loads(loads.total, health.is_avoided)
-        self._queues: dict[tuple[str, TargetRole | None], AdmissionQueue] = {}
+        self._engine_loads = EngineLoads(
+            self._reading_ms,
+            loads.total,
+            health.is_avoided,
+        )
+        self._queues: dict[tuple[str, Pool], AdmissionQueue] = {}
 
-    def queue(
-        self,
-        service: str,
-        role: TargetRole | None,
-    ) -> AdmissionQueue:
+    def queue(self, service: str, pool: Pool) -> AdmissionQueue:
         """Return the queue of a pool of targets."""
-        key = (service, role)
+        key = (service, pool)
         if key not in self._queues:
-            self._queues[key] = AdmissionQueue(self._clock, self._begin)
+            self._queues[key] = AdmissionQueue(
+                self._clock,
+                _QUEUE_BOUNDS,
+                self._book.begin,
+            )
+            # Places are handed out in the order of the pools.
+            self._queues = dict(
+                sorted(self._queues.items(), key=lambda row: row[0][1].value),
+            )
         return self._queues[key]
 
+    def has_target(self, service: str, excluded: set[str]) -> bool:
+        """Tell whether a service has a target that may still be tried."""
+        return any(
+            row.target_id not in excluded
+            for row in self._beliefs.usable_targets(service)
+        )
+
     def release(self, place: Place, service: str) -> None:
         """Give a place back."""
-        self._book.remove(place.target.target_id, place.work)
-        queue = self._queues.get((service, place.target.role))
-        if queue is not None:
-            queue.pump()
+        self._book.end(place)
+        self._pump(service)
+
+    def _pump(self, service: str) -> None:
+        for (name, _), queue in self._queues.items():
+            if name == service:
+                queue.pump()
 
     def pump(self) -> None:
         """Hand out places after news about targets or loads."""
+        self._book.forget_silent_peers()
         for queue in self._queues.values():
             queue.pump()
 
-    def needs_prefill(self, service: str, prompt: Prompt | None) -> bool:
-        """Tell whether a prefill engine should read the prompt."""
-        if prompt is None or prompt.prompt_tokens < MIN_SPLIT_TOKENS:
-            return False
-        return bool(
-            self._beliefs.usable_targets(service, TargetRole.PREFILL),
-        )
+    def is_long(self, prompt: Prompt | None) -> bool:
+        """Tell whether the prompt is placed by its reading."""
+        return prompt is not None and (prompt.prompt_tokens >= MIN_SPLIT_TOKENS)
 
     def plain_finder(self, service: str, excluded: set[str]) -> PlaceFinder:
         """Return a finder for a target of a plain service."""
@@ -93,7 +129,7 @@
                 and self._book.total(row.target_id) < row.slots
             ]
             target = choose_least_loaded(targets, self._loads, self._own_zone)
-            return None if target is None else Place(target, 1)
+            return None if target is None else Place(target, running=1)
 
         return find
 
@@ -121,38 +157,54 @@
                 self._loads,
                 self._own_zone,
             )
-            return None if target is None else Place(target, 1)
+            return None if target is None else Place(target, running=1)
 
         return find
 
-    def prefill_finder(
+    def reading_finder(
         self,
         service: str,
         prompt: Prompt,
         excluded: set[str],
     ) -> PlaceFinder:
-        """Return a finder for the engine that reads a prompt."""
-        work_ms = self.prefill_work_ms(prompt)
+        """Return a finder for the engine that reads a long prompt.
+
+        A decode engine that reads the prompt also generates the output.
+        """
 
         def find() -> Place | None:  # noqa: WPS430
             targets = [
                 row
-                for row in self._beliefs.usable_targets(
-                    service,
-                    TargetRole.PREFILL,
-                )
+                for row in self._beliefs.usable_targets(service)
                 if row.target_id not in excluded
-                and self._book.total(row.target_id) < MAX_PREFILL_WORK_MS
+                and self._book.total(row.target_id) < row.slots
             ]
-            target = choose_prefill(prompt, targets, self._loads, _MOVED_MS)
-            return None if target is None else Place(target, work_ms)
+            found = choose_reader(
+                prompt,
+                targets,
+                self._engine_loads,
+                READING_LIMITS,
+            )
+            if found is None:
+                return None
+            running = 0 if found.target.role is TargetRole.PREFILL else 1
+            return Place(found.target, running, found.work_ms)
 
         return find
 
-    def prefill_work_ms(self, prompt: Prompt) -> float:
+    def reading_work_ms(self, prompt: Prompt) -> float:
         """Estimate the work of reading a prompt with its parts cached."""
         return estimate_prefill_ms(prompt, prompt.shared_tokens)
 
+    def end_reading(self, place: Place, service: str) -> Place:
+        """Give back the reading part of a place; return what is left."""
+        self._book.end(Place(place.target, 0, place.reading_ms))
+        self._pump(service)
+        return Place(place.target, place.running)
+
+    def _reading_ms(self, target_id: str) -> float:
+        return self._book.total(reading_key(target_id))
+
     def decode_home(
         self,
         service: str,
@@ -163,6 +215,3 @@
             prompt,
             self._beliefs.usable_targets(service, TargetRole.DECODE),
         )
-
-    def _begin(self, place: Place) -> None:
-        self._book.add(place.target.target_id, place.work)
--- a/peridotrill/gateway/prompt_placement.py
+++ b/peridotrill/gateway/prompt_placement.py
@@ -9,7 +9,7 @@
 from typing import Final, NamedTuple
 
 from peridotrill.gateway.requests import Prompt
-from peridotrill.gateway.targets import TargetRecord
+from peridotrill.gateway.targets import TargetRecord, TargetRole
 from peridotrill.placement import home_target
 
 # A prompt with at least this many tokens is read by a prefill engine: at a
@@ -21,6 +21,12 @@
 _MS_PER_MILLION_PAIRS: Final = 0.218
 _SETUP_MS: Final = 8.0
 _MILLION: Final = 1e6
+# Decode engines read prompts at half the speed of prefill engines.
+DECODE_READING_FACTOR: Final = 2.0
+# Time to move a read prompt to the engine that generates the output.
+_MOVED_MS: Final = 25.0
+# Disadvantage of reading at a decode engine, which delays others' tokens.
+_DISTURBED_MS: Final = 40.0
 # Running requests by which the home of a prompt may exceed the least loaded
 # decode engine before that one is used instead.
 _HOME_SLACK: Final = 12
@@ -106,23 +112,75 @@
     return least if excess > _HOME_SLACK else home
 
 
-def choose_prefill(
+class ReadingLimits(NamedTuple):
+    """How much work an engine may have and still read a further prompt.
+
+    ``prefill_ms`` and ``short_ms`` bound the reading in progress at prefill
+    engines, and at decode engines for short prompts. Long prompts are read
+    by decode engines only with at most ``long_ms`` of reading and
+    ``long_running`` running requests: reading delays their tokens.
+    """
+
+    prefill_ms: float
+    short_ms: float
+    long_ms: float
+    long_running: float
+
+
+class ReadingPlace(NamedTuple):
+    """Where a prompt is read, and the work that this means there."""
+
+    target: TargetRecord
+    work_ms: float
+
+
+class EngineLoads(NamedTuple):
+    """Look-ups by target: reading in ms, running requests, health."""
+
+    reading_ms: Callable[[str], float]
+    running: Callable[[str], float]
+    is_avoided: Callable[[str], bool]
+
+
+def choose_reader(
     prompt: Prompt,
     targets: Sequence[TargetRecord],
-    loads: Loads,
-    moved_ms: float,
-) -> TargetRecord | None:
-    """Return the engine that reads a prompt soonest.
-
-    :param moved_ms: what it costs to read at another engine than the home.
+    loads: EngineLoads,
+    limits: ReadingLimits,
+) -> ReadingPlace | None:
+    """Return the engine that reads a prompt soonest, or None if all are full.
+
+    Prefill engines read twice as fast as decode engines and delay nobody's
+    output, but their result must be moved. Decode engines read what the
+    prefill engines have no room for.
     """
-    home = find_home(prompt, targets)
-    return min(
-        targets,
-        key=lambda target: (
+    best: tuple[bool, float, str] | None = None
+    chosen = None
+    is_long = prompt.prompt_tokens >= MIN_SPLIT_TOKENS
+    for target in targets:
+        waiting_ms = loads.reading_ms(target.target_id)
+        work_ms = estimate_prefill_ms(prompt, prompt.shared_tokens)
+        extra_ms = _MOVED_MS
+        if target.role is TargetRole.PREFILL:
+            is_full = waiting_ms >= limits.prefill_ms
+        else:
+            work_ms *= DECODE_READING_FACTOR
+            running = loads.running(target.target_id)
+            extra_ms = _DISTURBED_MS + running
+            is_full = waiting_ms >= limits.short_ms
+            if is_long:
+                is_full = (
+                    waiting_ms >= limits.long_ms
+                    or running >= limits.long_running
+                )
+        if is_full:
+            continue
+        rank = (
             loads.is_avoided(target.target_id),
-            loads.work(target.target_id) + (0 if target == home else moved_ms),
+            waiting_ms + work_ms + extra_ms,
             target.target_id,
-        ),
-        default=None,
-    )
+        )
+        if best is None or rank < best:
+            best = rank
+            chosen = ReadingPlace(target, work_ms)
+    return chosen
--- a/peridotrill/gateway/request_handler.py
+++ b/peridotrill/gateway/request_handler.py
@@ -14,6 +14,7 @@
 )
 from peridotrill.gateway.plain_runs import run_plain
 from peridotrill.gateway.refusals import (
+    BAD_GATEWAY,
     BAD_REQUEST,
     NOT_FOUND,
     TOO_MANY_REQUESTS,
@@ -81,6 +82,15 @@
                 await execute(run)
             except Refused as error:
                 run.fail(error)
+            except Exception as error:  # noqa: BLE001
+                # A fault in the handling of one request must not end the
+                # process, which serves all the others.
+                self._shared.log.write_fault(
+                    'request_fault',
+                    error,
+                    request=run.request.request_id,
+                )
+                run.fail(Refused(BAD_GATEWAY, 'internal_error'))
         if scope.cancelled_caught:
             run.expire()
 
@@ -101,7 +111,7 @@
         if route is None:
             raise Refused(NOT_FOUND, 'route_unknown')
         team = self._find_team(request, route, configuration)
-        service = random.choices(  # noqa: S311
+        service = random.choices(
             [row.service for row in route.services],
             [row.weight for row in route.services],
         )[0]
--- a/peridotrill/gateway/serving.py
+++ b/peridotrill/gateway/serving.py
@@ -5,12 +5,14 @@
 
 from peridotrill.clock import Clock
 from peridotrill.exceptions import PeridotrillError
+from peridotrill.gateway.admission_queue import Place, PlaceFinder, Wish
 from peridotrill.gateway.beliefs import Beliefs
 from peridotrill.gateway.callers_port import Responder
 from peridotrill.gateway.configuration import Route, Team
 from peridotrill.gateway.event_log import EventLog
-from peridotrill.gateway.metrics import ATTEMPTS
-from peridotrill.gateway.pools import Placement
+from peridotrill.gateway.loads import LoadBook
+from peridotrill.gateway.metrics import ATTEMPTS, QUEUE_S
+from peridotrill.gateway.pools import Placement, Pool
 from peridotrill.gateway.refusals import (
     BAD_GATEWAY,
     GATEWAY_TIMEOUT,
@@ -21,13 +23,14 @@
 from peridotrill.gateway.requests import CallerRequest
 from peridotrill.gateway.target_calls import TargetCaller
 from peridotrill.gateway.target_health import Failure, TargetHealth
-from peridotrill.gateway.target_messages import Wire
-from peridotrill.gateway.targets import TargetRecord
+from peridotrill.gateway.target_messages import TargetReply, Wire
+from peridotrill.gateway.targets import TargetRecord, TargetRole
 from peridotrill.gateway.team_quotas import TeamQuotas
 from peridotrill.gateway.usage_counts import UsageCounts
 
 # Retry-After where nothing better is known.
 DEFAULT_RETRY_AFTER_S: Final = 0.5
+_MAX_RETRY_AFTER_S: Final = 2.0
 
 
 class Services(NamedTuple):
@@ -39,11 +42,12 @@
     targets: TargetCaller
     placement: Placement
     health: TargetHealth
+    loads: LoadBook
     quotas: TeamQuotas
     budget: RepeatBudget
     usage: UsageCounts
     log: EventLog
-    start_task: Callable[..., None]
+    start_task: Callable[..., Any]
 
 
 class Refused(PeridotrillError):
@@ -105,6 +109,50 @@
         """Return the time until the caller stops waiting."""
         return self.deadline_s - self.shared.clock.monotonic_s()
 
+    async def find_place(
+        self,
+        pool: Pool,
+        finder: PlaceFinder,
+        cost: float,
+        give_up_s: float,
+    ) -> Place:
+        """Wait for a place; raises Refused if there is none in time.
+
+        :param cost: work of the request, for fairness between teams.
+        """
+        shared = self.shared
+        queue = shared.placement.queue(self.service, pool)
+        queued_s = shared.clock.monotonic_s()
+        team = self.team.name if self.team else ''
+        place = await queue.acquire(
+            Wish(
+                finder,
+                team,
+                self.priority,
+                cost,
+                self.request.received_s + self.route.goal_ms / 1000,
+                give_up_s,
+            ),
+        )
+        waited_s = shared.clock.monotonic_s() - queued_s
+        self.queue_s += waited_s
+        QUEUE_S.labels(pool.name.lower()).observe(waited_s)
+        if place is None:
+            wait_s = queue.estimate_wait_s(team, self.priority)
+            raise self.refuse(
+                'no_place_in_time',
+                min(_MAX_RETRY_AFTER_S, max(DEFAULT_RETRY_AFTER_S, wait_s)),
+            )
+        return place
+
+    def note_load(self, target: TargetRecord, reply: TargetReply) -> None:
+        """Remember the load that a target reported."""
+        if reply.load is not None and target.role is not TargetRole.PREFILL:
+            self.shared.loads.observe_target(
+                target.target_id,
+                reply.load.running + reply.load.waiting,
+            )
+
     def note_sent(self, target: TargetRecord) -> None:
         """Note that a target has been given the request to run."""
         self.targets_used.append(target.target_id)
--- a/peridotrill/gateway/stream_runs.py
+++ b/peridotrill/gateway/stream_runs.py
@@ -10,7 +10,9 @@
 )
 from peridotrill.gateway.admission_queue import Place
 from peridotrill.gateway.event_stream import EventSplitter
-from peridotrill.gateway.metrics import ATTEMPTS, QUEUE_S
+from peridotrill.gateway.metrics import ATTEMPTS
+from peridotrill.gateway.pools import Pool
+from peridotrill.gateway.requests import Prompt
 from peridotrill.gateway.serving import RequestRun
 from peridotrill.gateway.target_health import Failure
 from peridotrill.gateway.target_messages import RequestOptions, TargetReply
@@ -20,6 +22,8 @@
 _OK: Final = 200
 _FIRST_ERROR: Final = 300
 _MIN_USEFUL_S: Final = 0.05
+# Time of a token at an engine that is nearly idle.
+_TOKEN_S: Final = 0.0045
 # Rank of a route with priority 0 at an engine, where 5 is the default.
 _ENGINE_PRIORITY_BASE: Final = 3
 _ENGINE_PRIORITY_MAX: Final = 9
@@ -34,14 +38,17 @@
 
 async def run_stream(run: RequestRun) -> None:
     """Serve a request; raises Refused."""
-    prepared = None
-    if run.shared.placement.needs_prefill(run.service, run.request.prompt):
+    prepared: PreparedPrompt | Place | None = None
+    if run.request.prompt is not None:
         prepared = await _prepare(run)
-    generation = _Generation(run, prepared)
+    if isinstance(prepared, Place):
+        generation = _Generation(run, None, prepared)
+    else:
+        generation = _Generation(run, prepared)
     try:
         await generation.execute()
     finally:
-        if prepared is not None and not generation.took_prompt:
+        if isinstance(prepared, PreparedPrompt) and not generation.took_prompt:
             run.shared.start_task(_release, run, prepared)
 
 
@@ -60,11 +67,13 @@
         )
 
 
-async def _prepare(run: RequestRun) -> PreparedPrompt | None:
-    """Have the prompt read; None if the output engine must read it."""
+async def _prepare(run: RequestRun) -> PreparedPrompt | Place:
+    """Have the prompt read, or return the place of an engine that does both."""
     excluded: set[str] = set()
     while True:
-        place = await _find_prefill(run, excluded)
+        place = await _find_reader(run, excluded)
+        if place.target.role is not TargetRole.PREFILL:
+            return place
         excluded.add(place.target.target_id)
         prepared, was_sent = await _try_prefill(run, place)
         if prepared is not None:
@@ -74,31 +83,22 @@
             run.shared.quotas.gateways,
         ):
             raise run.refuse('prefill_failed')
-        others = run.shared.beliefs.usable_targets(
-            run.service,
-            TargetRole.PREFILL,
-        )
-        if not any(row.target_id not in excluded for row in others):
-            return None
 
 
-async def _find_prefill(run: RequestRun, excluded: set[str]) -> Place:
-    shared = run.shared
+async def _find_reader(run: RequestRun, excluded: set[str]) -> Place:
+    placement = run.shared.placement
     prompt = run.request.prompt
-    if prompt is None:
-        raise run.refuse('no_prompt')
-    queued_s = shared.clock.monotonic_s()
-    queue = shared.placement.queue(run.service, TargetRole.PREFILL)
-    place = await queue.acquire(
-        shared.placement.prefill_finder(run.service, prompt, excluded),
-        (run.priority, run.request.received_s),
-        run.deadline_s - _MIN_USEFUL_S,
-        shared.placement.prefill_work_ms(prompt),
+    if prompt is None or not placement.has_target(run.service, excluded):
+        raise run.refuse('no_target')
+    pool = Pool.SHORT_READING
+    if placement.is_long(prompt):
+        pool = Pool.LONG_READING
+    return await run.find_place(
+        pool,
+        placement.reading_finder(run.service, prompt, excluded),
+        placement.reading_work_ms(prompt),
+        run.deadline_s - _MIN_USEFUL_S - _output_s(prompt),
     )
-    _note_queued(run, 'prefill', queued_s)
-    if place is None:
-        raise run.refuse('no_place_in_time')
-    return place
 
 
 async def _try_prefill(
@@ -150,14 +150,15 @@
     return PreparedPrompt(target, handle), True
 
 
-def _engine_priority(run: RequestRun) -> int:
-    return min(_ENGINE_PRIORITY_MAX, _ENGINE_PRIORITY_BASE + run.priority)
+def _output_s(prompt: Prompt) -> float:
+    """Return the least time that the expected output takes."""
+    expected = prompt.expected_output_tokens or 0
+    tokens = min(expected, prompt.max_output_tokens)
+    return tokens * _TOKEN_S
 
 
-def _note_queued(run: RequestRun, pool: str, queued_s: float) -> None:
-    waited_s = run.shared.clock.monotonic_s() - queued_s
-    run.queue_s += waited_s
-    QUEUE_S.labels(f'{run.service}/{pool}').observe(waited_s)
+def _engine_priority(run: RequestRun) -> int:
+    return min(_ENGINE_PRIORITY_MAX, _ENGINE_PRIORITY_BASE + run.priority)
 
 
 @final
@@ -168,9 +169,12 @@
         self,
         run: RequestRun,
         prepared: PreparedPrompt | None,
+        place: Place | None = None,
     ) -> None:
+        """:param place: of an engine that reads the prompt itself."""
         self._run = run
         self._prepared = prepared
+        self._place = place
         self._last_id = run.request.resume_after
         self._events = 0
         self.took_prompt = False
@@ -178,30 +182,41 @@
     async def execute(self) -> None:
         """Stream the whole output; raises Refused."""
         while True:
-            place = await self._find_place()
+            if self._place is None:
+                self._place = await self._find_place()
             try:
-                if await self._try_target(place):
+                if await self._try_target(self._place):
                     return
             finally:
-                self._run.shared.placement.release(place, self._run.service)
+                self._run.shared.placement.release(
+                    self._place,
+                    self._run.service,
+                )
+                self._place = None
+
+    def _end_reading(self) -> None:
+        """Note that the engine has read the prompt: its output begins."""
+        if self._place is not None and self._place.reading_ms:
+            self._place = self._run.shared.placement.end_reading(
+                self._place,
+                self._run.service,
+            )
 
     async def _find_place(self) -> Place:
         run = self._run
-        queued_s = run.shared.clock.monotonic_s()
-        queue = run.shared.placement.queue(run.service, TargetRole.DECODE)
-        place = await queue.acquire(
-            run.shared.placement.decode_finder(
+        placement = run.shared.placement
+        if not placement.has_target(run.service, run.excluded):
+            raise run.refuse('no_target')
+        return await run.find_place(
+            Pool.DECODE,
+            placement.decode_finder(
                 run.service,
                 run.request.prompt,
                 run.excluded,
             ),
-            (run.priority, run.request.received_s),
+            1,
             run.deadline_s - _MIN_USEFUL_S,
         )
-        _note_queued(run, 'decode', queued_s)
-        if place is None:
-            raise run.refuse('no_place_in_time')
-        return place
 
     async def _try_target(self, place: Place) -> bool:
         """Return whether the answer is complete; else try another."""
@@ -212,6 +227,7 @@
         try:
             exchange = await self._send(target)
             reply = await run.shared.targets.read_reply(exchange)
+            run.note_load(target, reply)
             if reply.not_run:
                 return await self._note_not_run(target, reply)
             self.took_prompt = True
@@ -244,6 +260,8 @@
             source = f'{address}/{self._prepared.handle}'
         elif self._prepared is not None:
             fetch = str(self._prepared.target.address)
+        elif run.shared.placement.is_long(run.request.prompt):
+            fetch = self._find_fetch(target)
         exchange = await run.shared.targets.send(
             run.request,
             target,
@@ -261,6 +279,19 @@
         run.note_sent(target)
         return exchange
 
+    def _find_fetch(self, target: TargetRecord) -> str | None:
+        """Return the engine that most likely keeps the shared parts."""
+        run = self._run
+        if run.request.prompt is None:
+            return None
+        home = run.shared.placement.decode_home(
+            run.service,
+            run.request.prompt,
+        )
+        if home is None or home.target_id == target.target_id:
+            return None
+        return str(home.address)
+
     async def _note_not_run(
         self,
         target: TargetRecord,
@@ -322,6 +353,7 @@
         event_id: bytes | None,
     ) -> None:
         run = self._run
+        self._end_reading()
         if not run.responder.has_started:
             run.first_byte_s = run.shared.clock.monotonic_s()
             run.count_start()
--- a/peridotrill/gateway/target_port.py
+++ b/peridotrill/gateway/target_port.py
@@ -171,6 +171,7 @@
         # Seconds for which the target keeps an idle connection, if it says.
         self.keep_alive_s: float | None = None
         self._skipped = 0
+        self._is_until_eof = False
         self._reset_message()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/peridotrill/gateway/team_quotas.py
+++ b/peridotrill/gateway/team_quotas.py
@@ -7,6 +7,7 @@
 not reported for a while is taken to use its full part of the rate.
 """
 
+import math
 from collections.abc import Mapping
 from typing import Final, NamedTuple, final
 
@@ -16,8 +17,17 @@
 # A peer without reports for longer than this is taken to spend its share.
 PEER_STALE_S: Final = 0.6
 _MAX_RETRY_AFTER_S: Final = 5.0
+# Not before the next reports of the other gateways have arrived.
+_MIN_RETRY_AFTER_S: Final = 0.15
 # Bounds the refill after a pause of the process.
 _MAX_REFILL_S: Final = 1.0
+# Part of the tolerated excess that the buckets hold in addition to the burst.
+# The rest covers what gateways admit before they hear of each other.
+_USED_EXCESS: Final = 0.4
+# Part of the level that is divided evenly; the rest goes by recent use.
+_EVEN_PART: Final = 0.4
+# Time in which recent use falls to 1/e.
+_RECENT_USE_S: Final = 1.5
 
 
 class QuotaDecision(NamedTuple):
@@ -33,15 +43,23 @@
         self.level = 0.0
         self.filled_s = now_s
         self.spent_since_report = 0.0
+        # Recent use of this gateway and of all, with exponential decay.
+        self.own_use = 0.0
+        self.all_use = 0.0
 
 
 @final
 class TeamQuotas:
     """The buckets of all teams, as one gateway sees them."""
 
-    def __init__(self, clock: Clock) -> None:
-        """Buckets start empty: what was spent before is not known."""
+    def __init__(self, clock: Clock, tolerated_excess: float = 0) -> None:
+        """Buckets start empty: what was spent before is not known.
+
+        :param tolerated_excess: by which the sum over all gateways may
+            exceed a limit.
+        """
         self._clock = clock
+        self._excess = tolerated_excess * _USED_EXCESS
         self._buckets: dict[str, _Bucket] = {}
         self._teams: Mapping[str, Team] = {}
         self._spent: dict[str, float] = {}
@@ -90,7 +108,9 @@
             before = self._peer_spent.get((source, team))
             self._peer_spent[source, team] = max(total, before or 0)
             if before is not None and team in self._buckets:
-                self._buckets[team].level -= max(0, total - before)
+                used = max(0, total - before)
+                self._buckets[team].level -= used
+                self._buckets[team].all_use += used
 
     def end_report_interval(self) -> None:
         """Start a new interval; the own totals are being reported."""
@@ -106,22 +126,24 @@
             return QuotaDecision(True, 0)
         now_s = self._clock.monotonic_s()
         bucket = self._refill(team, now_s)
-        part = bucket.level / self.gateways
-        available = min(bucket.level, part - bucket.spent_since_report)
+        part = bucket.level * self._own_part(bucket)
+        available = part - bucket.spent_since_report
         # A request larger than a gateway's part passes when the bucket as a
         # whole can bear it and this gateway has just reported.
         fits = available >= cost or (
-            bucket.level >= max(cost, team.burst / 2)
+            bucket.level >= max(2 * cost, team.burst / 2)
             and bucket.spent_since_report <= 0
         )
         if not fits:
             wait_s = (cost - min(available, bucket.level)) / team.rate_per_s
             return QuotaDecision(
                 False,
-                min(_MAX_RETRY_AFTER_S, max(0.1, wait_s)),
+                min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s)),
             )
         bucket.level -= cost
         bucket.spent_since_report += cost
+        bucket.own_use += cost
+        bucket.all_use += cost
         self._spent[team.name] = self._spent.get(team.name, 0) + cost
         return QuotaDecision(True, 0)
 
@@ -129,7 +151,7 @@
         """Give back the cost of a request that did not run."""
         bucket = self._buckets.get(team.name)
         if bucket is not None and team.rate_per_s > 0:
-            bucket.level = min(team.burst, bucket.level + cost)
+            bucket.level = min(team.burst + self._excess, bucket.level + cost)
 
     def _refill_all(self, now_s: float) -> None:
         for team in self._teams.values():
@@ -149,5 +171,16 @@
         )
         rate = team.rate_per_s * (1 - silent / self.gateways)
         refill = min(elapsed_s, _MAX_REFILL_S) * rate
-        bucket.level = min(team.burst, bucket.level + refill)
+        bucket.level = min(team.burst + self._excess, bucket.level + refill)
+        decay = math.exp(-elapsed_s / _RECENT_USE_S)
+        bucket.own_use *= decay
+        bucket.all_use *= decay
         return bucket
+
+    def _own_part(self, bucket: _Bucket) -> float:
+        """Return the part of the level that this gateway may spend now."""
+        even = 1 / self.gateways
+        if bucket.all_use <= 0:
+            return even
+        by_use = bucket.own_use / bucket.all_use
+        return _EVEN_PART * even + (1 - _EVEN_PART) * by_use
--- a/peridotrill/gateway_main.py
+++ b/peridotrill/gateway_main.py
@@ -1,14 +1,15 @@
 """Program ``peridotrill-gateway``: composes gateway and platform."""
 
+import asyncio
 import gc
 import os
 import secrets
 import signal
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
 from pathlib import Path
-from typing import Final, final
+from typing import Any, Final, final
 
 import anyio
 from anyio.abc import TaskGroup
@@ -17,7 +18,7 @@
 
 from peridotrill.clock import SuspendAwareClock
 from peridotrill.exceptions import AppendUnknown, LogUnavailable
-from peridotrill.findings import format_findings
+from peridotrill.findings import Finding, format_findings
 from peridotrill.gateway.beliefs import (
     DEFAULT_REMOVAL_GRACE,
     Beliefs,
@@ -28,7 +29,10 @@
     RawRequest,
     Responder,
 )
-from peridotrill.gateway.configuration import DEFAULT_CALLER_LIMITS
+from peridotrill.gateway.configuration import (
+    DEFAULT_CALLER_LIMITS,
+    CallerLimits,
+)
 from peridotrill.gateway.coordinator import TICK, Coordinator
 from peridotrill.gateway.event_log import EventLog
 from peridotrill.gateway.loads import LoadBook
@@ -56,6 +60,7 @@
 from peridotrill.gateway.target_calls import ConnectionTimes, TargetCaller
 from peridotrill.gateway.target_health import TargetHealth
 from peridotrill.gateway.target_port import ConnectionPool
+from peridotrill.gateway.targets import TargetRecord
 from peridotrill.gateway.team_quotas import TeamQuotas
 from peridotrill.gateway.true_time import TrueTime
 from peridotrill.gateway.usage_counts import UsageCounts
@@ -107,6 +112,11 @@
 _UNAVAILABLE: Final = 503
 
 
+_RESTART_DELAY_S: Final = 0.5
+
+Task = Callable[[], Coroutine[Any, Any, None]]
+
+
 @final
 class GatewayProgram:
     """All tasks of one gateway process."""
@@ -137,7 +147,7 @@
         )
         self._loads = LoadBook(self._clock)
         self._health = TargetHealth(self._clock)
-        self._quotas = TeamQuotas(self._clock)
+        self._quotas = TeamQuotas(self._clock, node.bounds.quota_slack)
         self._true_time = TrueTime(self._clock)
         self._usage = UsageCounts(node.bounds.usage_window_s, self._true_time)
         self._peers = PeerExchange(node.node, self._clock, self._log)
@@ -178,7 +188,7 @@
             handler = self._create_handler(tasks)
             port = await self._listen(tasks, handler)
             for task in self._tasks():
-                tasks.start_soon(task)
+                tasks.start_soon(self._supervise, task)
             gc.collect()
             gc.freeze()
             await self._wait_for_stop()
@@ -186,6 +196,21 @@
             tasks.cancel_scope.cancel()
         self._log.write('process_stopped')
 
+    async def _supervise(self, task: Task) -> None:
+        """Run a task of the whole process again after an unexpected error."""
+        while True:
+            try:
+                await task()
+            except Exception as error:  # noqa: BLE001
+                self._log.write_fault(
+                    'task_fault',
+                    error,
+                    task=getattr(task, '__name__', ''),
+                )
+                await anyio.sleep(_RESTART_DELAY_S)
+            else:
+                return
+
     def _create_handler(self, tasks: TaskGroup) -> RequestHandler:
         bounds = self._node.bounds
         return RequestHandler(
@@ -196,6 +221,7 @@
                 targets=self._targets,
                 placement=self._placement,
                 health=self._health,
+                loads=self._loads,
                 quotas=self._quotas,
                 budget=RepeatBudget(
                     RepeatBounds(
@@ -216,8 +242,6 @@
         tasks: TaskGroup,
         handler: RequestHandler,
     ) -> CallerPort:
-        import asyncio  # noqa: PLC0415
-
         loop = asyncio.get_running_loop()
         callers = CallerPort(
             handler.handle,
@@ -250,8 +274,8 @@
         )
         return callers
 
-    def _tasks(self) -> list[Callable[[], Awaitable[None]]]:
-        tasks = [
+    def _tasks(self) -> list[Task]:
+        tasks: list[Task] = [
             self._follow_configuration,
             self._follow_targets,
             self._join_members,
@@ -261,7 +285,7 @@
             tasks.append(self._coordinate)
         return tasks
 
-    def _caller_limits(self):  # noqa: ANN202
+    def _caller_limits(self) -> CallerLimits:
         known = self._beliefs.configuration
         return DEFAULT_CALLER_LIMITS if known is None else known.limits
 
@@ -406,7 +430,7 @@
             self._quotas.configure(known.teams)
         self._placement.pump()
 
-    def _on_target_gone(self, target) -> None:  # noqa: ANN001
+    def _on_target_gone(self, target: TargetRecord) -> None:
         self._targets.forget(target)
         self._health.forget(target.target_id)
 
@@ -490,7 +514,7 @@
         self._log.write('drained', in_progress=handler.in_progress)
 
 
-def _read_settings():  # noqa: ANN202
+def _read_settings() -> Result[NodeSettings, list[Finding]]:
     return read_node_settings(Path(os.environ.get(SETTINGS_VARIABLE, '')))
 
 
