Track over all gateways which engine keeps which shared part

Gateways tell each other in their reports what was read where; the reader is chosen by estimated time, parts are fetched from an engine that keeps them.

--- a/peridotrill/gateway/configuration.py
+++ b/peridotrill/gateway/configuration.py
@@ -114,6 +114,18 @@
         """Tell whether requests on routes that are not public need a key."""
         return bool(self.teams)
 
+    @property
+    def engine_memory_tokens(self) -> int:
+        """Memory of the smallest engine, in tokens; 0 without engines."""
+        return min(
+            (
+                service.engine.kv_tokens
+                for service in self.services.values()
+                if service.engine is not None
+            ),
+            default=0,
+        )
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path."""
         for route in self._routes_by_host.get(host, ()):
--- /dev/null
+++ b/peridotrill/gateway/part_directory.py
@@ -0,0 +1,84 @@
+"""Which engines most likely keep which shared parts of prompts.
+
+Filled from what this gateway and the others had read where. An engine drops
+the parts that were used least recently, and so does its list here.
+"""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+from typing import Final, NamedTuple, final
+
+# Parts below this size are not worth to be found again or moved.
+MIN_PART_TOKENS: Final = 800
+# Part of an engine's memory that parts are taken to fill; running requests
+# and parts that nobody shares need the rest.
+_PART_OF_MEMORY: Final = 0.7
+# A reading is told to the other gateways in this many reports.
+_REPEATS: Final = 3
+
+
+class PartReading(NamedTuple):
+    """A part that an engine has read or received."""
+
+    part_id: str
+    target_id: str
+    tokens: int
+
+
+@final
+class PartDirectory:
+    """Parts by engine, most recently used last."""
+
+    def __init__(self, memory_tokens: int) -> None:
+        """:param memory_tokens: memory of an engine, until it is known."""
+        self.memory_tokens = memory_tokens
+        self._parts: dict[str, OrderedDict[str, int]] = {}
+        self._sizes: dict[str, int] = {}
+        self._recent: deque[list[PartReading]] = deque(
+            [[] for _ in range(_REPEATS)],
+            maxlen=_REPEATS,
+        )
+
+    def record(self, reading: PartReading) -> None:
+        """Note that an engine has a part, and tell the others."""
+        if reading.tokens >= MIN_PART_TOKENS:
+            self._recent[-1].append(reading)
+            self._keep(reading)
+
+    def observe_peer(self, readings: Iterable[PartReading]) -> None:
+        """Take over what another gateway had read."""
+        for reading in readings:
+            self._keep(reading)
+
+    def take_recent(self) -> list[PartReading]:
+        """Return what to tell the others now."""
+        recent = [row for rows in self._recent for row in rows]
+        self._recent.append([])
+        return recent
+
+    def forget(self, target_id: str) -> None:
+        """Drop what an engine kept that is gone or was restarted."""
+        self._parts.pop(target_id, None)
+        self._sizes.pop(target_id, None)
+
+    def has(self, target_id: str, part_id: str) -> bool:
+        """Tell whether an engine most likely keeps a part."""
+        return part_id in self._parts.get(target_id, ())
+
+    def holders(self, part_id: str) -> list[str]:
+        """Return the engines that most likely keep a part."""
+        return [
+            target_id
+            for target_id, parts in self._parts.items()
+            if part_id in parts
+        ]
+
+    def _keep(self, reading: PartReading) -> None:
+        target_id = reading.target_id
+        parts = self._parts.setdefault(target_id, OrderedDict())
+        known = parts.pop(reading.part_id, 0)
+        parts[reading.part_id] = reading.tokens
+        size = self._sizes.get(target_id, 0) + reading.tokens - known
+        while size > self.memory_tokens * _PART_OF_MEMORY and len(parts) > 1:
+            size -= parts.popitem(last=False)[1]
+        self._sizes[target_id] = size
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -12,6 +12,7 @@
 
 from peridotrill.clock import Clock
 from peridotrill.gateway.event_log import EventLog
+from peridotrill.gateway.part_directory import PartReading
 from peridotrill.settings import Address
 
 # Interval of the reports of a small system; larger ones report less often,
@@ -43,6 +44,7 @@
     spent: dict[str, float]
     work: dict[str, float]
     usage: dict[int, dict[str, int]]
+    parts: list[PartReading]
     lease: LeaseNotice | None = None
 
 
--- a/peridotrill/gateway/pools.py
+++ b/peridotrill/gateway/pools.py
@@ -12,6 +12,7 @@
 )
 from peridotrill.gateway.beliefs import Beliefs
 from peridotrill.gateway.loads import LoadBook, reading_key
+from peridotrill.gateway.part_directory import PartDirectory, PartReading
 from peridotrill.gateway.prompt_placement import (
     MIN_SPLIT_TOKENS,
     EngineLoads,
@@ -20,8 +21,7 @@
     choose_decode,
     choose_least_loaded,
     choose_reader,
-    estimate_prefill_ms,
-    find_home,
+    estimate_work_ms,
 )
 from peridotrill.gateway.requests import Prompt
 from peridotrill.gateway.target_health import TargetHealth
@@ -38,6 +38,7 @@
 )
 
 
+_DEFAULT_MEMORY_TOKENS: Final = 500000
 # Bounds the memory and the time that waiting requests take.
 _QUEUE_BOUNDS: Final = QueueBounds(max_requests=400, max_bytes=1)
 
@@ -68,11 +69,13 @@
         self._book = loads
         self._clock = clock
         self._own_zone = own_zone
+        self.parts = PartDirectory(_DEFAULT_MEMORY_TOKENS)
         self._loads = Loads(loads.total, health.is_avoided)
         self._engine_loads = EngineLoads(
             self._reading_ms,
             loads.total,
             health.is_avoided,
+            self.parts.has,
         )
         self._queues: dict[tuple[str, Pool], AdmissionQueue] = {}
 
@@ -152,10 +155,10 @@
                 and self._book.total(row.target_id) < row.slots
             ]
             target = choose_decode(
-                prompt,
                 targets,
                 self._loads,
                 self._own_zone,
+                lambda target_id: self._keeps_main(target_id, prompt),
             )
             return None if target is None else Place(target, running=1)
 
@@ -184,6 +187,7 @@
                 targets,
                 self._engine_loads,
                 READING_LIMITS,
+                self.find_keeper(prompt) is not None,
             )
             if found is None:
                 return None
@@ -193,8 +197,51 @@
         return find
 
     def reading_work_ms(self, prompt: Prompt) -> float:
-        """Estimate the work of reading a prompt with its parts cached."""
-        return estimate_prefill_ms(prompt, prompt.shared_tokens)
+        """Estimate the work of reading a prompt, wherever it is read."""
+        keeper = self.find_keeper(prompt)
+        return estimate_work_ms(
+            prompt,
+            '' if keeper is None else keeper.target_id,
+            self.parts.has,
+            keeper is not None,
+        )
+
+    def find_keeper(
+        self,
+        prompt: Prompt,
+        besides: str | None = None,
+    ) -> TargetRecord | None:
+        """Return an engine that keeps the main part of a prompt.
+
+        :param besides: id of an engine that is not meant.
+        """
+        main = prompt.main_part
+        if main is None:
+            return None
+        found = [
+            record
+            for target_id in self.parts.holders(main.part_id)
+            if target_id != besides
+            and (record := self._beliefs.find_target(target_id))
+            and not self._loads.is_avoided(target_id)
+        ]
+        return min(
+            found,
+            key=lambda row: self._book.total(row.target_id),
+            default=None,
+        )
+
+    def record_reading(self, prompt: Prompt, target: TargetRecord) -> None:
+        """Note that an engine has read or received a prompt."""
+        main = prompt.main_part
+        if main is not None:
+            self.parts.record(
+                PartReading(main.part_id, target.target_id, main.tokens),
+            )
+
+    def _keeps_main(self, target_id: str, prompt: Prompt | None) -> bool:
+        main = None if prompt is None else prompt.main_part
+        return main is not None and self.parts.has(target_id, main.part_id)
 
     def end_reading(self, place: Place, service: str) -> Place:
         """Give back the reading part of a place; return what is left."""
@@ -204,14 +251,3 @@
 
     def _reading_ms(self, target_id: str) -> float:
         return self._book.total(reading_key(target_id))
-
-    def decode_home(
-        self,
-        service: str,
-        prompt: Prompt,
-    ) -> TargetRecord | None:
-        """Return the decode engine that keeps the parts of a prompt."""
-        return find_home(
-            prompt,
-            self._beliefs.usable_targets(service, TargetRole.DECODE),
-        )
--- a/peridotrill/gateway/prompt_placement.py
+++ b/peridotrill/gateway/prompt_placement.py
@@ -8,9 +8,9 @@
 from collections.abc import Callable, Sequence
 from typing import Final, NamedTuple
 
+from peridotrill.gateway.part_directory import MIN_PART_TOKENS
 from peridotrill.gateway.requests import Prompt
 from peridotrill.gateway.targets import TargetRecord, TargetRole
-from peridotrill.placement import home_target
 
 # A prompt with at least this many tokens is read by a prefill engine: at a
 # decode engine it delays the tokens of all running requests.
@@ -27,9 +27,11 @@
 _MOVED_MS: Final = 25.0
 # Disadvantage of reading at a decode engine, which delays others' tokens.
 _DISTURBED_MS: Final = 40.0
-# Running requests by which the home of a prompt may exceed the least loaded
-# decode engine before that one is used instead.
-_HOME_SLACK: Final = 12
+# Running requests by which an engine that keeps a part may exceed the least
+# loaded one.
+_KEEPER_SLACK: Final = 8
+# Time to fetch a part from another engine before the rest is read.
+_FETCH_MS: Final = 15.0
 
 
 class Loads(NamedTuple):
@@ -53,24 +55,6 @@
     )
 
 
-def find_home(
-    prompt: Prompt,
-    targets: Sequence[TargetRecord],
-) -> TargetRecord | None:
-    """Return the target at which a prompt's largest part is kept."""
-    part_id = prompt.affinity_id
-    if part_id is None or not targets:
-        return None
-    home = home_target(
-        part_id.encode(),
-        [target.target_id for target in targets],
-    )
-    for target in targets:
-        if target.target_id == home:
-            return target
-    return None
-
-
 def choose_least_loaded(
     targets: Sequence[TargetRecord],
     loads: Loads,
@@ -93,23 +77,30 @@
 
 
 def choose_decode(
-    prompt: Prompt | None,
     targets: Sequence[TargetRecord],
     loads: Loads,
     own_zone: str,
+    keeps_part: Callable[[str], bool],
 ) -> TargetRecord | None:
     """Return the engine that generates the output.
 
-    The home of a long prompt goes first unless it is overloaded.
+    One that keeps the prompt's shared part goes first unless it is
+    overloaded: less memory is moved to it.
+
+    :param keeps_part: tells whether an engine keeps the part.
     """
     least = choose_least_loaded(targets, loads, own_zone)
-    if prompt is None or prompt.prompt_tokens < MIN_SPLIT_TOKENS:
-        return least
-    home = find_home(prompt, targets)
-    if home is None or least is None or loads.is_avoided(home.target_id):
-        return least
-    excess = loads.work(home.target_id) - loads.work(least.target_id)
-    return least if excess > _HOME_SLACK else home
+    if least is None:
+        return None
+    most = loads.work(least.target_id) + _KEEPER_SLACK
+    keepers = [
+        target
+        for target in targets
+        if keeps_part(target.target_id)
+        and loads.work(target.target_id) <= most
+        and not loads.is_avoided(target.target_id)
+    ]
+    return choose_least_loaded(keepers, loads, own_zone) or least
 
 
 class ReadingLimits(NamedTuple):
@@ -135,11 +126,29 @@
 
 
 class EngineLoads(NamedTuple):
-    """Look-ups by target: reading in ms, running requests, health."""
+    """Look-ups by target: reading in ms, running requests, health, parts."""
 
     reading_ms: Callable[[str], float]
     running: Callable[[str], float]
     is_avoided: Callable[[str], bool]
+    keeps: Callable[[str, str], bool]
+
+
+def estimate_work_ms(
+    prompt: Prompt,
+    target_id: str,
+    keeps: Callable[[str, str], bool],
+    is_kept_somewhere: bool,
+) -> float:
+    """Return the time that a prefill engine takes to read a prompt."""
+    main = prompt.main_part
+    if main is None or main.tokens < MIN_PART_TOKENS:
+        return estimate_prefill_ms(prompt, prompt.shared_tokens)
+    if keeps(target_id, main.part_id):
+        return estimate_prefill_ms(prompt, prompt.shared_tokens)
+    if is_kept_somewhere:
+        return _FETCH_MS + estimate_prefill_ms(prompt, prompt.shared_tokens)
+    return estimate_prefill_ms(prompt, prompt.shared_tokens - main.tokens)
 
 
 def choose_reader(
@@ -147,6 +156,7 @@
     targets: Sequence[TargetRecord],
     loads: EngineLoads,
     limits: ReadingLimits,
+    is_kept_somewhere: bool,
 ) -> ReadingPlace | None:
     """Return the engine that reads a prompt soonest, or None if all are full.
 
@@ -159,7 +169,12 @@
     is_long = prompt.prompt_tokens >= MIN_SPLIT_TOKENS
     for target in targets:
         waiting_ms = loads.reading_ms(target.target_id)
-        work_ms = estimate_prefill_ms(prompt, prompt.shared_tokens)
+        work_ms = estimate_work_ms(
+            prompt,
+            target.target_id,
+            loads.keeps,
+            is_kept_somewhere,
+        )
         extra_ms = _MOVED_MS
         if target.role is TargetRole.PREFILL:
             is_full = waiting_ms >= limits.prefill_ms
--- a/peridotrill/gateway/requests.py
+++ b/peridotrill/gateway/requests.py
@@ -36,11 +36,10 @@
         return sum(part.tokens for part in self.parts[:-1])
 
     @property
-    def affinity_id(self) -> str | None:
-        """Id of the longest part, which decides where it is cached."""
-        if not self.parts:
-            return None
-        return max(self.parts, key=lambda part: part.tokens).part_id
+    def main_part(self) -> PromptPart | None:
+        """The largest shared part, which decides where it is read."""
+        shared = self.parts[:-1]
+        return max(shared, key=lambda part: part.tokens, default=None)
 
     @property
     def total_tokens(self) -> int:
--- a/peridotrill/gateway/stream_runs.py
+++ b/peridotrill/gateway/stream_runs.py
@@ -110,8 +110,10 @@
     target = place.target
     exchange = None
     home = None
-    if run.request.prompt is not None:
-        home = shared.placement.decode_home(run.service, run.request.prompt)
+    started_s = shared.clock.monotonic_s()
+    prompt = run.request.prompt
+    if prompt is not None:
+        home = shared.placement.find_keeper(prompt, target.target_id)
     try:
         exchange = await shared.targets.send(
             run.request,
@@ -142,12 +144,25 @@
         run.note_failure(target, Failure.REFUSED, f'prefill {reply.status}')
         return None, True
     try:
-        handle = shared.wire.decode_prefilled(body).handle
+        prefilled = shared.wire.decode_prefilled(body)
     except CodecError as error:
         run.note_failure(target, Failure.BROKEN, str(error))
         return None, True
     shared.health.record_success(target.target_id)
-    return PreparedPrompt(target, handle), True
+    if prompt is not None:
+        shared.placement.record_reading(prompt, target)
+        shared.log.write(
+            'prompt_read',
+            request=run.request.request_id,
+            target=target.target_id,
+            tokens=prefilled.tokens,
+            shared=prompt.shared_tokens,
+            parts=len(prompt.parts),
+            estimate_ms=round(place.reading_ms),
+            took_ms=round((shared.clock.monotonic_s() - started_s) * 1000),
+            fetch=None if home is None else home.target_id,
+        )
+    return PreparedPrompt(target, prefilled.handle), True
 
 
 def _output_s(prompt: Prompt) -> float:
@@ -175,6 +190,7 @@
         self._run = run
         self._prepared = prepared
         self._place = place
+        self._target: TargetRecord | None = None
         self._last_id = run.request.resume_after
         self._events = 0
         self.took_prompt = False
@@ -223,6 +239,7 @@
         run = self._run
         target = place.target
         run.excluded.add(target.target_id)
+        self._target = target
         exchange = None
         try:
             exchange = await self._send(target)
@@ -284,13 +301,11 @@
         run = self._run
         if run.request.prompt is None:
             return None
-        home = run.shared.placement.decode_home(
-            run.service,
+        keeper = run.shared.placement.find_keeper(
             run.request.prompt,
+            target.target_id,
         )
-        if home is None or home.target_id == target.target_id:
-            return None
-        return str(home.address)
+        return None if keeper is None else str(keeper.address)
 
     async def _note_not_run(
         self,
@@ -358,6 +373,11 @@
             run.first_byte_s = run.shared.clock.monotonic_s()
             run.count_start()
             run.responder.start_stream(reply.status, reply.headers)
+            if run.request.prompt is not None and self._target is not None:
+                run.shared.placement.record_reading(
+                    run.request.prompt,
+                    self._target,
+                )
         run.responder.send_part(content)
         self._events += 1
         if event_id is not None:
--- a/peridotrill/gateway_main.py
+++ b/peridotrill/gateway_main.py
@@ -404,6 +404,7 @@
             self._quotas.spent(),
             dict(self._loads.own()),
             self._usage.own(),
+            self._placement.parts.take_recent(),
             notice,
         )
 
@@ -419,6 +420,7 @@
             report.usage,
         )
         self._true_time.observe_peer(report.node, report.unix_s)
+        self._placement.parts.observe_peer(report.parts)
         if report.lease is not None:
             self._notice_until_s = (
                 self._clock.monotonic_s() + _NOTICE_LIFETIME_S
@@ -428,11 +430,13 @@
         known = self._beliefs.configuration
         if known is not None:
             self._quotas.configure(known.teams)
+            self._placement.parts.memory_tokens = known.engine_memory_tokens
         self._placement.pump()
 
     def _on_target_gone(self, target: TargetRecord) -> None:
         self._targets.forget(target)
         self._health.forget(target.target_id)
+        self._placement.parts.forget(target.target_id)
 
     async def _coordinate(self) -> None:
         duties = self._node.duties_address
