--- /dev/null
+++ b/peridotrill/gateway/demand.py
@@ -0,0 +1,74 @@
+"""Demand of the services for prompt reading and output, over all gateways."""
+
+from collections import deque
+from collections.abc import Mapping
+from typing import Final, final
+
+from peridotrill.clock import Clock
+from peridotrill.gateway.role_planner import Demand
+
+# Span over which rates are taken.
+_SPAN_S: Final = 4.0
+Totals = dict[str, tuple[float, float]]
+
+
+@final
+class DemandMeter:
+    """Totals of this gateway, and rates over all of them."""
+
+    def __init__(self, clock: Clock) -> None:
+        """Nothing was asked for at the start."""
+        self._clock = clock
+        self._own: Totals = {}
+        self._peers: dict[str, Totals] = {}
+        self._sums: deque[tuple[float, Totals]] = deque()
+        self._base: dict[str, Totals] = {}
+
+    def record(self, service: str, reading_ms: float, tokens: float) -> None:
+        """Count an admitted request."""
+        reading, output = self._own.get(service, (0, 0))
+        self._own[service] = (reading + reading_ms, output + tokens)
+
+    def own(self) -> Totals:
+        """Return the totals of this process, for its reports."""
+        return self._own
+
+    def observe_peer(
+        self,
+        process: str,
+        totals: Mapping[str, tuple[float, float]],
+    ) -> None:
+        """Take over a report; the first one of a process is the base."""
+        self._base.setdefault(process, dict(totals))
+        self._peers[process] = dict(totals)
+
+    def sample(self) -> None:
+        """Keep the present sums, to compute rates from; a few per second."""
+        now_s = self._clock.monotonic_s()
+        sums = dict(self._own)
+        for process, totals in self._peers.items():
+            base = self._base[process]
+            for service, (reading, output) in totals.items():
+                before = base.get(service, (0, 0))
+                known = sums.get(service, (0, 0))
+                sums[service] = (
+                    known[0] + reading - before[0],
+                    known[1] + output - before[1],
+                )
+        self._sums.append((now_s, sums))
+        while len(self._sums) > 2 and now_s - self._sums[0][0] > _SPAN_S:
+            self._sums.popleft()
+
+    def rate(self, service: str) -> Demand:
+        """Return the demand per ms over the last seconds."""
+        if len(self._sums) < 2:
+            return Demand(0, 0)
+        first_s, first = self._sums[0]
+        last_s, last = self._sums[-1]
+        span_ms = max(1, (last_s - first_s) * 1000)
+        before = first.get(service, (0, 0))
+        after = last.get(service, (0, 0))
+        return Demand(
+            (after[0] - before[0]) / span_ms,
+            (after[1] - before[1]) / span_ms,
+        )
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -45,6 +45,7 @@
     work: dict[str, float]
     usage: dict[int, dict[str, int]]
     parts: list[PartReading]
+    demand: dict[str, tuple[float, float]]
     lease: LeaseNotice | None = None
 
 
--- /dev/null
+++ b/peridotrill/gateway/role_planner.py
@@ -0,0 +1,109 @@
+"""Plans how many model engines read prompts and how many generate output.
+
+Answers mixes of prompts and output that shift for longer than an engine is
+out of service while it changes its role.
+"""
+
+from collections.abc import Sequence
+from typing import Final, NamedTuple, final
+
+from peridotrill.clock import Clock
+from peridotrill.gateway.targets import TargetRecord, TargetRole
+
+# Tokens per ms at which a decode engine's steps get long; from the published
+# model of the engines, at a step of 10 ms.
+_DECODE_TOKENS_PER_MS: Final = 6.0
+# Part of the engines that read prompts before there is any load.
+_INITIAL_PREFILL_PART: Final = 0.55
+# A change must lower the highest utilisation by this much, since the engine
+# is out of service for some seconds.
+_MIN_GAIN: Final = 0.15
+_MIN_UTILISATION: Final = 0.75
+# Time between two changes; demand is averaged over less.
+_MIN_INTERVAL_S: Final = 8.0
+_MIN_ENGINES: Final = 3
+
+
+class Demand(NamedTuple):
+    """Load of a service: reading in ms per ms, output in tokens per ms."""
+
+    reading: float
+    output: float
+
+
+class RoleChange(NamedTuple):
+    """An engine that should take another role."""
+
+    target: TargetRecord
+    role: TargetRole
+
+
+def plan_prefill_engines(engines: int, present: int, demand: Demand) -> int:
+    """Return how many engines should read prompts.
+
+    :param engines: number of engines, two or more.
+    :param present: how many do so now.
+    """
+    if demand.reading <= 0 and demand.output <= 0:
+        return min(engines - 1, max(1, round(engines * _INITIAL_PREFILL_PART)))
+    now = _utilisation(engines, present, demand)
+    if now < _MIN_UTILISATION:
+        return present
+    best = min(
+        range(1, engines),
+        key=lambda prefill: _utilisation(engines, prefill, demand),
+    )
+    gain = now - _utilisation(engines, best, demand)
+    if gain < _MIN_GAIN:
+        return present
+    return present + 1 if best > present else present - 1
+
+
+def _utilisation(engines: int, prefill: int, demand: Demand) -> float:
+    if not 0 < prefill < engines:
+        return float('inf')
+    decode = engines - prefill
+    return max(
+        demand.reading / prefill,
+        demand.output / decode / _DECODE_TOKENS_PER_MS,
+    )
+
+
+@final
+class RolePlanner:
+    """Decides on changes of roles for one service at a time."""
+
+    def __init__(self, clock: Clock) -> None:
+        """:param clock: spaces the changes out."""
+        self._clock = clock
+        self._changed_s: dict[str, float] = {}
+
+    def plan(
+        self,
+        service: str,
+        engines: Sequence[TargetRecord],
+        demand: Demand,
+    ) -> RoleChange | None:
+        """Return the next change, if any.
+
+        :param engines: those in service, least loaded first.
+        """
+        prefill = [row for row in engines if row.role is TargetRole.PREFILL]
+        decode = [row for row in engines if row.role is TargetRole.DECODE]
+        if len(engines) < _MIN_ENGINES:
+            return None
+        idle = demand.reading <= 0 and demand.output <= 0
+        now_s = self._clock.monotonic_s()
+        since_s = now_s - self._changed_s.get(service, float('-inf'))
+        if not idle and since_s < _MIN_INTERVAL_S:
+            return None
+        wanted = plan_prefill_engines(len(engines), len(prefill), demand)
+        if wanted > len(prefill) and len(decode) > 1:
+            return RoleChange(decode[0], TargetRole.PREFILL)
+        if wanted < len(prefill) and len(prefill) > 1:
+            return RoleChange(prefill[0], TargetRole.DECODE)
+        return None
+
+    def note_changed(self, service: str) -> None:
+        """Note that a change was ordered."""
+        self._changed_s[service] = self._clock.monotonic_s()
--- a/peridotrill/gateway/serving.py
+++ b/peridotrill/gateway/serving.py
@@ -9,6 +9,7 @@
 from peridotrill.gateway.beliefs import Beliefs
 from peridotrill.gateway.callers_port import Responder
 from peridotrill.gateway.configuration import Route, Team
+from peridotrill.gateway.demand import DemandMeter
 from peridotrill.gateway.event_log import EventLog
 from peridotrill.gateway.loads import LoadBook
 from peridotrill.gateway.metrics import ATTEMPTS, QUEUE_S
@@ -43,6 +44,7 @@
     placement: Placement
     health: TargetHealth
     loads: LoadBook
+    demand: DemandMeter
     quotas: TeamQuotas
     budget: RepeatBudget
     usage: UsageCounts
--- a/peridotrill/gateway/stream_runs.py
+++ b/peridotrill/gateway/stream_runs.py
@@ -39,7 +39,13 @@
 async def run_stream(run: RequestRun) -> None:
     """Serve a request; raises Refused."""
     prepared: PreparedPrompt | Place | None = None
-    if run.request.prompt is not None:
+    prompt = run.request.prompt
+    if prompt is not None:
+        run.shared.demand.record(
+            run.service,
+            run.shared.placement.reading_work_ms(prompt),
+            _expected_tokens(prompt),
+        )
         prepared = await _prepare(run)
     if isinstance(prepared, Place):
         generation = _Generation(run, None, prepared)
@@ -167,9 +173,14 @@
 
 def _output_s(prompt: Prompt) -> float:
     """Return the least time that the expected output takes."""
-    expected = prompt.expected_output_tokens or 0
-    tokens = min(expected, prompt.max_output_tokens)
-    return tokens * _TOKEN_S
+    return _expected_tokens(prompt) * _TOKEN_S
+
+
+def _expected_tokens(prompt: Prompt) -> int:
+    expected = prompt.expected_output_tokens
+    if expected is None:
+        return prompt.max_output_tokens
+    return min(expected, prompt.max_output_tokens)
 
 
 def _engine_priority(run: RequestRun) -> int:
--- a/peridotrill/gateway_main.py
+++ b/peridotrill/gateway_main.py
@@ -34,6 +34,7 @@
     CallerLimits,
 )
 from peridotrill.gateway.coordinator import TICK, Coordinator
+from peridotrill.gateway.demand import DemandMeter
 from peridotrill.gateway.event_log import EventLog
 from peridotrill.gateway.loads import LoadBook
 from peridotrill.gateway.metrics import (
@@ -50,6 +51,8 @@
 from peridotrill.gateway.pools import Placement
 from peridotrill.gateway.repeat_budget import RepeatBounds, RepeatBudget
 from peridotrill.gateway.request_handler import RequestHandler
+from peridotrill.gateway.role_duty import RoleDuty
+from peridotrill.gateway.role_planner import RolePlanner
 from peridotrill.gateway.serving import Services
 from peridotrill.gateway.store_follower import (
     BeliefUpdater,
@@ -70,6 +73,7 @@
 from peridotrill.platform.coordination import CoordinationTopic
 from peridotrill.platform.directory import decode_target
 from peridotrill.platform.duties import DutyClient
+from peridotrill.platform.engine_orders import EngineOrders
 from peridotrill.platform.node_settings import (
     SETTINGS_VARIABLE,
     NodeSettings,
@@ -96,6 +100,10 @@
 _MEMBER_RETRY_S: Final = 0.5
 _MIN_LEASE_S: Final = 4.0
 _DUTY_TIMEOUT_S: Final = 1.0
+_ORDER_TIMEOUT_S: Final = 0.5
+# Engines register themselves within some seconds of a common start; roles
+# are not changed before.
+_SETTLE_S: Final = 5.0
 # A lease notice of a peer is believed for this long without a new one.
 _NOTICE_LIFETIME_S: Final = 1.0
 # Time from the start after which the lease may be claimed: by then the
@@ -147,6 +155,7 @@
         )
         self._loads = LoadBook(self._clock)
         self._health = TargetHealth(self._clock)
+        self._demand = DemandMeter(self._clock)
         self._quotas = TeamQuotas(self._clock, node.bounds.quota_slack)
         self._true_time = TrueTime(self._clock)
         self._usage = UsageCounts(node.bounds.usage_window_s, self._true_time)
@@ -222,6 +231,7 @@
                 placement=self._placement,
                 health=self._health,
                 loads=self._loads,
+                demand=self._demand,
                 quotas=self._quotas,
                 budget=RepeatBudget(
                     RepeatBounds(
@@ -405,6 +415,7 @@
             dict(self._loads.own()),
             self._usage.own(),
             self._placement.parts.take_recent(),
+            self._demand.own(),
             notice,
         )
 
@@ -415,10 +426,9 @@
             report.spent,
         )
         self._loads.observe_peer(report.node, report.work)
-        self._usage.observe_peer(
-            f'{report.node}/{report.incarnation}',
-            report.usage,
-        )
+        process = f'{report.node}/{report.incarnation}'
+        self._usage.observe_peer(process, report.usage)
+        self._demand.observe_peer(process, report.demand)
         self._true_time.observe_peer(report.node, report.unix_s)
         self._placement.parts.observe_peer(report.parts)
         if report.lease is not None:
@@ -459,10 +469,20 @@
             self._node.bounds.usage_late_s,
             self._log,
         )
+        roles = RoleDuty(
+            self._beliefs,
+            self._demand,
+            RolePlanner(self._clock),
+            self._coordinator,
+            EngineOrders(self._node.node, _ORDER_TIMEOUT_S),
+            self._log,
+        )
         while True:
             await self._coordinator.step(self._may_claim())
             if self._coordinator.held_lease(ACT_MARGIN) is not None:
                 await usage.step()
+            if self._clock.monotonic_s() - self._started_s > _SETTLE_S:
+                await roles.step(self._loads.total, ACT_MARGIN)
             await anyio.sleep(TICK.total_seconds())
 
     def _may_claim(self) -> bool:
--- /dev/null
+++ b/peridotrill/platform/engine_orders.py
@@ -0,0 +1,97 @@
+"""Orders to engines, conditional on the number of orders before."""
+
+from typing import Any, Final, final
+
+import anyio
+
+from peridotrill.codec import decode_json, encode_json
+from peridotrill.exceptions import (
+    CodecError,
+    TargetOutcomeUnknown,
+    TargetUnreachable,
+)
+from peridotrill.gateway.target_port import ResponseHead, open_connection
+from peridotrill.gateway.targets import TargetRecord, TargetRole
+
+_ACCEPTED: Final = frozenset((200, 202))
+_OK: Final = 200
+
+
+@final
+class EngineOrders:
+    """Sends orders as one holder."""
+
+    def __init__(self, holder: str, timeout_s: float) -> None:
+        """:param timeout_s: for each of the two calls of an order."""
+        self._holder = holder
+        self._timeout_s = timeout_s
+
+    async def change_role(
+        self,
+        target: TargetRecord,
+        role: TargetRole,
+        fence: int,
+    ) -> str:
+        """Order a role; return ``ok`` or what went wrong.
+
+        The number of orders that the engine has accepted is asked for first
+        and sent along, so that an order that is carried out late has no
+        effect after a newer one.
+        """
+        try:
+            head, body = await self._call(target, b'GET', b'/-/report', b'')
+            if head.status != _OK:
+                return f'report {head.status}'
+            report: Any = decode_json(body)
+            order = {
+                'op': 'stage',
+                'stage': role.value,
+                'holder': self._holder,
+                'fence': fence,
+                'precondition': int(report['seq']),
+            }
+            head, _ = await self._call(
+                target,
+                b'POST',
+                b'/-/order',
+                encode_json(order),
+            )
+        except (TargetUnreachable, TargetOutcomeUnknown, CodecError) as error:
+            return str(error)
+        except (KeyError, TypeError, ValueError) as error:
+            return f'report unreadable: {error!r}'
+        except TimeoutError:
+            return 'timeout'
+        return 'ok' if head.status in _ACCEPTED else f'status {head.status}'
+
+    async def _call(
+        self,
+        target: TargetRecord,
+        method: bytes,
+        path: bytes,
+        body: bytes,
+    ) -> tuple[ResponseHead, bytes]:
+        with anyio.fail_after(self._timeout_s):
+            connection = await open_connection(
+                target.address,
+                self._timeout_s,
+                lambda idle: idle.abort('done'),
+            )
+            exchange = connection.start(
+                b'%b %b HTTP/1.1' % (method, path),
+                [
+                    (b'Host', str(target.address).encode()),
+                    (b'Content-Type', b'application/json'),
+                    (b'Content-Length', str(len(body)).encode()),
+                    (
+                        b'X-Peridotrill-Expect-Instance',
+                        target.target_id.encode(),
+                    ),
+                ],
+                body,
+            )
+            try:
+                head = await exchange.read_head()
+                return head, await exchange.read_body()
+            finally:
+                exchange.close()
