--- a/peridotrill/gateway/beliefs.py
+++ b/peridotrill/gateway/beliefs.py
@@ -40,6 +40,7 @@
         self._log = log
         self._targets: dict[str, TargetRecord] = {}
         self._removed_s: dict[str, float] = {}
+        self._suspended: dict[str, float] = {}
         self._confirmed_s: float | None = None
         self._targets_known = False
         self.configuration: Configuration | None = None
@@ -137,6 +138,25 @@
                 self._log.write('target_gone', target=target_id)
                 self.on_target_gone(gone)
 
+    def suspend_target(self, target_id: str, duration: timedelta) -> None:
+        """Give a target no new requests for a while.
+
+        For targets that change their role, or whose address now belongs to
+        another one, until their records say so.
+        """
+        until_s = self._clock.monotonic_s() + duration.total_seconds()
+        known_s = self._suspended.get(target_id, 0)
+        self._suspended[target_id] = max(known_s, until_s)
+
+    def _is_suspended(self, target_id: str) -> bool:
+        until_s = self._suspended.get(target_id)
+        if until_s is None:
+            return False
+        if self._clock.monotonic_s() < until_s:
+            return True
+        self._suspended.pop(target_id)
+        return False
+
     def find_target(self, target_id: str) -> TargetRecord | None:
         """Return a target by its id."""
         return self._targets.get(target_id)
@@ -156,6 +176,7 @@
             for row in self._targets.values()
             if row.service == service
             and not row.is_leaving
+            and not self._is_suspended(row.target_id)
             and (role is None or row.role is role)
         ]
 
--- a/peridotrill/gateway/demand.py
+++ b/peridotrill/gateway/demand.py
@@ -9,6 +9,7 @@
 
 # Span over which rates are taken.
 _SPAN_S: Final = 4.0
+NO_DEMAND: Final = Demand(0, 0)
 Totals = dict[str, tuple[float, float]]
 
 
@@ -62,7 +63,7 @@
     def rate(self, service: str) -> Demand:
         """Return the demand per ms over the last seconds."""
         if len(self._sums) < 2:
-            return Demand(0, 0)
+            return NO_DEMAND
         first_s, first = self._sums[0]
         last_s, last = self._sums[-1]
         span_ms = max(1, (last_s - first_s) * 1000)
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -46,6 +46,7 @@
     usage: dict[int, dict[str, int]]
     parts: list[PartReading]
     demand: dict[str, tuple[float, float]]
+    switching: list[str]
     lease: LeaseNotice | None = None
 
 
--- a/peridotrill/gateway/plain_runs.py
+++ b/peridotrill/gateway/plain_runs.py
@@ -98,7 +98,7 @@
 ) -> TargetReply | None:
     target = place.target
     if reply.not_run:
-        run.note_failure(target, Failure.REFUSED, f'status {reply.status}')
+        run.note_refused(target, reply)
         run.note_not_run()
         if not run.shared.budget.try_repeat(
             run.service,
--- a/peridotrill/gateway/prompt_placement.py
+++ b/peridotrill/gateway/prompt_placement.py
@@ -19,7 +19,7 @@
 # million pairs of tokens, from the published model of the engines.
 _TOKENS_PER_MS: Final = 112.0
 _MS_PER_MILLION_PAIRS: Final = 0.218
-_SETUP_MS: Final = 8.0
+SETUP_MS: Final = 8.0
 _MILLION: Final = 1e6
 # Decode engines read prompts at half the speed of prefill engines.
 DECODE_READING_FACTOR: Final = 2.0
@@ -49,7 +49,7 @@
     fresh = max(0, prompt.prompt_tokens - cached_tokens)
     pairs = fresh * (cached_tokens + fresh / 2)
     return (
-        _SETUP_MS
+        SETUP_MS
         + fresh / _TOKENS_PER_MS
         + pairs / _MILLION * _MS_PER_MILLION_PAIRS
     )
--- a/peridotrill/gateway/role_duty.py
+++ b/peridotrill/gateway/role_duty.py
@@ -2,15 +2,24 @@
 
 from collections.abc import Callable
 from datetime import timedelta
-from typing import Protocol, final
+from typing import Final, Protocol, final
 
+from peridotrill.clock import Clock
 from peridotrill.gateway.beliefs import Beliefs
 from peridotrill.gateway.coordinator import Coordinator
-from peridotrill.gateway.demand import DemandMeter
+from peridotrill.gateway.demand import NO_DEMAND, DemandMeter
 from peridotrill.gateway.event_log import EventLog
-from peridotrill.gateway.role_planner import RoleChange, RolePlanner
+from peridotrill.gateway.role_planner import Demand, RolePlanner
 from peridotrill.gateway.targets import TargetRecord, TargetRole
 
+# Orders can be carried out late; an engine whose record shows no change after
+# this time is used in its old role again.
+_MAX_SWITCH_S: Final = 5.0
+
+
+# An order without effect after this time is taken to be lost.
+_MAX_LATE_S: Final = 13.0
+
 
 class RolePort(Protocol):
     """The call that changes an engine's role."""
@@ -35,9 +44,16 @@
         planner: RolePlanner,
         coordinator: Coordinator,
         port: RolePort,
+        clock: Clock,
+        may_prepare: Callable[[], bool],
         log: EventLog,
     ) -> None:
-        """:param port: sends the orders."""
+        """:param port: sends the orders.
+
+        :param may_prepare: tells whether roles may be set without a load.
+        """
+        self._clock = clock
+        self._may_prepare = may_prepare
         self._beliefs = beliefs
         self._demand = demand
         self._planner = planner
@@ -46,6 +62,7 @@
         self._log = log
         # Roles that were ordered and are not yet in the engines' records.
         self._ordered: dict[str, TargetRole] = {}
+        self._ordered_s: dict[str, float] = {}
 
     async def step(
         self,
@@ -65,6 +82,15 @@
             if service.engine is not None:
                 await self._step_service(service.name, load, margin)
 
+    def switching(self) -> list[str]:
+        """Return the engines that were ordered to change and have not yet."""
+        since_s = self._clock.monotonic_s() - _MAX_SWITCH_S
+        return [
+            target_id
+            for target_id in self._ordered
+            if self._ordered_s[target_id] > since_s
+        ]
+
     async def _step_service(
         self,
         service: str,
@@ -72,22 +98,35 @@
         margin: timedelta,
     ) -> None:
         engines = self._engines(service, load)
-        demand = self._demand.rate(service)
+        demand: Demand | None = self._demand.rate(service)
+        if demand == NO_DEMAND:
+            if not self._may_prepare():
+                return
+            demand = None
         change = self._planner.plan(service, engines, demand)
         lease = self._coordinator.held_lease(margin)
         if change is None or lease is None:
             return
+        target_id = change.target.target_id
         self._planner.note_changed(service)
+        # An order without an answer may still be carried out: it counts as
+        # ordered until the engine's record says otherwise.
+        self._ordered[target_id] = change.role
+        self._ordered_s[target_id] = self._clock.monotonic_s()
         outcome = await self._port.change_role(
             change.target,
             change.role,
             lease.fence,
         )
-        # An order without an answer may still be carried out: it counts as
-        # ordered until the engine's record says otherwise.
-        self._ordered[change.target.target_id] = change.role
-        self._log_order(
-            change, outcome, lease.fence, demand.reading, demand.output
+        self._log.write(
+            'role_ordered',
+            target=target_id,
+            role=change.role.value,
+            fence=lease.fence,
+            outcome=outcome,
+            reading=None if demand is None else demand.reading,
+            output=None if demand is None else demand.output,
+            engines=len(engines),
         )
 
     def _engines(
@@ -96,30 +135,17 @@
         load: Callable[[str], float],
     ) -> list[TargetRecord]:
         engines: list[TargetRecord] = []
-        for row in self._beliefs.usable_targets(service):
+        for row in self._beliefs.all_targets():
+            if row.service != service or row.is_leaving:
+                continue
             ordered = self._ordered.get(row.target_id)
-            if ordered is row.role:
+            since_s = self._ordered_s.get(row.target_id, 0)
+            is_old = self._clock.monotonic_s() - since_s > _MAX_LATE_S
+            if ordered is row.role or (ordered is not None and is_old):
                 self._ordered.pop(row.target_id)
+                self._ordered_s.pop(row.target_id)
                 ordered = None
             engines.append(
                 row if ordered is None else row._replace(role=ordered),
             )
         return sorted(engines, key=lambda row: load(row.target_id))
-
-    def _log_order(  # noqa: WPS211
-        self,
-        change: RoleChange,
-        outcome: str,
-        fence: int,
-        reading: float,
-        output: float,
-    ) -> None:
-        self._log.write(
-            'role_ordered',
-            target=change.target.target_id,
-            role=change.role.value,
-            fence=fence,
-            outcome=outcome,
-            reading=reading,
-            output=output,
-        )
--- a/peridotrill/gateway/role_planner.py
+++ b/peridotrill/gateway/role_planner.py
@@ -11,16 +11,16 @@
 from peridotrill.gateway.targets import TargetRecord, TargetRole
 
 # Tokens per ms at which a decode engine's steps get long; from the published
-# model of the engines, at a step of 10 ms.
-_DECODE_TOKENS_PER_MS: Final = 6.0
+# model of the engines, at a step of 7 ms.
+_DECODE_TOKENS_PER_MS: Final = 5.0
 # Part of the engines that read prompts before there is any load.
 _INITIAL_PREFILL_PART: Final = 0.55
 # A change must lower the highest utilisation by this much, since the engine
 # is out of service for some seconds.
-_MIN_GAIN: Final = 0.15
+_MIN_GAIN: Final = 0.25
 _MIN_UTILISATION: Final = 0.75
 # Time between two changes; demand is averaged over less.
-_MIN_INTERVAL_S: Final = 8.0
+_MIN_INTERVAL_S: Final = 10.0
 _MIN_ENGINES: Final = 3
 
 
@@ -44,8 +44,6 @@
     :param engines: number of engines, two or more.
     :param present: how many do so now.
     """
-    if demand.reading <= 0 and demand.output <= 0:
-        return min(engines - 1, max(1, round(engines * _INITIAL_PREFILL_PART)))
     now = _utilisation(engines, present, demand)
     if now < _MIN_UTILISATION:
         return present
@@ -59,6 +57,14 @@
     return present + 1 if best > present else present - 1
 
 
+def plan_initial_prefill_engines(engines: int) -> int:
+    """Return how many engines should read prompts before there is any load.
+
+    :param engines: number of engines, two or more.
+    """
+    return min(engines - 1, max(1, round(engines * _INITIAL_PREFILL_PART)))
+
+
 def _utilisation(engines: int, prefill: int, demand: Demand) -> float:
     if not 0 < prefill < engines:
         return float('inf')
@@ -82,22 +88,25 @@
         self,
         service: str,
         engines: Sequence[TargetRecord],
-        demand: Demand,
+        demand: Demand | None,
     ) -> RoleChange | None:
         """Return the next change, if any.
 
         :param engines: those in service, least loaded first.
+        :param demand: None before there was any load.
         """
         prefill = [row for row in engines if row.role is TargetRole.PREFILL]
         decode = [row for row in engines if row.role is TargetRole.DECODE]
         if len(engines) < _MIN_ENGINES:
             return None
-        idle = demand.reading <= 0 and demand.output <= 0
         now_s = self._clock.monotonic_s()
         since_s = now_s - self._changed_s.get(service, float('-inf'))
-        if not idle and since_s < _MIN_INTERVAL_S:
+        if demand is None:
+            wanted = plan_initial_prefill_engines(len(engines))
+        elif since_s < _MIN_INTERVAL_S:
             return None
-        wanted = plan_prefill_engines(len(engines), len(prefill), demand)
+        else:
+            wanted = plan_prefill_engines(len(engines), len(prefill), demand)
         if wanted > len(prefill) and len(decode) > 1:
             return RoleChange(decode[0], TargetRole.PREFILL)
         if wanted < len(prefill) and len(prefill) > 1:
--- a/peridotrill/gateway/serving.py
+++ b/peridotrill/gateway/serving.py
@@ -1,6 +1,7 @@
 """What the handling of one request needs, and what all requests share."""
 
 from collections.abc import Callable, Coroutine
+from datetime import timedelta
 from typing import Any, Final, NamedTuple, final
 
 from peridotrill.clock import Clock
@@ -32,6 +33,9 @@
 # Retry-After where nothing better is known.
 DEFAULT_RETRY_AFTER_S: Final = 0.5
 _MAX_RETRY_AFTER_S: Final = 2.0
+# A target whose address another one has is not tried again before its record
+# has had time to change.
+_OTHER_TARGET_PAUSE: Final = timedelta(seconds=1.5)
 
 
 class Services(NamedTuple):
@@ -191,6 +195,15 @@
             left_ms=round(self.left_s() * 1000),
         )
 
+    def note_refused(self, target: TargetRecord, reply: TargetReply) -> None:
+        """Note that a target did not take the request."""
+        if reply.is_other_target:
+            self.shared.beliefs.suspend_target(
+                target.target_id,
+                _OTHER_TARGET_PAUSE,
+            )
+        self.note_failure(target, Failure.REFUSED, f'status {reply.status}')
+
     def refuse(
         self,
         reason: str,
--- a/peridotrill/gateway/stream_runs.py
+++ b/peridotrill/gateway/stream_runs.py
@@ -12,6 +12,7 @@
 from peridotrill.gateway.event_stream import EventSplitter
 from peridotrill.gateway.metrics import ATTEMPTS
 from peridotrill.gateway.pools import Pool
+from peridotrill.gateway.prompt_placement import SETUP_MS
 from peridotrill.gateway.requests import Prompt
 from peridotrill.gateway.serving import RequestRun
 from peridotrill.gateway.target_health import Failure
@@ -43,7 +44,10 @@
     if prompt is not None:
         run.shared.demand.record(
             run.service,
-            run.shared.placement.reading_work_ms(prompt),
+            max(
+                0,
+                run.shared.placement.reading_work_ms(prompt) - SETUP_MS,
+            ),
             _expected_tokens(prompt),
         )
         prepared = await _prepare(run)
@@ -147,7 +151,7 @@
             exchange.close()
         shared.placement.release(place, run.service)
     if reply.status != _OK:
-        run.note_failure(target, Failure.REFUSED, f'prefill {reply.status}')
+        run.note_refused(target, reply)
         return None, True
     try:
         prefilled = shared.wire.decode_prefilled(body)
@@ -324,7 +328,7 @@
         reply: TargetReply,
     ) -> bool:
         run = self._run
-        run.note_failure(target, Failure.REFUSED, f'status {reply.status}')
+        run.note_refused(target, reply)
         run.note_not_run()
         # The prompt may be gone from the engine that read it: the next
         # engine reads what it lacks itself.
--- a/peridotrill/gateway/target_health.py
+++ b/peridotrill/gateway/target_health.py
@@ -21,7 +21,7 @@
     SILENT = 1.01
     BROKEN = 0.5
     ERROR = 0.2
-    REFUSED = 0.1
+    REFUSED = 0.3
 
 
 @final
--- a/peridotrill/gateway_main.py
+++ b/peridotrill/gateway_main.py
@@ -104,6 +104,11 @@
 # Engines register themselves within some seconds of a common start; roles
 # are not changed before.
 _SETTLE_S: Final = 5.0
+# Time from the first start in which roles are set without a load.
+_PREPARE_S: Final = 11.0
+# How long a report keeps a switching engine out of use; the next report
+# repeats it.
+_SWITCH_NOTICE: Final = timedelta(seconds=0.6)
 # A lease notice of a peer is believed for this long without a new one.
 _NOTICE_LIFETIME_S: Final = 1.0
 # Time from the start after which the lease may be claimed: by then the
@@ -180,6 +185,7 @@
         self._is_leaving = False
         self._sequence = 0
         self._notice_until_s = 0.0
+        self._roles: RoleDuty | None = None
         self._beliefs.on_change = self._on_beliefs_changed
         self._beliefs.on_target_gone = self._on_target_gone
         self._peers.on_report = self._on_report
@@ -416,9 +422,20 @@
             self._usage.own(),
             self._placement.parts.take_recent(),
             self._demand.own(),
+            self._suspend_switching(),
             notice,
         )
 
+    def _suspend_switching(self) -> list[str]:
+        """Return the engines that change their roles, out of use here too."""
+        switching = [] if self._roles is None else self._roles.switching()
+        self._suspend(switching)
+        return switching
+
+    def _suspend(self, target_ids: list[str]) -> None:
+        for target_id in target_ids:
+            self._beliefs.suspend_target(target_id, _SWITCH_NOTICE)
+
     def _on_report(self, report: Report) -> None:
         self._quotas.observe_peer(
             report.node,
@@ -431,6 +448,7 @@
         self._demand.observe_peer(process, report.demand)
         self._true_time.observe_peer(report.node, report.unix_s)
         self._placement.parts.observe_peer(report.parts)
+        self._suspend(report.switching)
         if report.lease is not None:
             self._notice_until_s = (
                 self._clock.monotonic_s() + _NOTICE_LIFETIME_S
@@ -469,12 +487,14 @@
             self._node.bounds.usage_late_s,
             self._log,
         )
-        roles = RoleDuty(
+        self._roles = RoleDuty(
             self._beliefs,
             self._demand,
             RolePlanner(self._clock),
             self._coordinator,
             EngineOrders(self._node.node, _ORDER_TIMEOUT_S),
+            self._clock,
+            self._is_before_load,
             self._log,
         )
         while True:
@@ -482,9 +502,14 @@
             if self._coordinator.held_lease(ACT_MARGIN) is not None:
                 await usage.step()
             if self._clock.monotonic_s() - self._started_s > _SETTLE_S:
-                await roles.step(self._loads.total, ACT_MARGIN)
+                await self._roles.step(self._loads.total, ACT_MARGIN)
             await anyio.sleep(TICK.total_seconds())
 
+    def _is_before_load(self) -> bool:
+        """Tell whether the whole system has started and serves nobody yet."""
+        age_s = self._clock.monotonic_s() - self._started_s
+        return self._node.is_first_start and age_s < _PREPARE_S
+
     def _may_claim(self) -> bool:
         """Tell whether this gateway should take the lease.
 
--- a/peridotrill/platform/node_settings.py
+++ b/peridotrill/platform/node_settings.py
@@ -47,6 +47,7 @@
     duties_address: Address | None
     duties: tuple[str, ...]
     bounds: Bounds
+    is_first_start: bool
 
 
 # Field of ``Bounds`` and the platform's name for it.
@@ -105,6 +106,7 @@
             duties_address=duties_address,
             duties=tuple(self._get('cloud', 'duties') or ()),
             bounds=self._bounds(),
+            is_first_start=self._get('bootstrap') is True,
         )
         return Error(self._findings) if self._findings else Ok(node)
 
