--- a/peridotrill/gateway/admission_queue.py
+++ b/peridotrill/gateway/admission_queue.py
@@ -22,6 +22,9 @@
 POLL_S: Final = 0.02
 # Added to the priority of requests that missed their goal while waiting.
 _LATE: Final = 100
+# Part of its remaining time that such a request waits on: the rest is left
+# for another try of its caller, who would otherwise be held in vain.
+_LATE_WAIT_PART: Final = 0.6
 # Span over which the rate of a queue is measured; bursts last some seconds.
 _RATE_SPAN_S: Final = 0.6
 _TEAM_WEIGHT: Final = 1.0
@@ -96,7 +99,7 @@
                 return place
         future = asyncio.get_running_loop().create_future()
         waiter = _Waiter(wish, future)
-        match self._push(waiter, wish.priority):
+        match self._push(waiter, wish.priority, wish.give_up_s):
             case Result(tag='ok', ok=_):
                 self.pump()
                 self._arm()
@@ -127,7 +130,12 @@
                 self._on_grant(place)
                 _settle(waiter, place)
 
-    def _push(self, waiter: _Waiter, priority: int) -> Result[Ticket, str]:
+    def _push(
+        self,
+        waiter: _Waiter,
+        priority: int,
+        give_up_s: float,
+    ) -> Result[Ticket, str]:
         wish = waiter.wish
         return self._queue.push(
             waiter,
@@ -135,14 +143,20 @@
             _TEAM_WEIGHT,
             wish.cost,
             priority,
-            wish.give_up_s,
+            give_up_s,
         )
 
     def _postpone(self, ticket: Ticket) -> None:
         """Let those go first that can still meet their goal."""
         self._queue.remove(ticket)
         waiter: _Waiter = ticket.item
-        pushed = self._push(waiter, ticket.priority + _LATE)
+        now_s = self._clock.monotonic_s()
+        left_s = waiter.wish.give_up_s - now_s
+        pushed = self._push(
+            waiter,
+            ticket.priority + _LATE,
+            now_s + left_s * _LATE_WAIT_PART,
+        )
         if pushed.is_error():
             _settle(waiter, None)
 
--- a/peridotrill/gateway/serving.py
+++ b/peridotrill/gateway/serving.py
@@ -32,7 +32,9 @@
 
 # Retry-After where nothing better is known.
 DEFAULT_RETRY_AFTER_S: Final = 0.5
-_MAX_RETRY_AFTER_S: Final = 2.0
+_MIN_RETRY_AFTER_S: Final = 0.1
+# Part of a caller's remaining time after which it should come back.
+_RETRY_PART: Final = 0.3
 # A target whose address another one has is not tried again before its record
 # has had time to change.
 _OTHER_TARGET_PAUSE: Final = timedelta(seconds=1.5)
@@ -111,6 +113,11 @@
             return self.team.priority
         return self.route.priority
 
+    def is_late(self) -> bool:
+        """Tell whether the goal for the first byte has been missed."""
+        waited_s = self.shared.clock.monotonic_s() - self.request.received_s
+        return waited_s * 1000 > self.route.goal_ms
+
     def left_s(self) -> float:
         """Return the time until the caller stops waiting."""
         return self.deadline_s - self.shared.clock.monotonic_s()
@@ -144,13 +151,17 @@
         self.queue_s += waited_s
         QUEUE_S.labels(pool.name.lower()).observe(waited_s)
         if place is None:
-            wait_s = queue.estimate_wait_s(team, self.priority)
-            raise self.refuse(
-                'no_place_in_time',
-                min(_MAX_RETRY_AFTER_S, max(DEFAULT_RETRY_AFTER_S, wait_s)),
-            )
+            raise self.refuse('no_place_in_time', self.retry_after_s())
         return place
 
+    def retry_after_s(self) -> float:
+        """Return when the caller should come back after a queue was full.
+
+        Bursts last for some seconds, so that the caller should use the time
+        that it has; it waits for a third of it at most.
+        """
+        return max(_MIN_RETRY_AFTER_S, self.left_s() * _RETRY_PART)
+
     def note_load(self, target: TargetRecord, reply: TargetReply) -> None:
         """Remember the load that a target reported."""
         if reply.load is not None and target.role is not TargetRole.PREFILL:
--- a/peridotrill/gateway/stream_runs.py
+++ b/peridotrill/gateway/stream_runs.py
@@ -28,6 +28,8 @@
 # Rank of a route with priority 0 at an engine, where 5 is the default.
 _ENGINE_PRIORITY_BASE: Final = 3
 _ENGINE_PRIORITY_MAX: Final = 9
+# Requests that missed their goal let those go first that can meet it.
+_ENGINE_PRIORITY_LATE: Final = 3
 
 
 class PreparedPrompt(NamedTuple):
@@ -188,7 +190,10 @@
 
 
 def _engine_priority(run: RequestRun) -> int:
-    return min(_ENGINE_PRIORITY_MAX, _ENGINE_PRIORITY_BASE + run.priority)
+    priority = _ENGINE_PRIORITY_BASE + run.priority
+    if run.is_late():
+        priority += _ENGINE_PRIORITY_LATE
+    return min(_ENGINE_PRIORITY_MAX, priority)
 
 
 @final
