--- a/peridotrill/gateway/role_planner.py
+++ b/peridotrill/gateway/role_planner.py
@@ -11,8 +11,8 @@
 from peridotrill.gateway.targets import TargetRecord, TargetRole
 
 # Tokens per ms at which a decode engine's steps get long; from the published
-# model of the engines, at a step of 7 ms.
-_DECODE_TOKENS_PER_MS: Final = 5.0
+# model of the engines, at a step of 10 ms.
+_DECODE_TOKENS_PER_MS: Final = 6.0
 # Part of the engines that read prompts before there is any load.
 _INITIAL_PREFILL_PART: Final = 0.55
 # A change must lower the highest utilisation by this much, since the engine
--- a/peridotrill/gateway_main.py
+++ b/peridotrill/gateway_main.py
@@ -198,6 +198,7 @@
             incarnation=self._incarnation,
             zone=self._node.zone,
             pid=os.getpid(),
+            first_start=self._node.is_first_start,
         )
         async with anyio.create_task_group() as tasks:
             handler = self._create_handler(tasks)
