Reset abandoned connections; settle lost appends by their writer

Bytes that a partition holds up arrive after a graceful close, so that a request that was given up could still run; a request counted as not run after two sends could have run at the first; an own record whose answer was lost cost the lease.

--- a/peridotrill/gateway/callers_port.py
+++ b/peridotrill/gateway/callers_port.py
@@ -26,10 +26,14 @@
 # Complete requests that may wait behind the one in progress before the
 # connection is no longer read.
 _MAX_PIPELINED: Final = 2
+# Bodies of all requests together, a part of the memory of a small VM.
+_MAX_BUFFERED_BYTES: Final = 67108864
+_HTTP_1_0: Final = '1.0'
 _BAD_REQUEST: Final = 400
 _REQUEST_TIMEOUT: Final = 408
 _CONTENT_TOO_LARGE: Final = 413
 _HEADERS_TOO_LARGE: Final = 431
+_UNAVAILABLE: Final = 503
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 # After an error the rest of what the caller sends is discarded for this
 # long, so that closing with unread bytes does not reset the response.
@@ -46,6 +50,14 @@
     received_s: float
 
 
+class _Received(NamedTuple):
+    """A request with what the connection allows for its response."""
+
+    request: RawRequest
+    keep_alive: bool
+    can_chunk: bool
+
+
 class Responder(Protocol):
     """Writes the response to one request."""
 
@@ -92,6 +104,8 @@
         self.limits = limits
         self.now_s = now_s
         self.is_draining = False
+        # Bodies of the requests that are arriving or in progress.
+        self.buffered_bytes = 0
         self.connections: set[CallerConnection] = set()
 
     def create_connection(self) -> 'CallerConnection':
@@ -117,13 +131,14 @@
         self._port = port
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
-        self._waiting: deque[tuple[RawRequest, bool]] = deque()
+        self._waiting: deque[_Received] = deque()
         self._exchange: _Exchange | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._timer_status = 0
         self._is_closing = False
         self._can_write = asyncio.Event()
         self._can_write.set()
+        self._body_bytes = 0
         self._reset_message()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -152,6 +167,9 @@
         self._is_closing = True
         self._port.connections.discard(self)
         self._cancel_timer()
+        waiting_bytes = sum(len(row.request.body) for row in self._waiting)
+        self._port.buffered_bytes -= self._body_bytes + waiting_bytes
+        self._body_bytes = 0
         self._waiting.clear()
         self._can_write.set()
         if self._exchange is not None:
@@ -207,11 +225,16 @@
         self._body_bytes += len(body)
         if self._body_bytes > self._port.limits().max_body_bytes:
             self._refuse(_CONTENT_TOO_LARGE)
+        self._port.buffered_bytes += len(body)
+        if self._port.buffered_bytes > _MAX_BUFFERED_BYTES:
+            self._refuse(_UNAVAILABLE)
         self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Handle the request, or let it wait for the one before."""
         self._is_in_message = False
+        # The bytes now belong to the request, which gives them back.
+        self._body_bytes = 0
         self._cancel_timer()
         request = RawRequest(
             self._parser.get_method(),
@@ -220,7 +243,13 @@
             b''.join(self._body),
             self._port.now_s(),
         )
-        self._waiting.append((request, self._parser.should_keep_alive()))
+        self._waiting.append(
+            _Received(
+                request,
+                self._parser.should_keep_alive(),
+                self._parser.get_http_version() != _HTTP_1_0,
+            ),
+        )
         if self._exchange is None:
             self._start_next()
         elif len(self._waiting) > _MAX_PIPELINED and self._transport:
@@ -262,19 +291,19 @@
             self._arm_idle_timer()
 
     def _start_next(self) -> None:
-        request, keep_alive = self._waiting.popleft()
+        received = self._waiting.popleft()
         if self._transport is not None and not self._waiting:
             self._transport.resume_reading()
         self._cancel_timer()
-        self._exchange = _Exchange(self, self._port, keep_alive)
-        self._port.task_group.start_soon(self._exchange.run, request)
+        self._exchange = _Exchange(self, self._port, received)
+        self._port.task_group.start_soon(self._exchange.run)
 
     def _reset_message(self) -> None:
+        self._body_bytes = 0
         self._target = b''
         self._headers: Headers = []
         self._header_bytes = 0
         self._body: list[bytes] = []
-        self._body_bytes = 0
         self._is_in_message = False
         self._is_in_body = False
         self._error_status = 0
@@ -360,20 +389,25 @@
         self,
         connection: CallerConnection,
         port: CallerPort,
-        keep_alive: bool,
+        received: _Received,
     ) -> None:
         self._connection = connection
         self._port = port
-        self._keep_alive = keep_alive
+        self._request = received.request
+        self._keep_alive = received.keep_alive
+        self._can_chunk = received.can_chunk
+        # Response of a caller that cannot read chunks, until it is complete.
+        self._held: tuple[int, Headers, list[bytes]] | None = None
         self._scope = anyio.CancelScope()
         self._is_complete = False
         self.has_started = False
         self.finished = asyncio.Event()
 
-    async def run(self, request: RawRequest) -> None:
+    async def run(self) -> None:
         """Call the handler; a caller that leaves cancels it."""
         with self._scope:
-            await self._port.handler(request, self)
+            await self._port.handler(self._request, self)
+        self._port.buffered_bytes -= len(self._request.body)
         if not self._is_complete:
             self._connection.abort()
         self.finished.set()
@@ -393,6 +427,10 @@
 
     def start_stream(self, status: int, headers: Headers) -> None:
         """Write the head of a chunked response."""
+        if not self._can_chunk:
+            self.has_started = True
+            self._held = (status, headers, [])
+            return
         head = self._format_head(
             status,
             headers,
@@ -402,7 +440,9 @@
 
     def send_part(self, content: bytes) -> None:
         """Write one chunk."""
-        if content:
+        if self._held is not None:
+            self._held[2].append(content)
+        elif content:
             self._connection.write(format_chunk(content))
 
     async def drain(self) -> None:
@@ -411,6 +451,10 @@
 
     def end_stream(self) -> None:
         """Write the last chunk."""
+        if self._held is not None:
+            status, headers, parts = self._held
+            self.send(status, headers, b''.join(parts))
+            return
         self._connection.write(LAST_CHUNK)
         self._is_complete = True
 
--- a/peridotrill/gateway/coordinator.py
+++ b/peridotrill/gateway/coordinator.py
@@ -24,6 +24,8 @@
 from peridotrill.gateway.event_log import EventLog
 
 TICK: Final = timedelta(milliseconds=250)
+# Own records of lost answers may lie before a new one.
+_APPEND_TRIES: Final = 2
 _RENEWALS_PER_TTL: Final = 3
 # Fixed usage windows that are kept, to send them again after a take-over.
 _KEPT_WINDOWS: Final = 8
@@ -80,6 +82,8 @@
     ) -> None:
         """:param ttl: how long the lease lasts after a renewal."""
         self._node = node
+        self._process = f'{node}.{secrets.token_hex(4)}'
+        self._appends = 0
         self._log = log
         self._ttl_s = ttl.total_seconds()
         self._clock = clock
@@ -166,9 +170,7 @@
                 raise LogUnavailable('records expired') from error
             self._position = error.first_kept
             return True
-        for record in page.records:
-            self._apply(record)
-        self._position += len(page.records)
+        self._take(page.records)
         return bool(page.records)
 
     def _apply(self, record: bytes) -> None:
@@ -186,37 +188,39 @@
             self.fixed_usage.pop(old)
 
     async def _append(self, content: dict[str, Any]) -> bool:
-        """Append at the known end; a lost answer is settled by reading."""
-        nonce = secrets.token_hex(6)
-        record = encode_json({**content, 'nonce': nonce})
-        sent_s = self._clock.monotonic_s()
-        try:
-            outcome = await self._log.append(record, self._position)
-        except AppendUnknown:
-            # Sent again at the same offset: at most one of both takes effect.
-            outcome = await self._log.append(record, self._position)
-        is_mine = outcome.appended
-        if not is_mine:
-            is_mine = await self._find_own(nonce)
-        if not is_mine:
-            self._lose('another process appended')
-            return False
-        if outcome.appended:
-            self._position = outcome.offset + 1
-        self._note_renewed(sent_s)
-        return True
+        """Append at the known end; a lost answer is settled by reading.
 
-    async def _find_own(self, nonce: str) -> bool:
-        """Tell whether the next record is the one with the nonce, alone."""
-        start = self._position
-        page = await self._log.read(start)
-        is_mine = len(page.records) == 1 and nonce.encode() in page.records[0]
-        for record in page.records:
+        :return: whether the record is in the log and nobody else appended.
+        """
+        self._appends += 1
+        writer = f'{self._process}.{self._appends}.'
+        record = encode_json({**content, 'writer': writer})
+        for _ in range(_APPEND_TRIES):
+            sent_s = self._clock.monotonic_s()
+            try:
+                outcome = await self._log.append(record, self._position)
+            except AppendUnknown:
+                # Sent again at the same offset: one of both takes effect.
+                outcome = await self._log.append(record, self._position)
+            if outcome.appended:
+                self._position = outcome.offset + 1
+                self._note_renewed(sent_s)
+                return True
+            page = await self._log.read(self._position)
+            self._take(page.records)
+            process = f'"{self._process}.'.encode()
+            if not all(process in row for row in page.records):
+                break
+            if any(f'"{writer}"'.encode() in row for row in page.records):
+                self._note_renewed(sent_s)
+                return True
+        self._lose('another process appended')
+        return False
+
+    def _take(self, records: list[bytes]) -> None:
+        for record in records:
             self._apply(record)
-        self._position = start + len(page.records)
-        if not is_mine:
-            self._changed_s = self._clock.monotonic_s()
-        return is_mine
+        self._position += len(records)
 
     def _note_renewed(self, sent_s: float) -> None:
         self._renewed_s = sent_s
--- a/peridotrill/gateway/serving.py
+++ b/peridotrill/gateway/serving.py
@@ -94,7 +94,8 @@
         self.service = service
         self.responder = responder
         self.shared = shared
-        self.may_have_run = False
+        # Sends of which it is not known that they did not run.
+        self._unsettled = 0
         self.outcome = 'cancelled'
         self.targets_used: list[str] = []
         self.excluded: set[str] = set()
@@ -134,6 +135,9 @@
         :param cost: work of the request, for fairness between teams.
         """
         shared = self.shared
+        if self.left_s() <= 0:
+            # The process was paused: its timers run late.
+            raise self.refuse('no_place_in_time')
         queue = shared.placement.queue(self.service, pool)
         queued_s = shared.clock.monotonic_s()
         team = self.team.name if self.team else ''
@@ -170,17 +174,20 @@
                 reply.load.running + reply.load.waiting,
             )
 
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether a target may have worked on the request."""
+        return self._unsettled > 0
+
     def note_sent(self, target: TargetRecord) -> None:
         """Note that a target has been given the request to run."""
         self.targets_used.append(target.target_id)
-        self.may_have_run = True
+        self._unsettled += 1
 
     def note_not_run(self) -> None:
-        """Note that the target says it did not run the request."""
-        self.may_have_run = len(self.targets_used) > 1 and self.may_have_run
+        """Note that the last target says it did not run the request."""
         self.targets_used.pop()
-        if not self.targets_used:
-            self.may_have_run = False
+        self._unsettled -= 1
 
     def count_start(self) -> None:
         """Count the request as begun, once, for the usage reports."""
--- a/peridotrill/gateway/stream_runs.py
+++ b/peridotrill/gateway/stream_runs.py
@@ -196,6 +196,15 @@
     return min(_ENGINE_PRIORITY_MAX, priority)
 
 
+def _is_repeated(event_id: bytes | None, last_id: bytes | None) -> bool:
+    """Tell whether the caller has an event; ids are increasing numbers."""
+    if event_id is None or last_id is None:
+        return False
+    if not event_id.isdigit() or not last_id.isdigit():
+        return False
+    return int(event_id) <= int(last_id)
+
+
 @final
 class _Generation:
     """The output of one request, from one engine or several in turn."""
@@ -213,6 +222,7 @@
         self._target: TargetRecord | None = None
         self._last_id = run.request.resume_after
         self._events = 0
+        self._use_handle = prepared is not None
         self.took_prompt = False
 
     async def execute(self) -> None:
@@ -267,7 +277,8 @@
             run.note_load(target, reply)
             if reply.not_run:
                 return await self._note_not_run(target, reply)
-            self.took_prompt = True
+            self.took_prompt = self._use_handle
+            self._use_handle = False
             if not reply.is_genuine:
                 raise TargetOutcomeUnknown('no stamp')
             if reply.status >= _FIRST_ERROR:
@@ -292,7 +303,7 @@
         run = self._run
         source = None
         fetch = None
-        if self._prepared is not None and not self.took_prompt:
+        if self._prepared is not None and self._use_handle:
             address = self._prepared.target.address
             source = f'{address}/{self._prepared.handle}'
         elif self._prepared is not None:
@@ -337,7 +348,7 @@
         run.note_not_run()
         # The prompt may be gone from the engine that read it: the next
         # engine reads what it lacks itself.
-        self.took_prompt = True
+        self._use_handle = False
         if not run.shared.budget.try_repeat(
             run.service,
             run.shared.quotas.gateways,
@@ -375,7 +386,8 @@
             if part is None:
                 break
             for event in splitter.feed(part):
-                self._pass_event(reply, event.content, event.event_id)
+                if not _is_repeated(event.event_id, self._last_id):
+                    self._pass_event(reply, event.content, event.event_id)
             await run.responder.drain()
         if splitter.has_rest or not run.responder.has_started:
             raise TargetOutcomeUnknown('stream ended inside an event')
--- a/peridotrill/gateway/target_port.py
+++ b/peridotrill/gateway/target_port.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from typing import Final, NamedTuple, final
@@ -21,6 +23,8 @@
 _MAX_BUFFERED_BYTES: Final = 262144
 # A response that belongs to another request is skipped up to this many times.
 _MAX_SKIPPED: Final = 4
+# Linger for no time: closing resets the connection.
+_RESET: Final = struct.pack('ii', 1, 0)
 _NO_BODY: Final = frozenset((204, 304))
 _MIN_FINAL_STATUS: Final = 200
 
@@ -226,9 +230,16 @@
         return self._exchange
 
     def abort(self, reason: str) -> None:
-        """Close at once; a request in progress fails."""
+        """Close at once; a request in progress fails.
+
+        The connection is reset: bytes that are held up on the way must not
+        arrive after the request was given up.
+        """
         self.is_open = False
         if self._transport is not None:
+            peer = self._transport.get_extra_info('socket')
+            if peer is not None and not self._transport.is_closing():
+                peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
             self._transport.abort()
         exchange = self._exchange
         self._exchange = None
--- a/peridotrill/gateway/team_quotas.py
+++ b/peridotrill/gateway/team_quotas.py
@@ -63,7 +63,8 @@
         self._buckets: dict[str, _Bucket] = {}
         self._teams: Mapping[str, Team] = {}
         self._spent: dict[str, float] = {}
-        self._peer_spent: dict[tuple[str, str], float] = {}
+        self._peer_spent: dict[str, dict[str, float]] = {}
+        self._incarnations: dict[str, str] = {}
         self._peer_heard_s: dict[str, float] = {}
 
     def configure(self, teams: Mapping[str, Team]) -> None:
@@ -103,11 +104,15 @@
         now_s = self._clock.monotonic_s()
         self._refill_all(now_s)
         self._peer_heard_s[peer] = now_s
-        source = f'{peer}/{incarnation}'
+        if self._incarnations.get(peer) != incarnation:
+            self._incarnations[peer] = incarnation
+            self._peer_spent[peer] = dict(spent)
+            return
+        known = self._peer_spent[peer]
         for team, total in spent.items():
-            before = self._peer_spent.get((source, team))
-            self._peer_spent[source, team] = max(total, before or 0)
-            if before is not None and team in self._buckets:
+            before = known.get(team, 0)
+            known[team] = max(total, before)
+            if team in self._buckets:
                 used = max(0, total - before)
                 self._buckets[team].level -= used
                 self._buckets[team].all_use += used
--- a/peridotrill/gateway_main.py
+++ b/peridotrill/gateway_main.py
@@ -186,6 +186,7 @@
         self._sequence = 0
         self._notice_until_s = 0.0
         self._roles: RoleDuty | None = None
+        self._caller_server: asyncio.AbstractServer | None = None
         self._beliefs.on_change = self._on_beliefs_changed
         self._beliefs.on_target_gone = self._on_target_gone
         self._peers.on_report = self._on_report
@@ -279,12 +280,14 @@
             (control, node.ready_address),
             (control, metrics),
         ):
-            await loop.create_server(
+            server = await loop.create_server(
                 port.create_connection,
                 address.host,
                 address.port,
                 backlog=_BACKLOG,
             )
+            if port is callers:
+                self._caller_server = server
         await loop.create_datagram_endpoint(
             lambda: self._peers,
             (node.ip, node.peer_port),
@@ -557,6 +560,8 @@
         await anyio.sleep(
             min(_ROTATION_S, self._node.bounds.grace_s - _EXIT_MARGIN_S),
         )
+        if self._caller_server is not None:
+            self._caller_server.close()
         port.close_idle()
         while handler.in_progress and self._clock.monotonic_s() < stop_s:
             await anyio.sleep(0.02)
