--- /dev/null
+++ b/standins/platform_engine.py
@@ -0,0 +1,167 @@
+"""Stand-in for the platform's engines: plain services and model engines."""
+
+import asyncio
+import itertools
+
+from peridotrill.codec import decode_json, encode_json
+
+_OK = 200
+_ACCEPTED = 202
+_NOT_FOUND = 404
+_MISDIRECTED = 421
+_ERROR = 500
+_UNAVAILABLE = 503
+
+
+class PlatformEngine:
+    """One engine; notes what it ran, for the checks of a test.
+
+    ``plan`` holds the faults of the next requests, one each: ``shed``
+    (503, not run), ``reset`` (runs, then closes), ``error`` (500), ``late``
+    (an answer to another request goes before), ``cut`` (breaks off after two
+    events), ``silent`` (runs and never answers), ``unstamped``.
+    """
+
+    def __init__(self, target_id, service, zone, role=None) -> None:
+        """:param role: ``prefill`` or ``decode`` for model engines."""
+        self.target_id = target_id
+        self.service = service
+        self.zone = zone
+        self.role = role
+        self.plan: list[str] = []
+        self.default_fault = ''
+        self.work_s = 0.01
+        self.events = 5
+        self.event_s = 0.005
+        self.runs: list[str] = []
+        self.received: list[dict] = []
+        self.cancelled: list[str] = []
+        self.released: list[str] = []
+        self.orders: list[dict] = []
+        self._handles = itertools.count(1)
+
+    def record(self, address, state='ready', **changes) -> bytes:
+        """Return what the engine registers about itself."""
+        content = {
+            'service': self.service,
+            'addr': str(address),
+            'zone': self.zone,
+            'version': 'v1',
+            'slots': 8,
+            'state': state,
+            'cold-left-ms': 0,
+            'seq': 1,
+            'born': 1700000000000,
+        }
+        if self.role is not None:
+            content['stage'] = self.role
+        return encode_json({**content, **changes})
+
+    async def handle(self, raw, responder) -> None:
+        """Answer one request."""
+        headers = {
+            name.decode(): content.decode() for name, content in raw.headers
+        }
+        request_id = headers.get('x-peridotrill-request-id', '')
+        path = raw.target.decode()
+        if path.startswith('/-/'):
+            self._answer_control(raw, path, responder)
+            return
+        self.received.append({**headers, 'path': path, 'body': raw.body})
+        expected = headers.get('x-peridotrill-expect-instance')
+        if expected not in {None, self.target_id}:
+            responder.send(_MISDIRECTED, self._echo(request_id), b'')
+            return
+        fault = self.plan.pop(0) if self.plan else self.default_fault
+        if fault == 'shed':
+            refused = [*self._echo(request_id), (b'X-Peridotrill-Not-Run', b'1')]
+            responder.send(_UNAVAILABLE, refused, b'')
+            return
+        if headers.get('x-peridotrill-stage') == 'prefill':
+            await asyncio.sleep(self.work_s)
+            handle = f'h{next(self._handles)}'
+            answer = {'handle': handle, 'tokens': 1, 'version': 1}
+            responder.send(_OK, self._echo(request_id), encode_json(answer))
+            return
+        self.runs.append(request_id)
+        try:
+            await self._run(fault, headers, responder)
+        except asyncio.CancelledError:
+            self.cancelled.append(request_id)
+            raise
+
+    async def _run(self, fault, headers, responder) -> None:
+        request_id = headers.get('x-peridotrill-request-id', '')
+        if fault == 'silent':
+            await asyncio.Event().wait()
+        await asyncio.sleep(self.work_s)
+        head = self._stamped(request_id)
+        if fault == 'reset':
+            responder.abort()
+        elif fault == 'error':
+            responder.send(_ERROR, head, b'failed')
+        elif fault == 'unstamped':
+            responder.send(_OK, self._echo(request_id), b'not the answer')
+        elif self.role is None:
+            if fault == 'late':
+                responder.send(_OK, self._stamped('another'), b'not yours')
+            responder.send(_OK, head, f'answer to {request_id}'.encode())
+        else:
+            await self._stream(fault, headers, head, responder)
+
+    async def _stream(self, fault, headers, head, responder) -> None:
+        first = int(headers.get('last-event-id', '0')) + 1
+        responder.start_stream(_OK, head)
+        for number in range(first, self.events + 1):
+            event = f'id: {number}\ndata: token {number}\n\n'.encode()
+            if fault == 'cut' and number == first + 2:
+                responder.send_part(event[:7])
+                await asyncio.sleep(self.event_s)
+                responder.abort()
+                return
+            responder.send_part(event)
+            await asyncio.sleep(self.event_s)
+        responder.end_stream()
+
+    def _answer_control(self, raw, path, responder) -> None:
+        if path == '/-/report':
+            report = {'stage': self.role, 'seq': len(self.orders)}
+            responder.send(_OK, [], encode_json(report))
+        elif path == '/-/order':
+            self.orders.append(decode_json(raw.body))
+            responder.send(_ACCEPTED, [], b'')
+        elif path.startswith('/-/kv-handle/'):
+            self.released.append(path.rsplit('/', 1)[1])
+            responder.send(_OK, [], b'')
+        else:
+            responder.send(_NOT_FOUND, [], b'')
+
+    def _echo(self, request_id):
+        return [(b'X-Peridotrill-Request-Id', request_id.encode())]
+
+    def _stamped(self, request_id):
+        stamp = (b'X-Peridotrill-Engine-Stamp', f'{self.target_id}.1'.encode())
+        return [*self._echo(request_id), stamp]
+
+
+class PlatformDuties:
+    """Stand-in for the platform's calls of a duty holder."""
+
+    def __init__(self) -> None:
+        """Nothing was reported yet."""
+        self.usage: list[tuple[str, int, int, dict]] = []
+
+    async def handle(self, raw, responder) -> None:
+        """Note a report of usage."""
+        headers = dict(raw.headers)
+        content = decode_json(raw.body)
+        if raw.target == b'/usage':
+            self.usage.append(
+                (
+                    headers[b'x-peridotrill-duty-holder'].decode(),
+                    int(headers[b'x-peridotrill-fence-token']),
+                    content['window'],
+                    content['counts'],
+                ),
+            )
+        responder.send(_OK, [], b'')
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,133 @@
+"""Stand-in for the platform's store: appends, reads, newest records."""
+
+import asyncio
+import base64
+import struct
+from collections import defaultdict
+from urllib.parse import parse_qs, urlsplit
+
+from peridotrill.codec import encode_json
+from peridotrill.exceptions import CodecError
+from peridotrill.platform.store import (
+    format_keyed,
+    join_records,
+    parse_keyed,
+    split_records,
+)
+
+_OK = 200
+_BAD_REQUEST = 400
+_NOT_FOUND = 404
+_GONE = 410
+_PRECONDITION_FAILED = 412
+_UNAVAILABLE = 503
+
+
+class PlatformStore:
+    """Partition 0 of each topic, kept in memory.
+
+    ``fault`` is empty, ``down`` (503 to every call), ``silent`` (no answers)
+    or ``lose_appends`` (appends are done, their answers lost).
+    """
+
+    def __init__(self) -> None:
+        """All topics are empty."""
+        self.topics = defaultdict(list)
+        self.first_kept = defaultdict(int)
+        self.fault = ''
+        self.calls = 0
+        self._changed = asyncio.Condition()
+
+    async def put(self, topic: str, key: str, content: bytes) -> None:
+        """Write a record of a keyed topic, as operators and targets do."""
+        await self._append(topic, [format_keyed(key, content)])
+
+    async def handle(self, raw, responder) -> None:
+        """Answer one call."""
+        self.calls += 1
+        parts = urlsplit(raw.target.decode())
+        query = {name: rows[0] for name, rows in parse_qs(parts.query).items()}
+        if self.fault == 'silent':
+            await asyncio.Event().wait()
+        if self.fault == 'down':
+            responder.send(_UNAVAILABLE, [], b'')
+            return
+        topic = query.get('topic', '')
+        if parts.path == '/-/log-append':
+            await self._answer_append(topic, query, raw, responder)
+        elif parts.path == '/-/log-read':
+            await self._answer_read(topic, query, responder)
+        elif parts.path == '/-/log-newest':
+            responder.send(_OK, [], encode_json(self._newest(topic)))
+        else:
+            responder.send(_NOT_FOUND, [], b'')
+
+    async def _append(self, topic, records) -> int:
+        offset = self._end(topic)
+        self.topics[topic].extend(records)
+        async with self._changed:
+            self._changed.notify_all()
+        return offset
+
+    async def _answer_append(self, topic, query, raw, responder) -> None:
+        end = self._end(topic)
+        if int(query.get('at', end)) != end:
+            responder.send(
+                _PRECONDITION_FAILED,
+                [],
+                encode_json({'end': end}),
+            )
+            return
+        try:
+            records = split_records(raw.body)
+        except CodecError:
+            responder.send(_BAD_REQUEST, [], b'')
+            return
+        offset = await self._append(topic, records)
+        if self.fault == 'lose_appends':
+            responder.abort()
+            return
+        answer = {'offset': offset, 'end': self._end(topic)}
+        responder.send(_OK, [], encode_json(answer))
+
+    async def _answer_read(self, topic, query, responder) -> None:
+        start = int(query['from'])
+        first = self.first_kept[topic]
+        if start < first:
+            responder.send(_GONE, [], encode_json({'first': first}))
+            return
+        await self._wait_for(topic, start, int(query.get('wait-ms', 0)))
+        if self.fault == 'silent':
+            await asyncio.Event().wait()
+        head = struct.pack('>QQ', self._end(topic), first)
+        rows = self.topics[topic][start - first :]
+        responder.send(_OK, [], head + join_records(rows))
+
+    async def _wait_for(self, topic, start, wait_ms) -> None:
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                async with self._changed:
+                    while self._end(topic) <= start:
+                        await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _end(self, topic) -> int:
+        return self.first_kept[topic] + len(self.topics[topic])
+
+    def _newest(self, topic) -> dict:
+        rows = {}
+        for offset, record in enumerate(self.topics[topic]):
+            key, content = parse_keyed(record)
+            rows[key] = {
+                'key': key,
+                'value': base64.b64encode(content).decode(),
+                'offset': offset,
+            }
+            if not content:
+                rows.pop(key)
+        return {
+            'items': list(rows.values()),
+            'has-more': False,
+            'end': self._end(topic),
+        }
--- /dev/null
+++ b/tests/gateway_builders.py
@@ -0,0 +1,127 @@
+"""Builders of test data for the gateway and the platform's messages."""
+
+from datetime import timedelta
+
+from peridotrill.clock import ManualClock
+from peridotrill.codec import encode_json
+from peridotrill.gateway.configuration import Team
+from peridotrill.gateway.requests import Prompt, PromptPart
+from peridotrill.gateway.targets import TargetRecord
+from peridotrill.settings import Address
+
+HOST = 'api.example'
+
+
+def route_row(name, kind, service, **changes):
+    row = {
+        'name': name,
+        'host': HOST,
+        'path-prefix': f'/{name}/',
+        'kind': kind,
+        'timeout-ms': 3000,
+        'goal-ms': 500,
+        'priority': 1,
+        'service': service,
+        'attempts': 2,
+        'public': False,
+        'sticky': kind == 'stream',
+        'can-resume': False,
+        'gap-aim-ms': 400,
+    }
+    return {**row, **changes}
+
+
+def configuration_document(version=1, **changes):
+    document = {
+        'version': version,
+        'routes': [
+            route_row('pay', 'non_idempotent', 'till', attempts=1),
+            route_row('read', 'idempotent', 'till'),
+            route_row('open', 'idempotent', 'till', public=True),
+            route_row('draft', 'stream', 'llm', attempts=1),
+            route_row('quick', 'stream', 'llm', **{'can-resume': True}),
+        ],
+        'services': [
+            {
+                'name': 'llm',
+                'max-conns': 100,
+                'engine': {'slots': 8, 'kv-tokens': 100000, 'kv-bytes': 10},
+            },
+            {'name': 'till', 'max-conns': 50},
+        ],
+        'limits': {
+            'max-header-bytes': 4096,
+            'max-body-bytes': 100000,
+            'header-timeout-ms': 500,
+            'idle-timeout-ms': 5000,
+        },
+        'tenants': [
+            {
+                'name': 'growers',
+                'api-keys': ['key-g', 'key-h'],
+                'priority': 1,
+                'unit': 'token_stream',
+                'plain-tokens': 200,
+                'rate-per-s': 0,
+                'burst': 0,
+            },
+        ],
+    }
+    return {**document, **changes}
+
+
+def configuration_record(version=1, **changes):
+    return encode_json(configuration_document(version, **changes))
+
+
+def team(name='growers', rate_per_s=1000.0, burst=1000.0):
+    return Team(name, frozenset(), None, rate_per_s, burst, True, 10)
+
+
+def target(target_id='i-1', role=None, **changes):
+    record = TargetRecord(
+        target_id=target_id,
+        service='llm' if role else 'till',
+        address=Address('127.0.0.1', 9000),
+        zone='a',
+        slots=8,
+        is_leaving=False,
+        role=role,
+        started_ms=1,
+    )
+    return record._replace(**changes)
+
+
+def prompt(shared=2000, own=500, part_id='p1', output=50):
+    return Prompt(
+        model='m',
+        prompt_tokens=shared + own,
+        max_output_tokens=output,
+        parts=(PromptPart(part_id, shared), PromptPart('own', own)),
+        expected_output_tokens=output,
+    )
+
+
+def advance(clock: ManualClock, seconds: float) -> None:
+    clock.advance(timedelta(seconds=seconds))
+
+
+class SilentLog:
+    """Takes events in the place of the log."""
+
+    def __init__(self):
+        self.events = []
+
+    def write(self, event, **fields):
+        self.events.append((event, fields))
+
+    def write_fault(self, event, error, **fields):
+        self.events.append((event, {'error': error, **fields}))
+
+
+def prompt_headers(shared=2000, own=500, output=50, part_id='a1'):
+    return {
+        'X-Peridotrill-Model': 'm',
+        'X-Peridotrill-Token-Count': f'{shared + own},{output}',
+        'X-Peridotrill-Prompt-Prefix': f'{part_id}:{shared},b2:{own}',
+    }
--- /dev/null
+++ b/tests/gateway_site.py
@@ -0,0 +1,244 @@
+"""A site in one test: stand-ins in a thread, gateways as real processes."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from contextlib import AsyncExitStack, contextmanager
+from pathlib import Path
+
+import httpx
+import yaml
+from anyio.from_thread import start_blocking_portal
+
+from peridotrill.gateway.targets import TargetRole
+from standins.platform_engine import PlatformDuties, PlatformEngine
+from standins.platform_server import serve_http
+from standins.platform_store import PlatformStore
+from tests.gateway_builders import HOST, configuration_record
+from tests.proxy import run_proxies
+
+ROOT = Path(__file__).parent.parent
+START_TIMEOUT_S = 20
+CONFIG_TOPIC = 'keyed.op'
+SERVERS_TOPIC = 'keyed.servers'
+
+
+def free_port(kind=socket.SOCK_STREAM):
+    with socket.socket(type=kind) as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+class GatewayProcess:
+    """One gateway; ``log`` is its standard output."""
+
+    def __init__(self, site, node, folder, bounds):
+        self.node = node
+        self.caller_port = free_port()
+        self.ready_port = free_port()
+        self._peer_port = free_port(socket.SOCK_DGRAM)
+        self._folder = folder
+        self._bounds = bounds
+        self._site = site
+        self.process = None
+        self.log_path = folder / f'{node}.log'
+        self._write_settings()
+
+    @property
+    def url(self):
+        return f'http://127.0.0.1:{self.caller_port}'
+
+    def start(self):
+        environment = {
+            **os.environ,
+            'PERIDOTRILL_BOOT': str(self._folder / f'{self.node}.yaml'),
+            'PYTHONUNBUFFERED': '1',
+        }
+        with self.log_path.open('ab') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'peridotrill.gateway_main'],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def is_ready(self):
+        try:
+            answer = httpx.get(f'http://127.0.0.1:{self.ready_port}/-/ready')
+        except httpx.HTTPError:
+            return False
+        return answer.status_code == 200
+
+    def wait_ready(self):
+        wait_until(self.is_ready, START_TIMEOUT_S, self.read_log)
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    def stop(self):
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+    def read_log(self):
+        return self.log_path.read_text()
+
+    def _write_settings(self):
+        settings = {
+            'node': self.node,
+            'role': 'gateway',
+            'ip': '127.0.0.1',
+            'zone': 'a',
+            'listen': {
+                'front': f'127.0.0.1:{self.caller_port}',
+                'ready': f'127.0.0.1:{self.ready_port}',
+            },
+            'port-range': [self._peer_port, self._peer_port + 15],
+            'bootstrap': False,
+            'limits': {'memory-limit-mb': 300, 'max-fds': 1000},
+            'bounds': {'revoke-ms': 5000, 'grace-s': 6, **self._bounds},
+            'platform': {'addr': '{}:{}'.format(*self._site.store_address)},
+            'cloud': {
+                'addr': str(self._site.duties_address),
+                'duties': ['usage'],
+            },
+        }
+        path = self._folder / f'{self.node}.yaml'
+        path.write_text(yaml.safe_dump(settings))
+
+
+class Site:
+    """Stand-ins with their addresses, and the gateways."""
+
+    def __init__(self, portal, proxies, folder):
+        self.portal = portal
+        self.proxies = proxies
+        self.folder = folder
+        self.store = PlatformStore()
+        self.duties = PlatformDuties()
+        self.engines = {
+            engine.target_id: engine
+            for engine in (
+                PlatformEngine('i-till-1', 'till', 'a'),
+                PlatformEngine('i-till-2', 'till', 'b'),
+                PlatformEngine('i-pre', 'llm', 'a', 'prefill'),
+                PlatformEngine('i-dec-1', 'llm', 'a', 'decode'),
+                PlatformEngine('i-dec-2', 'llm', 'b', 'decode'),
+            )
+        }
+        self.addresses = {}
+        self.gateways = {}
+
+    async def open(self, stack):
+        store_address = await stack.enter_async_context(
+            serve_http(self.store.handle),
+        )
+        self.duties_address = await stack.enter_async_context(
+            serve_http(self.duties.handle),
+        )
+        self._real_store_address = store_address
+        for name, engine in self.engines.items():
+            self.addresses[name] = await stack.enter_async_context(
+                serve_http(engine.handle),
+            )
+        await self.store.put(CONFIG_TOPIC, 'config', configuration_record())
+        for name, engine in self.engines.items():
+            record = engine.record(self.addresses[name])
+            await self.store.put(SERVERS_TOPIC, name, record)
+
+    def start_gateways(self, *nodes, **bounds):
+        for node in nodes:
+            self.store_proxy = self.proxies.start(tuple(self._real_store_address))
+            wait_until(lambda: self.store_proxy.address is not None)
+            self.store_address = self.store_proxy.address[:2]
+            gateway = GatewayProcess(self, node, self.folder, bounds)
+            gateway.store_proxy = self.store_proxy
+            gateway.start()
+            self.gateways[node] = gateway
+        for node in nodes:
+            self.gateways[node].wait_ready()
+        return [self.gateways[node] for node in nodes]
+
+    def publish(self, version, **changes):
+        content = configuration_record(version, **changes)
+        self.portal.call(self.store.put, CONFIG_TOPIC, 'config', content)
+
+    def register(self, name, **changes):
+        record = self.engines[name].record(self.addresses[name], **changes)
+        self.portal.call(self.store.put, SERVERS_TOPIC, name, record)
+
+    def plan(self, service, *faults, role=None):
+        """Give each engine of a service the same faults for its next runs."""
+        for engine in self.engines.values():
+            if engine.service == service and engine.role == role:
+                engine.plan = list(faults)
+
+    def runs(self, request_id):
+        return [
+            name
+            for name, engine in self.engines.items()
+            for run in engine.runs
+            if run == request_id
+        ]
+
+
+@contextmanager
+def run_site(folder):
+    with run_proxies() as proxies, start_blocking_portal() as portal:
+        site = Site(portal, proxies, folder)
+
+        async def serve(*, task_status):
+            import asyncio  # noqa: PLC0415
+
+            async with AsyncExitStack() as stack:
+                await site.open(stack)
+                task_status.started()
+                await asyncio.Event().wait()
+
+        future, _ = portal.start_task(serve)
+        try:
+            yield site
+        finally:
+            for gateway in site.gateways.values():
+                gateway.stop()
+            future.cancel()
+
+
+def wait_until(condition, timeout_s=10, explain=lambda: ''):
+    deadline_s = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > deadline_s:
+            raise AssertionError(f'not within {timeout_s} s; {explain()}')
+        time.sleep(0.02)
+
+
+def call(gateway, path, request_id, key='key-g', method='POST', **headers):
+    """Send one request and return the response."""
+    sent = {
+        'Host': HOST,
+        'X-Peridotrill-Request-Id': request_id,
+        'X-Peridotrill-Deadline-Ms': '3000',
+        **headers,
+    }
+    if key is not None:
+        sent['Authorization'] = f'Bearer {key}'
+    return httpx.request(
+        method,
+        gateway.url + path,
+        headers=sent,
+        content=b'body',
+        timeout=8,
+    )
+
+
+SIGTERM, SIGSTOP, SIGCONT, SIGKILL = (
+    signal.SIGTERM,
+    signal.SIGSTOP,
+    signal.SIGCONT,
+    signal.SIGKILL,
+)
+DECODE = TargetRole.DECODE.value
--- /dev/null
+++ b/tests/test_gateway_coordinator.py
@@ -0,0 +1,235 @@
+"""The lease of the coordinator, under pauses, lost answers and competition."""
+
+import asyncio
+from datetime import timedelta
+from typing import NamedTuple
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from peridotrill.clock import ManualClock
+from peridotrill.exceptions import (
+    AppendUnknown,
+    LogUnavailable,
+    RecordsExpired,
+)
+from peridotrill.gateway.coordinator import Coordinator
+from peridotrill.gateway.true_time import TrueTime
+from peridotrill.gateway.usage_counts import UsageCounts
+from peridotrill.gateway.usage_duty import UsageDuty
+from tests.gateway_builders import SilentLog, advance
+
+_TTL = timedelta(seconds=4)
+_NONE = timedelta(0)
+
+
+class Page(NamedTuple):
+    records: list
+
+
+class Outcome(NamedTuple):
+    appended: bool
+    offset: int
+
+
+class FakeLog:
+    """A log in memory; ``faults`` holds those of the next appends."""
+
+    def __init__(self):
+        self.records = []
+        self.first = 0
+        self.faults = []
+        self.delayed = []
+        self.down = False
+
+    async def read(self, start):
+        if self.down:
+            raise LogUnavailable('down')
+        if start < self.first:
+            raise RecordsExpired('expired', self.first)
+        return Page(self.records[start:])
+
+    async def append(self, record, at):
+        fault = self.faults.pop(0) if self.faults else ''
+        if self.down or fault == 'down':
+            raise LogUnavailable('down')
+        if fault == 'late':
+            self.delayed.append((record, at))
+            raise AppendUnknown('late')
+        outcome = self._append(record, at)
+        if fault == 'lost':
+            raise AppendUnknown('lost')
+        return outcome
+
+    def carry_out_delayed(self):
+        while self.delayed:
+            self._append(*self.delayed.pop(0))
+
+    def _append(self, record, at):
+        if at != len(self.records):
+            return Outcome(False, len(self.records))
+        self.records.append(record)
+        return Outcome(True, at)
+
+
+class Competition(RuleBasedStateMachine):
+    """Three candidates on one log.
+
+    Guards against two holders at a time, against generation numbers that
+    repeat or fall, and against usage that two holders fix differently.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.log = FakeLog()
+        self.nodes = {name: self._create(name) for name in 'abc'}
+        self.fences = []
+        self.fixed = {}
+        self.windows = 0
+
+    def _create(self, name):
+        return Coordinator(name, self.log, _TTL, self.clock, SilentLog())
+
+    @rule(name=st.sampled_from('abc'), claims=st.booleans())
+    def step(self, name, claims):
+        asyncio.run(self.nodes[name].step(claims))
+
+    @rule(seconds=st.sampled_from([0.2, 1.0, 2.0, 4.1]))
+    def wait(self, seconds):
+        advance(self.clock, seconds)
+
+    @rule(faults=st.lists(st.sampled_from(['lost', 'late', 'down', '']), max_size=3))
+    def plan_faults(self, faults):
+        self.log.faults = faults
+
+    @rule()
+    def toggle_outage(self):
+        self.log.down = not self.log.down
+
+    @rule()
+    def carry_out_delayed(self):
+        self.log.carry_out_delayed()
+
+    @rule(name=st.sampled_from('abc'))
+    def restart(self, name):
+        self.nodes[name] = self._create(name)
+
+    @rule(name=st.sampled_from('abc'), count=st.integers(1, 9))
+    def fix_usage(self, name, count):
+        node = self.nodes[name]
+        if node.held_lease(_NONE) is None or 1 in node.fixed_usage:
+            return
+        if asyncio.run(node.fix_usage(1, {'team': count})):
+            assert self.fixed.setdefault(1, count) == count
+
+    @invariant()
+    def at_most_one_holds(self):
+        held = [
+            (name, lease.fence)
+            for name, node in self.nodes.items()
+            if (lease := node.held_lease(_NONE))
+        ]
+        assert len(held) <= 1
+        if held and (not self.fences or self.fences[-1] != held[0]):
+            assert all(fence < held[0][1] for _, fence in self.fences)
+            self.fences.append(held[0])
+
+
+TestCompetition = Competition.TestCase
+TestCompetition.settings = settings(max_examples=150, stateful_step_count=50)
+
+
+def run_steps(clock, node, seconds, claims=True):
+    for _ in range(int(seconds / 0.25)):
+        advance(clock, 0.25)
+        asyncio.run(node.step(claims))
+
+
+def test_a_candidate_becomes_holder_after_the_lease_time():
+    clock = ManualClock()
+    log = FakeLog()
+    first = Coordinator('a', log, _TTL, clock, SilentLog())
+    second = Coordinator('b', log, _TTL, clock, SilentLog())
+    run_steps(clock, first, 1)
+    assert first.held_lease(_NONE).fence == 1
+    run_steps(clock, second, 3)
+    assert second.held_lease(_NONE) is None
+    run_steps(clock, second, 2)
+    assert second.held_lease(_NONE).fence > 1
+    assert first.held_lease(_NONE) is None
+
+
+def test_margin_ends_the_lease_sooner_for_slow_acts():
+    clock = ManualClock()
+    node = Coordinator('a', FakeLog(), _TTL, clock, SilentLog())
+    run_steps(clock, node, 0.5)
+    advance(clock, 3)
+    assert node.held_lease(_NONE)
+    assert node.held_lease(timedelta(seconds=1.2)) is None
+
+
+def test_usage_survives_expired_records():
+    # Guards against a follower that stops at records that are gone.
+    clock = ManualClock()
+    log = FakeLog()
+    log.records = [b'x'] * 5
+    log.first = 3
+    node = Coordinator('a', log, _TTL, clock, SilentLog())
+    run_steps(clock, node, 6)
+    assert node.held_lease(_NONE).fence == 6
+
+
+class UsagePort:
+    def __init__(self):
+        self.calls = []
+        self.answers = []
+
+    async def report_usage(self, fence, window, counts):
+        self.calls.append((fence, window, dict(counts)))
+        return self.answers.pop(0) if self.answers else 'ok'
+
+
+def test_figures_are_fixed_before_they_are_sent():
+    # Guards against a second figure for a window whose first report had no
+    # answer: counts that arrive later no longer change it.
+    clock = ManualClock()
+    node = Coordinator('a', FakeLog(), _TTL, clock, SilentLog())
+    counts = UsageCounts(5, TrueTime(clock))
+    port = UsagePort()
+    port.answers = ['timeout']
+    duty = UsageDuty(counts, node, port, 10, SilentLog())
+    run_steps(clock, node, 0.5)
+    counts.count('growers')
+    window = counts.present_window()
+    for _ in range(32):
+        run_steps(clock, node, 0.25)
+        asyncio.run(duty.step())
+        if len(port.calls) == 1:
+            counts.observe_peer('late', {window: {'growers': 3}})
+    assert port.calls == [(1, window, {'growers': 1})] * 2
+
+
+def test_counts_of_restarted_processes_are_kept():
+    # Guards against windows that lose what a killed process had reported.
+    clock = ManualClock()
+    counts = UsageCounts(5, TrueTime(clock))
+    window = counts.present_window()
+    counts.observe_peer('n/1', {window: {'growers': 2}})
+    counts.observe_peer('n/2', {window: {'growers': 1}})
+    counts.observe_peer('n/1', {window: {'growers': 2}})
+    counts.count('growers')
+    assert counts.total(window) == {'growers': 4}
+
+
+def test_time_is_that_of_most_machines():
+    # Guards against usage in the wrong window after a clock has stepped.
+    clock = ManualClock()
+    true_time = TrueTime(clock)
+    right = true_time.unix_s() + 30
+    true_time.observe_peer('a', right)
+    true_time.observe_peer('b', right + 0.01)
+    assert abs(true_time.unix_s() - right) < 0.1
+    advance(clock, 20)
+    assert abs(true_time.unix_s() - right + 10) < 0.1
--- /dev/null
+++ b/tests/test_gateway_faults.py
@@ -0,0 +1,194 @@
+"""Real gateways while processes and the store fail."""
+
+import itertools
+import os
+import subprocess
+import sys
+import threading
+import time
+
+import pytest
+
+from tests.gateway_builders import configuration_document
+from tests.gateway_site import (
+    ROOT,
+    SIGCONT,
+    SIGKILL,
+    SIGSTOP,
+    SIGTERM,
+    call,
+    run_site,
+    wait_until,
+)
+
+_numbers = itertools.count()
+
+
+@pytest.fixture
+def site(tmp_path):
+    with run_site(tmp_path) as running:
+        yield running
+
+
+def without_key(version, key):
+    teams = configuration_document()['tenants']
+    for row in teams:
+        row['api-keys'] = [name for name in row['api-keys'] if name != key]
+    return {'version': version, 'tenants': teams}
+
+
+def status_of(gateway, key='key-g'):
+    return call(
+        gateway, '/pay/x', f'fault-{next(_numbers)}', key=key
+    ).status_code
+
+
+def test_withdrawn_key_stops_while_the_store_is_silent(site):
+    # Guards against keys that go on working at a gateway that cannot hear
+    # that they were withdrawn.
+    (gateway,) = site.start_gateways('front-a-1', **{'revoke-ms': 2000})
+    assert status_of(gateway) == 200
+    gateway.store_proxy.hold()
+    withdrawn_s = time.monotonic()
+    site.publish(**without_key(2, 'key-g'))
+    wait_until(lambda: status_of(gateway) == 503, 3)
+    assert time.monotonic() - withdrawn_s < 2
+    assert not gateway.is_ready()
+    gateway.store_proxy.heal()
+    wait_until(lambda: status_of(gateway) == 401, 4)
+    assert status_of(gateway, 'key-h') == 200
+
+
+def test_requests_go_on_while_the_store_is_down_for_a_moment(site):
+    # Guards against a gateway that stops at the first failed call.
+    (gateway,) = site.start_gateways('front-a-1')
+    site.store.fault = 'down'
+    for _ in range(10):
+        assert status_of(gateway) == 200
+        time.sleep(0.1)
+    site.store.fault = ''
+    wait_until(lambda: 'store_regained' in gateway.read_log(), 5)
+    assert 'store_lost' in gateway.read_log()
+
+
+def test_paused_gateway_serves_no_key_before_it_has_asked_again(site):
+    # Guards against beliefs that outlive a pause of the process.
+    (gateway,) = site.start_gateways('front-a-1', **{'revoke-ms': 2000})
+    gateway.signal(SIGSTOP)
+    site.publish(**without_key(2, 'key-g'))
+    time.sleep(2.2)
+    gateway.signal(SIGCONT)
+    assert status_of(gateway) in {401, 503}
+
+
+def test_gateway_started_during_an_outage_refuses_until_it_knows(site):
+    # Guards against a start that fails, or that answers 401 or 404 without
+    # a configuration.
+    (gateway,) = site.start_gateways('front-a-1')
+    gateway.stop()
+    gateway.store_proxy.hold()
+    gateway.start()
+    wait_until(lambda: 'process_started' in gateway.read_log())
+    wait_until(lambda: _answers(gateway, 503), 5)
+    gateway.store_proxy.heal()
+    gateway.wait_ready()
+    assert status_of(gateway) == 200
+
+
+def _answers(gateway, status):
+    try:
+        return status_of(gateway) == status
+    except OSError:
+        return False
+    except Exception as error:  # noqa: BLE001
+        if 'Connect' in type(error).__name__:
+            return False
+        raise
+
+
+def test_stop_under_load_loses_no_request(site):
+    # Guards against requests that are cut when a gateway is stopped.
+    (gateway,) = site.start_gateways('front-a-1')
+    for engine in site.engines.values():
+        engine.work_s = 0.3
+    statuses = []
+    threads = [
+        threading.Thread(target=lambda: statuses.append(status_of(gateway)))
+        for _ in range(8)
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.15)
+    gateway.signal(SIGTERM)
+    wait_until(lambda: not gateway.is_ready(), 2)
+    statuses.append(status_of(gateway))
+    for thread in threads:
+        thread.join()
+    assert statuses == [200] * 9
+    assert gateway.process.wait(timeout=6) == 0
+    assert 'process_stopped' in gateway.read_log()
+
+
+def test_invalid_settings_are_reported_together(tmp_path):
+    # Guards against a start that shows one finding at a time.
+    path = tmp_path / 'local.yaml'
+    path.write_text('node: ""\nlisten: {front: nowhere}\nlimits: {max-fds: x}')
+    ended = subprocess.run(
+        [sys.executable, '-m', 'peridotrill.gateway_main'],
+        cwd=ROOT,
+        env={**os.environ, 'PERIDOTRILL_BOOT': str(path)},
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+    assert ended.returncode == 2
+    for place in ('node', 'listen.front', 'limits.max-fds', 'platform.addr'):
+        assert f'{path}:{place}: ' in ended.stderr
+
+
+def test_each_window_is_reported_once_although_the_holder_is_killed(site):
+    # Guards against two figures for one window, and against a holder that
+    # acts after its successor.
+    nodes = ('front-a-1', 'front-a-2')
+    first, second = site.start_gateways(*nodes, **{'window-s': 2})
+    wait_until(lambda: 'lease_taken' in first.read_log(), 10)
+    for _ in range(6):
+        assert status_of(first) == 200
+        assert status_of(second) == 200
+    wait_until(lambda: site.duties.usage, 8)
+    first.signal(SIGKILL)
+    first.process.wait()
+    for _ in range(4):
+        status_of(second)
+    wait_until(lambda: 'lease_taken' in second.read_log(), 12)
+    wait_until(
+        lambda: sum(counts.get('growers', 0) for counts in _figures(site)) >= 16,
+        12,
+        lambda: str(site.duties.usage),
+    )
+    figures = {}
+    fences = []
+    for holder, fence, window, counts in site.duties.usage:
+        assert figures.setdefault(window, counts) == counts
+        fences.append((fence, holder))
+    assert fences == sorted(fences)
+    assert len({holder for _, holder in fences}) == len(
+        {fence for fence, _ in fences}
+    )
+    assert sum(row['growers'] for row in figures.values()) == 16
+
+
+def _figures(site):
+    return {window: counts for _, _, window, counts in site.duties.usage}.values()
+
+
+def test_lease_survives_appends_whose_answers_are_lost(site):
+    # Guards against a holder that gives up although its record was written.
+    (gateway,) = site.start_gateways('front-a-1', **{'window-s': 2})
+    wait_until(lambda: 'lease_taken' in gateway.read_log(), 10)
+    site.store.fault = 'lose_appends'
+    time.sleep(3)
+    site.store.fault = ''
+    time.sleep(1.5)
+    assert 'lease_lost' not in gateway.read_log()
--- /dev/null
+++ b/tests/test_gateway_limits.py
@@ -0,0 +1,197 @@
+"""Sums over all gateways: quotas, repeats, loads, under lost reports."""
+
+import math
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from peridotrill.clock import ManualClock
+from peridotrill.gateway.admission_queue import Place
+from peridotrill.gateway.loads import LoadBook, reading_key
+from peridotrill.gateway.repeat_budget import RepeatBounds, RepeatBudget
+from peridotrill.gateway.team_quotas import TeamQuotas
+from tests.gateway_builders import advance, target, team
+
+_RATE = 1000.0
+_BURST = 1000.0
+_EXCESS = 800.0
+_WINDOW_S = 8.0
+_NODES = ('n1', 'n2', 'n3', 'n4')
+
+
+class QuotaCluster(RuleBasedStateMachine):
+    """Gateways that admit as much as they can while reports get lost.
+
+    Guards against a team that exceeds its limit while gateways are cut off
+    from each other, restart, or see a burst at all of them at once.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.clock = ManualClock()
+        self.team = team(rate_per_s=_RATE, burst=_BURST)
+        self.nodes = {name: self._create() for name in _NODES}
+        self.incarnations = dict.fromkeys(_NODES, 1)
+        self.cut = set()
+        self.admitted = []
+
+    def _create(self):
+        quotas = TeamQuotas(self.clock, _EXCESS)
+        quotas.configure({self.team.name: self.team})
+        for peer in _NODES[1:]:
+            quotas.add_peer(peer)
+        return quotas
+
+    @rule(name=st.sampled_from(_NODES), cost=st.integers(10, 300))
+    def admit(self, name, cost):
+        for _ in range(20):
+            if not self.nodes[name].admit(self.team, cost).is_admitted:
+                return
+            self.admitted.append((self.clock.monotonic_s(), cost))
+
+    @rule(cost=st.integers(10, 100))
+    def admit_everywhere(self, cost):
+        for name in _NODES:
+            self.admit(name, cost)
+
+    @rule(steps=st.integers(1, 20))
+    def report(self, steps):
+        for _ in range(steps):
+            advance(self.clock, 0.1)
+            for sender, quotas in self.nodes.items():
+                for receiver, other in self.nodes.items():
+                    pair = {sender, receiver}
+                    if sender != receiver and not pair & self.cut:
+                        other.observe_peer(
+                            sender,
+                            str(self.incarnations[sender]),
+                            dict(quotas.spent()),
+                        )
+                quotas.end_report_interval()
+
+    @rule(name=st.sampled_from(_NODES))
+    def cut_off(self, name):
+        self.cut.add(name)
+
+    @rule()
+    def heal(self):
+        self.cut.clear()
+
+    @rule(name=st.sampled_from(_NODES))
+    def restart(self, name):
+        self.incarnations[name] += 1
+        self.nodes[name] = self._create()
+
+    @invariant()
+    def stays_within_the_bound(self):
+        # The tolerated sum of the platform: a tenth more, and the slack.
+        bound = (_RATE * _WINDOW_S + _BURST) * 1.1 + _EXCESS
+        since_s = self.clock.monotonic_s() - _WINDOW_S
+        used = sum(cost for at_s, cost in self.admitted if at_s > since_s)
+        assert used <= bound
+
+
+TestQuotaCluster = QuotaCluster.TestCase
+TestQuotaCluster.settings = settings(max_examples=60, stateful_step_count=40)
+
+
+def test_a_team_at_one_gateway_gets_nearly_its_whole_limit():
+    # Guards against shares that strand what the other gateways do not use.
+    clock = ManualClock()
+    limited = team(rate_per_s=_RATE, burst=_BURST)
+    nodes = [TeamQuotas(clock) for _ in range(6)]
+    for index, quotas in enumerate(nodes):
+        quotas.configure({limited.name: limited})
+        for peer in range(6):
+            if peer != index:
+                quotas.add_peer(str(peer))
+    admitted = 0
+    for step in range(200):
+        advance(clock, 0.1)
+        for index, quotas in enumerate(nodes):
+            for peer, other in enumerate(nodes):
+                if peer != index:
+                    other.observe_peer(str(index), '1', dict(quotas.spent()))
+            quotas.end_report_interval()
+        while step >= 50 and nodes[0].admit(limited, 20).is_admitted:
+            admitted += 20
+    assert admitted >= 0.9 * _RATE * 15
+
+
+def test_silent_peers_keep_their_part_of_the_rate():
+    # Guards against gateways on both sides of a cut that spend everything.
+    clock = ManualClock()
+    limited = team(rate_per_s=_RATE, burst=_BURST)
+    alone = TeamQuotas(clock)
+    alone.configure({limited.name: limited})
+    for peer in ('a', 'b', 'c'):
+        alone.add_peer(peer)
+    admitted = 0
+    for _ in range(100):
+        advance(clock, 0.1)
+        alone.end_report_interval()
+        while alone.admit(limited, 10).is_admitted:
+            admitted += 10
+    assert admitted <= _RATE * 10 / 4 + _BURST
+
+
+def test_refusal_states_when_to_come_back():
+    clock = ManualClock()
+    limited = team(rate_per_s=100, burst=100)
+    quotas = TeamQuotas(clock)
+    quotas.configure({limited.name: limited})
+    refused = quotas.admit(limited, 50)
+    assert not refused.is_admitted
+    advance(clock, refused.retry_after_s)
+    quotas.end_report_interval()
+    assert quotas.admit(limited, 50).is_admitted
+
+
+@pytest.mark.parametrize('gateways', [1, 6, 40])
+def test_repeats_stay_within_the_bound_in_any_window(gateways):
+    # Guards against retries that multiply while everything fails.
+    clock = ManualClock()
+    bounds = RepeatBounds(ratio=0.2, allowance=50, window_s=10)
+    budgets = [RepeatBudget(bounds, clock) for _ in range(gateways)]
+    requests, repeats = [], []
+    for step in range(400):
+        advance(clock, 0.05)
+        budget = budgets[step % gateways]
+        budget.record_request('s')
+        requests.append(clock.monotonic_s())
+        for other in budgets:
+            if other.try_repeat('s', gateways):
+                repeats.append(clock.monotonic_s())
+        since_s = clock.monotonic_s() - bounds.window_s
+        recent = sum(at_s > since_s for at_s in repeats)
+        asked = sum(at_s > since_s for at_s in requests)
+        assert recent <= bounds.ratio * asked + bounds.allowance
+    if gateways == 1:
+        assert repeats
+
+
+def test_load_of_a_silent_peer_is_forgotten():
+    # Guards against targets that look busy with the work of a dead gateway.
+    clock = ManualClock()
+    book = LoadBook(clock)
+    book.begin(Place(target(), running=1, reading_ms=30))
+    book.observe_peer('peer', {'i-1': 4, 'i-2': 1})
+    assert book.total('i-1') == 5
+    assert book.total(reading_key('i-1')) == 30
+    advance(clock, 1.5)
+    book.forget_silent_peers()
+    assert book.total('i-1') == 1
+    book.end(Place(target(), running=1, reading_ms=30))
+    assert book.own() == {}
+
+
+def test_figure_of_a_target_counts_for_a_short_time():
+    clock = ManualClock()
+    book = LoadBook(clock)
+    book.observe_target('i-1', 7)
+    assert book.total('i-1') == 7
+    advance(clock, 1)
+    assert book.total('i-1') == 0
+    assert math.isclose(book.total('i-2'), 0)
--- /dev/null
+++ b/tests/test_gateway_requests.py
@@ -0,0 +1,382 @@
+"""Requests through one real gateway: answers, refusals, at most one run."""
+
+import itertools
+import socket
+import threading
+import time
+
+import httpx
+import pytest
+
+from tests.gateway_builders import HOST, configuration_document, prompt_headers
+from tests.gateway_site import DECODE, call, run_site, wait_until
+
+_numbers = itertools.count()
+
+
+@pytest.fixture(scope='module')
+def site(tmp_path_factory):
+    with run_site(tmp_path_factory.mktemp('site')) as running:
+        running.start_gateways('front-a-1')
+        yield running
+
+
+@pytest.fixture(autouse=True)
+def _without_faults(site):
+    yield
+    for engine in site.engines.values():
+        engine.plan = []
+        engine.default_fault = ''
+        engine.work_s = 0.01
+        engine.event_s = 0.005
+        engine.events = 5
+
+
+@pytest.fixture
+def gateway(site):
+    return site.gateways['front-a-1']
+
+
+@pytest.fixture
+def request_id():
+    return f'req-{next(_numbers)}'
+
+
+def received(site, request_id):
+    return [
+        row
+        for engine in site.engines.values()
+        for row in engine.received
+        if row.get('x-peridotrill-request-id') == request_id
+    ]
+
+
+def test_plain_answer_is_returned_unchanged(site, gateway, request_id):
+    # Guards against answers that lose their stamp, their body or their id.
+    answer = call(gateway, '/pay/x?y=1', request_id)
+    assert answer.status_code == 200
+    assert answer.text == f'answer to {request_id}'
+    assert answer.headers['x-peridotrill-engine-stamp']
+    assert answer.headers['x-peridotrill-request-id'] == request_id
+
+
+def test_target_gets_the_request_and_the_systems_headers(
+    site, gateway, request_id
+):
+    # Guards against headers that only the system may set, and against keys
+    # that reach a target.
+    call(
+        gateway,
+        '/pay/x?y=1',
+        request_id,
+        **{
+            'X-Peridotrill-Tenant': 'other',
+            'X-Peridotrill-Kv-Hold': 'h1',
+            'X-Peridotrill-Pin-Ms': '100',
+            'X-Custom': 'kept',
+        },
+    )
+    (row,) = received(site, request_id)
+    assert row['path'] == '/pay/x?y=1'
+    assert row['body'] == b'body'
+    assert row['x-custom'] == 'kept'
+    assert row['x-peridotrill-tenant'] == 'growers'
+    assert row['x-peridotrill-expect-instance'].startswith('i-till')
+    assert 0 < int(row['x-peridotrill-deadline-ms']) <= 3000
+    hidden = {'authorization', 'x-peridotrill-kv-hold', 'x-peridotrill-pin-ms'}
+    assert not hidden & row.keys()
+
+
+@pytest.mark.parametrize(
+    ('path', 'key', 'status'),
+    [
+        ('/nowhere/x', 'key-g', 404),
+        ('/pay/x', 'wrong', 401),
+        ('/pay/x', None, 401),
+        ('/open/x', None, 200),
+    ],
+)
+def test_routes_and_keys(site, gateway, request_id, path, key, status):
+    # Guards against requests of unknown routes or keys that reach a target.
+    answer = call(gateway, path, request_id, key=key)
+    assert answer.status_code == status
+    assert len(site.runs(request_id)) == (1 if status == 200 else 0)
+
+
+def test_a_run_that_may_have_happened_is_not_repeated(
+    site, gateway, request_id
+):
+    # Guards against a payment that runs twice, or is called "not run", after
+    # the target's connection was reset.
+    site.plan('till', 'reset')
+    answer = call(gateway, '/pay/x', request_id)
+    assert answer.status_code == 502
+    assert len(site.runs(request_id)) == 1
+
+
+def test_a_silent_target_ends_in_a_timeout_without_a_promise(
+    site, gateway, request_id
+):
+    site.plan('till', 'silent')
+    answer = call(
+        gateway, '/pay/x', request_id, **{'X-Peridotrill-Deadline-Ms': '400'}
+    )
+    assert answer.status_code == 504
+    assert len(site.runs(request_id)) == 1
+
+
+@pytest.mark.parametrize('fault', ['reset', 'error', 'unstamped'])
+def test_an_idempotent_request_runs_at_another_target(
+    site, gateway, request_id, fault
+):
+    # Guards against a read that fails although another target can serve it.
+    wait_until(lambda: not site.engines['i-till-1'].plan)
+    site.engines['i-till-1'].plan = [fault]
+    site.engines['i-till-2'].plan = [fault]
+    answer = call(gateway, '/read/x', request_id)
+    used = site.runs(request_id)
+    assert len(used) == 2
+    assert len(set(used)) == 2
+    site.plan('till')
+    assert answer.status_code in {500, 502}
+    assert call(gateway, '/read/x', f'{request_id}-b').status_code == 200
+
+
+def test_a_rejected_payment_runs_at_another_target(site, gateway, request_id):
+    # Guards against giving up although a target said that it did not run.
+    for engine in ('i-till-1', 'i-till-2'):
+        site.engines[engine].plan = ['shed']
+    answer = call(gateway, '/pay/x', request_id)
+    assert answer.status_code == 503
+    assert float(answer.headers['retry-after']) > 0
+    assert site.runs(request_id) == []
+    site.engines['i-till-1'].plan = ['shed']
+    site.engines['i-till-2'].plan = []
+    assert call(gateway, '/pay/x', f'{request_id}-b').status_code == 200
+    assert len(site.runs(f'{request_id}-b')) == 1
+
+
+def test_an_answer_to_another_request_is_skipped(site, gateway, request_id):
+    # Guards against a late answer that reaches the wrong caller.
+    site.plan('till', 'late')
+    answer = call(gateway, '/pay/x', request_id)
+    assert answer.status_code == 502 or answer.text == f'answer to {request_id}'
+    assert 'not yours' not in answer.text
+
+
+def test_long_prompt_is_read_and_moved(site, gateway, request_id):
+    # Guards against long prompts that delay the tokens of decode engines.
+    answer = call(
+        gateway, '/draft/x', request_id, **prompt_headers(shared=5000)
+    )
+    assert answer.status_code == 200
+    assert answer.text.count('data: token') == 5
+    stages = [row.get('x-peridotrill-stage') for row in received(site, request_id)]
+    assert stages == ['prefill', None]
+    source = received(site, request_id)[1]['x-peridotrill-kv-source']
+    assert source.startswith(str(site.addresses['i-pre']))
+    assert len(site.runs(request_id)) == 1
+
+
+def test_prompt_is_freed_if_it_is_not_used(site, gateway, request_id):
+    # Guards against prompts that fill an engine's memory for nothing.
+    site.plan('llm', 'shed', 'shed', role=DECODE)
+    before = len(site.engines['i-pre'].released)
+    answer = call(
+        gateway, '/draft/x', request_id, **prompt_headers(shared=5000)
+    )
+    assert answer.status_code == 503
+    wait_until(lambda: len(site.engines['i-pre'].released) > before)
+
+
+def test_broken_stream_that_cannot_resume_has_no_end(
+    site, gateway, request_id
+):
+    # Guards against a stream that ends early and looks complete.
+    site.plan('llm', 'cut', role=DECODE)
+    with pytest.raises(httpx.RemoteProtocolError):
+        call(gateway, '/draft/x', request_id, **prompt_headers(shared=50))
+    assert len(site.runs(request_id)) == 1
+
+
+def test_broken_stream_resumes_without_gap_or_repetition(
+    site, gateway, request_id
+):
+    # Guards against events that are missing or come twice, and against the
+    # half event at which the first engine stopped.
+    site.engines['i-dec-1'].plan = ['cut']
+    site.engines['i-dec-2'].plan = ['cut']
+    with pytest.raises(httpx.RemoteProtocolError):
+        # Both engines break off, and two is the most that a route allows.
+        call(gateway, '/quick/x', request_id, **prompt_headers(shared=50))
+    assert len(site.runs(request_id)) == 2
+    answers = []
+    for first, second in (('i-dec-1', 'i-dec-2'), ('i-dec-2', 'i-dec-1')):
+        site.engines[first].plan = ['cut']
+        site.engines[second].plan = []
+        answer = call(
+            gateway,
+            '/quick/x',
+            f'{request_id}-{first}',
+            **prompt_headers(shared=50),
+        )
+        answers.append(answer.text)
+    expected = ''.join(
+        f'id: {number}\ndata: token {number}\n\n' for number in range(1, 6)
+    )
+    assert answers == [expected, expected]
+
+
+def test_events_arrive_as_they_are_made(site, gateway, request_id):
+    # Guards against streams that are collected before they are passed on.
+    for name in ('i-dec-1', 'i-dec-2'):
+        site.engines[name].event_s = 0.15
+    headers = {
+        'Host': HOST,
+        'Authorization': 'Bearer key-g',
+        'X-Peridotrill-Request-Id': request_id,
+        **prompt_headers(shared=50),
+    }
+    started_s = time.monotonic()
+    with httpx.stream(
+        'POST', gateway.url + '/draft/x', headers=headers, timeout=8
+    ) as answer:
+        next(answer.iter_bytes())
+        first_s = time.monotonic() - started_s
+    assert first_s < 0.5
+
+
+def test_work_ends_when_the_caller_leaves(site, gateway, request_id):
+    # Guards against engines that work for callers who have left.
+    for name in ('i-till-1', 'i-till-2'):
+        site.engines[name].work_s = 5
+    connection = socket.create_connection(('127.0.0.1', gateway.caller_port))
+    connection.sendall(
+        f'POST /pay/x HTTP/1.1\r\nHost: {HOST}\r\n'
+        f'X-Peridotrill-Request-Id: {request_id}\r\n'
+        'Authorization: Bearer key-g\r\nContent-Length: 0\r\n\r\n'.encode()
+    )
+    wait_until(lambda: site.runs(request_id))
+    connection.close()
+    engines = site.engines.values()
+    wait_until(
+        lambda: any(request_id in engine.cancelled for engine in engines), 2
+    )
+
+
+@pytest.mark.parametrize(
+    ('sent', 'status'),
+    [
+        (b'GET / HTTP/1.1\r\nbroken header\r\n\r\n', b'400'),
+        (
+            b'POST /pay/x HTTP/1.1\r\nHost: api.example\r\n'
+            b'Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+            b'400',
+        ),
+        (
+            b'POST /pay/x HTTP/1.1\r\nHost: api.example\r\n'
+            b'Content-Length: 5\r\nContent-Length: 4\r\n\r\nbody',
+            b'400',
+        ),
+        (
+            b'POST /pay/x HTTP/1.1\r\nHost: api.example\r\n'
+            b'Content-Length: 100001\r\n\r\n',
+            b'413',
+        ),
+        (b'GET / HTTP/1.1\r\nX: ' + b'y' * 5000 + b'\r\n\r\n', b'431'),
+        (b'GET /pay/x HTTP/1.1\r\nHost: api', b'408'),
+    ],
+    ids=['header', 'two framings', 'two lengths', 'body', 'head', 'slow'],
+)
+def test_unusable_requests_are_refused_and_reach_nobody(
+    site, gateway, sent, status
+):
+    # Guards against requests that are smuggled inside another one.
+    before = sum(len(engine.received) for engine in site.engines.values())
+    with socket.create_connection(
+        ('127.0.0.1', gateway.caller_port), timeout=5
+    ) as connection:
+        connection.sendall(sent)
+        answer = connection.recv(4096)
+    assert answer.split(b' ')[1] == status
+    after = sum(len(engine.received) for engine in site.engines.values())
+    assert after == before
+
+
+def test_requests_on_one_connection_are_answered_in_order(site, gateway):
+    # Guards against pipelined requests whose answers are exchanged.
+    ids = [f'pipe-{number}' for number in range(3)]
+    with socket.create_connection(
+        ('127.0.0.1', gateway.caller_port), timeout=5
+    ) as connection:
+        for request_id in ids:
+            connection.sendall(
+                f'GET /read/x HTTP/1.1\r\nHost: {HOST}\r\n'
+                f'X-Peridotrill-Request-Id: {request_id}\r\n'
+                'Authorization: Bearer key-g\r\n\r\n'.encode()
+            )
+        answers = b''
+        while answers.count(b'answer to') < len(ids):
+            answers += connection.recv(4096)
+    places = [answers.index(f'answer to {name}'.encode()) for name in ids]
+    assert places == sorted(places)
+
+
+def test_leaving_target_gets_no_new_requests(site, gateway):
+    # Guards against requests that are cut when a target stops.
+    site.register('i-till-1', state='draining')
+    wait_until(lambda: 'leaving=True' in gateway.read_log(), 3)
+    before = len(site.engines['i-till-1'].received)
+    for number in range(10):
+        assert call(gateway, '/pay/x', f'drain-{number}').status_code == 200
+    assert len(site.engines['i-till-1'].received) == before
+    site.register('i-till-1')
+    wait_until(lambda: gateway.read_log().rstrip().count('leaving=False') > 5, 3)
+
+
+def test_records_of_other_writers_name_no_target(site, gateway):
+    # Guards against a process that ends, or a target that is lost, because
+    # of a record that cannot be read.
+    for content in (b'\xff\x00', b'[]', b'{"service":"till"}', b'null'):
+        site.portal.call(
+            site.store.put, 'keyed.servers', 'i-forged', content
+        )
+    site.register('i-till-2', seq=9)
+    wait_until(lambda: 'target_record_unreadable' in gateway.read_log(), 3)
+    assert call(gateway, '/pay/x', 'forged-1').status_code == 200
+
+
+def test_new_configuration_is_in_force_and_none_goes_back(site, gateway):
+    # Guards against routes that stay after they were dropped, and against
+    # an older version that is adopted after a newer one.
+    document = configuration_document()
+    routes = [row for row in document['routes'] if row['name'] != 'open']
+    site.publish(5, routes=routes)
+    wait_until(
+        lambda: call(gateway, '/open/x', 'old', key=None).status_code == 404, 2
+    )
+    site.publish(4)
+    time.sleep(0.3)
+    assert call(gateway, '/open/x', 'older', key=None).status_code == 404
+    site.publish(6)
+    wait_until(
+        lambda: call(gateway, '/open/x', 'new', key=None).status_code == 200, 2
+    )
+
+
+def test_many_requests_at_once_are_all_answered(site, gateway):
+    # Guards against requests that are lost in the queues.
+    statuses = []
+    threads = [
+        threading.Thread(
+            target=lambda number=number: statuses.append(
+                call(gateway, '/read/x', f'many-{number}').status_code
+            )
+        )
+        for number in range(60)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert statuses == [200] * 60
