Divide what is left of a limit by use as of the last report

Cause: found by a new test. A gateway that had not heard of the others took itself for the only user of a limit, so that a burst at 24 gateways at once admitted 9,120 tokens of 1,000. The part is now fixed at each report and starts from an even spread; the test admits at most 1,100.

--- a/peridotrill/gateway/team_quotas.py
+++ b/peridotrill/gateway/team_quotas.py
@@ -26,6 +26,8 @@
 _USED_EXCESS: Final = 0.4
 # Part of the level that is divided evenly; the rest goes by recent use.
 _EVEN_PART: Final = 0.4
+# Use that is assumed to be spread evenly, as a part of the burst.
+_PRIOR_USE: Final = 0.1
 # Time in which recent use falls to 1/e.
 _RECENT_USE_S: Final = 1.5
 
@@ -46,6 +48,9 @@
         # Recent use of this gateway and of all, with exponential decay.
         self.own_use = 0.0
         self.all_use = 0.0
+        # Part of the level that this gateway may spend until its next
+        # report; None before the first one.
+        self.own_part: float | None = None
 
 
 @final
@@ -119,8 +124,11 @@
 
     def end_report_interval(self) -> None:
         """Start a new interval; the own totals are being reported."""
-        for bucket in self._buckets.values():
+        for name, bucket in self._buckets.items():
             bucket.spent_since_report = 0
+            team = self._teams.get(name)
+            if team is not None:
+                bucket.own_part = self._own_part(bucket, team)
 
     def admit(self, team: Team, cost: float) -> QuotaDecision:
         """Take the cost of a request if the team's limit allows it.
@@ -131,7 +139,7 @@
             return QuotaDecision(True, 0)
         now_s = self._clock.monotonic_s()
         bucket = self._refill(team, now_s)
-        part = bucket.level * self._own_part(bucket)
+        part = bucket.level * (bucket.own_part or 1 / self.gateways)
         available = part - bucket.spent_since_report
         # A request larger than a gateway's part passes when the bucket as a
         # whole can bear it and this gateway has just reported.
@@ -182,10 +190,13 @@
         bucket.all_use *= decay
         return bucket
 
-    def _own_part(self, bucket: _Bucket) -> float:
-        """Return the part of the level that this gateway may spend now."""
+    def _own_part(self, bucket: _Bucket, team: Team) -> float:
+        """Return the part of the level that this gateway may spend.
+
+        All gateways derive their parts from the same reports, so that these
+        add up to about one.
+        """
         even = 1 / self.gateways
-        if bucket.all_use <= 0:
-            return even
-        by_use = bucket.own_use / bucket.all_use
+        prior = max(1.0, team.burst * _PRIOR_USE)
+        by_use = (bucket.own_use + prior * even) / (bucket.all_use + prior)
         return _EVEN_PART * even + (1 - _EVEN_PART) * by_use
--- /dev/null
+++ b/tests/test_gateway_codecs.py
@@ -0,0 +1,419 @@
+"""Decoders of what arrives from outside: no input ends a process."""
+
+import asyncio
+
+import pytest
+from expression import Result
+from hypothesis import given
+from hypothesis import strategies as st
+
+from peridotrill.codec import encode_json
+from peridotrill.exceptions import CodecError, TargetOutcomeUnknown
+from peridotrill.gateway.callers_port import CallerPort, RawRequest
+from peridotrill.gateway.configuration import DEFAULT_CALLER_LIMITS
+from peridotrill.gateway.event_stream import EventSplitter
+from peridotrill.gateway.http_text import format_chunk, format_head
+from peridotrill.gateway.peers import Report, decode_report, encode_report
+from peridotrill.gateway.requests import RequestKind
+from peridotrill.gateway.target_messages import RequestOptions
+from peridotrill.gateway.target_port import ResponseHead, TargetConnection
+from peridotrill.gateway.targets import TargetRole
+from peridotrill.platform import wire
+from peridotrill.platform.configuration import decode_configuration
+from peridotrill.platform.directory import decode_target
+from peridotrill.platform.node_settings import read_node_settings
+from peridotrill.platform.store import (
+    format_keyed,
+    join_records,
+    parse_keyed,
+    split_records,
+)
+from standins.platform_engine import PlatformEngine
+from tests.gateway_builders import configuration_document, configuration_record
+
+_json = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=3)
+    | st.dictionaries(st.text(max_size=8), inner, max_size=4),
+    max_leaves=8,
+)
+
+
+@given(st.lists(st.binary(max_size=40), max_size=5))
+def test_records_survive_framing(records):
+    assert split_records(join_records(records)) == records
+
+
+@given(st.binary(max_size=60))
+def test_framed_bytes_are_records_or_an_error(content):
+    try:
+        records = split_records(content)
+    except CodecError:
+        return
+    assert join_records(records) == content
+
+
+@given(st.binary(max_size=30))
+def test_keyed_bytes_are_a_row_or_an_error(content):
+    try:
+        key, rest = parse_keyed(content)
+    except CodecError:
+        return
+    assert format_keyed(key, rest) == content
+
+
+@given(st.binary(max_size=80))
+def test_datagrams_are_reports_or_nothing(datagram):
+    # Guards against a process that ends because of a stray datagram.
+    decode_report(datagram)
+
+
+def test_report_survives_encoding():
+    report = Report(
+        'n', 'i', 3, '127.0.0.1', 80, 1.5, False, {'t': 2.0}, {'x': 1.0},
+        {7: {'t': 2}}, [], {'llm': (1.0, 2.0)}, ['i-1'],
+    )  # fmt: skip
+    assert decode_report(encode_report(report)) == report
+
+
+@given(_json)
+def test_any_target_record_is_a_target_or_an_error(content):
+    try:
+        decode_target('i-1', encode_json(content))
+    except CodecError:
+        return
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'state': 'unknown'},
+        {'slots': '8'},
+        {'slots': True},
+        {'slots': 0},
+        {'addr': 'nowhere'},
+        {'addr': None},
+        {'seq': 'x'},
+        {'stage': 'other'},
+        {'born': 1.5},
+        {'zone': 7},
+        {'service': None},
+    ],
+)
+def test_target_record_with_a_wrong_field_names_no_target(changes):
+    # Guards against records of other writers that draw requests.
+    engine = PlatformEngine('i-1', 'till', 'a')
+    good = decode_target('i-1', engine.record('127.0.0.1:80'))
+    assert good.service == 'till'
+    assert good.role is None
+    with pytest.raises(CodecError):
+        decode_target('i-1', engine.record('127.0.0.1:80', **changes))
+
+
+@given(_json)
+def test_any_configuration_is_one_or_an_error(content):
+    try:
+        decode_configuration(encode_json(content))
+    except CodecError:
+        return
+
+
+def test_longest_prefix_and_split_decide_the_route():
+    document = configuration_document()
+    document['routes'].append(
+        {
+            **document['routes'][0],
+            'name': 'deep',
+            'path-prefix': '/pay/deep/',
+            'split': [
+                {'service': 'till', 'weight': 90},
+                {'service': 'new', 'weight': 10},
+            ],
+        },
+    )
+    found = decode_configuration(encode_json(document))
+    deep = found.find_route('api.example', '/pay/deep/x')
+    assert deep.name == 'deep'
+    assert [row.weight for row in deep.services] == [90, 10]
+    assert found.find_route('api.example', '/pay/x').name == 'pay'
+    assert found.find_route('other.example', '/pay/x') is None
+    assert found.find_route('api.example', '/pay') is None
+
+
+def test_what_may_be_repeated_follows_from_the_kind():
+    # Guards against a stream that runs twice because its name sounds safe.
+    found = decode_configuration(configuration_record())
+    repeatable = {
+        name: found.find_route('api.example', f'/{name}/x').is_repeatable
+        for name in ('pay', 'read', 'draft', 'quick')
+    }
+    assert repeatable == {
+        'pay': False,
+        'read': True,
+        'draft': False,
+        'quick': True,
+    }
+    assert found.find_route('api.example', '/pay/').kind is (
+        RequestKind.NON_IDEMPOTENT
+    )
+
+
+_header = st.tuples(
+    st.sampled_from(
+        [
+            b'host',
+            b'connection',
+            b'authorization',
+            b'x-peridotrill-token-count',
+            b'x-peridotrill-prompt-prefix',
+            b'x-peridotrill-deadline-ms',
+            b'x-peridotrill-length-hint',
+            b'x-custom',
+        ],
+    ),
+    st.binary(max_size=12).filter(lambda row: not set(row) & set(b'\r\n')),
+)
+
+
+@given(st.lists(_header, max_size=6), st.binary(min_size=1, max_size=10))
+def test_any_request_head_is_a_request_or_refused(headers, path):
+    raw = RawRequest(b'POST', b'/' + path, headers, b'', 0)
+    request = wire.decode_request(raw)
+    if request is not None:
+        passed = {name for name, _ in request.headers}
+        assert not passed & {b'authorization', b'x-peridotrill-deadline-ms'}
+
+
+def test_headers_named_by_connection_are_not_passed_on():
+    raw = RawRequest(
+        b'GET',
+        b'/x',
+        [(b'host', b'h'), (b'connection', b'x-hop'), (b'x-hop', b'1')],
+        b'',
+        0,
+    )
+    request = wire.decode_request(raw)
+    assert [name for name, _ in request.headers] == [b'host']
+
+
+def test_target_request_carries_what_the_gateway_adds():
+    raw = RawRequest(b'POST', b'/x', [(b'host', b'h')], b'body', 0)
+    line, headers = wire.format_target_request(
+        wire.decode_request(raw),
+        RequestOptions(
+            'i-1', 'growers', 250.9, 4, TargetRole.PREFILL, None, '1.2.3.4:5'
+        ),
+    )
+    assert line == b'POST /x HTTP/1.1'
+    assert dict(headers) == {
+        b'host': b'h',
+        b'x-peridotrill-expect-instance': b'i-1',
+        b'x-peridotrill-deadline-ms': b'250',
+        b'x-peridotrill-tenant': b'growers',
+        b'x-peridotrill-stage': b'prefill',
+        b'kv-fetch': b'1.2.3.4:5',
+        b'x-peridotrill-req-priority': b'4',
+        b'content-length': b'4',
+    }
+
+
+@pytest.mark.parametrize(
+    ('status', 'headers', 'not_run', 'genuine'),
+    [
+        (503, [(b'x-peridotrill-not-run', b'1')], True, False),
+        (421, [], True, False),
+        (503, [], False, False),
+        (500, [(b'x-peridotrill-engine-stamp', b's')], False, True),
+        (200, [(b'x-peridotrill-engine-load', b'1,x')], False, False),
+    ],
+)
+def test_only_a_statement_proves_that_a_request_did_not_run(
+    status, headers, not_run, genuine
+):
+    # Guards against a 503 that is taken for a promise of the target.
+    reply = wire.decode_reply(ResponseHead(status, headers))
+    assert reply.not_run is not_run
+    assert reply.is_genuine is genuine
+    assert reply.load is None
+
+
+@given(st.lists(st.integers(1, 30), min_size=1, max_size=20))
+def test_events_are_whole_however_they_arrive(sizes):
+    # Guards against events that are passed on in parts or lost.
+    stream = b''.join(b'id: %d\ndata: x%d\n\n' % (n, n) for n in range(5))
+    splitter = EventSplitter()
+    events = []
+    position = 0
+    for size in [*sizes, len(stream)]:
+        events += splitter.feed(stream[position : position + size])
+        position += size
+    assert b''.join(event.content for event in events) == stream
+    assert [event.event_id for event in events] == [
+        str(n).encode() for n in range(5)
+    ]
+    assert not splitter.has_rest
+    splitter.feed(b'id: 9\ndata')
+    assert splitter.has_rest
+
+
+class FakeTransport:
+    def __init__(self):
+        self.written = b''
+        self.closed = False
+
+    def write(self, content):
+        self.written += content
+
+    def get_extra_info(self, name):
+        return None
+
+    def is_closing(self):
+        return self.closed
+
+    def abort(self):
+        self.closed = True
+
+    close = abort
+
+    def can_write_eof(self):
+        return False
+
+    def pause_reading(self):
+        """Nothing is read."""
+
+    resume_reading = pause_reading
+
+
+def exchange_with(chunks, request_id='r1', eof=False):
+    """Feed a response; return head, body or error, and if reusable."""
+
+    async def run():
+        idle = []
+        connection = TargetConnection(idle.append)
+        transport = FakeTransport()
+        connection.connection_made(transport)
+        exchange = connection.start(
+            b'GET / HTTP/1.1',
+            [],
+            b'',
+            lambda head: wire.matches_request(request_id, head),
+        )
+        for chunk in chunks:
+            connection.data_received(chunk)
+        if eof:
+            connection.eof_received()
+            connection.connection_lost(None)
+        try:
+            async with asyncio.timeout(0.05):
+                head = await exchange.read_head()
+                body = await exchange.read_body()
+        except (TargetOutcomeUnknown, TimeoutError) as error:
+            return error, bool(idle)
+        await asyncio.sleep(0)
+        return (head.status, body), bool(idle)
+
+    return asyncio.run(run())
+
+
+_OWN = format_head(
+    b'HTTP/1.1 200 OK',
+    [(b'X-Peridotrill-Request-Id', b'r1'), (b'Content-Length', b'4')],
+)
+_OTHER = format_head(
+    b'HTTP/1.1 200 OK',
+    [(b'X-Peridotrill-Request-Id', b'r0'), (b'Content-Length', b'3')],
+)
+_CHUNKED = format_head(
+    b'HTTP/1.1 200 OK',
+    [(b'Transfer-Encoding', b'chunked')],
+)
+
+
+@pytest.mark.parametrize(
+    ('chunks', 'eof', 'expected', 'reusable'),
+    [
+        ([_OWN + b'body'], False, (200, b'body'), True),
+        ([_OTHER + b'old' + _OWN + b'body'], False, (200, b'body'), True),
+        ([_OWN + b'body' + b'more'], False, (200, b'body'), False),
+        ([_OWN + b'body' + _OTHER + b'old'], False, (200, b'body'), False),
+        ([_OWN + b'body' + _OTHER[:20]], False, (200, b'body'), False),
+        ([_OWN + b'bo'], True, None, False),
+        ([_CHUNKED + format_chunk(b'part')], True, None, False),
+        ([b'HTTP/1.1 200 OK\r\n\r\nuntil'], True, (200, b'until'), False),
+        ([b'\x00\x01 no answer'], False, None, False),
+        ([b'HTTP/1.1 100 Continue\r\n\r\n' + _OWN + b'body'], False,
+         (200, b'body'), True),
+    ],
+    ids=[
+        'whole', 'after another', 'extra bytes', 'extra answer', 'extra part', 'cut',
+        'cut chunks', 'until close', 'garbage', 'interim',
+    ],
+)  # fmt: skip
+def test_responses_are_whole_and_of_their_request(
+    chunks, eof, expected, reusable
+):
+    # Guards against bytes of one response that reach another caller.
+    outcome, is_idle = exchange_with(chunks, eof=eof)
+    if expected is None:
+        assert isinstance(outcome, TargetOutcomeUnknown)
+    else:
+        assert outcome == expected
+    assert is_idle is reusable
+
+
+@given(st.lists(st.binary(min_size=1, max_size=30), max_size=4))
+def test_any_bytes_of_a_target_are_an_answer_or_an_error(chunks):
+    exchange_with(chunks, eof=True)
+
+
+@given(st.lists(st.binary(min_size=1, max_size=40), max_size=4))
+def test_any_bytes_of_a_caller_are_a_request_or_refused(chunks):
+    # Guards against a process that ends because of a malformed request.
+    async def run():
+        async with asyncio.TaskGroup() as group:
+            port = CallerPort(
+                _answer_nothing,
+                _Tasks(group),
+                lambda: DEFAULT_CALLER_LIMITS,
+                lambda: 0.0,
+            )
+            connection = port.create_connection()
+            connection.connection_made(FakeTransport())
+            for chunk in chunks:
+                connection.data_received(chunk)
+            await asyncio.sleep(0)
+            connection.connection_lost(None)
+        assert port.buffered_bytes == 0
+
+    asyncio.run(run())
+
+
+class _Tasks:
+    def __init__(self, group):
+        self._group = group
+
+    def start_soon(self, task, *arguments):
+        self._group.create_task(task(*arguments))
+
+
+async def _answer_nothing(raw, responder):
+    responder.send(200, [], b'')
+
+
+def test_settings_are_read_and_defaults_used(tmp_path):
+    path = tmp_path / 'local.yaml'
+    path.write_text(
+        'node: n\nzone: a\nip: 127.0.0.1\nnew-field: 1\n'
+        'listen: {front: "127.0.0.1:80", ready: "127.0.0.1:81"}\n'
+        'port-range: [7500, 7515]\nplatform: {addr: "127.0.0.1:82"}\n'
+        'bounds: {drain-ms: 900}\n',
+    )
+    match read_node_settings(path):
+        case Result(tag='ok', ok=node):
+            assert node.bounds.drain_ms == 900
+            assert node.bounds.revoke_ms == 5000
+            assert node.peer_port == 7500
+            assert node.duties_address is None
+            assert not node.is_first_start
+        case _:
+            pytest.fail('the settings are valid')
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -120,6 +120,37 @@
     assert admitted >= 0.9 * _RATE * 15
 
 
+def test_burst_at_all_gateways_at_once_stays_within_the_limit():
+    # Guards against each of many gateways spending the whole burst before
+    # it hears of the others.
+    clock = ManualClock()
+    limited = team(rate_per_s=_RATE, burst=_BURST)
+    gateways = 24
+    nodes = [TeamQuotas(clock) for _ in range(gateways)]
+
+    def report():
+        for index, quotas in enumerate(nodes):
+            for peer, other in enumerate(nodes):
+                if peer != index:
+                    other.observe_peer(str(index), '1', dict(quotas.spent()))
+            quotas.end_report_interval()
+
+    for index, quotas in enumerate(nodes):
+        quotas.configure({limited.name: limited})
+        for peer in range(gateways):
+            if peer != index:
+                quotas.add_peer(str(peer))
+        quotas.admit(limited, 0)
+    for _ in range(30):
+        advance(clock, 0.1)
+        report()
+    admitted = 0
+    for quotas in nodes:
+        while quotas.admit(limited, 10).is_admitted:
+            admitted += 10
+    assert admitted <= _BURST * 1.1
+
+
 def test_silent_peers_keep_their_part_of_the_rate():
     # Guards against gateways on both sides of a cut that spend everything.
     clock = ManualClock()
