Leave silent targets; give places of cancelled requests back

Cause: found by reading. A request that was cancelled in the moment in which it got a place kept the place for good; a read waited to its deadline for a target that had stopped. Both have tests that failed first.

--- a/peridotrill/gateway/admission_queue.py
+++ b/peridotrill/gateway/admission_queue.py
@@ -71,10 +71,16 @@
         clock: Clock,
         bounds: QueueBounds,
         on_grant: Callable[[Place], None],
+        on_return: Callable[[Place], None],
     ) -> None:
-        """:param on_grant: called before a place is handed out."""
+        """:param on_grant: called before a place is handed out.
+
+        :param on_return: called with a place whose request was cancelled
+            before it could take it.
+        """
         self._clock = clock
         self._on_grant = on_grant
+        self._on_return = on_return
         self._queue = FairQueue(clock, bounds, _RATE_SPAN_S)
         self._timer: asyncio.TimerHandle | None = None
 
@@ -97,38 +103,50 @@
             if place is not None:
                 self._on_grant(place)
                 return place
-        future = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(wish, future)
-        match self._push(waiter, wish.priority, wish.give_up_s):
-            case Result(tag='ok', ok=_):
-                self.pump()
-                self._arm()
-            case _:
-                return None
-        # A cancelled future is dropped by the next ``pump``.
-        return await future
+        waiter = _Waiter(wish, asyncio.get_running_loop().create_future())
+        if self._push(waiter, wish.priority, wish.give_up_s).is_error():
+            return None
+        self.pump()
+        self._arm()
+        try:
+            return await waiter.granted
+        except asyncio.CancelledError:
+            # A waiting request is dropped by the next ``pump``.
+            if waiter.granted.done() and not waiter.granted.cancelled():
+                self._give_back(waiter.granted.result())
+            raise
 
     def pump(self) -> None:
         """Hand out the places that are free now."""
         for late in self._queue.expire():
             _settle(late.item, None)
-        now_s = self._clock.monotonic_s()
         while True:
             ticket = self._queue.peek()
-            if ticket is None:
+            if ticket is None or not self._serve(ticket):
                 return
-            waiter: _Waiter = ticket.item
-            if waiter.granted.done():
-                self._queue.remove(ticket)
-            elif ticket.priority < _LATE and now_s > waiter.wish.goal_s:
-                self._postpone(ticket)
-            else:
-                place = waiter.wish.find()
-                if place is None:
-                    return
-                self._queue.pop()
-                self._on_grant(place)
-                _settle(waiter, place)
+
+    def _serve(self, ticket: Ticket) -> bool:
+        """Serve, drop or postpone a request; return False if it waits on."""
+        waiter: _Waiter = ticket.item
+        is_in_time = self._clock.monotonic_s() <= waiter.wish.goal_s
+        if waiter.granted.done():
+            self._queue.remove(ticket)
+            return True
+        if ticket.priority < _LATE and not is_in_time:
+            self._postpone(ticket)
+            return True
+        place = waiter.wish.find()
+        if place is None:
+            return False
+        self._queue.pop()
+        self._on_grant(place)
+        _settle(waiter, place)
+        return True
+
+    def _give_back(self, place: Place | None) -> None:
+        if place is not None:
+            self._on_return(place)
+            self.pump()
 
     def _push(
         self,
--- a/peridotrill/gateway/configuration.py
+++ b/peridotrill/gateway/configuration.py
@@ -82,6 +82,10 @@
 DEFAULT_CALLER_LIMITS: Final = CallerLimits()
 
 
+def _prefix_length(route: Route) -> int:
+    return len(route.path_prefix)
+
+
 @final
 class Configuration:
     """One version of the configuration, with its look-ups."""
@@ -107,7 +111,7 @@
         for route in routes:
             self._routes_by_host.setdefault(route.host, []).append(route)
         for rows in self._routes_by_host.values():
-            rows.sort(key=lambda row: len(row.path_prefix), reverse=True)
+            rows.sort(key=_prefix_length, reverse=True)
 
     @property
     def requires_keys(self) -> bool:
--- a/peridotrill/gateway/event_log.py
+++ b/peridotrill/gateway/event_log.py
@@ -49,9 +49,9 @@
                     'lines_suppressed',
                     extra={'of': name, 'count': count},
                 )
-        count = self._lines.get(event, 0) + 1
-        self._lines[event] = count
-        if count > _MAX_LINES_PER_S:
+        lines = self._lines.get(event, 0) + 1
+        self._lines[event] = lines
+        if lines > _MAX_LINES_PER_S:
             self.dropped_lines += 1
             return
         self._logger.info(event, extra=fields)
--- a/peridotrill/gateway/loads.py
+++ b/peridotrill/gateway/loads.py
@@ -8,6 +8,9 @@
 
 # A report of another gateway counts for this long; its process may be gone.
 _REPORT_LIFETIME_S: Final = 1.0
+# Sums of fractions do not come back to exactly zero.
+_ROUNDING: Final = 1e-6
+_NO_WORK: Final = 0.0
 # A target's own figure counts for this long; requests end meanwhile.
 _REPORTED_LIFETIME_S: Final = 0.15
 
@@ -46,15 +49,13 @@
 
     def add(self, target_id: str, work: float) -> None:
         """Begin work at a target."""
-        if not work:
-            return
-        self._own[target_id] = self._own.get(target_id, 0) + work
+        if work > _NO_WORK:
+            self._own[target_id] = self._own.get(target_id, 0) + work
 
     def remove(self, target_id: str, work: float) -> None:
         """End work at a target."""
         left = self._own.get(target_id, 0) - work
-        # Sums of fractions do not come back to exactly zero.
-        if left < 1e-6:
+        if left < _ROUNDING:
             self._own.pop(target_id, None)
         else:
             self._own[target_id] = left
--- a/peridotrill/gateway/plain_runs.py
+++ b/peridotrill/gateway/plain_runs.py
@@ -1,5 +1,7 @@
 """Runs requests of plain services: whole answers, never a part of one."""
 
+from contextlib import closing
+from datetime import timedelta
 from typing import Final
 
 from peridotrill.exceptions import TargetOutcomeUnknown, TargetUnreachable
@@ -9,11 +11,12 @@
 from peridotrill.gateway.serving import RequestRun
 from peridotrill.gateway.target_health import Failure
 from peridotrill.gateway.target_messages import RequestOptions, TargetReply
+from peridotrill.gateway.targets import TargetRecord
 
 _FIRST_SERVER_ERROR: Final = 500
-# Part of the remaining time after which a silent target is given up for
-# another one.
-_SILENCE_PART: Final = 0.45
+# Time without an answer after which a target counts as silent; a plain
+# request takes some ten milliseconds.
+_PATIENCE: Final = timedelta(milliseconds=350)
 # Time below which a request is not sent any more: no target answers sooner.
 _MIN_USEFUL_S: Final = 0.02
 
@@ -26,7 +29,7 @@
         if reply is None:
             continue
         failed = reply.status >= _FIRST_SERVER_ERROR
-        if failed and _may_repeat(run):
+        if failed and run.may_repeat():
             run.shared.log.write(
                 'attempt_repeated',
                 request=run.request.request_id,
@@ -35,7 +38,7 @@
             )
             continue
         run.responder.send(reply.status, reply.headers, body)
-        run.outcome = 'answered' if not failed else 'target_error'
+        run.outcome = 'target_error' if failed else 'answered'
         return
 
 
@@ -57,40 +60,50 @@
     place: Place,
 ) -> tuple[TargetReply | None, bytes]:
     """Return the answer; no reply means that another target may be tried."""
-    shared = run.shared
     target = place.target
     run.excluded.add(target.target_id)
-    exchange = None
     try:
-        exchange = await shared.targets.send(
-            run.request,
-            target,
-            RequestOptions(
-                target.target_id,
-                run.team.name if run.team else None,
-                run.left_s() * 1000,
-            ),
-            run.route.is_repeatable,
-        )
-        run.note_sent(target)
-        reply = await shared.targets.read_reply(exchange)
-        run.note_load(target, reply)
-        body = await exchange.read_body()
+        reply, body = await _exchange(run, target)
     except TargetUnreachable as error:
         run.note_failure(target, Failure.UNREACHABLE, str(error))
         return None, b''
     except TargetOutcomeUnknown as error:
         run.note_failure(target, Failure.BROKEN, str(error))
-        if not _may_repeat(run):
+        if not run.may_repeat():
             raise run.refuse('target_failed') from error
         return None, b''
     finally:
-        if exchange is not None:
-            exchange.close()
-        shared.placement.release(place, run.service)
+        run.shared.placement.release(place, run.service)
     return _judge(run, place, reply), body
 
 
+async def _exchange(
+    run: RequestRun,
+    target: TargetRecord,
+) -> tuple[TargetReply, bytes]:
+    """Send the request and read the whole answer."""
+    exchange = await run.shared.targets.send(
+        run.request,
+        target,
+        RequestOptions(
+            target.target_id,
+            run.team.name if run.team else None,
+            run.left_s() * 1000,
+        ),
+        run.route.is_repeatable,
+    )
+    run.note_sent(target)
+    with closing(exchange):
+        reply = await run.read_reply(
+            target,
+            exchange,
+            _PATIENCE,
+            run.has_other_target(),
+        )
+        run.note_load(target, reply)
+        return reply, await exchange.read_body()
+
+
 def _judge(
     run: RequestRun,
     place: Place,
@@ -108,7 +121,7 @@
         return None
     if not reply.is_genuine:
         run.note_failure(target, Failure.BROKEN, 'no stamp')
-        if not _may_repeat(run):
+        if not run.may_repeat():
             raise run.refuse('target_failed')
         return None
     run.count_start()
@@ -118,22 +131,3 @@
         run.shared.health.record_success(target.target_id)
         ATTEMPTS.labels(run.service, 'answered').inc()
     return reply
-
-
-def _may_repeat(run: RequestRun) -> bool:
-    """Tell whether the request may run at another target, and count it."""
-    if not run.route.is_repeatable:
-        return False
-    if len(run.targets_used) >= run.route.max_targets:
-        return False
-    others = [
-        row
-        for row in run.shared.beliefs.usable_targets(run.service)
-        if row.target_id not in run.excluded
-    ]
-    if not others or run.left_s() <= _MIN_USEFUL_S:
-        return False
-    return run.shared.budget.try_repeat(
-        run.service,
-        run.shared.quotas.gateways,
-    )
--- a/peridotrill/gateway/pools.py
+++ b/peridotrill/gateway/pools.py
@@ -87,6 +87,7 @@
                 self._clock,
                 _QUEUE_BOUNDS,
                 self._book.begin,
+                self._book.end,
             )
             # Places are handed out in the order of the pools.
             self._queues = dict(
--- a/peridotrill/gateway/prompt_placement.py
+++ b/peridotrill/gateway/prompt_placement.py
@@ -164,38 +164,62 @@
     output, but their result must be moved. Decode engines read what the
     prefill engines have no room for.
     """
-    best: tuple[bool, float, str] | None = None
-    chosen = None
-    is_long = prompt.prompt_tokens >= MIN_SPLIT_TOKENS
-    for target in targets:
-        waiting_ms = loads.reading_ms(target.target_id)
-        work_ms = estimate_work_ms(
-            prompt,
-            target.target_id,
-            loads.keeps,
-            is_kept_somewhere,
-        )
-        extra_ms = _MOVED_MS
-        if target.role is TargetRole.PREFILL:
-            is_full = waiting_ms >= limits.prefill_ms
-        else:
-            work_ms *= DECODE_READING_FACTOR
-            running = loads.running(target.target_id)
-            extra_ms = _DISTURBED_MS + running
-            is_full = waiting_ms >= limits.short_ms
-            if is_long:
-                is_full = (
-                    waiting_ms >= limits.long_ms
-                    or running >= limits.long_running
-                )
-        if is_full:
-            continue
-        rank = (
+    ranked = [
+        (
             loads.is_avoided(target.target_id),
-            waiting_ms + work_ms + extra_ms,
+            _expected_ms(target, work_ms, loads),
             target.target_id,
+            ReadingPlace(target, work_ms),
+        )
+        for target in targets
+        if _has_room(target, prompt, loads, limits)
+        for work_ms in (
+            _work_at_ms(prompt, target, loads.keeps, is_kept_somewhere),
         )
-        if best is None or rank < best:
-            best = rank
-            chosen = ReadingPlace(target, work_ms)
-    return chosen
+    ]
+    return min(ranked)[-1] if ranked else None
+
+
+def _has_room(
+    target: TargetRecord,
+    prompt: Prompt,
+    loads: EngineLoads,
+    limits: ReadingLimits,
+) -> bool:
+    waiting_ms = loads.reading_ms(target.target_id)
+    if target.role is TargetRole.PREFILL:
+        return waiting_ms < limits.prefill_ms
+    if prompt.prompt_tokens < MIN_SPLIT_TOKENS:
+        return waiting_ms < limits.short_ms
+    running = loads.running(target.target_id)
+    return waiting_ms < limits.long_ms and running < limits.long_running
+
+
+def _work_at_ms(
+    prompt: Prompt,
+    target: TargetRecord,
+    keeps: Callable[[str, str], bool],
+    is_kept_somewhere: bool,
+) -> float:
+    work_ms = estimate_work_ms(
+        prompt,
+        target.target_id,
+        keeps,
+        is_kept_somewhere,
+    )
+    if target.role is TargetRole.PREFILL:
+        return work_ms
+    return work_ms * DECODE_READING_FACTOR
+
+
+def _expected_ms(
+    target: TargetRecord,
+    work_ms: float,
+    loads: EngineLoads,
+) -> float:
+    """Return the time until the output begins, with what it does to others."""
+    waiting_ms = loads.reading_ms(target.target_id)
+    if target.role is TargetRole.PREFILL:
+        return waiting_ms + work_ms + _MOVED_MS
+    running = loads.running(target.target_id)
+    return waiting_ms + work_ms + _DISTURBED_MS + running
--- a/peridotrill/gateway/request_handler.py
+++ b/peridotrill/gateway/request_handler.py
@@ -77,7 +77,8 @@
         execute = run_plain
         if run.route.kind is RequestKind.STREAM:
             execute = run_stream
-        with anyio.move_on_after(max(0, run.left_s())) as scope:
+        scope = anyio.move_on_after(max(0, run.left_s()))
+        with scope:
             try:
                 await execute(run)
             except Refused as error:
--- a/peridotrill/gateway/role_duty.py
+++ b/peridotrill/gateway/role_duty.py
@@ -87,8 +87,8 @@
         since_s = self._clock.monotonic_s() - _MAX_SWITCH_S
         return [
             target_id
-            for target_id in self._ordered
-            if self._ordered_s[target_id] > since_s
+            for target_id, ordered_s in self._ordered_s.items()
+            if ordered_s > since_s
         ]
 
     async def _step_service(
@@ -134,18 +134,22 @@
         service: str,
         load: Callable[[str], float],
     ) -> list[TargetRecord]:
-        engines: list[TargetRecord] = []
-        for row in self._beliefs.all_targets():
-            if row.service != service or row.is_leaving:
-                continue
-            ordered = self._ordered.get(row.target_id)
-            since_s = self._ordered_s.get(row.target_id, 0)
-            is_old = self._clock.monotonic_s() - since_s > _MAX_LATE_S
-            if ordered is row.role or (ordered is not None and is_old):
-                self._ordered.pop(row.target_id)
-                self._ordered_s.pop(row.target_id)
-                ordered = None
-            engines.append(
-                row if ordered is None else row._replace(role=ordered),
-            )
-        return sorted(engines, key=lambda row: load(row.target_id))
+        engines = [
+            self._expected(row)
+            for row in self._beliefs.all_targets()
+            if row.service == service and not row.is_leaving
+        ]
+        return sorted(engines, key=lambda engine: load(engine.target_id))
+
+    def _expected(self, engine: TargetRecord) -> TargetRecord:
+        """Return an engine with the role that was last ordered."""
+        target_id = engine.target_id
+        ordered = self._ordered.get(target_id)
+        if ordered is None:
+            return engine
+        age_s = self._clock.monotonic_s() - self._ordered_s[target_id]
+        if ordered is engine.role or age_s > _MAX_LATE_S:
+            self._ordered.pop(target_id)
+            self._ordered_s.pop(target_id)
+            return engine
+        return engine._replace(role=ordered)
--- a/peridotrill/gateway/serving.py
+++ b/peridotrill/gateway/serving.py
@@ -4,8 +4,10 @@
 from datetime import timedelta
 from typing import Any, Final, NamedTuple, final
 
+import anyio
+
 from peridotrill.clock import Clock
-from peridotrill.exceptions import PeridotrillError
+from peridotrill.exceptions import PeridotrillError, TargetOutcomeUnknown
 from peridotrill.gateway.admission_queue import Place, PlaceFinder, Wish
 from peridotrill.gateway.beliefs import Beliefs
 from peridotrill.gateway.callers_port import Responder
@@ -26,6 +28,7 @@
 from peridotrill.gateway.target_calls import TargetCaller
 from peridotrill.gateway.target_health import Failure, TargetHealth
 from peridotrill.gateway.target_messages import TargetReply, Wire
+from peridotrill.gateway.target_port import TargetExchange
 from peridotrill.gateway.targets import TargetRecord, TargetRole
 from peridotrill.gateway.team_quotas import TeamQuotas
 from peridotrill.gateway.usage_counts import UsageCounts
@@ -33,6 +36,8 @@
 # Retry-After where nothing better is known.
 DEFAULT_RETRY_AFTER_S: Final = 0.5
 _MIN_RETRY_AFTER_S: Final = 0.1
+# Time below which a request is not sent any more: no target answers sooner.
+_MIN_USEFUL_S: Final = 0.03
 # Part of a caller's remaining time after which it should come back.
 _RETRY_PART: Final = 0.3
 # A target whose address another one has is not tried again before its record
@@ -166,6 +171,47 @@
         """
         return max(_MIN_RETRY_AFTER_S, self.left_s() * _RETRY_PART)
 
+    async def read_reply(
+        self,
+        target: TargetRecord,
+        exchange: TargetExchange,
+        patience: timedelta,
+        can_leave: bool,
+    ) -> TargetReply:
+        """Wait for the head of an answer.
+
+        A target that stays silent is avoided by other requests; this one
+        leaves it, too, if it may run again.
+
+        :param patience: after which the target counts as silent.
+        :param can_leave: whether another target may be tried; then
+            TargetOutcomeUnknown is raised.
+        """
+        targets = self.shared.targets
+        with anyio.move_on_after(patience.total_seconds()):
+            return await targets.read_reply(exchange)
+        self.note_failure(target, Failure.SILENT, 'no answer yet')
+        if can_leave:
+            raise TargetOutcomeUnknown('silent')
+        return await targets.read_reply(exchange)
+
+    def has_other_target(self) -> bool:
+        """Tell whether the request may still run at another target."""
+        return (
+            self.route.is_repeatable
+            and len(self.targets_used) < self.route.max_targets
+            and self.shared.placement.has_target(self.service, self.excluded)
+        )
+
+    def may_repeat(self) -> bool:
+        """Tell whether the request may run at another target, and count it."""
+        if not self.has_other_target() or self.left_s() <= _MIN_USEFUL_S:
+            return False
+        return self.shared.budget.try_repeat(
+            self.service,
+            self.shared.quotas.gateways,
+        )
+
     def note_load(self, target: TargetRecord, reply: TargetReply) -> None:
         """Remember the load that a target reported."""
         if reply.load is not None and target.role is not TargetRole.PREFILL:
--- a/peridotrill/gateway/store_follower.py
+++ b/peridotrill/gateway/store_follower.py
@@ -93,16 +93,7 @@
         while True:
             asked_s = self._clock.monotonic_s()
             try:
-                if end is None:
-                    page = await self._reader.newest()
-                    on_listing(page.rows)
-                else:
-                    page = await self._reader.read(
-                        end,
-                        self._times.wait.total_seconds(),
-                    )
-                    for key, content in page.rows:
-                        on_row(key, content)
+                page = await self._read(end)
             except RecordsExpired:
                 self._log.write('records_expired', topic=self._topic, at=end)
                 end = None
@@ -111,10 +102,21 @@
                 await self._wait_after(error)
                 continue
             self._note_connected()
+            if end is None:
+                on_listing(page.rows)
+            else:
+                _pass_rows(page.rows, on_row)
             end = page.end
             on_confirmed(asked_s)
             await anyio.sleep(self._times.pause.total_seconds())
 
+    async def _read(self, start: int | None) -> Page:
+        """Read on, or read everything if no offset is known."""
+        if start is None:
+            return await self._reader.newest()
+        wait_s = self._times.wait.total_seconds()
+        return await self._reader.read(start, wait_s)
+
     async def _wait_after(self, error: Exception) -> None:
         if self._is_connected:
             self._is_connected = False
@@ -133,6 +135,14 @@
             self._log.write('store_regained', topic=self._topic)
 
 
+def _pass_rows(
+    rows: list[tuple[str, bytes]],
+    on_row: Callable[[str, bytes], None],
+) -> None:
+    for key, content in rows:
+        on_row(key, content)
+
+
 class Decoders(NamedTuple):
     """Decode records of the topics; raise CodecError."""
 
@@ -194,9 +204,8 @@
 
     def apply_target_listing(self, rows: list[tuple[str, bytes]]) -> None:
         """Adopt a full reading; targets that it lacks are removed."""
-        for key, content in rows:
-            self.apply_target_row(key, content)
-        self._beliefs.retain_targets(key for key, content in rows if content)
+        _pass_rows(rows, self.apply_target_row)
+        self._beliefs.retain_targets([row[0] for row in rows if row[1]])
 
 
 FollowerTask = Callable[[], Awaitable[None]]
--- a/peridotrill/gateway/stream_runs.py
+++ b/peridotrill/gateway/stream_runs.py
@@ -1,5 +1,7 @@
 """Runs requests of model engines: prompt reading, then a stream of events."""
 
+from contextlib import closing
+from datetime import timedelta
 from typing import Final, NamedTuple, final
 
 from peridotrill.exceptions import (
@@ -23,6 +25,10 @@
 _OK: Final = 200
 _FIRST_ERROR: Final = 300
 _MIN_USEFUL_S: Final = 0.05
+# Time without an answer after which an engine counts as silent: several times
+# what a full queue takes.
+_READING_PATIENCE: Final = timedelta(seconds=1.5)
+_OUTPUT_PATIENCE: Final = timedelta(seconds=0.9)
 # Time of a token at an engine that is nearly idle.
 _TOKEN_S: Final = 0.0045
 # Rank of a route with priority 0 at an engine, where 5 is the default.
@@ -118,63 +124,69 @@
     place: Place,
 ) -> tuple[PreparedPrompt | None, bool]:
     """Return the prepared prompt, and whether the target got the call."""
-    shared = run.shared
     target = place.target
-    exchange = None
-    home = None
-    started_s = shared.clock.monotonic_s()
-    prompt = run.request.prompt
-    if prompt is not None:
-        home = shared.placement.find_keeper(prompt, target.target_id)
     try:
-        exchange = await shared.targets.send(
-            run.request,
-            target,
-            RequestOptions(
-                target.target_id,
-                run.team.name if run.team else None,
-                run.left_s() * 1000,
-                _engine_priority(run),
-                role=TargetRole.PREFILL,
-                kv_fetch=None if home is None else str(home.address),
-            ),
-            may_repeat=True,
-        )
-        reply = await shared.targets.read_reply(exchange)
-        body = await exchange.read_body()
+        handle = await _read_prompt(run, place)
     except TargetUnreachable as error:
         run.note_failure(target, Failure.UNREACHABLE, str(error))
         return None, False
-    except TargetOutcomeUnknown as error:
+    except (TargetOutcomeUnknown, CodecError) as error:
         run.note_failure(target, Failure.BROKEN, str(error))
         return None, True
     finally:
-        if exchange is not None:
-            exchange.close()
-        shared.placement.release(place, run.service)
-    if reply.status != _OK:
-        run.note_refused(target, reply)
+        run.shared.placement.release(place, run.service)
+    if handle is None:
         return None, True
-    try:
-        prefilled = shared.wire.decode_prefilled(body)
-    except CodecError as error:
-        run.note_failure(target, Failure.BROKEN, str(error))
-        return None, True
-    shared.health.record_success(target.target_id)
-    if prompt is not None:
-        shared.placement.record_reading(prompt, target)
-        shared.log.write(
-            'prompt_read',
-            request=run.request.request_id,
-            target=target.target_id,
-            tokens=prefilled.tokens,
-            shared=prompt.shared_tokens,
-            parts=len(prompt.parts),
-            estimate_ms=round(place.reading_ms),
-            took_ms=round((shared.clock.monotonic_s() - started_s) * 1000),
-            fetch=None if home is None else home.target_id,
+    run.shared.health.record_success(target.target_id)
+    return PreparedPrompt(target, handle), True
+
+
+async def _read_prompt(run: RequestRun, place: Place) -> str | None:
+    """Have a prompt read; return its handle, or None if it was rejected."""
+    shared = run.shared
+    target = place.target
+    prompt = run.request.prompt
+    if prompt is None:
+        return None
+    started_s = shared.clock.monotonic_s()
+    keeper = shared.placement.find_keeper(prompt, target.target_id)
+    exchange = await shared.targets.send(
+        run.request,
+        target,
+        RequestOptions(
+            target.target_id,
+            run.team.name if run.team else None,
+            run.left_s() * 1000,
+            _engine_priority(run),
+            role=TargetRole.PREFILL,
+            kv_fetch=None if keeper is None else str(keeper.address),
+        ),
+        may_repeat=True,
+    )
+    with closing(exchange):
+        reply = await run.read_reply(
+            target,
+            exchange,
+            _READING_PATIENCE,
+            can_leave=True,
         )
-    return PreparedPrompt(target, prefilled.handle), True
+        body = await exchange.read_body()
+    if reply.status != _OK:
+        run.note_refused(target, reply)
+        return None
+    prefilled = shared.wire.decode_prefilled(body)
+    shared.placement.record_reading(prompt, target)
+    shared.log.write(
+        'prompt_read',
+        request=run.request.request_id,
+        target=target.target_id,
+        tokens=prefilled.tokens,
+        shared=prompt.shared_tokens,
+        estimate_ms=round(place.reading_ms),
+        took_ms=round((shared.clock.monotonic_s() - started_s) * 1000),
+        fetch=None if keeper is None else keeper.target_id,
+    )
+    return prefilled.handle
 
 
 def _output_s(prompt: Prompt) -> float:
@@ -270,13 +282,29 @@
         target = place.target
         run.excluded.add(target.target_id)
         self._target = target
-        exchange = None
         try:
-            exchange = await self._send(target)
-            reply = await run.shared.targets.read_reply(exchange)
+            return await self._generate(target)
+        except TargetUnreachable as error:
+            run.note_failure(target, Failure.UNREACHABLE, str(error))
+        except TargetOutcomeUnknown as error:
+            run.note_failure(target, Failure.BROKEN, str(error))
+            self._require_repeat()
+        return False
+
+    async def _generate(self, target: TargetRecord) -> bool:
+        """Send the request and pass the output on."""
+        run = self._run
+        exchange = await self._send(target)
+        with closing(exchange):
+            reply = await run.read_reply(
+                target,
+                exchange,
+                _OUTPUT_PATIENCE,
+                run.has_other_target(),
+            )
             run.note_load(target, reply)
             if reply.not_run:
-                return await self._note_not_run(target, reply)
+                return self._note_not_run(target, reply)
             self.took_prompt = self._use_handle
             self._use_handle = False
             if not reply.is_genuine:
@@ -284,16 +312,6 @@
             if reply.status >= _FIRST_ERROR:
                 return await self._pass_error(target, reply, exchange)
             await self._pass_events(reply, exchange)
-        except TargetUnreachable as error:
-            run.note_failure(target, Failure.UNREACHABLE, str(error))
-            return False
-        except TargetOutcomeUnknown as error:
-            run.note_failure(target, Failure.BROKEN, str(error))
-            self._require_repeat()
-            return False
-        finally:
-            if exchange is not None:
-                exchange.close()
         run.shared.health.record_success(target.target_id)
         ATTEMPTS.labels(run.service, 'answered').inc()
         run.outcome = 'answered'
@@ -338,7 +356,7 @@
         )
         return None if keeper is None else str(keeper.address)
 
-    async def _note_not_run(
+    def _note_not_run(
         self,
         target: TargetRecord,
         reply: TargetReply,
@@ -368,7 +386,7 @@
         if self._events:
             self._require_repeat()
             return False
-        if run.route.is_repeatable and self._may_repeat():
+        if run.may_repeat():
             return False
         run.responder.send(reply.status, reply.headers, body)
         run.outcome = 'target_error'
@@ -415,17 +433,8 @@
         if event_id is not None:
             self._last_id = event_id
 
-    def _may_repeat(self) -> bool:
-        run = self._run
-        if len(run.targets_used) >= run.route.max_targets:
-            return False
-        return run.left_s() > _MIN_USEFUL_S and run.shared.budget.try_repeat(
-            run.service,
-            run.shared.quotas.gateways,
-        )
-
     def _require_repeat(self) -> None:
         """Raise Refused unless the request may go on at another engine."""
         run = self._run
-        if not run.route.is_repeatable or not self._may_repeat():
+        if not run.may_repeat():
             raise run.refuse('target_failed')
--- a/peridotrill/gateway/target_calls.py
+++ b/peridotrill/gateway/target_calls.py
@@ -23,7 +23,7 @@
     that follows would leave its outcome unknown.
     """
 
-    connect_timeout: timedelta = timedelta(milliseconds=600)
+    connect_timeout: timedelta = timedelta(milliseconds=350)
     idle: timedelta = timedelta(seconds=5)
     unsafe_idle: timedelta = timedelta(seconds=1.5)
 
--- a/peridotrill/gateway/target_health.py
+++ b/peridotrill/gateway/target_health.py
@@ -35,8 +35,8 @@
 
     def record_success(self, target_id: str) -> None:
         """Note a complete answer."""
-        if target_id in self._penalties:
-            penalty = self.penalty(target_id) * _SUCCESS_FACTOR
+        penalty = self.penalty(target_id) * _SUCCESS_FACTOR
+        if penalty > 0:
             self._penalties[target_id] = (penalty, self._clock.monotonic_s())
 
     def record_failure(self, target_id: str, failure: Failure) -> None:
--- a/peridotrill/gateway/team_quotas.py
+++ b/peridotrill/gateway/team_quotas.py
@@ -117,10 +117,11 @@
         for team, total in spent.items():
             before = known.get(team, 0)
             known[team] = max(total, before)
-            if team in self._buckets:
+            bucket = self._buckets.get(team)
+            if bucket is not None:
                 used = max(0, total - before)
-                self._buckets[team].level -= used
-                self._buckets[team].all_use += used
+                bucket.level -= used
+                bucket.all_use += used
 
     def end_report_interval(self) -> None:
         """Start a new interval; the own totals are being reported."""
--- a/peridotrill/gateway/usage_counts.py
+++ b/peridotrill/gateway/usage_counts.py
@@ -66,5 +66,6 @@
 
 
 def _forget_old(counts: Counts, present: int) -> None:
-    for window in [key for key in counts if key <= present - KEPT_WINDOWS]:
+    old = {window for window in counts if window <= present - KEPT_WINDOWS}
+    for window in old:
         counts.pop(window)
--- a/peridotrill/platform/configuration.py
+++ b/peridotrill/platform/configuration.py
@@ -1,7 +1,7 @@
 """Decoding of the operator's configuration record."""
 
 from collections.abc import Mapping
-from typing import Any
+from typing import Any, Final
 
 from peridotrill.codec import decode_json
 from peridotrill.exceptions import CodecError
@@ -17,6 +17,10 @@
 from peridotrill.gateway.requests import RequestKind
 
 
+# What a document of another shape raises while it is decoded.
+_UNUSABLE: Final = (KeyError, TypeError, ValueError, AttributeError)
+
+
 def decode_configuration(content: bytes) -> Configuration:
     """Decode one version; raises CodecError if it cannot be used."""
     document = decode_json(content)
@@ -28,7 +32,7 @@
             tuple(_decode_team(row) for row in document.get('tenants') or ()),
             _decode_limits(document.get('limits') or {}),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except _UNUSABLE as error:
         raise CodecError(f'invalid configuration: {error!r}') from error
 
 
--- a/peridotrill/platform/directory.py
+++ b/peridotrill/platform/directory.py
@@ -18,33 +18,30 @@
     document = decode_json(content)
     if not isinstance(document, dict):
         raise CodecError('not a table')
+    _require(document, 'seq', int)
     state = _require(document, 'state', str)
     if state not in _STATES:
         raise CodecError(f'unknown state {state!r}')
-    slots = _require(document, 'slots', int)
-    if slots < 1:
-        raise CodecError('no slots')
-    try:
-        address = parse_address(_require(document, 'addr', str))
-    except ValueError as error:
-        raise CodecError(f'addr: {error}') from error
     stage = document.get('stage')
     try:
-        role = None if stage is None else TargetRole(stage)
+        return TargetRecord(
+            target_id=target_id,
+            service=_require(document, 'service', str),
+            address=parse_address(_require(document, 'addr', str)),
+            zone=_require(document, 'zone', str),
+            slots=_check_slots(_require(document, 'slots', int)),
+            is_leaving=state == 'draining',
+            role=None if stage is None else TargetRole(stage),
+            started_ms=_check_whole(document.get('born', 0)),
+        )
     except ValueError as error:
-        raise CodecError(f'unknown stage {stage!r}') from error
-    born = document.get('born', 0)
-    _require(document, 'seq', int)
-    return TargetRecord(
-        target_id=target_id,
-        service=_require(document, 'service', str),
-        address=address,
-        zone=_require(document, 'zone', str),
-        slots=slots,
-        is_leaving=state == 'draining',
-        role=role,
-        started_ms=_check_whole(born),
-    )
+        raise CodecError(str(error)) from error
+
+
+def _check_slots(slots: int) -> int:
+    if slots < 1:
+        raise CodecError('no slots')
+    return slots
 
 
 def _require(document: dict[str, Any], name: str, kind: type) -> Any:
--- a/peridotrill/platform/duties.py
+++ b/peridotrill/platform/duties.py
@@ -1,5 +1,6 @@
 """Calls that one process at a time makes to the platform."""
 
+from contextlib import closing
 from typing import Final, final
 
 import anyio
@@ -73,11 +74,9 @@
                     ],
                     body,
                 )
-                try:
+                with closing(exchange):
                     head = await exchange.read_head()
                     await exchange.read_body()
-                finally:
-                    exchange.close()
         except TimeoutError:
             return 'timeout'
         except (TargetOutcomeUnknown, TargetUnreachable) as error:
--- a/peridotrill/platform/store.py
+++ b/peridotrill/platform/store.py
@@ -65,7 +65,7 @@
     while position < len(content):
         if position + _LENGTH.size > len(content):
             raise CodecError('cut record length')
-        (length,) = _LENGTH.unpack_from(content, position)
+        length = _LENGTH.unpack_from(content, position)[0]
         position += _LENGTH.size
         if position + length > len(content):
             raise CodecError('cut record')
--- a/peridotrill/platform/wire.py
+++ b/peridotrill/platform/wire.py
@@ -45,7 +45,7 @@
     try:
         prompt = _decode_prompt(fields)
         wait_ms = _decode_wait(fields.get(names.DEADLINE_MS))
-    except (ValueError, UnicodeDecodeError):
+    except ValueError:
         return None
     return CallerRequest(
         request_id=fields.get(names.REQUEST_ID, b'').decode('latin-1'),
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -74,7 +74,10 @@
             return
         fault = self.plan.pop(0) if self.plan else self.default_fault
         if fault == 'shed':
-            refused = [*self._echo(request_id), (b'X-Peridotrill-Not-Run', b'1')]
+            refused = [
+                *self._echo(request_id),
+                (b'X-Peridotrill-Not-Run', b'1'),
+            ]
             responder.send(_UNAVAILABLE, refused, b'')
             return
         if headers.get('x-peridotrill-stage') == 'prefill':
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -6,6 +6,8 @@
 from collections import defaultdict
 from urllib.parse import parse_qs, urlsplit
 
+import anyio
+
 from peridotrill.codec import encode_json
 from peridotrill.exceptions import CodecError
 from peridotrill.platform.store import (
@@ -32,8 +34,8 @@
 
     def __init__(self) -> None:
         """All topics are empty."""
-        self.topics = defaultdict(list)
-        self.first_kept = defaultdict(int)
+        self.topics: dict[str, list[bytes]] = defaultdict(list)
+        self.first_kept: dict[str, int] = defaultdict(int)
         self.fault = ''
         self.calls = 0
         self._changed = asyncio.Condition()
@@ -104,13 +106,10 @@
         responder.send(_OK, [], head + join_records(rows))
 
     async def _wait_for(self, topic, start, wait_ms) -> None:
-        try:
-            async with asyncio.timeout(wait_ms / 1000):
-                async with self._changed:
-                    while self._end(topic) <= start:
-                        await self._changed.wait()
-        except TimeoutError:
-            return
+        with anyio.move_on_after(wait_ms / 1000):
+            async with self._changed:
+                while self._end(topic) <= start:
+                    await self._changed.wait()
 
     def _end(self, topic) -> int:
         return self.first_kept[topic] + len(self.topics[topic])
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -152,7 +152,9 @@
 
     def start_gateways(self, *nodes, **bounds):
         for node in nodes:
-            self.store_proxy = self.proxies.start(tuple(self._real_store_address))
+            self.store_proxy = self.proxies.start(
+                tuple(self._real_store_address)
+            )
             wait_until(lambda: self.store_proxy.address is not None)
             self.store_address = self.store_proxy.address[:2]
             gateway = GatewayProcess(self, node, self.folder, bounds)
--- a/tests/test_gateway_codecs.py
+++ b/tests/test_gateway_codecs.py
@@ -33,8 +33,10 @@
 
 _json = st.recursive(
     st.none() | st.booleans() | st.integers() | st.text(max_size=5),
-    lambda inner: st.lists(inner, max_size=3)
-    | st.dictionaries(st.text(max_size=8), inner, max_size=4),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
     max_leaves=8,
 )
 
--- a/tests/test_gateway_coordinator.py
+++ b/tests/test_gateway_coordinator.py
@@ -105,7 +105,11 @@
     def pause_or_resume(self, name):
         self.paused ^= {name}
 
-    @rule(faults=st.lists(st.sampled_from(['lost', 'late', 'down', '']), max_size=3))
+    @rule(
+        faults=st.lists(
+            st.sampled_from(['lost', 'late', 'down', '']), max_size=3
+        )
+    )
     def plan_faults(self, faults):
         self.log.faults = faults
 
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -163,7 +163,9 @@
         status_of(second)
     wait_until(lambda: 'lease_taken' in second.read_log(), 12)
     wait_until(
-        lambda: sum(counts.get('growers', 0) for counts in _figures(site)) >= 16,
+        lambda: (
+            sum(counts.get('growers', 0) for counts in _figures(site)) >= 16
+        ),
         12,
         lambda: str(site.duties.usage),
     )
@@ -180,7 +182,9 @@
 
 
 def _figures(site):
-    return {window: counts for _, _, window, counts in site.duties.usage}.values()
+    return {
+        window: counts for _, _, window, counts in site.duties.usage
+    }.values()
 
 
 def test_lease_survives_appends_whose_answers_are_lost(site):
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -40,7 +40,9 @@
 
 def loads(work=None, avoided=()):
     figures = work or {}
-    return Loads(lambda name: figures.get(name, 0), lambda name: name in avoided)
+    return Loads(
+        lambda name: figures.get(name, 0), lambda name: name in avoided
+    )
 
 
 def engine_loads(reading=None, running=None, avoided=(), parts=()):
@@ -88,7 +90,9 @@
 
 def test_cold_prompt_takes_longer_than_a_kept_one():
     wanted = prompt(shared=13000, own=3000)
-    assert estimate_prefill_ms(wanted, 0) > 2 * estimate_prefill_ms(wanted, 13000)
+    assert estimate_prefill_ms(wanted, 0) > 2 * estimate_prefill_ms(
+        wanted, 13000
+    )
 
 
 def test_prompt_is_read_where_its_part_is_kept():
@@ -297,7 +301,7 @@
         self.ends_s = []
         self.work_s = work_s
         self.queue = AdmissionQueue(
-            self.clock, QueueBounds(400, 1), self._on_grant
+            self.clock, QueueBounds(400, 1), self._on_grant, self._on_return
         )
         self.served = []
         self.refused = []
@@ -306,6 +310,10 @@
         self.free -= 1
         self.ends_s.append(self.clock.monotonic_s() + self.work_s)
 
+    def _on_return(self, place):
+        self.free += 1
+        self.ends_s.pop()
+
     def _find(self):
         return Place(target(), 1) if self.free else None
 
@@ -411,6 +419,27 @@
     assert len(play.queue) == 0
 
 
+def test_place_of_a_request_that_is_cancelled_on_its_way_is_given_back():
+    # Guards against places that are lost when a caller leaves at the moment
+    # at which its request gets one.
+    async def run():
+        play = Play(places=1, work_s=1)
+        await play.ask('first', 1, 5)
+        waiting = asyncio.create_task(play.ask('second', 1, 5))
+        await asyncio.sleep(0)
+        advance(play.clock, 1.1)
+        play.free, play.ends_s = 1, []
+        play.queue.pump()
+        assert play.free == 0
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        return play
+
+    play = asyncio.run(run())
+    assert play.free == 1
+    assert play.served == [('first', 0)]
+
+
 def test_places_are_counted_and_given_back():
     clock = ManualClock()
     book = LoadBook(clock)
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -142,6 +142,23 @@
     assert call(gateway, '/read/x', f'{request_id}-b').status_code == 200
 
 
+def test_a_read_leaves_a_silent_target(site, gateway, request_id):
+    # Guards against reads that wait to their deadline for a target that
+    # stopped, although another one answers.
+    site.engines['i-till-1'].plan = ['silent']
+    site.engines['i-till-2'].plan = ['silent']
+    answer = call(gateway, '/read/x', request_id)
+    assert len(site.runs(request_id)) == 2
+    assert answer.status_code == 504
+    site.engines['i-till-1'].plan = ['silent']
+    site.engines['i-till-2'].plan = []
+    for name in ('b', 'c'):
+        started_s = time.monotonic()
+        answer = call(gateway, '/read/x', f'{request_id}-{name}')
+        assert answer.status_code == 200
+        assert time.monotonic() - started_s < 1
+
+
 def test_a_rejected_payment_runs_at_another_target(site, gateway, request_id):
     # Guards against giving up although a target said that it did not run.
     for engine in ('i-till-1', 'i-till-2'):
@@ -171,7 +188,9 @@
     )
     assert answer.status_code == 200
     assert answer.text.count('data: token') == 5
-    stages = [row.get('x-peridotrill-stage') for row in received(site, request_id)]
+    stages = [
+        row.get('x-peridotrill-stage') for row in received(site, request_id)
+    ]
     assert stages == ['prefill', None]
     source = received(site, request_id)[1]['x-peridotrill-kv-source']
     assert source.startswith(str(site.addresses['i-pre']))
@@ -337,16 +356,16 @@
         assert call(gateway, '/pay/x', f'drain-{number}').status_code == 200
     assert len(site.engines['i-till-1'].received) == before
     site.register('i-till-1')
-    wait_until(lambda: gateway.read_log().rstrip().count('leaving=False') > 5, 3)
+    wait_until(
+        lambda: gateway.read_log().rstrip().count('leaving=False') > 5, 3
+    )
 
 
 def test_records_of_other_writers_name_no_target(site, gateway):
     # Guards against a process that ends, or a target that is lost, because
     # of a record that cannot be read.
     for content in (b'\xff\x00', b'[]', b'{"service":"till"}', b'null'):
-        site.portal.call(
-            site.store.put, 'keyed.servers', 'i-forged', content
-        )
+        site.portal.call(site.store.put, 'keyed.servers', 'i-forged', content)
     site.register('i-till-2', seq=9)
     wait_until(lambda: 'target_record_unreadable' in gateway.read_log(), 3)
     assert call(gateway, '/pay/x', 'forged-1').status_code == 200
