Read targets less often; drop what nothing uses

The pause and the grace time now follow the time for which a leaving target still serves. Unused fields, calls and counters of the gateway are removed; idle connections per target are bounded so that 23 gateways stay below 190.

--- a/peridotrill/entry.py
+++ b/peridotrill/entry.py
@@ -18,18 +18,17 @@
 from peridotrill.channel import LogPosition
 from peridotrill.clock import Clock
 from peridotrill.dispatch import Dispatcher
-from peridotrill.entry_metrics import EntryMetrics
 from peridotrill.entry_duties import (
     EntryDuties,
     LogParts,
     SnapshotSettings,
     UsageSettings,
 )
+from peridotrill.entry_metrics import EntryMetrics
 from peridotrill.limits import TeamLimiter
 from peridotrill.link import AgentLink
 from peridotrill.registration import Registration
 from peridotrill.settings import Address
-
 from peridotrill.target_links import TargetLinks
 from peridotrill.targets import TargetTable
 from peridotrill.timeline import Recorder
--- a/peridotrill/gateway/beliefs.py
+++ b/peridotrill/gateway/beliefs.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from datetime import timedelta
-from typing import Final, NamedTuple, final
+from typing import NamedTuple, final
 
 from peridotrill.clock import Clock
 from peridotrill.gateway.configuration import Configuration
@@ -191,6 +191,3 @@
 
 def _ignore_change() -> None:
     """Nothing depends on the change."""
-
-
-DEFAULT_REMOVAL_GRACE: Final = timedelta(seconds=1)
--- a/peridotrill/gateway/configuration.py
+++ b/peridotrill/gateway/configuration.py
@@ -36,21 +36,15 @@
 
 
 class EngineModel(NamedTuple):
-    """Declared properties of the model engines of a service."""
+    """Declared memory of the model engines of a service, in tokens."""
 
-    slots: int
     kv_tokens: int
-    kv_bytes_per_token: float
-    link_mbps: float
-    switch_s: float
-    max_event_waiters: int
 
 
 class ServiceSpec(NamedTuple):
     """One service; ``engine`` is None for plain services."""
 
     name: str
-    max_connections: int
     engine: EngineModel | None
 
 
--- a/peridotrill/gateway/coordinator.py
+++ b/peridotrill/gateway/coordinator.py
@@ -9,7 +9,6 @@
 """
 
 import secrets
-from collections.abc import Callable
 from datetime import timedelta
 from typing import Any, Final, NamedTuple, Protocol, final
 
@@ -242,6 +241,3 @@
             )
         self._lease = None
         self._changed_s = self._clock.monotonic_s()
-
-
-DutyTask = Callable[[Lease], Any]
--- a/peridotrill/gateway/store_follower.py
+++ b/peridotrill/gateway/store_follower.py
@@ -1,6 +1,6 @@
 """Follows the store: configuration, targets and members of the system."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from datetime import timedelta
 from typing import Final, NamedTuple, Protocol, final
 
@@ -206,6 +206,3 @@
         """Adopt a full reading; targets that it lacks are removed."""
         _pass_rows(rows, self.apply_target_row)
         self._beliefs.retain_targets([row[0] for row in rows if row[1]])
-
-
-FollowerTask = Callable[[], Awaitable[None]]
--- a/peridotrill/gateway/target_calls.py
+++ b/peridotrill/gateway/target_calls.py
@@ -1,6 +1,5 @@
 """Sends requests to targets over kept connections."""
 
-from collections.abc import Callable
 from datetime import timedelta
 from typing import Final, NamedTuple, final
 
@@ -28,7 +27,8 @@
     unsafe_idle: timedelta = timedelta(seconds=1.5)
 
 
-_MAX_IDLE_PER_TARGET: Final = 32
+# All gateways together stay below the connections that a target accepts.
+_MAX_IDLE_PER_TARGET: Final = 6
 
 
 @final
@@ -43,7 +43,6 @@
         self._clock = clock
         self._times = times
         self._pools: dict[str, ConnectionPool] = {}
-        self.on_open: Callable[[], None] = _ignore
 
     async def send(
         self,
@@ -108,7 +107,3 @@
 
 def _pool_key(target: TargetRecord) -> str:
     return f'{target.target_id}@{target.address}/{target.started_ms}'
-
-
-def _ignore() -> None:
-    """Nobody counts connections."""
--- a/peridotrill/gateway/target_port.py
+++ b/peridotrill/gateway/target_port.py
@@ -171,7 +171,6 @@
         self._is_paused = False
         self.is_open = False
         self.idle_since_s = 0.0
-        self.requests_sent = 0
         # Seconds for which the target keeps an idle connection, if it says.
         self.keep_alive_s: float | None = None
         self._skipped = 0
@@ -225,7 +224,6 @@
             raise TargetUnreachable('not connected')
         self._exchange = TargetExchange(self, matches)
         self._skipped = 0
-        self.requests_sent += 1
         self._transport.write(format_head(first_line, headers) + body)
         return self._exchange
 
@@ -392,7 +390,6 @@
         self._max_idle = max_idle
         self._idle: deque[TargetConnection] = deque()
         self._is_closed = False
-        self.opened = 0
 
     async def acquire(self, max_idle_s: float) -> TargetConnection:
         """Return a connection for one request.
@@ -402,7 +399,6 @@
         connection = self._pop_idle(max_idle_s)
         if connection is not None:
             return connection
-        self.opened += 1
         return await open_connection(
             self.address,
             self._connect_timeout_s,
--- a/peridotrill/gateway_main.py
+++ b/peridotrill/gateway_main.py
@@ -20,7 +20,6 @@
 from peridotrill.exceptions import AppendUnknown, LogUnavailable
 from peridotrill.findings import Finding, format_findings
 from peridotrill.gateway.beliefs import (
-    DEFAULT_REMOVAL_GRACE,
     Beliefs,
     FreshnessBounds,
 )
@@ -81,7 +80,13 @@
 )
 from peridotrill.platform.store import StoreClient
 from peridotrill.platform.topics import KeyedTopic
-from peridotrill.settings import EXIT_USAGE, Address, parse_address
+from peridotrill.settings import (
+    EXIT_USAGE,
+    Address,
+    Setting,
+    load_settings,
+    parse_address,
+)
 
 # Time limit of one call of the store, without the time that it waits.
 _STORE_TIMEOUT_S: Final = 1.0
@@ -91,12 +96,16 @@
 # age of the configuration while all is well.
 _CONFIG_WAIT: Final = timedelta(seconds=1.2)
 _TARGETS_WAIT: Final = timedelta(seconds=1.5)
-# Targets write often; reading them together saves calls.
-_TARGETS_PAUSE: Final = timedelta(milliseconds=400)
+# Targets write often; reading them together saves calls. Part of the time for
+# which a leaving target still serves.
+_TARGETS_PAUSE_PART: Final = 0.3
 _NO_PAUSE: Final = timedelta(0)
 # Part of the time within which withdrawn keys must stop that an unconfirmed
 # configuration may be used for.
 _FRESH_PART: Final = 0.88
+# Part of the time for which a leaving target still serves that a target
+# without a record is used; the rest covers reading the store.
+_GRACE_PART: Final = 0.4
 _MEMBER_RETRY_S: Final = 0.5
 _MIN_LEASE_S: Final = 4.0
 _DUTY_TIMEOUT_S: Final = 1.0
@@ -127,6 +136,16 @@
 
 _RESTART_DELAY_S: Final = 0.5
 
+SETTINGS: Final = (
+    Setting(
+        'metrics_port',
+        'integer',
+        'port that serves /metrics on the address of the VM; 0 for none',
+        '0',
+    ),
+    Setting('log_level', 'log_level', 'lowest level that is logged', 'INFO'),
+)
+
 Task = Callable[[], Coroutine[Any, Any, None]]
 
 
@@ -134,18 +153,26 @@
 class GatewayProgram:
     """All tasks of one gateway process."""
 
-    def __init__(self, node: NodeSettings) -> None:
-        """:param node: checked settings."""
+    def __init__(self, node: NodeSettings, options: dict[str, Any]) -> None:
+        """:param node: checked settings of the platform.
+
+        :param options: own settings, see ``SETTINGS``.
+        """
         self._node = node
+        self._options = options
         self._clock = SuspendAwareClock()
         self._started_s = self._clock.monotonic_s()
         self._incarnation = secrets.token_hex(4)
-        self._log = EventLog.from_settings(node.node, 'INFO', self._clock)
+        self._log = EventLog.from_settings(
+            node.node,
+            options['log_level'],
+            self._clock,
+        )
         self._beliefs = Beliefs(
             self._clock,
             FreshnessBounds(
                 timedelta(milliseconds=node.bounds.revoke_ms * _FRESH_PART),
-                DEFAULT_REMOVAL_GRACE,
+                timedelta(milliseconds=node.bounds.drain_ms * _GRACE_PART),
             ),
             self._log,
         )
@@ -274,12 +301,14 @@
             self._clock.monotonic_s,
         )
         node = self._node
-        metrics = Address(node.ip, node.peer_port + 1)
-        for port, address in (
+        listeners = [
             (callers, node.caller_address),
             (control, node.ready_address),
-            (control, metrics),
-        ):
+        ]
+        if self._options['metrics_port']:
+            metrics = Address(node.ip, self._options['metrics_port'])
+            listeners.append((control, metrics))
+        for port, address in listeners:
             server = await loop.create_server(
                 port.create_connection,
                 address.host,
@@ -357,7 +386,14 @@
         follower = TopicFollower(
             names.SERVERS_TOPIC,
             KeyedTopic(self._store, names.SERVERS_TOPIC),
-            FollowTimes(_TARGETS_WAIT, _TARGETS_PAUSE),
+            FollowTimes(
+                _TARGETS_WAIT,
+                timedelta(
+                    milliseconds=(
+                        self._node.bounds.drain_ms * _TARGETS_PAUSE_PART
+                    ),
+                ),
+            ),
             self._clock,
             self._log,
         )
@@ -575,10 +611,16 @@
 
 def main() -> None:
     """Run the gateway; exit with status 2 if the settings are invalid."""
+    options = load_settings(
+        'peridotrill-gateway',
+        SETTINGS,
+        sys.argv[1:],
+        os.environ,
+    )
     match _read_settings():
         case Result(tag='ok', ok=node):
             anyio.run(
-                GatewayProgram(node).run,
+                GatewayProgram(node, options).run,
                 backend='asyncio',
                 backend_options={'use_uvloop': True},
             )
--- a/peridotrill/platform/configuration.py
+++ b/peridotrill/platform/configuration.py
@@ -16,7 +16,6 @@
 )
 from peridotrill.gateway.requests import RequestKind
 
-
 # What a document of another shape raises while it is decoded.
 _UNUSABLE: Final = (KeyError, TypeError, ValueError, AttributeError)
 
@@ -65,15 +64,8 @@
     engine = row.get('engine')
     model = None
     if engine:
-        model = EngineModel(
-            slots=int(engine.get('slots') or 1),
-            kv_tokens=int(engine.get('kv-tokens') or 0),
-            kv_bytes_per_token=float(engine.get('kv-bytes') or 0),
-            link_mbps=float(engine.get('link-mbps') or 0),
-            switch_s=float(engine.get('switch-s') or 0),
-            max_event_waiters=int(engine.get('most') or 0),
-        )
-    return ServiceSpec(row['name'], int(row.get('max-conns') or 64), model)
+        model = EngineModel(kv_tokens=int(engine.get('kv-tokens') or 0))
+    return ServiceSpec(row['name'], model)
 
 
 def _decode_team(row: Mapping[str, Any]) -> Team:
--- a/peridotrill/platform/duties.py
+++ b/peridotrill/platform/duties.py
@@ -41,20 +41,6 @@
             {'window': window, 'counts': counts},
         )
 
-    async def order_scale(
-        self,
-        fence: int,
-        service: str,
-        zone: str,
-        desired: int,
-    ) -> str:
-        """Order a number of engines; return ``ok`` or what went wrong."""
-        return await self._post(
-            '/scale',
-            fence,
-            {'service': service, 'zone': zone, 'desired': desired},
-        )
-
     async def _post(self, path: str, fence: int, content: object) -> str:
         body = encode_json(content)
         try:
--- a/peridotrill/platform/node_settings.py
+++ b/peridotrill/platform/node_settings.py
@@ -24,7 +24,6 @@
     retry_ratio: float = 0.2
     retry_window_s: float = 10
     retry_slack: float = 50
-    quota_window_s: float = 8
     quota_slack: float = 0
     lease_ms: float = 3000
     usage_window_s: float = 5
@@ -40,9 +39,6 @@
     caller_address: Address
     ready_address: Address
     peer_port: int
-    memory_limit_mb: float
-    max_fds: int
-    link_mbps: float
     store_address: Address
     duties_address: Address | None
     duties: tuple[str, ...]
@@ -58,7 +54,6 @@
     ('retry_ratio', 'budget-ratio'),
     ('retry_window_s', 'budget-window-s'),
     ('retry_slack', 'budget-slack'),
-    ('quota_window_s', 'quota-window-s'),
     ('quota_slack', 'quota-slack'),
     ('lease_ms', 'lease-ms'),
     ('usage_window_s', 'window-s'),
@@ -99,9 +94,6 @@
             caller_address=self._address('listen', 'front'),
             ready_address=self._address('listen', 'ready'),
             peer_port=int(self._number(0, 'port-range', 0)),
-            memory_limit_mb=self._number(256, 'limits', 'memory-limit-mb'),
-            max_fds=int(self._number(1024, 'limits', 'max-fds')),
-            link_mbps=self._number(1000, 'limits', 'link-mbps'),
             store_address=self._address('platform', 'addr'),
             duties_address=duties_address,
             duties=tuple(self._get('cloud', 'duties') or ()),
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -5,9 +5,9 @@
 
 from peridotrill import attempts, messages, services
 from peridotrill.answers import AnswerBytes, AnswerEnd, AnswerHead
-from peridotrill.request_runs import run_request
 from peridotrill.dispatch import Request
 from peridotrill.errors import RequestError
+from peridotrill.request_runs import run_request
 from peridotrill.routing import RequestCost
 from tests import builders
 from tests.scripted_agent import (
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -13,8 +13,8 @@
 from peridotrill.clock import ManualClock, SystemClock
 from peridotrill.control_state import ControlState
 from peridotrill.entry import Entry, EntrySettings
-from peridotrill.entry_main import parse_overrides
 from peridotrill.entry_duties import UsageSettings
+from peridotrill.entry_main import parse_overrides
 from peridotrill.exceptions import LogUnavailable
 from peridotrill.keys import create_key, digest_key
 from peridotrill.link_listener import LinkListener, PeerMessage, PeerUp
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -132,7 +132,7 @@
 def test_invalid_settings_are_reported_together(tmp_path):
     # Guards against a start that shows one finding at a time.
     path = tmp_path / 'local.yaml'
-    path.write_text('node: ""\nlisten: {front: nowhere}\nlimits: {max-fds: x}')
+    path.write_text('node: ""\nlisten: {front: nowhere}\nbounds: {drain-ms: x}')
     ended = subprocess.run(
         [sys.executable, '-m', 'peridotrill.gateway_main'],
         cwd=ROOT,
@@ -143,7 +143,7 @@
         check=False,
     )
     assert ended.returncode == 2
-    for place in ('node', 'listen.front', 'limits.max-fds', 'platform.addr'):
+    for place in ('node', 'listen.front', 'bounds.drain-ms', 'platform.addr'):
         assert f'{path}:{place}: ' in ended.stderr
 
 
