Keep requests from a failing target while others are only full

While an engine was dark and the others had no room, it was the only one with room: 180 attempts ended in connect timeouts within four seconds, each 350 ms of a caller's time. Ruled out: the penalty decays too soon (it stood at its maximum). The test failed first.

--- a/peridotrill/gateway/pools.py
+++ b/peridotrill/gateway/pools.py
@@ -126,12 +126,7 @@
         """Return a finder for a target of a plain service."""
 
         def find() -> Place | None:  # noqa: WPS430
-            targets = [
-                row
-                for row in self._beliefs.usable_targets(service)
-                if row.target_id not in excluded
-                and self._book.total(row.target_id) < row.slots
-            ]
+            targets = self._targets_with_room(service, None, excluded)
             target = choose_least_loaded(targets, self._loads, self._own_zone)
             return None if target is None else Place(target, running=1)
 
@@ -146,15 +141,11 @@
         """Return a finder for the engine that generates the output."""
 
         def find() -> Place | None:  # noqa: WPS430
-            targets = [
-                row
-                for row in self._beliefs.usable_targets(
-                    service,
-                    TargetRole.DECODE,
-                )
-                if row.target_id not in excluded
-                and self._book.total(row.target_id) < row.slots
-            ]
+            targets = self._targets_with_room(
+                service,
+                TargetRole.DECODE,
+                excluded,
+            )
             target = choose_decode(
                 targets,
                 self._loads,
@@ -177,12 +168,7 @@
         """
 
         def find() -> Place | None:  # noqa: WPS430
-            targets = [
-                row
-                for row in self._beliefs.usable_targets(service)
-                if row.target_id not in excluded
-                and self._book.total(row.target_id) < row.slots
-            ]
+            targets = self._targets_with_room(service, None, excluded)
             found = choose_reader(
                 prompt,
                 targets,
@@ -250,5 +236,30 @@
         self._pump(service)
         return Place(place.target, place.running)
 
+    def _targets_with_room(
+        self,
+        service: str,
+        role: TargetRole | None,
+        excluded: set[str],
+    ) -> list[TargetRecord]:
+        """Return the targets that may take a request now.
+
+        Failing targets are left out while there are others, even if these
+        are full: waiting is better than a target that does not answer.
+        """
+        targets = [
+            row
+            for row in self._beliefs.usable_targets(service, role)
+            if row.target_id not in excluded
+        ]
+        sound = [
+            row for row in targets if not self._loads.is_avoided(row.target_id)
+        ]
+        return [
+            row
+            for row in sound or targets
+            if self._book.total(row.target_id) < row.slots
+        ]
+
     def _reading_ms(self, target_id: str) -> float:
         return self._book.total(reading_key(target_id))
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -440,6 +440,23 @@
     assert play.served == [('first', 0)]
 
 
+def test_full_targets_do_not_send_requests_to_a_failing_one():
+    # Guards against an engine that went dark and draws requests because it
+    # alone has room (incident of tapbook: 180 attempts in four seconds).
+    clock = ManualClock()
+    book = LoadBook(clock)
+    health = TargetHealth(clock)
+    beliefs = beliefs_with(clock, target('dark'), target('sound', slots=1))
+    placement = Placement(beliefs, book, health, clock, 'a')
+    health.record_failure('dark', Failure.UNREACHABLE)
+    find = placement.plain_finder('till', set())
+    assert find().target.target_id == 'sound'
+    book.begin(find())
+    assert find() is None
+    advance(clock, 3)
+    assert find().target.target_id == 'dark'
+
+
 def test_places_are_counted_and_given_back():
     clock = ManualClock()
     book = LoadBook(clock)
