Soak real gateways under random faults from outside

Callers keep connections, gateways are paused, killed, stopped and started again, their store is silenced or fails, engines shed, reset, stay silent or break off, configurations and draining come meanwhile. Checked: whole answers, at most one run, true refusals, one figure per usage window, recovery.

--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,10 @@
 PYTHON ?= python3
 DEPLOYMENT ?= ledger
 SEED ?= 1
+SEEDS ?= 1 2 3
 BIN = $(VENV)/bin
 
-.PHONY: setup run measure test lint format types lock capacity
+.PHONY: soak setup run measure test lint format types lock capacity
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -37,5 +38,9 @@
 capacity: setup
 	$(BIN)/python -m capacity
 
+# Plays random faults; prints what was broken. SEEDS: numbers, one play each.
+soak: setup
+	$(BIN)/python -m tests.soak $(SEEDS)
+
 lock:
 	$(BIN)/pip freeze --all --exclude pip --exclude-editable > requirements.lock
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -5,6 +5,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import time
 from contextlib import AsyncExitStack, contextmanager
 from pathlib import Path
@@ -44,6 +45,7 @@
         self._bounds = bounds
         self._site = site
         self.process = None
+        self._starting = threading.Lock()
         self.log_path = folder / f'{node}.log'
         self._write_settings()
 
@@ -66,6 +68,13 @@
                 stderr=log,
             )
 
+    def start_after(self, process):
+        """Wait for a process to end and start the next one, once."""
+        process.wait()
+        with self._starting:
+            if self.process is process:
+                self.start()
+
     def is_ready(self):
         try:
             answer = httpx.get(f'http://127.0.0.1:{self.ready_port}/-/ready')
--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,261 @@
+"""Randomized soak: real gateways under faults from outside, checked promises.
+
+``python -m tests.soak SEED...`` plays each seed and exits with status 1 if a
+promise was broken; ``REGRESSION_SEEDS`` are those that failed once.
+"""
+
+import random
+import sys
+import tempfile
+import threading
+import time
+from collections import Counter
+from pathlib import Path
+
+import httpx
+
+from tests.gateway_builders import HOST, prompt_headers
+from tests.gateway_site import (
+    SIGCONT,
+    SIGKILL,
+    SIGSTOP,
+    SIGTERM,
+    call,
+    run_site,
+    wait_until,
+)
+
+# Seeds that failed once, each with its cause.
+REGRESSION_SEEDS: dict[int, str] = {}
+NODES = ('front-a-1', 'front-a-2', 'front-a-3')
+DURATION_S = 8.0
+CALLERS = 6
+# The platform's bound for recovery after the last fault.
+RECOVERY_S = 12
+ONCE = ('pay', 'draft')
+PROMISES_NOT_RUN = frozenset((408, 421, 429, 503))
+ENGINE_FAULTS = ('shed', 'reset', 'silent', 'late', 'cut', 'half', 'error')
+
+
+class Soak:
+    """One play: callers, faults and what they saw."""
+
+    def __init__(self, site, seed):
+        self.site = site
+        self.random = random.Random(seed)
+        self.stopping = threading.Event()
+        self.outcomes = {}
+        self.broken = []
+        self.faults = Counter()
+        self.version = 1
+
+    def run(self):
+        self.site.start_gateways(*NODES, **{'window-s': 2, 'grace-s': 4})
+        callers = [
+            threading.Thread(target=self._call_on, args=(number,))
+            for number in range(CALLERS)
+        ]
+        for caller in callers:
+            caller.start()
+        end_s = time.monotonic() + DURATION_S
+        while time.monotonic() < end_s:
+            self._inject()
+            time.sleep(self.random.uniform(0.05, 0.5))
+        self.stopping.set()
+        for caller in callers:
+            caller.join()
+        self._heal()
+        self._check_recovery()
+        self._check_runs()
+        self._check_usage()
+        return self.broken
+
+    # Callers keep their connections until these break.
+
+    def _call_on(self, number):
+        chooser = random.Random(number)
+        client = httpx.Client(timeout=4)
+        count = 0
+        while not self.stopping.is_set():
+            count += 1
+            kind = chooser.choice(('pay', 'read', 'draft', 'quick'))
+            gateway = self.site.gateways[chooser.choice(NODES)]
+            name = f'{kind}-{number}-{count}'
+            try:
+                answer = client.post(
+                    f'{gateway.url}/{kind}/x',
+                    headers=_headers(name, kind),
+                    content=b'body',
+                )
+            except httpx.HTTPError as error:
+                self.outcomes[name] = type(error).__name__
+                client.close()
+                client = httpx.Client(timeout=4)
+                continue
+            self.outcomes[name] = answer.status_code
+            if answer.status_code == 200:
+                self._check_answer(name, kind, answer.text)
+        client.close()
+
+    def _check_answer(self, name, kind, text):
+        expected = f'answer to {name}'
+        if kind in {'draft', 'quick'}:
+            expected = ''.join(
+                f'id: {number}\ndata: token {number}\n\n'
+                for number in range(1, 6)
+            )
+        if text != expected:
+            self.broken.append(f'{name}: answer is {text!r}')
+
+    # Faults from outside the gateways.
+
+    def _inject(self):
+        fault = self.random.choice(
+            (
+                self._fault_engines,
+                self._fault_engines,
+                self._pause_gateway,
+                self._kill_gateway,
+                self._stop_gateway,
+                self._cut_store,
+                self._fault_store,
+                self._publish,
+                self._drain_engine,
+            ),
+        )
+        self.faults[fault.__name__] += 1
+        fault()
+
+    def _gateway(self):
+        return self.site.gateways[self.random.choice(NODES)]
+
+    def _fault_engines(self):
+        engine = self.random.choice(list(self.site.engines.values()))
+        engine.plan = [
+            self.random.choice(ENGINE_FAULTS)
+            for _ in range(self.random.randint(1, 6))
+        ]
+
+    def _pause_gateway(self):
+        gateway = self._gateway()
+        if gateway.process.poll() is None:
+            gateway.signal(SIGSTOP)
+            time.sleep(self.random.uniform(0.1, 1.2))
+            gateway.signal(SIGCONT)
+
+    def _kill_gateway(self):
+        gateway = self._gateway()
+        gateway.signal(SIGKILL)
+        gateway.start_after(gateway.process)
+
+    def _stop_gateway(self):
+        gateway = self._gateway()
+        gateway.signal(SIGTERM)
+        threading.Thread(
+            target=gateway.start_after,
+            args=(gateway.process,),
+        ).start()
+
+    def _cut_store(self):
+        proxy = self._gateway().store_proxy
+        if self.random.random() < 0.5:
+            proxy.hold()
+        else:
+            proxy.heal()
+
+    def _fault_store(self):
+        self.site.store.fault = self.random.choice(('', 'down', 'lose_appends'))
+
+    def _publish(self):
+        self.version += self.random.randint(1, 3)
+        self.site.publish(self.version)
+
+    def _drain_engine(self):
+        name = self.random.choice(('i-till-1', 'i-till-2'))
+        state = self.random.choice(('ready', 'draining'))
+        self.site.register(name, state=state)
+
+    def _heal(self):
+        self.site.store.fault = ''
+        for gateway in self.site.gateways.values():
+            gateway.store_proxy.heal()
+        for name, engine in self.site.engines.items():
+            engine.plan = []
+            self.site.register(name)
+
+    # Promises that are checked at the end.
+
+    def _check_recovery(self):
+        try:
+            wait_until(
+                lambda: all(
+                    gateway.process.poll() is None and gateway.is_ready()
+                    for gateway in self.site.gateways.values()
+                ),
+                RECOVERY_S,
+            )
+        except AssertionError as error:
+            self.broken.append(f'recovery: {error}')
+            return
+        for number in range(10):
+            gateway = self.site.gateways[NODES[number % len(NODES)]]
+            status = call(gateway, '/read/x', f'after-{number}').status_code
+            if status != 200:
+                self.broken.append(f'after-{number}: status {status}')
+
+    def _check_runs(self):
+        for name, outcome in self.outcomes.items():
+            runs = self.site.runs(name)
+            if not name.startswith(ONCE):
+                continue
+            if len(runs) > 1:
+                self.broken.append(f'{name}: ran {len(runs)} times')
+            if runs and outcome in PROMISES_NOT_RUN:
+                self.broken.append(f'{name}: ran, but was answered {outcome}')
+
+    def _check_usage(self):
+        figures = {}
+        fences = []
+        for _, fence, window, counts in self.site.duties.usage:
+            if figures.setdefault(window, counts) != counts:
+                self.broken.append(f'window {window}: two figures')
+            fences.append(fence)
+        if fences != sorted(fences):
+            self.broken.append(f'fences fall: {fences}')
+
+
+def _headers(name, kind):
+    headers = {
+        'Host': HOST,
+        'Authorization': 'Bearer key-g',
+        'X-Peridotrill-Request-Id': name,
+        'X-Peridotrill-Deadline-Ms': '2000',
+    }
+    if kind in {'draft', 'quick'}:
+        headers.update(prompt_headers(shared=50 if kind == 'quick' else 5000))
+    return headers
+
+
+def play(seed, folder):
+    """Play a seed; return what was broken and a summary."""
+    with run_site(Path(folder)) as site:
+        soak = Soak(site, seed)
+        broken = soak.run()
+        summary = Counter(str(outcome) for outcome in soak.outcomes.values())
+        return broken, {**summary, 'faults': sum(soak.faults.values())}
+
+
+def main():
+    failed = 0
+    for seed in map(int, sys.argv[1:]):
+        folder = tempfile.mkdtemp(prefix=f'soak-{seed}-')
+        broken, summary = play(seed, folder)
+        failed += bool(broken)
+        print(f'seed {seed}: {summary}', *broken, sep='\n  ', flush=True)
+        if broken:
+            print(f'  logs of the gateways: {folder}', flush=True)
+    return 1 if failed else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
