Send role orders without an answer again; complete pipelined answers first

An order that was not accepted is now sent again for 4 s; the engine's report and the number of orders before it let it take effect once. Ruled out: a shorter pause between plans, which would let roles flap.

Also: an error response to an unreadable request was written into the answers of pipelined requests before it (new test, seen to fail); a fault in a parser callback is no longer answered as a malformed request.

--- a/peridotrill/gateway/callers_port.py
+++ b/peridotrill/gateway/callers_port.py
@@ -153,10 +153,14 @@
             return
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
+        except httptools.HttpParserCallbackError:
+            if not self._error_status:
+                # A fault of this program: the event loop logs it and closes
+                # the connection.
+                raise
+            self._fail(self._error_status)
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._fail(_BAD_REQUEST)
-        except httptools.HttpParserError:
-            self._fail(self._error_status or _BAD_REQUEST)
 
     def eof_received(self) -> bool:
         """Treat a caller that closes its side as gone."""
@@ -319,27 +323,26 @@
         raise ValueError('the request breaks a limit')
 
     def _fail(self, status: int) -> None:
-        """Send an error for a request that could not be read, and close."""
-        self._is_closing = True
+        """Send an error for a request that could not be read, and close.
+
+        Responses to the requests before it are completed first.
+        """
         self._cancel_timer()
-        if self._exchange is not None or self._transport is None:
-            # The response in progress is still completed.
-            self._is_closing = False
+        if self._exchange is None:
+            self._send_failure(status)
+        else:
+            if self._transport is not None:
+                self._transport.pause_reading()
             self._port.task_group.start_soon(self._fail_later, status)
-            return
-        self._send_failure(status)
 
     async def _fail_later(self, status: int) -> None:
-        exchange = self._exchange
-        if self._transport is not None:
-            self._transport.pause_reading()
-        if exchange is not None:
-            await exchange.finished.wait()
-        if self._transport is not None and not self._transport.is_closing():
-            self._is_closing = True
+        while self._exchange is not None:
+            await self._exchange.finished.wait()
+        if not self._is_closing:
             self._send_failure(status)
 
     def _send_failure(self, status: int) -> None:
+        self._is_closing = True
         head = format_head(
             format_status_line(status),
             [(b'Content-Length', b'0'), (b'Connection', b'close')],
--- a/peridotrill/gateway/role_duty.py
+++ b/peridotrill/gateway/role_duty.py
@@ -9,7 +9,7 @@
 from peridotrill.gateway.coordinator import Coordinator
 from peridotrill.gateway.demand import NO_DEMAND, DemandMeter
 from peridotrill.gateway.event_log import EventLog
-from peridotrill.gateway.role_planner import Demand, RolePlanner
+from peridotrill.gateway.role_planner import Demand, RoleChange, RolePlanner
 from peridotrill.gateway.targets import TargetRecord, TargetRole
 
 # Orders can be carried out late; an engine whose record shows no change after
@@ -19,6 +19,10 @@
 
 # An order without effect after this time is taken to be lost.
 _MAX_LATE_S: Final = 13.0
+# How long an order that was not accepted is sent again; the load may have
+# changed after that.
+_RESEND_S: Final = 4.0
+ACCEPTED: Final = 'ok'
 
 
 class RolePort(Protocol):
@@ -30,7 +34,10 @@
         role: TargetRole,
         fence: int,
     ) -> str:
-        """Order a change; return ``ok`` or what went wrong."""
+        """Order a change; return ``ACCEPTED`` or what went wrong.
+
+        May be called again for the same change: it takes effect once.
+        """
 
 
 @final
@@ -63,6 +70,9 @@
         # Roles that were ordered and are not yet in the engines' records.
         self._ordered: dict[str, TargetRole] = {}
         self._ordered_s: dict[str, float] = {}
+        # Changes that no engine has accepted yet, with the time of the first
+        # order, by service.
+        self._unanswered: dict[str, tuple[RoleChange, float]] = {}
 
     async def step(
         self,
@@ -97,6 +107,8 @@
         load: Callable[[str], float],
         margin: timedelta,
     ) -> None:
+        if await self._resend(service, margin):
+            return
         engines = self._engines(service, load)
         demand: Demand | None = self._demand.rate(service)
         if demand == NO_DEMAND:
@@ -104,11 +116,44 @@
                 return
             demand = None
         change = self._planner.plan(service, engines, demand)
+        if change is None or self._coordinator.held_lease(margin) is None:
+            return
+        self._planner.note_changed(service)
+        self._log.write(
+            'role_planned',
+            target=change.target.target_id,
+            role=change.role.value,
+            reading=None if demand is None else demand.reading,
+            output=None if demand is None else demand.output,
+            engines=len(engines),
+        )
+        await self._order(service, change, self._clock.monotonic_s(), margin)
+
+    async def _resend(self, service: str, margin: timedelta) -> bool:
+        """Send an order again that may have been lost; tell whether."""
+        change, first_s = self._unanswered.pop(service, (None, 0.0))
+        if change is None:
+            return False
+        known = self._beliefs.find_target(change.target.target_id)
+        if known is None or known.is_leaving or known.role is change.role:
+            return False
+        if self._clock.monotonic_s() - first_s > _RESEND_S:
+            return False
+        await self._order(service, change, first_s, margin)
+        return True
+
+    async def _order(
+        self,
+        service: str,
+        change: RoleChange,
+        first_s: float,
+        margin: timedelta,
+    ) -> None:
+        """Send an order, as the holder of the lease only."""
         lease = self._coordinator.held_lease(margin)
-        if change is None or lease is None:
+        if lease is None:
             return
         target_id = change.target.target_id
-        self._planner.note_changed(service)
         # An order without an answer may still be carried out: it counts as
         # ordered until the engine's record says otherwise.
         self._ordered[target_id] = change.role
@@ -118,15 +163,14 @@
             change.role,
             lease.fence,
         )
+        if outcome != ACCEPTED:
+            self._unanswered[service] = (change, first_s)
         self._log.write(
             'role_ordered',
             target=target_id,
             role=change.role.value,
             fence=lease.fence,
             outcome=outcome,
-            reading=None if demand is None else demand.reading,
-            output=None if demand is None else demand.output,
-            engines=len(engines),
         )
 
     def _engines(
--- a/peridotrill/platform/engine_orders.py
+++ b/peridotrill/platform/engine_orders.py
@@ -10,10 +10,11 @@
     TargetOutcomeUnknown,
     TargetUnreachable,
 )
+from peridotrill.gateway.role_duty import ACCEPTED
 from peridotrill.gateway.target_port import ResponseHead, open_connection
 from peridotrill.gateway.targets import TargetRecord, TargetRole
 
-_ACCEPTED: Final = frozenset((200, 202))
+_ACCEPTED_STATUSES: Final = frozenset((200, 202))
 _OK: Final = 200
 
 
@@ -32,37 +33,50 @@
         role: TargetRole,
         fence: int,
     ) -> str:
-        """Order a role; return ``ok`` or what went wrong.
+        """Order a role; return ``ACCEPTED`` or what went wrong.
 
         The number of orders that the engine has accepted is asked for first
         and sent along, so that an order that is carried out late has no
-        effect after a newer one.
+        effect after a newer one, and one that is sent again takes effect
+        once.
         """
         try:
-            head, body = await self._call(target, b'GET', b'/-/report', b'')
-            if head.status != _OK:
-                return f'report {head.status}'
-            report: Any = decode_json(body)
-            order = {
-                'op': 'stage',
-                'stage': role.value,
-                'holder': self._holder,
-                'fence': fence,
-                'precondition': int(report['seq']),
-            }
-            head, _ = await self._call(
-                target,
-                b'POST',
-                b'/-/order',
-                encode_json(order),
-            )
+            return await self._send(target, role, fence)
         except (TargetUnreachable, TargetOutcomeUnknown, CodecError) as error:
             return str(error)
         except (KeyError, TypeError, ValueError) as error:
             return f'report unreadable: {error!r}'
         except TimeoutError:
             return 'timeout'
-        return 'ok' if head.status in _ACCEPTED else f'status {head.status}'
+
+    async def _send(
+        self,
+        target: TargetRecord,
+        role: TargetRole,
+        fence: int,
+    ) -> str:
+        head, body = await self._call(target, b'GET', b'/-/report', b'')
+        if head.status != _OK:
+            return f'report {head.status}'
+        report: Any = decode_json(body)
+        if report['stage'] == role.value or report.get('busy') is True:
+            return ACCEPTED
+        order = {
+            'op': 'stage',
+            'stage': role.value,
+            'holder': self._holder,
+            'fence': fence,
+            'precondition': int(report['seq']),
+        }
+        head, _ = await self._call(
+            target,
+            b'POST',
+            b'/-/order',
+            encode_json(order),
+        )
+        if head.status in _ACCEPTED_STATUSES:
+            return ACCEPTED
+        return f'status {head.status}'
 
     async def _call(
         self,
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -8,6 +8,7 @@
 _OK = 200
 _ACCEPTED = 202
 _NOT_FOUND = 404
+_CONFLICT = 409
 _MISDIRECTED = 421
 _ERROR = 500
 _UNAVAILABLE = 503
@@ -38,6 +39,8 @@
         self.cancelled: list[str] = []
         self.released: list[str] = []
         self.orders: list[dict] = []
+        # Orders that are carried out but not answered.
+        self.lost_order_answers = 0
         self._handles = itertools.count(1)
 
     def record(self, address, state='ready', **changes) -> bytes:
@@ -65,7 +68,7 @@
         request_id = headers.get('x-peridotrill-request-id', '')
         path = raw.target.decode()
         if path.startswith('/-/'):
-            self._answer_control(raw, path, responder)
+            await self._answer_control(raw, path, responder)
             return
         self.received.append({**headers, 'path': path, 'body': raw.body})
         expected = headers.get('x-peridotrill-expect-instance')
@@ -129,19 +132,29 @@
             await asyncio.sleep(self.event_s)
         responder.end_stream()
 
-    def _answer_control(self, raw, path, responder) -> None:
+    async def _answer_control(self, raw, path, responder) -> None:
         if path == '/-/report':
             report = {'stage': self.role, 'seq': len(self.orders)}
             responder.send(_OK, [], encode_json(report))
         elif path == '/-/order':
-            self.orders.append(decode_json(raw.body))
-            responder.send(_ACCEPTED, [], b'')
+            await self._take_order(decode_json(raw.body), responder)
         elif path.startswith('/-/kv-handle/'):
             self.released.append(path.rsplit('/', 1)[1])
             responder.send(_OK, [], b'')
         else:
             responder.send(_NOT_FOUND, [], b'')
 
+    async def _take_order(self, order, responder) -> None:
+        if order.get('precondition') != len(self.orders):
+            responder.send(_CONFLICT, [], b'')
+            return
+        self.orders.append(order)
+        self.role = order['stage']
+        if self.lost_order_answers:
+            self.lost_order_answers -= 1
+            await asyncio.Event().wait()
+        responder.send(_ACCEPTED, [], b'')
+
     def _echo(self, request_id):
         return [(b'X-Peridotrill-Request-Id', request_id.encode())]
 
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -405,3 +405,23 @@
     for thread in threads:
         thread.join()
     assert statuses == [200] * 60
+
+
+def test_unreadable_request_fails_after_those_before_it(site, gateway):
+    # Guards against an error response that is written into the answers of
+    # pipelined requests.
+    with socket.create_connection(
+        ('127.0.0.1', gateway.caller_port), timeout=5
+    ) as connection:
+        requests = ''.join(
+            f'GET /read/x HTTP/1.1\r\nHost: {HOST}\r\n'
+            f'X-Peridotrill-Request-Id: before-{number}\r\n'
+            'Authorization: Bearer key-g\r\n\r\n'
+            for number in range(3)
+        )
+        connection.sendall(requests.encode() + b'BAD\x01 / nothing\r\n\r\n')
+        answers = b''
+        while part := connection.recv(4096):
+            answers += part
+    assert answers.count(b'answer to before-') == 3
+    assert answers.index(b'HTTP/1.1 400') > answers.index(b'before-2')
