--- a/peridotrill/gateway/plain_runs.py
+++ b/peridotrill/gateway/plain_runs.py
@@ -19,6 +19,8 @@
 _PATIENCE: Final = timedelta(milliseconds=350)
 # Time below which a request is not sent any more: no target answers sooner.
 _MIN_USEFUL_S: Final = 0.02
+# Usual time of a plain request at a target.
+_SERVICE_S: Final = 0.03
 
 
 async def run_plain(run: RequestRun) -> None:
@@ -49,6 +51,7 @@
         Pool.PLAIN,
         finder,
         1,
+        _SERVICE_S,
         run.deadline_s - _MIN_USEFUL_S,
     )
 
--- a/peridotrill/gateway/role_planner.py
+++ b/peridotrill/gateway/role_planner.py
@@ -14,10 +14,10 @@
 # model of the engines, at a step of 10 ms.
 _DECODE_TOKENS_PER_MS: Final = 6.0
 # Part of the engines that read prompts before there is any load.
-_INITIAL_PREFILL_PART: Final = 0.55
+_INITIAL_PREFILL_PART: Final = 0.62
 # A change must lower the highest utilisation by this much, since the engine
 # is out of service for some seconds.
-_MIN_GAIN: Final = 0.25
+_MIN_GAIN: Final = 0.6
 _MIN_UTILISATION: Final = 0.75
 # Time between two changes; demand is averaged over less.
 _MIN_INTERVAL_S: Final = 10.0
--- a/peridotrill/gateway/serving.py
+++ b/peridotrill/gateway/serving.py
@@ -150,11 +150,13 @@
         pool: Pool,
         finder: PlaceFinder,
         cost: float,
+        service_s: float,
         give_up_s: float,
     ) -> Place:
         """Wait for a place; raises Refused if there is none in time.
 
         :param cost: work of the request, for fairness between teams.
+        :param service_s: expected time from the place to the first byte.
         """
         shared = self.shared
         if self.left_s() <= 0:
@@ -169,7 +171,7 @@
                 team,
                 self.priority,
                 cost,
-                self.request.received_s + self.route.goal_ms / 1000,
+                self.request.received_s + self.route.goal_ms / 1000 - service_s,
                 give_up_s,
             ),
         )
--- a/peridotrill/gateway/stream_runs.py
+++ b/peridotrill/gateway/stream_runs.py
@@ -29,6 +29,10 @@
 # what a full queue takes.
 _READING_PATIENCE: Final = timedelta(seconds=1.5)
 _OUTPUT_PATIENCE: Final = timedelta(seconds=0.9)
+# Times that the page on engines calls setup: before a prompt is read, and from
+# the place at a decode engine to the first event.
+_READING_S: Final = 0.03
+_OUTPUT_S: Final = 0.04
 # Time of a token at an engine that is nearly idle.
 _TOKEN_S: Final = 0.0045
 # Rank of a route with priority 0 at an engine, where 5 is the default.
@@ -116,10 +120,12 @@
     pool = Pool.SHORT_READING
     if placement.is_long(prompt):
         pool = Pool.LONG_READING
+    work_ms = placement.reading_work_ms(prompt)
     return await run.find_place(
         pool,
         placement.reading_finder(run.service, prompt, excluded),
-        placement.reading_work_ms(prompt),
+        work_ms,
+        work_ms / 1000 + _READING_S + _OUTPUT_S,
         run.deadline_s - _MIN_USEFUL_S - _output_s(prompt),
     )
 
@@ -276,6 +282,7 @@
                 run.excluded,
             ),
             1,
+            _OUTPUT_S,
             run.deadline_s - _MIN_USEFUL_S,
         )
 
