--- a/peridotrill/gateway/loads.py
+++ b/peridotrill/gateway/loads.py
@@ -13,6 +13,11 @@
 _NO_WORK: Final = 0.0
 # A target's own figure counts for this long; requests end meanwhile.
 _REPORTED_LIFETIME_S: Final = 0.15
+# Part of the work of the other gateways that is expected to begin at the same
+# target as that of this one.
+_HERD_PART: Final = 0.5
+# Weight of the newest interval in the average work of this gateway and others.
+_SHARE_WEIGHT: Final = 0.1
 
 
 def reading_key(target_id: str) -> str:
@@ -34,6 +39,11 @@
         self._peers: dict[str, tuple[float, Mapping[str, float]]] = {}
         self._peer_sums: dict[str, float] = {}
         self._reported: dict[str, tuple[float, float]] = {}
+        # Work that was begun since the last own report.
+        self._begun: dict[str, float] = {}
+        # Average work of this gateway and of all others.
+        self._own_work = 0.0
+        self._peer_work = 0.0
 
     def begin(self, place: Place) -> None:
         """Count the work of a place."""
@@ -51,6 +61,7 @@
         """Begin work at a target."""
         if work > _NO_WORK:
             self._own[target_id] = self._own.get(target_id, 0) + work
+            self._begun[target_id] = self._begun.get(target_id, 0) + work
 
     def remove(self, target_id: str, work: float) -> None:
         """End work at a target."""
@@ -60,6 +71,26 @@
         else:
             self._own[target_id] = left
 
+    def end_report_interval(self) -> None:
+        """Start a new interval; the own work is being reported."""
+        self._begun.clear()
+        own = sum(self._own.values())
+        peers = sum(self._peer_sums.values())
+        self._own_work += (own - self._own_work) * _SHARE_WEIGHT
+        self._peer_work += (peers - self._peer_work) * _SHARE_WEIGHT
+
+    def expected(self, key: str) -> float:
+        """Return the work at a target with what others most likely began.
+
+        All gateways see a target with room at the same moment, and hear of
+        each other's requests with the next reports only.
+        """
+        begun = self._begun.get(key)
+        if begun is None or self._own_work <= _ROUNDING:
+            return self.total(key)
+        others = min(len(self._peers), self._peer_work / self._own_work)
+        return self.total(key) + begun * others * _HERD_PART
+
     def own(self) -> Mapping[str, float]:
         """Return this gateway's work, for its reports."""
         return self._own
--- a/peridotrill/gateway/pools.py
+++ b/peridotrill/gateway/pools.py
@@ -262,4 +262,4 @@
         ]
 
     def _reading_ms(self, target_id: str) -> float:
-        return self._book.total(reading_key(target_id))
+        return self._book.expected(reading_key(target_id))
--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -84,6 +84,7 @@
         while True:
             self._peers.send(self.make_report())
             self._sources.quotas.end_report_interval()
+            self._sources.loads.end_report_interval()
             await anyio.sleep(report_interval_s(len(self._peers.members)))
 
     def make_report(self) -> Report:
