Limit teams by sliding windows; read new parts at one engine; smaller reports

The account is now a sliding window; a restarted gateway is told by the others what the window has left. Refusals log what decided.

--- a/peridotrill/gateway/loads.py
+++ b/peridotrill/gateway/loads.py
@@ -15,7 +15,7 @@
 _REPORTED_LIFETIME_S: Final = 0.15
 # Part of the work of the other gateways that is expected to begin at the same
 # target as that of this one.
-_HERD_PART: Final = 0.5
+_HERD_PART: Final = 0.9
 # Weight of the newest interval in the average work of this gateway and others.
 _SHARE_WEIGHT: Final = 0.1
 
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -35,7 +35,9 @@
 class Report(msgspec.Struct, array_like=True, frozen=True):
     """Totals of one gateway process since its start.
 
-    ``can_claim`` tells whether it may become the coordinator.
+    ``can_claim`` tells whether it may become the coordinator. ``quota_used``
+    is what all gateways used of the quotas in the last window; it is told
+    when a process has just started.
     """
 
     node: str
@@ -52,6 +54,7 @@
     demand: dict[str, tuple[float, float]]
     switching: list[str]
     lease: LeaseNotice | None = None
+    quota_used: dict[str, float] = {}
 
 
 _encoder: Final = msgspec.msgpack.Encoder()
--- a/peridotrill/gateway/prompt_placement.py
+++ b/peridotrill/gateway/prompt_placement.py
@@ -5,6 +5,8 @@
 engine, and moving a part between engines is faster than reading it again.
 """
 
+import math
+import zlib
 from collections.abc import Callable, Sequence
 from typing import Final, NamedTuple
 
@@ -20,6 +22,8 @@
 _TOKENS_PER_MS: Final = 112.0
 _MS_PER_MILLION_PAIRS: Final = 0.218
 SETUP_MS: Final = 8.0
+# Short prompts are read several in one step and share its fixed part.
+_SHORT_SETUP_MS: Final = 2.0
 _MILLION: Final = 1e6
 # Decode engines read prompts at half the speed of prefill engines.
 DECODE_READING_FACTOR: Final = 2.0
@@ -30,6 +34,10 @@
 # Running requests by which an engine that keeps a part may exceed the least
 # loaded one.
 _KEEPER_SLACK: Final = 8
+# Wait that is accepted so that a part which no engine keeps yet is read once,
+# although several gateways are asked for it at the same moment: less than
+# reading a part of usual size again takes.
+_HOME_WAIT_MS: Final = 100.0
 # Time to fetch a part from another engine before the rest is read.
 _FETCH_MS: Final = 15.0
 
@@ -48,11 +56,11 @@
     """
     fresh = max(0, prompt.prompt_tokens - cached_tokens)
     pairs = fresh * (cached_tokens + fresh / 2)
-    return (
-        SETUP_MS
-        + fresh / _TOKENS_PER_MS
-        + pairs / _MILLION * _MS_PER_MILLION_PAIRS
-    )
+    reading_ms = fresh / _TOKENS_PER_MS
+    reading_ms += pairs / _MILLION * _MS_PER_MILLION_PAIRS
+    if prompt.prompt_tokens < MIN_SPLIT_TOKENS:
+        return reading_ms + _SHORT_SETUP_MS
+    return reading_ms + SETUP_MS
 
 
 def choose_least_loaded(
@@ -162,12 +170,22 @@
 
     Prefill engines read twice as fast as decode engines and delay nobody's
     output, but their result must be moved. Decode engines read what the
-    prefill engines have no room for.
+    prefill engines have no room for; long prompts only within the limits for
+    them, or if there is no prefill engine.
     """
+    if not any(target.role is TargetRole.PREFILL for target in targets):
+        limits = limits._replace(
+            long_ms=limits.prefill_ms,
+            long_running=math.inf,
+        )
+    home_id = None
+    if not is_kept_somewhere:
+        home_id = find_home(prompt, targets)
     ranked = [
         (
             loads.is_avoided(target.target_id),
-            _expected_ms(target, work_ms, loads),
+            _expected_ms(target, work_ms, loads)
+            - _HOME_WAIT_MS * (target.target_id == home_id),
             target.target_id,
             ReadingPlace(target, work_ms),
         )
@@ -180,6 +198,31 @@
     return min(ranked)[-1] if ranked else None
 
 
+def find_home(
+    prompt: Prompt,
+    targets: Sequence[TargetRecord],
+) -> str | None:
+    """Return the id of the engine that should read a new shared part.
+
+    All gateways come to the same engine without asking each other, and few
+    parts move when engines come and go (rendezvous hashing, Thaler and
+    Ravishankar 1998).
+    """
+    main = prompt.main_part
+    if main is None or main.tokens < MIN_PART_TOKENS:
+        return None
+    readers = [
+        target.target_id
+        for target in targets
+        if target.role is TargetRole.PREFILL
+    ]
+    return max(
+        readers,
+        key=lambda name: zlib.crc32(f'{main.part_id}/{name}'.encode()),
+        default=None,
+    )
+
+
 def _has_room(
     target: TargetRecord,
     prompt: Prompt,
--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -1,6 +1,7 @@
 """Reports of this gateway to the others, and what it learns from theirs."""
 
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Mapping
 from datetime import timedelta
 from typing import Final, NamedTuple, final
 
@@ -31,6 +32,11 @@
 # Age of the configuration beyond which a gateway has lost the store, as far
 # as the lease is concerned; reads are held for less than half of it.
 _STORE_LOST_S: Final = 3.0
+# Usage and demand change slowly and are large: they go with each third report.
+# A process that is killed loses what it counted since.
+_SLOW_REPORTS: Final = 3
+# Reports in which a new process is told what was used of the quotas.
+_USED_REPORTS: Final = 3
 
 
 class ReportSources(NamedTuple):
@@ -74,6 +80,10 @@
         self._notice_until_s = 0.0
         # Gateways that can take the lease, by their newest reports.
         self._candidates: dict[str, bool] = {}
+        # Processes that were heard of, and how many of the next reports say
+        # what was used of the quotas, for a process that has just started.
+        self._processes: set[str] = set()
+        self._used_reports = 0
         self.is_leaving = False
         self.switching: Callable[[], list[str]] = list
         peers.on_report = self.take_in
@@ -93,6 +103,7 @@
         sources = self._sources
         switching = self.switching()
         self._suspend(switching)
+        has_slow = self._sequence % _SLOW_REPORTS == 0
         return Report(
             self._sender.node,
             self._sender.incarnation,
@@ -101,19 +112,24 @@
             self._sender.address.port,
             sources.true_time.own_unix_s(),
             self.can_claim,
-            sources.quotas.spent(),
-            dict(sources.loads.own()),
-            sources.usage.own(),
+            _whole(sources.quotas.spent()),
+            _whole(sources.loads.own()),
+            sources.usage.own() if has_slow else {},
             sources.parts.take_recent(),
-            sources.demand.own(),
+            sources.demand.own() if has_slow else {},
             switching,
             self._lease_notice(),
+            self._take_used(),
         )
 
     def take_in(self, report: Report) -> None:
         """Learn from the report of another gateway."""
         sources = self._sources
         process = f'{report.node}/{report.incarnation}'
+        if process not in self._processes:
+            self._processes.add(process)
+            self._used_reports = _USED_REPORTS
+        sources.quotas.adopt_used(report.quota_used)
         sources.quotas.observe_peer(
             report.node,
             report.incarnation,
@@ -121,7 +137,8 @@
         )
         sources.loads.observe_peer(report.node, report.work)
         sources.usage.observe_peer(process, report.usage)
-        sources.demand.observe_peer(process, report.demand)
+        if report.demand:
+            sources.demand.observe_peer(process, report.demand)
         sources.true_time.observe_peer(report.node, report.unix_s)
         sources.parts.observe_peer(report.parts)
         self._candidates[report.node] = report.can_claim
@@ -153,6 +170,13 @@
             if self._candidates.get(peer)
         )
 
+    def _take_used(self) -> dict[str, float]:
+        """Return what was used of the quotas if a new process needs it."""
+        if not self._used_reports:
+            return {}
+        self._used_reports -= 1
+        return _whole(self._sources.quotas.used())
+
     def _lease_notice(self) -> LeaseNotice | None:
         held = self._sources.coordinator.held_lease(timedelta(0))
         if held is None:
@@ -164,3 +188,9 @@
         """Keep engines that change their roles out of use."""
         for target_id in target_ids:
             self._sources.beliefs.suspend_target(target_id, _SWITCH_NOTICE)
+
+
+def _whole(amounts: Mapping[str, float]) -> dict[str, float]:
+    """Return whole numbers, which take fewer bytes; zeros are left out."""
+    whole = ((name, math.ceil(amount)) for name, amount in amounts.items())
+    return {name: amount for name, amount in whole if amount}
--- a/peridotrill/gateway/request_handler.py
+++ b/peridotrill/gateway/request_handler.py
@@ -158,6 +158,12 @@
                 TOO_MANY_REQUESTS,
                 'team_over_limit',
                 decision.retry_after_s,
+                team=team.name,
+                cost=cost,
+                left=round(decision.left),
+                available=round(decision.available),
+                rate_per_s=team.rate_per_s,
+                burst=team.burst,
             )
 
     def _log_refusal(self, request: CallerRequest, error: Refused) -> None:
@@ -173,6 +179,7 @@
             retry_after_s=error.retry_after_s,
             version=known.version if known else None,
             config_age_s=beliefs.config_age_s(),
+            **error.inputs,
         )
 
     def _log_end(self, run: RequestRun) -> None:
--- a/peridotrill/gateway/role_planner.py
+++ b/peridotrill/gateway/role_planner.py
@@ -17,7 +17,11 @@
 _INITIAL_PREFILL_PART: Final = 0.62
 # A change must lower the highest utilisation by this much, since the engine
 # is out of service for some seconds.
-_MIN_GAIN: Final = 0.6
+_MIN_GAIN: Final = 0.25
+# A smaller gain than this must last for a while: bursts of prompts and of
+# output follow each other within seconds.
+_URGENT_GAIN: Final = 0.6
+_PERSISTENCE_S: Final = 8.0
 _MIN_UTILISATION: Final = 0.75
 # Time between two changes; demand is averaged over less.
 _MIN_INTERVAL_S: Final = 10.0
@@ -38,23 +42,39 @@
     role: TargetRole
 
 
-def plan_prefill_engines(engines: int, present: int, demand: Demand) -> int:
-    """Return how many engines should read prompts.
+class RolePlan(NamedTuple):
+    """How many engines should read prompts next, and what that gains.
+
+    ``gain`` is the part of an engine's time by which the busiest role is
+    relieved.
+    """
+
+    prefill: int
+    gain: float
+
+
+def plan_prefill_engines(
+    engines: int,
+    present: int,
+    demand: Demand,
+) -> RolePlan:
+    """Return how many engines should read prompts; one more or less at most.
 
     :param engines: number of engines, two or more.
     :param present: how many do so now.
     """
+    stay = RolePlan(present, 0)
     now = _utilisation(engines, present, demand)
     if now < _MIN_UTILISATION:
-        return present
+        return stay
     best = min(
         range(1, engines),
         key=lambda prefill: _utilisation(engines, prefill, demand),
     )
     gain = now - _utilisation(engines, best, demand)
     if gain < _MIN_GAIN:
-        return present
-    return present + 1 if best > present else present - 1
+        return stay
+    return RolePlan(present + 1 if best > present else present - 1, gain)
 
 
 def plan_initial_prefill_engines(engines: int) -> int:
@@ -83,6 +103,8 @@
         """:param clock: spaces the changes out."""
         self._clock = clock
         self._changed_s: dict[str, float] = {}
+        # Wished number of readers, and since when, by service.
+        self._wished: dict[str, tuple[int, float]] = {}
 
     def plan(
         self,
@@ -106,13 +128,30 @@
         elif since_s < _MIN_INTERVAL_S:
             return None
         else:
-            wanted = plan_prefill_engines(len(engines), len(prefill), demand)
+            wanted = self._wanted(service, len(engines), len(prefill), demand)
         if wanted > len(prefill) and len(decode) > 1:
             return RoleChange(decode[0], TargetRole.PREFILL)
         if wanted < len(prefill) and len(prefill) > 1:
             return RoleChange(prefill[0], TargetRole.DECODE)
         return None
 
+    def _wanted(
+        self,
+        service: str,
+        engines: int,
+        present: int,
+        demand: Demand,
+    ) -> int:
+        """Return how many engines should read prompts by now."""
+        now_s = self._clock.monotonic_s()
+        plan = plan_prefill_engines(engines, present, demand)
+        wished, since_s = self._wished.get(service, (present, now_s))
+        if wished != plan.prefill:
+            since_s = now_s
+        self._wished[service] = (plan.prefill, since_s)
+        lasted = now_s - since_s >= _PERSISTENCE_S
+        return plan.prefill if lasted or plan.gain >= _URGENT_GAIN else present
+
     def note_changed(self, service: str) -> None:
         """Note that a change was ordered."""
         self._changed_s[service] = self._clock.monotonic_s()
--- a/peridotrill/gateway/serving.py
+++ b/peridotrill/gateway/serving.py
@@ -73,9 +73,14 @@
         status: int,
         reason: str,
         retry_after_s: float | None = None,
+        **inputs: Any,
     ) -> None:
-        """:param reason: a code in snake case."""
+        """:param reason: a code in snake case.
+
+        :param inputs: what decided it, for the log.
+        """
         super().__init__(reason)
+        self.inputs = inputs
         self.status = status
         self.reason = reason
         self.retry_after_s = retry_after_s
--- a/peridotrill/gateway/stream_runs.py
+++ b/peridotrill/gateway/stream_runs.py
@@ -14,7 +14,6 @@
 from peridotrill.gateway.event_stream import EventSplitter
 from peridotrill.gateway.metrics import ATTEMPTS
 from peridotrill.gateway.pools import Pool
-from peridotrill.gateway.prompt_placement import SETUP_MS
 from peridotrill.gateway.requests import Prompt
 from peridotrill.gateway.serving import RequestRun
 from peridotrill.gateway.target_health import Failure
@@ -29,6 +28,9 @@
 # what a full queue takes.
 _READING_PATIENCE: Final = timedelta(seconds=1.5)
 _OUTPUT_PATIENCE: Final = timedelta(seconds=0.9)
+# An engine that reads other prompts first may take several times the time
+# that reading a prompt takes.
+_READING_FACTOR: Final = 3
 # Times that the page on engines calls setup: before a prompt is read, and from
 # the place at a decode engine to the first event.
 _READING_S: Final = 0.03
@@ -56,10 +58,7 @@
     if prompt is not None:
         run.shared.demand.record(
             run.service,
-            max(
-                0,
-                run.shared.placement.reading_work_ms(prompt) - SETUP_MS,
-            ),
+            run.shared.placement.reading_work_ms(prompt),
             _expected_tokens(prompt),
         )
         prepared = await _prepare(run, prompt)
@@ -178,7 +177,8 @@
         reply = await run.read_reply(
             target,
             exchange,
-            _READING_PATIENCE,
+            _READING_PATIENCE
+            + timedelta(milliseconds=place.reading_ms) * _READING_FACTOR,
             can_leave=True,
         )
         body = await exchange.read_body()
@@ -193,6 +193,7 @@
         target=target.target_id,
         tokens=prefilled.tokens,
         shared=prompt.shared_tokens,
+        part=None if prompt.main_part is None else prompt.main_part.part_id,
         estimate_ms=round(place.reading_ms),
         took_ms=round((shared.clock.monotonic_s() - started_s) * 1000),
         fetch=None if keeper is None else keeper.target_id,
@@ -271,6 +272,11 @@
                 self._run.service,
             )
 
+    def _reading_time(self) -> timedelta:
+        """Return the time that the engine takes to read the prompt itself."""
+        reading_ms = 0 if self._place is None else self._place.reading_ms
+        return timedelta(milliseconds=reading_ms)
+
     async def _find_place(self) -> Place:
         run = self._run
         await run.require_target(run.excluded)
@@ -309,7 +315,7 @@
             reply = await run.read_reply(
                 target,
                 exchange,
-                _OUTPUT_PATIENCE,
+                _OUTPUT_PATIENCE + self._reading_time() * _READING_FACTOR,
                 run.has_other_target(),
             )
             run.note_load(target, reply)
--- a/peridotrill/gateway/team_quotas.py
+++ b/peridotrill/gateway/team_quotas.py
@@ -1,14 +1,17 @@
 """Rate limits of teams, held by all gateways together.
 
-Each gateway keeps a token bucket of the whole system. It subtracts its own
+A team may use its rate times the window plus its burst in any window. Each
+gateway keeps what the whole system spent in the last window: its own
 admissions and those that the others report a few times per second. Between
 two reports a gateway spends at most its part of what is left, so that the
-sum stays within the bucket although nobody coordinates. A gateway that has
-not reported for a while is taken to use its full part of the rate.
+sum stays within the limit although nobody coordinates. A gateway that has
+not reported for a while is taken to use its full part.
 """
 
 import math
+from collections import deque
 from collections.abc import Mapping
+from datetime import timedelta
 from typing import Final, NamedTuple, final
 
 from peridotrill.clock import Clock
@@ -19,54 +22,103 @@
 _MAX_RETRY_AFTER_S: Final = 5.0
 # Not before the next reports of the other gateways have arrived.
 _MIN_RETRY_AFTER_S: Final = 0.15
-# Bounds the refill after a pause of the process.
-_MAX_REFILL_S: Final = 1.0
-# Part of the tolerated excess that the buckets hold in addition to the burst.
-# The rest covers what gateways admit before they hear of each other.
+# Part of the tolerated excess that is used in addition to the burst. The rest
+# covers what gateways admit before they hear of each other.
 _USED_EXCESS: Final = 0.4
-# Part of the level that is divided evenly; the rest goes by recent use.
+# Resolution of the window; about the interval of the reports.
+_SLOT_S: Final = 0.1
+# Part of what is left that is divided evenly; the rest goes by recent use.
 _EVEN_PART: Final = 0.4
 # Use that is assumed to be spread evenly, as a part of the burst.
 _PRIOR_USE: Final = 0.1
+# A process older than this keeps its own account of the windows.
+_ADOPT_S: Final = 2.0
 # Time in which recent use falls to 1/e.
 _RECENT_USE_S: Final = 1.5
 
 
 class QuotaDecision(NamedTuple):
-    """Outcome; ``retry_after_s`` is 0 if the request is admitted."""
+    """Outcome; ``retry_after_s`` is 0 if the request is admitted.
+
+    ``left`` is what all gateways together may still spend, ``available`` the
+    part of this one, in the unit of the limit.
+    """
 
     is_admitted: bool
     retry_after_s: float
+    left: float = math.inf
+    available: float = math.inf
 
 
 @final
-class _Bucket:
-    def __init__(self, now_s: float) -> None:
-        self.level = 0.0
-        self.filled_s = now_s
+class _Window:
+    """What all gateways spent of one team's limit, by slots of time."""
+
+    def __init__(self, size_s: float) -> None:
+        self._slots: deque[tuple[int, float]] = deque()
+        self._size = math.ceil(size_s / _SLOT_S)
+        self.spent = 0.0
+        self.updated_s: float | None = None
         self.spent_since_report = 0.0
         # Recent use of this gateway and of all, with exponential decay.
         self.own_use = 0.0
         self.all_use = 0.0
-        # Part of the level that this gateway may spend until its next
+        # Part of what is left that this gateway may spend until its next
         # report; None before the first one.
         self.own_part: float | None = None
 
+    def add(self, at_s: float, amount: float) -> None:
+        """Note what was spent at a time, which never goes back."""
+        slot = int(at_s / _SLOT_S)
+        if self._slots and self._slots[-1][0] >= slot:
+            slot, known = self._slots.pop()
+            self._slots.append((slot, known + amount))
+        else:
+            self._slots.append((slot, amount))
+        self.spent += amount
+
+    def expire(self, now_s: float) -> None:
+        """Drop the slots that lie before the window."""
+        first = int(now_s / _SLOT_S) - self._size
+        while self._slots and self._slots[0][0] < first:
+            self.spent -= self._slots.popleft()[1]
+        if not self._slots:
+            self.spent = 0.0
+
+    def decay(self, elapsed_s: float) -> None:
+        """Let recent use fade."""
+        factor = math.exp(-elapsed_s / _RECENT_USE_S)
+        self.own_use *= factor
+        self.all_use *= factor
+
 
 @final
 class TeamQuotas:
-    """The buckets of all teams, as one gateway sees them."""
+    """The limits of all teams, as one gateway sees them."""
 
-    def __init__(self, clock: Clock, tolerated_excess: float = 0) -> None:
-        """Buckets start empty: what was spent before is not known.
+    def __init__(
+        self,
+        clock: Clock,
+        window: timedelta,
+        tolerated_excess: float = 0,
+        is_first_start: bool = False,
+    ) -> None:
+        """:param window: in which a team may spend its rate and its burst.
 
         :param tolerated_excess: by which the sum over all gateways may
             exceed a limit.
+        :param is_first_start: whether nothing was spent before. Otherwise
+            the whole limit is taken to have been spent evenly.
         """
         self._clock = clock
+        self._window_s = window.total_seconds()
         self.apply_excess(tolerated_excess)
-        self._buckets: dict[str, _Bucket] = {}
+        self._started_s = clock.monotonic_s()
+        self._is_first_start = is_first_start
+        self._windows: dict[str, _Window] = {}
         self._teams: Mapping[str, Team] = {}
+        # What was used before the start, as others told it, by team.
+        self._told_used: dict[str, float] = {}
         self._spent: dict[str, float] = {}
         self._peer_spent: dict[str, dict[str, float]] = {}
         self._incarnations: dict[str, str] = {}
@@ -79,8 +131,8 @@
     def configure(self, teams: Mapping[str, Team]) -> None:
         """Apply the limits of a configuration."""
         self._teams = teams
-        for gone in self._buckets.keys() - teams.keys():
-            self._buckets.pop(gone)
+        for gone in self._windows.keys() - teams.keys():
+            self._windows.pop(gone)
 
     def add_peer(self, peer: str) -> None:
         """Count a gateway that shares the limits; it may be silent."""
@@ -99,6 +151,25 @@
         """Return what this process admitted since its start, by team."""
         return self._spent
 
+    def used(self) -> dict[str, float]:
+        """Return what all gateways used in the last window, by team."""
+        self._update_all(self._clock.monotonic_s())
+        return {name: window.spent for name, window in self._windows.items()}
+
+    def adopt_used(self, used: Mapping[str, float]) -> None:
+        """Take over what others know of the time before the own start.
+
+        Everyone's account is too high rather than too low, so that the
+        lowest counts.
+        """
+        now_s = self._clock.monotonic_s()
+        if self._is_first_start or now_s - self._started_s > _ADOPT_S:
+            return
+        for name, amount in used.items():
+            if amount < self._told_used.get(name, math.inf):
+                self._told_used[name] = amount
+                self._windows.pop(name, None)
+
     def observe_peer(
         self,
         peer: str,
@@ -111,7 +182,7 @@
         :param spent: totals since its start, by team.
         """
         now_s = self._clock.monotonic_s()
-        self._refill_all(now_s)
+        self._update_all(now_s)
         self._peer_heard_s[peer] = now_s
         if self._incarnations.get(peer) != incarnation:
             self._incarnations[peer] = incarnation
@@ -121,19 +192,19 @@
         for team, total in spent.items():
             before = known.get(team, 0)
             known[team] = max(total, before)
-            bucket = self._buckets.get(team)
-            if bucket is not None:
+            window = self._windows.get(team)
+            if window is not None:
                 used = max(0, total - before)
-                bucket.level -= used
-                bucket.all_use += used
+                window.add(now_s, used)
+                window.all_use += used
 
     def end_report_interval(self) -> None:
         """Start a new interval; the own totals are being reported."""
-        for name, bucket in self._buckets.items():
-            bucket.spent_since_report = 0
+        for name, window in self._windows.items():
+            window.spent_since_report = 0
             team = self._teams.get(name)
             if team is not None:
-                bucket.own_part = self._own_part(bucket, team)
+                window.own_part = self._own_part(window, team)
 
     def admit(self, team: Team, cost: float) -> QuotaDecision:
         """Take the cost of a request if the team's limit allows it.
@@ -143,65 +214,84 @@
         if team.rate_per_s <= 0:
             return QuotaDecision(True, 0)
         now_s = self._clock.monotonic_s()
-        bucket = self._refill(team, now_s)
-        part = bucket.level * (bucket.own_part or 1 / self.gateways)
-        available = part - bucket.spent_since_report
-        # A request larger than a gateway's part passes when the bucket as a
+        window = self._update(team, now_s)
+        left = self._limit(team) - window.spent
+        left_at_report = left + window.spent_since_report
+        part = left_at_report * (window.own_part or 1 / self.gateways)
+        available = part - window.spent_since_report
+        # A request larger than a gateway's part passes when the limit as a
         # whole can bear it and this gateway has just reported.
         fits = available >= cost or (
-            bucket.level >= max(2 * cost, team.burst / 2)
-            and bucket.spent_since_report <= 0
+            left >= max(2 * cost, team.burst / 2)
+            and window.spent_since_report <= 0
         )
         if not fits:
-            wait_s = (cost - min(available, bucket.level)) / team.rate_per_s
+            lacking = cost - min(available, left)
+            wait_s = _SLOT_S + lacking / self._mean_rate(team)
             return QuotaDecision(
                 False,
                 min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s)),
+                left,
+                available,
             )
-        bucket.level -= cost
-        bucket.spent_since_report += cost
-        bucket.own_use += cost
-        bucket.all_use += cost
+        window.add(now_s, cost)
+        window.spent_since_report += cost
+        window.own_use += cost
+        window.all_use += cost
         self._spent[team.name] = self._spent.get(team.name, 0) + cost
         return QuotaDecision(True, 0)
 
-    def refund(self, team: Team, cost: float) -> None:
-        """Give back the cost of a request that did not run."""
-        bucket = self._buckets.get(team.name)
-        if bucket is not None and team.rate_per_s > 0:
-            bucket.level = min(team.burst + self._excess, bucket.level + cost)
+    def _limit(self, team: Team) -> float:
+        """Return what all gateways may spend in one window."""
+        return team.rate_per_s * self._window_s + team.burst + self._excess
+
+    def _mean_rate(self, team: Team) -> float:
+        """Return what a team that always uses its limit gets per second."""
+        return self._limit(team) / self._window_s
 
-    def _refill_all(self, now_s: float) -> None:
+    def _update_all(self, now_s: float) -> None:
         for team in self._teams.values():
-            if team.name in self._buckets:
-                self._refill(team, now_s)
-
-    def _refill(self, team: Team, now_s: float) -> _Bucket:
-        bucket = self._buckets.get(team.name)
-        if bucket is None:
-            bucket = _Bucket(now_s)
-            self._buckets[team.name] = bucket
-        elapsed_s = max(0, now_s - bucket.filled_s)
-        bucket.filled_s = max(now_s, bucket.filled_s)
+            if team.name in self._windows:
+                self._update(team, now_s)
+
+    def _update(self, team: Team, now_s: float) -> _Window:
+        """Let spending expire, and note that of gateways that are silent."""
+        window = self._windows.get(team.name)
+        if window is None:
+            window = self._create_window(team)
+            self._windows[team.name] = window
+        known_s = window.updated_s or now_s
+        elapsed_s = max(0, now_s - known_s)
+        window.updated_s = max(known_s, now_s)
         silent = sum(
             now_s - heard_s > PEER_STALE_S
             for heard_s in self._peer_heard_s.values()
         )
-        rate = team.rate_per_s * (1 - silent / self.gateways)
-        refill = min(elapsed_s, _MAX_REFILL_S) * rate
-        bucket.level = min(team.burst + self._excess, bucket.level + refill)
-        decay = math.exp(-elapsed_s / _RECENT_USE_S)
-        bucket.own_use *= decay
-        bucket.all_use *= decay
-        return bucket
+        part = silent / self.gateways
+        window.add(now_s, elapsed_s * self._mean_rate(team) * part)
+        window.expire(now_s)
+        window.decay(elapsed_s)
+        return window
+
+    def _create_window(self, team: Team) -> _Window:
+        """Return a window with what was used before the start."""
+        window = _Window(self._window_s)
+        if self._is_first_start:
+            return window
+        used = self._told_used.get(team.name, self._limit(team))
+        used += self._spent.get(team.name, 0)
+        slots = math.ceil(self._window_s / _SLOT_S)
+        for slot in range(slots, 0, -1):
+            window.add(self._started_s - slot * _SLOT_S, used / slots)
+        return window
 
-    def _own_part(self, bucket: _Bucket, team: Team) -> float:
-        """Return the part of the level that this gateway may spend.
+    def _own_part(self, window: _Window, team: Team) -> float:
+        """Return the part of what is left that this gateway may spend.
 
         All gateways derive their parts from the same reports, so that these
         add up to about one.
         """
         even = 1 / self.gateways
         prior = max(1.0, team.burst * _PRIOR_USE)
-        by_use = (bucket.own_use + prior * even) / (bucket.all_use + prior)
+        by_use = (window.own_use + prior * even) / (window.all_use + prior)
         return _EVEN_PART * even + (1 - _EVEN_PART) * by_use
--- a/peridotrill/gateway_main.py
+++ b/peridotrill/gateway_main.py
@@ -124,7 +124,12 @@
     Setting('log_level', 'log_level', 'lowest level that is logged', 'INFO'),
 )
 
-_FIXED_BOUNDS: Final = ('lease_ms', 'usage_window_s', 'usage_late_s')
+_FIXED_BOUNDS: Final = (
+    'lease_ms',
+    'quota_window_s',
+    'usage_window_s',
+    'usage_late_s',
+)
 
 Task = Callable[[], Coroutine[Any, Any, None]]
 
@@ -165,7 +170,12 @@
         self._loads = LoadBook(self._clock)
         self._health = TargetHealth(self._clock)
         self._demand = DemandMeter(self._clock)
-        self._quotas = TeamQuotas(self._clock, node.bounds.quota_slack)
+        self._quotas = TeamQuotas(
+            self._clock,
+            timedelta(seconds=node.bounds.quota_window_s),
+            node.bounds.quota_slack,
+            node.is_first_start,
+        )
         self._true_time = TrueTime(self._clock)
         self._budget = RepeatBudget(_repeat_bounds(node.bounds), self._clock)
         self._usage = UsageCounts(node.bounds.usage_window_s, self._true_time)
--- a/peridotrill/platform/node_settings.py
+++ b/peridotrill/platform/node_settings.py
@@ -25,6 +25,7 @@
     retry_window_s: float = 10
     retry_slack: float = 50
     quota_slack: float = 0
+    quota_window_s: float = 8
     lease_ms: float = 3000
     usage_window_s: float = 5
     usage_late_s: float = 10
@@ -55,6 +56,7 @@
     ('retry_window_s', 'budget-window-s'),
     ('retry_slack', 'budget-slack'),
     ('quota_slack', 'quota-slack'),
+    ('quota_window_s', 'quota-window-s'),
     ('lease_ms', 'lease-ms'),
     ('usage_window_s', 'window-s'),
     ('usage_late_s', 'usage-late-s'),
