Tell restarted gateways what engines keep; ask engines after a loss of all

Prompts counted as unread, their work was estimated at three times the real one, the planner took a decode engine away at second 11 for a demand of 3.8 engines that did not exist, and the coordinator that had ordered it was restarted, so that the others sent 85 requests to the engine while it changed. Two gateways now list the parts to a process that has just started; after the loss of all gateways each engine is asked once. Engines that change their roles stay out of use until their record shows the new role, 3 s at most.

--- a/peridotrill/gateway/beliefs.py
+++ b/peridotrill/gateway/beliefs.py
@@ -109,6 +109,8 @@
             role=record.role.value if record.role else None,
             started_ms=record.started_ms,
         )
+        if known is not None and known.role is not record.role:
+            self._suspended.pop(record.target_id, None)
         if known is not None and (
             known.started_ms != record.started_ms
             or known.address != record.address
--- a/peridotrill/gateway/part_directory.py
+++ b/peridotrill/gateway/part_directory.py
@@ -50,6 +50,14 @@
         for reading in readings:
             self._keep(reading)
 
+    def listing(self) -> list[PartReading]:
+        """Return all parts, those used least recently first."""
+        return [
+            PartReading(part_id, target_id, tokens)
+            for target_id, parts in self._parts.items()
+            for part_id, tokens in parts.items()
+        ]
+
     def take_recent(self) -> list[PartReading]:
         """Return what to tell the others now."""
         recent = [row for rows in self._recent for row in rows]
--- /dev/null
+++ b/peridotrill/gateway/part_sharing.py
@@ -0,0 +1,125 @@
+"""Tells processes that have just started which engines keep which parts.
+
+Answers the load after a restart: without this knowledge long prompts are
+taken to need several times the work, are sent to engines that lack their
+parts, and the demand for prompt reading looks far too high.
+"""
+
+import zlib
+from datetime import timedelta
+from typing import Final, Protocol, final
+
+import anyio
+
+from peridotrill.clock import Clock
+from peridotrill.exceptions import CodecError, TargetError
+from peridotrill.gateway.beliefs import Beliefs
+from peridotrill.gateway.event_log import EventLog
+from peridotrill.gateway.part_directory import PartDirectory, PartReading
+from peridotrill.gateway.peers import PartListing, PeerExchange
+from peridotrill.gateway.targets import TargetRecord
+
+# Gateways that tell a new process: datagrams may be lost, and one of them may
+# know little itself.
+_TELLERS: Final = 2
+# Parts in one datagram of at most 8 KiB.
+_PARTS_PER_MESSAGE: Final = 120
+# A new process that was told nothing until then asks the engines.
+_ASK_AFTER: Final = timedelta(seconds=0.8)
+_HEARD_S: Final = 1.0
+
+
+class PartsPort(Protocol):
+    """The call that lists what an engine keeps."""
+
+    async def list_parts(self, target: TargetRecord) -> list[PartReading]:
+        """Return the parts; raises TargetError, CodecError, TimeoutError."""
+
+
+@final
+class PartSharing:
+    """Tells other gateways what engines keep, and asks engines."""
+
+    def __init__(  # noqa: WPS211
+        self,
+        node: str,
+        parts: PartDirectory,
+        peers: PeerExchange,
+        beliefs: Beliefs,
+        port: PartsPort,
+        clock: Clock,
+        log: EventLog,
+    ) -> None:
+        """:param node: name of this gateway's machine."""
+        self._node = node
+        self._parts = parts
+        self._peers = peers
+        self._beliefs = beliefs
+        self._port = port
+        self._clock = clock
+        self._log = log
+        self.was_told = False
+        peers.on_parts = self.take_in
+
+    def tell(self, node: str) -> None:
+        """Tell a process that has just started, if it is this one's turn."""
+        others = [
+            name
+            for name in (*self._peers.heard_within(_HEARD_S), self._node)
+            if name != node
+        ]
+        if self._node in _first(others, node, _TELLERS):
+            self._send(self._parts.listing(), node)
+
+    def take_in(self, listing: PartListing) -> None:
+        """Learn from what another gateway tells."""
+        self.was_told = True
+        self._parts.observe_peer(listing.parts)
+
+    async def ask_engines(self) -> None:
+        """Ask the engines if no other gateway knows what they keep.
+
+        After the loss of all gateways each engine is asked by one of them,
+        which tells the others.
+        """
+        await anyio.sleep(_ASK_AFTER.total_seconds())
+        if self.was_told:
+            return
+        heard = (*self._peers.heard_within(_HEARD_S), self._node)
+        for target in self._beliefs.all_targets():
+            name = target.target_id
+            if target.role is not None and self._node in _first(heard, name, 1):
+                await self._ask(target)
+
+    async def _ask(self, target: TargetRecord) -> None:
+        try:
+            parts = await self._port.list_parts(target)
+        except (TargetError, CodecError, TimeoutError) as error:
+            self._log.write(
+                'parts_not_listed',
+                target=target.target_id,
+                error=repr(error),
+            )
+            return
+        self._log.write(
+            'parts_listed',
+            target=target.target_id,
+            parts=len(parts),
+        )
+        self._parts.observe_peer(parts)
+        self._send(parts, None)
+
+    def _send(self, parts: list[PartReading], node: str | None) -> None:
+        for start in range(0, len(parts), _PARTS_PER_MESSAGE):
+            rows = parts[start : start + _PARTS_PER_MESSAGE]
+            self._peers.send(PartListing(self._node, rows), node)
+
+
+def _first(
+    names: tuple[str, ...] | list[str], key: str, count: int
+) -> list[str]:
+    """Return the names that come first for a key (rendezvous hashing)."""
+    return sorted(
+        names,
+        key=lambda name: zlib.crc32(f'{key}/{name}'.encode()),
+    )[:count]
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -32,7 +32,7 @@
     left_s: float
 
 
-class Report(msgspec.Struct, array_like=True, frozen=True):
+class Report(msgspec.Struct, array_like=True, frozen=True, tag='report'):
     """Totals of one gateway process since its start.
 
     ``can_claim`` tells whether it may become the coordinator. ``quota_used``
@@ -57,17 +57,31 @@
     quota_used: dict[str, float] = {}
 
 
+class PartListing(
+    msgspec.Struct,
+    array_like=True,
+    frozen=True,
+    tag='parts',
+):
+    """Parts that engines keep, told to a process that has just started."""
+
+    node: str
+    parts: list[PartReading]
+
+
+Message = Report | PartListing
+
 _encoder: Final = msgspec.msgpack.Encoder()
-_decoder: Final = msgspec.msgpack.Decoder(Report)
+_decoder: Final = msgspec.msgpack.Decoder(Message)
 
 
-def encode_report(report: Report) -> bytes:
-    """Encode a report for one datagram."""
-    return _encoder.encode(report)
+def encode_message(message: Message) -> bytes:
+    """Encode a message for one datagram."""
+    return _encoder.encode(message)
 
 
-def decode_report(datagram: bytes) -> Report | None:
-    """Decode a datagram; None if it is not a report."""
+def decode_message(datagram: bytes) -> Message | None:
+    """Decode a datagram; None if it cannot be read."""
     try:
         return _decoder.decode(datagram)
     except (msgspec.DecodeError, RecursionError):
@@ -104,24 +118,30 @@
         self.members: dict[str, Member] = {}
         self.on_report: Callable[[Report], None] = _ignore
         self.on_member: Callable[[str], None] = _ignore
+        self.on_parts: Callable[[PartListing], None] = _ignore
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """The socket is open."""
         self._transport = transport  # type: ignore[assignment]
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
-        """Take a report in; anything else is counted and dropped."""
-        report = decode_report(data)
-        if report is None:
+        """Take a message in; anything else is counted and dropped."""
+        message = decode_message(data)
+        if message is None:
             UNREADABLE.labels('report').inc()
             self._log.write(
                 'report_unreadable',
                 sender=str(addr),
                 size=len(data),
             )
+        elif message.node != self._node:
+            self._take(message)
+
+    def _take(self, message: Message) -> None:
+        if isinstance(message, PartListing):
+            self.on_parts(message)
             return
-        if report.node == self._node:
-            return
+        report = message
         self.add_member(report.node, Address(report.host, report.port))
         member = self.members[report.node]
         if member.incarnation == report.incarnation:
@@ -147,16 +167,20 @@
         elif known.address != address:
             known.address = address
 
-    def send(self, report: Report) -> None:
-        """Send a report to all members."""
+    def send(self, message: Message, node: str | None = None) -> None:
+        """Send a message to all members, or to one.
+
+        :param node: name of the one.
+        """
         if self._transport is None or self._transport.is_closing():
             return
-        datagram = encode_report(report)
+        datagram = encode_message(message)
         if len(datagram) > _MAX_DATAGRAM_BYTES:
             self._log.write('report_too_large', size=len(datagram))
             return
         for member in self.members.values():
-            self._transport.sendto(datagram, member.address)
+            if node is None or member.node == node:
+                self._transport.sendto(datagram, member.address)
 
     def heard_within(self, age_s: float) -> list[str]:
         """Return the members heard of within a time."""
--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -26,9 +26,9 @@
 
 # A lease notice of a peer is believed for this long without a new one.
 _NOTICE_LIFETIME_S: Final = 1.0
-# How long a report keeps a switching engine out of use; the next report
-# repeats it.
-_SWITCH_NOTICE: Final = timedelta(seconds=0.6)
+# How long a report keeps a switching engine out of use unless its record
+# shows the new role before; the coordinator may be lost meanwhile.
+_SWITCH_NOTICE: Final = timedelta(seconds=3)
 # Age of the configuration beyond which a gateway has lost the store, as far
 # as the lease is concerned; reads are held for less than half of it.
 _STORE_LOST_S: Final = 3.0
@@ -86,6 +86,7 @@
         self._used_reports = 0
         self.is_leaving = False
         self.switching: Callable[[], list[str]] = list
+        self.on_process: Callable[[str], None] = _ignore
         peers.on_report = self.take_in
         peers.on_member = sources.quotas.add_peer
 
@@ -129,6 +130,7 @@
         if process not in self._processes:
             self._processes.add(process)
             self._used_reports = _USED_REPORTS
+            self.on_process(report.node)
         sources.quotas.adopt_used(report.quota_used)
         sources.quotas.observe_peer(
             report.node,
@@ -190,6 +192,10 @@
             self._sources.beliefs.suspend_target(target_id, _SWITCH_NOTICE)
 
 
+def _ignore(node: str) -> None:
+    """Nobody is interested in new processes."""
+
+
 def _whole(amounts: Mapping[str, float]) -> dict[str, float]:
     """Return whole numbers, which take fewer bytes; zeros are left out."""
     whole = ((name, math.ceil(amount)) for name, amount in amounts.items())
--- a/peridotrill/gateway_main.py
+++ b/peridotrill/gateway_main.py
@@ -40,6 +40,7 @@
     LEASE_HELD,
     STORE_CALLS,
 )
+from peridotrill.gateway.part_sharing import PartSharing
 from peridotrill.gateway.peers import PeerExchange
 from peridotrill.gateway.pools import Placement
 from peridotrill.gateway.repeat_budget import RepeatBounds, RepeatBudget
@@ -67,6 +68,7 @@
 from peridotrill.platform.coordination import CoordinationTopic
 from peridotrill.platform.duties import DutyClient
 from peridotrill.platform.engine_orders import EngineOrders
+from peridotrill.platform.engine_parts import EngineParts
 from peridotrill.platform.node_settings import (
     SETTINGS_VARIABLE,
     Bounds,
@@ -94,6 +96,7 @@
 _MIN_LEASE_S: Final = 4.0
 _DUTY_TIMEOUT_S: Final = 1.0
 _ORDER_TIMEOUT_S: Final = 0.5
+_LISTING_TIMEOUT_S: Final = 1.0
 # Engines register themselves within some seconds of a common start; roles
 # are not changed before.
 _SETTLE_S: Final = 5.0
@@ -231,6 +234,16 @@
             self._apply_settings,
             self._log,
         )
+        self._part_sharing = PartSharing(
+            node.node,
+            self._placement.parts,
+            self._peers,
+            self._beliefs,
+            EngineParts(_LISTING_TIMEOUT_S),
+            self._clock,
+            self._log,
+        )
+        self._reporting.on_process = self._part_sharing.tell
         self._caller_server: asyncio.AbstractServer | None = None
         self._beliefs.on_change = self._on_beliefs_changed
         self._beliefs.on_target_gone = self._on_target_gone
@@ -340,6 +353,8 @@
             self._reporting.run,
             self._settings.run,
         ]
+        if not self._node.is_first_start:
+            tasks.append(self._part_sharing.ask_engines)
         if 'usage' in self._node.duties and self._node.duties_address:
             tasks.append(self._coordinate)
         return tasks
--- a/peridotrill/platform/engine_orders.py
+++ b/peridotrill/platform/engine_orders.py
@@ -2,8 +2,6 @@
 
 from typing import Any, Final, final
 
-import anyio
-
 from peridotrill.codec import decode_json, encode_json
 from peridotrill.exceptions import (
     CodecError,
@@ -11,8 +9,8 @@
     TargetUnreachable,
 )
 from peridotrill.gateway.role_duty import ACCEPTED
-from peridotrill.gateway.target_port import ResponseHead, open_connection
 from peridotrill.gateway.targets import TargetRecord, TargetRole
+from peridotrill.platform.engine_calls import EngineCalls
 
 _ACCEPTED_STATUSES: Final = frozenset((200, 202))
 _OK: Final = 200
@@ -25,7 +23,7 @@
     def __init__(self, holder: str, timeout_s: float) -> None:
         """:param timeout_s: for each of the two calls of an order."""
         self._holder = holder
-        self._timeout_s = timeout_s
+        self._calls = EngineCalls(timeout_s)
 
     async def change_role(
         self,
@@ -55,7 +53,7 @@
         role: TargetRole,
         fence: int,
     ) -> str:
-        head, body = await self._call(target, b'GET', b'/-/report', b'')
+        head, body = await self._calls.send(target, b'GET', b'/-/report', b'')
         if head.status != _OK:
             return f'report {head.status}'
         report: Any = decode_json(body)
@@ -68,7 +66,7 @@
             'fence': fence,
             'precondition': int(report['seq']),
         }
-        head, _ = await self._call(
+        head, _ = await self._calls.send(
             target,
             b'POST',
             b'/-/order',
@@ -77,35 +75,3 @@
         if head.status in _ACCEPTED_STATUSES:
             return ACCEPTED
         return f'status {head.status}'
-
-    async def _call(
-        self,
-        target: TargetRecord,
-        method: bytes,
-        path: bytes,
-        body: bytes,
-    ) -> tuple[ResponseHead, bytes]:
-        with anyio.fail_after(self._timeout_s):
-            connection = await open_connection(
-                target.address,
-                self._timeout_s,
-                lambda idle: idle.abort('done'),
-            )
-            exchange = connection.start(
-                b'%b %b HTTP/1.1' % (method, path),
-                [
-                    (b'Host', str(target.address).encode()),
-                    (b'Content-Type', b'application/json'),
-                    (b'Content-Length', str(len(body)).encode()),
-                    (
-                        b'X-Peridotrill-Expect-Instance',
-                        target.target_id.encode(),
-                    ),
-                ],
-                body,
-            )
-            try:
-                head = await exchange.read_head()
-                return head, await exchange.read_body()
-            finally:
-                exchange.close()
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -38,6 +38,8 @@
         self.received: list[dict] = []
         self.cancelled: list[str] = []
         self.released: list[str] = []
+        # Parts that are kept, with their tokens.
+        self.parts: list[tuple[str, int]] = []
         self.orders: list[dict] = []
         # Orders that are carried out but not answered.
         self.lost_order_answers = 0
@@ -136,6 +138,10 @@
         if path == '/-/report':
             report = {'stage': self.role, 'seq': len(self.orders)}
             responder.send(_OK, [], encode_json(report))
+        elif path == '/-/kv-list':
+            held = [['', part, tokens, 'm'] for part, tokens in self.parts]
+            listing = {'epoch': 1, 'next': 1, 'held': held}
+            responder.send(_OK, [], encode_json(listing))
         elif path == '/-/order':
             await self._take_order(decode_json(raw.body), responder)
         elif path.startswith('/-/kv-handle/'):
--- a/tests/test_gateway_codecs.py
+++ b/tests/test_gateway_codecs.py
@@ -13,13 +13,20 @@
 from peridotrill.gateway.configuration import DEFAULT_CALLER_LIMITS
 from peridotrill.gateway.event_stream import EventSplitter
 from peridotrill.gateway.http_text import format_chunk, format_head
-from peridotrill.gateway.peers import Report, decode_report, encode_report
+from peridotrill.gateway.part_directory import PartReading
+from peridotrill.gateway.peers import (
+    PartListing,
+    Report,
+    decode_message,
+    encode_message,
+)
 from peridotrill.gateway.requests import RequestKind
 from peridotrill.gateway.target_messages import RequestOptions
 from peridotrill.gateway.target_port import ResponseHead, TargetConnection
 from peridotrill.gateway.targets import TargetRole
 from peridotrill.platform import wire
 from peridotrill.platform.configuration import decode_configuration
+from peridotrill.platform.engine_parts import decode_parts
 from peridotrill.platform.directory import decode_target
 from peridotrill.platform.node_settings import read_node_settings
 from peridotrill.platform.store import (
@@ -67,7 +74,7 @@
 @given(st.binary(max_size=80))
 def test_datagrams_are_reports_or_nothing(datagram):
     # Guards against a process that ends because of a stray datagram.
-    decode_report(datagram)
+    decode_message(datagram)
 
 
 def test_report_survives_encoding():
@@ -75,7 +82,7 @@
         'n', 'i', 3, '127.0.0.1', 80, 1.5, False, {'t': 2.0}, {'x': 1.0},
         {7: {'t': 2}}, [], {'llm': (1.0, 2.0)}, ['i-1'],
     )  # fmt: skip
-    assert decode_report(encode_report(report)) == report
+    assert decode_message(encode_message(report)) == report
 
 
 @given(_json)
@@ -402,6 +409,28 @@
     responder.send(200, [], b'')
 
 
+def test_listing_of_parts_survives_a_datagram():
+    listing = PartListing('n1', [PartReading('a1', 'i-1', 13000)])
+    assert decode_message(encode_message(listing)) == listing
+
+
+@given(st.binary(max_size=80))
+def test_no_listing_of_an_engine_ends_the_process(body):
+    try:
+        decode_parts('i-1', body)
+    except CodecError:
+        return
+
+
+@pytest.mark.parametrize(
+    'listing',
+    [[], {}, {'held': None}, {'held': [[]]}, {'held': [['', 'a', 'x', 'm']]}],
+)
+def test_listings_of_another_shape_are_refused(listing):
+    with pytest.raises(CodecError):
+        decode_parts('i-1', encode_json(listing))
+
+
 def test_settings_are_read_and_defaults_used(tmp_path):
     path = tmp_path / 'local.yaml'
     path.write_text(
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -239,3 +239,23 @@
         assert time.monotonic() - started_s < 0.2
     # One reading is brought forward, and then held by the store.
     assert site.store.calls - calls <= 6
+
+
+def test_engines_are_asked_for_parts_after_the_loss_of_all_gateways(site):
+    # Guards against prompts that are read again after a loss of power.
+    gateways = site.start_gateways('front-a-1', 'front-a-2')
+    for gateway in gateways:
+        gateway.stop()
+    for gateway in gateways:
+        gateway.start()
+    engines = {'i-pre', 'i-dec-1', 'i-dec-2'}
+
+    def listed():
+        return [
+            line.split('target=')[1].split()[0]
+            for gateway in gateways
+            for line in gateway.read_log().splitlines()
+            if 'event=parts_listed' in line
+        ]
+
+    wait_until(lambda: engines <= set(listed()), 5)
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -274,6 +274,37 @@
         assert repeats
 
 
+def test_gateways_do_not_fill_up_one_engine_at_the_same_moment():
+    # Guards against all gateways that see an engine with room and each fill
+    # it up before they hear of each other (tapbook scale-1: 16 prompts, 1.2 s
+    # of work, began at one engine within 10 ms).
+    clock = ManualClock()
+    limit_ms, prompt_ms, gateways = 160, 60, 6
+    books = [LoadBook(clock) for _ in range(gateways)]
+    key = reading_key('i-1')
+
+    def report():
+        advance(clock, 0.1)
+        for index, book in enumerate(books):
+            for peer, other in enumerate(books):
+                if peer != index:
+                    other.observe_peer(str(index), dict(book.own()))
+            book.end_report_interval()
+
+    # All are equally busy elsewhere, then the engine has room.
+    for book in books:
+        book.add(reading_key('i-2'), prompt_ms)
+    for _ in range(20):
+        report()
+    for book in books:
+        while book.expected(key) < limit_ms:
+            book.add(key, prompt_ms)
+    begun_ms = sum(book.own().get(key, 0) for book in books)
+    assert begun_ms <= limit_ms + gateways * prompt_ms
+    # The room is used: each gateway may begin one request.
+    assert begun_ms >= limit_ms
+
+
 def test_load_of_a_silent_peer_is_forgotten():
     # Guards against targets that look busy with the work of a dead gateway.
     clock = ManualClock()
--- a/tests/test_gateway_reporting.py
+++ b/tests/test_gateway_reporting.py
@@ -2,14 +2,24 @@
 
 from datetime import timedelta
 
+import anyio
+
 from peridotrill.clock import ManualClock
+from peridotrill.exceptions import TargetUnreachable
 from peridotrill.gateway.beliefs import Beliefs, FreshnessBounds
 from peridotrill.gateway.coordinator import Coordinator
 from peridotrill.gateway.demand import DemandMeter
 from peridotrill.gateway.loads import LoadBook
-from peridotrill.gateway.part_directory import PartDirectory
-from peridotrill.gateway.peers import PeerExchange, encode_report
+from peridotrill.gateway.part_directory import PartDirectory, PartReading
+from peridotrill.gateway.part_sharing import PartSharing
+from peridotrill.gateway.peers import (
+    PartListing,
+    PeerExchange,
+    decode_message,
+    encode_message,
+)
 from peridotrill.gateway.reporting import Reporting, ReportSources, Sender
+from peridotrill.gateway.targets import TargetRole
 from peridotrill.gateway.team_quotas import TeamQuotas
 from peridotrill.gateway.true_time import TrueTime
 from peridotrill.gateway.usage_counts import UsageCounts
@@ -30,6 +40,7 @@
         )
         true_time = TrueTime(clock)
         self.loads = LoadBook(clock)
+        self.demand = DemandMeter(clock)
         self.peers = PeerExchange(node, clock, log)
         self.reporting = Reporting(
             Sender(node, '1', Address('127.0.0.1', 7500)),
@@ -40,7 +51,7 @@
                 TeamQuotas(clock, timedelta(seconds=8)),
                 self.loads,
                 UsageCounts(5, true_time),
-                DemandMeter(clock),
+                self.demand,
                 PartDirectory(1000),
                 true_time,
             ),
@@ -55,7 +66,7 @@
 
 def exchange(*gateways):
     for sender in gateways:
-        datagram = encode_report(sender.reporting.make_report())
+        datagram = encode_message(sender.reporting.make_report())
         for receiver in gateways:
             receiver.peers.datagram_received(datagram, None)
 
@@ -94,9 +105,9 @@
     clock = ManualClock()
     first, second = Gateway(clock, 'a'), Gateway(clock, 'b')
     first.loads.add('i-1', 2)
-    old = encode_report(first.reporting.make_report())
+    old = encode_message(first.reporting.make_report())
     first.loads.add('i-1', 1)
-    new = encode_report(first.reporting.make_report())
+    new = encode_message(first.reporting.make_report())
     for datagram in (new, old, new):
         second.peers.datagram_received(datagram, None)
     assert second.loads.total('i-1') == 3
@@ -112,5 +123,124 @@
     exchange(first, second)
     assert not first.beliefs.usable_targets('till')
     assert not second.beliefs.usable_targets('till')
-    advance(clock, 1)
+    # The coordinator may be lost before the engine has changed.
+    advance(clock, 2)
+    assert not second.beliefs.usable_targets('till')
+    advance(clock, 2)
     assert second.beliefs.usable_targets('till')
+
+
+def test_engine_is_used_as_soon_as_its_record_shows_the_new_role():
+    clock = ManualClock()
+    first, second = Gateway(clock, 'a'), Gateway(clock, 'b')
+    second.beliefs.adopt_target(target('i-1', TargetRole.DECODE))
+    first.reporting.switching = lambda: ['i-1']
+    exchange(first, second)
+    assert not second.beliefs.usable_targets('llm')
+    second.beliefs.adopt_target(target('i-1', TargetRole.PREFILL))
+    assert second.beliefs.usable_targets('llm')
+
+
+def test_usage_and_demand_go_with_each_third_report():
+    # Guards against totals that are taken back by the reports without them.
+    clock = ManualClock()
+    first, second = Gateway(clock, 'a'), Gateway(clock, 'b')
+    first.demand.record('llm', 100, 10)
+    for _ in range(3):
+        exchange(first, second)
+    second.demand.sample()
+    advance(clock, 1)
+    first.demand.record('llm', 1000, 10)
+    for _ in range(5):
+        exchange(first, second)
+    second.demand.sample()
+    assert second.demand.rate('llm').reading == 1
+
+
+class Exchange:
+    """Takes messages in the place of the datagrams of one gateway."""
+
+    def __init__(self, node, others):
+        self.node = node
+        self.others = others
+        self.sent = []
+        self.on_parts = None
+
+    def heard_within(self, age_s):
+        return [name for name in self.others if name != self.node]
+
+    def send(self, message, node=None):
+        self.sent.append((node, message))
+
+
+class Lister:
+    """Lists one part for each engine; notes which were asked."""
+
+    def __init__(self):
+        self.asked = []
+
+    async def list_parts(self, engine):
+        self.asked.append(engine.target_id)
+        if engine.target_id == 'i-dark':
+            raise TargetUnreachable('dark')
+        return [PartReading(f'part-{engine.target_id}', engine.target_id, 900)]
+
+
+_GATEWAYS = ('g1', 'g2', 'g3', 'g4', 'g5')
+
+
+def make_sharing(node, lister, engines=()):
+    clock = ManualClock()
+    log = SilentLog()
+    bounds = FreshnessBounds(timedelta(seconds=4), timedelta(seconds=1))
+    beliefs = Beliefs(clock, bounds, log)
+    for name in engines:
+        beliefs.adopt_target(target(name, TargetRole.PREFILL))
+    exchange = Exchange(node, _GATEWAYS)
+    parts = PartDirectory(500000)
+    sharing = PartSharing(node, parts, exchange, beliefs, lister, clock, log)
+    return sharing, parts, exchange
+
+
+def test_new_process_is_told_by_two_others_what_engines_keep():
+    # Guards against a fleet that reads its prompts again after each restart
+    # of a gateway (tapbook trouble-2), and against all others telling it.
+    told = []
+    for node in _GATEWAYS[1:]:
+        sharing, parts, exchange = make_sharing(node, Lister())
+        for number in range(300):
+            parts.record(PartReading(f'p{number}', 'i-1', 1000))
+        sharing.tell('g1')
+        if exchange.sent:
+            told.append(exchange.sent)
+    assert len(told) == 2
+    new, parts, _ = make_sharing('g1', Lister())
+    for node, message in told[0]:
+        assert node == 'g1'
+        datagram = encode_message(message)
+        assert len(datagram) <= 8192
+        new.take_in(decode_message(datagram))
+    assert parts.has('i-1', 'p0')
+    assert parts.has('i-1', 'p299')
+
+
+def test_engines_are_asked_once_after_the_loss_of_all_gateways():
+    engines = ('i-1', 'i-2', 'i-3', 'i-dark')
+    asked = []
+    for node in _GATEWAYS:
+        lister = Lister()
+        sharing, parts, exchange = make_sharing(node, lister, engines)
+        anyio.run(sharing.ask_engines)
+        asked += lister.asked
+        for name in set(lister.asked) - {'i-dark'}:
+            assert parts.has(name, f'part-{name}')
+        assert len(exchange.sent) == len(set(lister.asked) - {'i-dark'})
+    assert sorted(asked) == sorted(engines)
+
+
+def test_engines_are_not_asked_if_another_gateway_knows():
+    lister = Lister()
+    sharing, _, _ = make_sharing('g1', lister, ('i-1', 'i-2', 'i-3'))
+    sharing.take_in(PartListing('g2', []))
+    anyio.run(sharing.ask_engines)
+    assert lister.asked == []
--- a/tests/test_gateway_roles.py
+++ b/tests/test_gateway_roles.py
@@ -1,4 +1,4 @@
-"""Orders of roles: the call to an engine, and orders without an answer."""
+"""Calls to engines: orders of roles, without an answer too, and listings."""
 
 import asyncio
 from datetime import timedelta
@@ -9,11 +9,13 @@
 from peridotrill.gateway.beliefs import Beliefs, FreshnessBounds
 from peridotrill.gateway.coordinator import Lease
 from peridotrill.gateway.demand import DemandMeter
+from peridotrill.gateway.part_directory import PartReading
 from peridotrill.gateway.role_duty import ACCEPTED, RoleDuty
 from peridotrill.gateway.role_planner import RolePlanner
 from peridotrill.gateway.targets import TargetRole
 from peridotrill.platform.configuration import decode_configuration
 from peridotrill.platform.engine_orders import EngineOrders
+from peridotrill.platform.engine_parts import EngineParts
 from standins.platform_engine import PlatformEngine
 from standins.platform_server import serve_http
 from tests.gateway_builders import (
@@ -64,6 +66,21 @@
     assert len(engine.orders) == 1
 
 
+def test_large_parts_of_an_engine_are_listed():
+    engine = PlatformEngine('i-1', 'llm', 'a', 'prefill')
+    engine.parts = [('a1', 13000), ('b2', 40), ('c3', 900)]
+
+    async def run():
+        async with serve_http(engine.handle) as address:
+            record = target('i-1', _PREFILL, address=address)
+            return await EngineParts(0.5).list_parts(record)
+
+    assert anyio.run(run) == [
+        PartReading('a1', 'i-1', 13000),
+        PartReading('c3', 'i-1', 900),
+    ]
+
+
 class Port:
     """Takes orders; ``outcomes`` holds the next answers."""
 
