--- a/peridotrill/gateway/pools.py
+++ b/peridotrill/gateway/pools.py
@@ -31,7 +31,7 @@
 # enough that the order of the queue decides. Decode engines get less, since
 # reading delays the tokens of their running requests.
 READING_LIMITS: Final = ReadingLimits(
-    prefill_ms=160,
+    prefill_ms=240,
     short_ms=60,
     long_ms=4,
     long_running=12,
