Count the spending of others from the moment a limit is known

Cause (found by reading): a team's window was created at the gateway's own first request, and dropped when the account of others was adopted, so that what others spent in between was not counted: up to the whole limit once more. Two new tests, seen to fail.

--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -80,9 +80,9 @@
         self._notice_until_s = 0.0
         # Gateways that can take the lease, by their newest reports.
         self._candidates: dict[str, bool] = {}
-        # Processes that were heard of, and how many of the next reports say
-        # what was used of the quotas, for a process that has just started.
-        self._processes: set[str] = set()
+        # Incarnations that were heard of, by node, and how many of the next
+        # reports say what was used of the quotas, for a new one.
+        self._incarnations: dict[str, str] = {}
         self._used_reports = 0
         self.is_leaving = False
         self.switching: Callable[[], list[str]] = list
@@ -127,8 +127,8 @@
         """Learn from the report of another gateway."""
         sources = self._sources
         process = f'{report.node}/{report.incarnation}'
-        if process not in self._processes:
-            self._processes.add(process)
+        if self._incarnations.get(report.node) != report.incarnation:
+            self._incarnations[report.node] = report.incarnation
             self._used_reports = _USED_REPORTS
             self.on_process(report.node)
         sources.quotas.adopt_used(report.quota_used)
--- a/peridotrill/gateway/stream_runs.py
+++ b/peridotrill/gateway/stream_runs.py
@@ -32,8 +32,8 @@
 # An engine that reads other prompts first may take several times the time
 # that reading a prompt takes.
 _READING_FACTOR: Final = 3
-# Times that the page on engines calls setup: before a prompt is read, and from
-# the place at a decode engine to the first event.
+# Fixed times of an idle engine, measured: of a call that reads a prompt, and
+# from the place at a decode engine to the first event.
 _READING_S: Final = 0.03
 _OUTPUT_S: Final = 0.04
 # Time of a token at an engine that is nearly idle.
--- a/peridotrill/gateway/team_quotas.py
+++ b/peridotrill/gateway/team_quotas.py
@@ -133,6 +133,7 @@
         self._teams = teams
         for gone in self._windows.keys() - teams.keys():
             self._windows.pop(gone)
+        self._update_all(self._clock.monotonic_s())
 
     def add_peer(self, peer: str) -> None:
         """Count a gateway that shares the limits; it may be silent."""
@@ -169,6 +170,7 @@
             if amount < self._told_used.get(name, math.inf):
                 self._told_used[name] = amount
                 self._windows.pop(name, None)
+        self._update_all(now_s)
 
     def observe_peer(
         self,
@@ -250,8 +252,9 @@
         return self._limit(team) / self._window_s
 
     def _update_all(self, now_s: float) -> None:
+        """Bring all windows up to date; teams without a limit have none."""
         for team in self._teams.values():
-            if team.name in self._windows:
+            if team.rate_per_s > 0:
                 self._update(team, now_s)
 
     def _update(self, team: Team, now_s: float) -> _Window:
@@ -260,7 +263,7 @@
         if window is None:
             window = self._create_window(team)
             self._windows[team.name] = window
-        known_s = window.updated_s or now_s
+        known_s = now_s if window.updated_s is None else window.updated_s
         elapsed_s = max(0, now_s - known_s)
         window.updated_s = max(known_s, now_s)
         silent = sum(
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -206,6 +206,39 @@
     assert 0.4 * left <= admitted <= left
 
 
+def test_spending_of_others_counts_before_the_own_first_request():
+    # Guards against a gateway that gets a team's first request late and
+    # takes the whole limit for unused.
+    clock = ManualClock()
+    limited = team(rate_per_s=_RATE, burst=_BURST)
+    quotas = TeamQuotas(clock, _WINDOW, is_first_start=True)
+    quotas.configure({limited.name: limited})
+    quotas.observe_peer('n1', '1', {})
+    advance(clock, 0.1)
+    quotas.observe_peer('n1', '1', {limited.name: 8500})
+    quotas.end_report_interval()
+    admitted = 0
+    while quotas.admit(limited, 10).is_admitted:
+        admitted += 10
+    assert admitted <= _RATE * _WINDOW_S + _BURST - 8500
+
+
+def test_spending_of_others_counts_after_their_account_was_adopted():
+    clock = ManualClock()
+    limited = team(rate_per_s=_RATE, burst=_BURST)
+    advance(clock, 50)
+    quotas = TeamQuotas(clock, _WINDOW)
+    quotas.configure({limited.name: limited})
+    quotas.observe_peer('n1', '1', {limited.name: 100})
+    quotas.adopt_used({limited.name: 1000})
+    quotas.observe_peer('n1', '1', {limited.name: 7600})
+    quotas.end_report_interval()
+    admitted = 0
+    while quotas.admit(limited, 10).is_admitted:
+        admitted += 10
+    assert admitted <= _RATE * _WINDOW_S + _BURST - 8500
+
+
 def test_restarted_gateway_does_not_spend_what_was_spent_before():
     # Guards against a limit that is had twice because processes restart.
     clock = ManualClock()
