--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -36,8 +36,8 @@
     """Totals of one gateway process since its start.
 
     ``can_claim`` tells whether it may become the coordinator. ``quota_used``
-    is what all gateways used of the quotas in the last window; it is told
-    when a process has just started.
+    is what all gateways used of the quotas in the last window, by team and
+    by age in whole seconds; it is told when a process has just started.
     """
 
     node: str
@@ -54,7 +54,7 @@
     demand: dict[str, tuple[float, float]]
     switching: list[str]
     lease: LeaseNotice | None = None
-    quota_used: dict[str, float] = {}
+    quota_used: dict[str, list[float]] = {}
 
 
 class PartListing(
--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -172,12 +172,13 @@
             if self._candidates.get(peer)
         )
 
-    def _take_used(self) -> dict[str, float]:
+    def _take_used(self) -> dict[str, list[float]]:
         """Return what was used of the quotas if a new process needs it."""
         if not self._used_reports:
             return {}
         self._used_reports -= 1
-        return _whole(self._sources.quotas.used())
+        used = self._sources.quotas.used()
+        return {name: list(map(math.ceil, used[name])) for name in used}
 
     def _lease_notice(self) -> LeaseNotice | None:
         held = self._sources.coordinator.held_lease(timedelta(0))
--- a/peridotrill/gateway/team_quotas.py
+++ b/peridotrill/gateway/team_quotas.py
@@ -10,7 +10,7 @@
 
 import math
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from datetime import timedelta
 from typing import Final, NamedTuple, final
 
@@ -85,6 +85,16 @@
         if not self._slots:
             self.spent = 0.0
 
+    def profile(self, now_s: float) -> list[float]:
+        """Return what was spent, by age in whole seconds."""
+        seconds = math.ceil(self._size * _SLOT_S)
+        amounts = [0.0 for _ in range(seconds)]
+        present = int(now_s / _SLOT_S)
+        for slot, amount in self._slots:
+            age_s = int((present - slot) * _SLOT_S)
+            amounts[min(age_s, len(amounts) - 1)] += amount
+        return amounts
+
     def decay(self, elapsed_s: float) -> None:
         """Let recent use fade."""
         factor = math.exp(-elapsed_s / _RECENT_USE_S)
@@ -117,8 +127,9 @@
         self._is_first_start = is_first_start
         self._windows: dict[str, _Window] = {}
         self._teams: Mapping[str, Team] = {}
-        # What was used before the start, as others told it, by team.
-        self._told_used: dict[str, float] = {}
+        # What was used before the start, as others told it: by team, the
+        # time and the amounts by age in seconds.
+        self._told_used: dict[str, tuple[float, Sequence[float]]] = {}
         self._spent: dict[str, float] = {}
         self._peer_spent: dict[str, dict[str, float]] = {}
         self._incarnations: dict[str, str] = {}
@@ -152,23 +163,33 @@
         """Return what this process admitted since its start, by team."""
         return self._spent
 
-    def used(self) -> dict[str, float]:
-        """Return what all gateways used in the last window, by team."""
-        self._update_all(self._clock.monotonic_s())
-        return {name: window.spent for name, window in self._windows.items()}
+    def used(self) -> dict[str, list[float]]:
+        """Return what all gateways used in the last window.
+
+        :return: by team, the amounts by age in whole seconds.
+        """
+        now_s = self._clock.monotonic_s()
+        self._update_all(now_s)
+        return {
+            name: window.profile(now_s)
+            for name, window in self._windows.items()
+        }
 
-    def adopt_used(self, used: Mapping[str, float]) -> None:
+    def adopt_used(self, used: Mapping[str, Sequence[float]]) -> None:
         """Take over what others know of the time before the own start.
 
         Everyone's account is too high rather than too low, so that the
         lowest counts.
+
+        :param used: as ``used`` of another gateway returns it.
         """
         now_s = self._clock.monotonic_s()
         if self._is_first_start or now_s - self._started_s > _ADOPT_S:
             return
-        for name, amount in used.items():
-            if amount < self._told_used.get(name, math.inf):
-                self._told_used[name] = amount
+        for name, amounts in used.items():
+            known = self._told_used.get(name)
+            if known is None or sum(amounts) < sum(known[1]):
+                self._told_used[name] = (now_s, amounts)
                 self._windows.pop(name, None)
         self._update_all(now_s)
 
@@ -281,11 +302,17 @@
         window = _Window(self._window_s)
         if self._is_first_start:
             return window
-        used = self._told_used.get(team.name, self._limit(team))
-        used += self._spent.get(team.name, 0)
-        slots = math.ceil(self._window_s / _SLOT_S)
-        for slot in range(slots, 0, -1):
-            window.add(self._started_s - slot * _SLOT_S, used / slots)
+        told = self._told_used.get(team.name)
+        if told is None:
+            slots = math.ceil(self._window_s / _SLOT_S)
+            part = self._limit(team) / slots
+            for slot in range(slots, 0, -1):
+                window.add(self._started_s - slot * _SLOT_S, part)
+            return window
+        told_s, amounts = told
+        for age_s in range(len(amounts) - 1, -1, -1):
+            window.add(told_s - age_s, amounts[age_s])
+        window.add(told_s, self._spent.get(team.name, 0))
         return window
 
     def _own_part(self, window: _Window, team: Team) -> float:
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -230,7 +230,7 @@
     quotas = TeamQuotas(clock, _WINDOW)
     quotas.configure({limited.name: limited})
     quotas.observe_peer('n1', '1', {limited.name: 100})
-    quotas.adopt_used({limited.name: 1000})
+    quotas.adopt_used({limited.name: [1000, 0]})
     quotas.observe_peer('n1', '1', {limited.name: 7600})
     quotas.end_report_interval()
     admitted = 0
@@ -239,6 +239,32 @@
     assert admitted <= _RATE * _WINDOW_S + _BURST - 8500
 
 
+def test_restarted_gateway_knows_when_the_limit_was_spent():
+    # Guards against spending that expires too early in a new account (hunt
+    # on saltbush, operators.toml --vary --seed 697445974408: QUOTA by 17%).
+    clock = ManualClock()
+    limited = team(rate_per_s=_RATE, burst=_BURST)
+    advance(clock, 100)
+    old = TeamQuotas(clock, _WINDOW, is_first_start=True)
+    old.configure({limited.name: limited})
+    while old.admit(limited, 100).is_admitted:
+        old.end_report_interval()
+    spent = old.spent()[limited.name]
+    advance(clock, 0.3)
+    new = TeamQuotas(clock, _WINDOW)
+    new.configure({limited.name: limited})
+    new.observe_peer('n0', '1', old.spent())
+    new.adopt_used(old.used())
+    admitted = 0
+    for _ in range(70):
+        advance(clock, 0.1)
+        new.observe_peer('n0', '1', old.spent())
+        new.end_report_interval()
+        while new.admit(limited, 10).is_admitted:
+            admitted += 10
+    assert spent + admitted <= _RATE * _WINDOW_S + _BURST
+
+
 def test_restarted_gateway_does_not_spend_what_was_spent_before():
     # Guards against a limit that is had twice because processes restart.
     clock = ManualClock()
