Let no header, record or silent engine end or hold the gateway

X-Peridotrill-Length-Hint: inf ended the process (brought about with a real gateway); negative token counts were taken from what a team had spent, counts of 400 digits raised in the quota; a handle of an engine went unchecked into request lines; one unreadable record of the coordination log kept a gateway from the lease for as long as it is kept; an append with an unreadable answer counted as not done; a release of a prompt waited for a silent engine without end; a body or event without end filled the memory. Faults of a handler now end one connection, with a log line, and refusals of requests that cannot be read are logged. All calls of the platform's own interfaces go through one method of the connection. Tests seen to fail before: numbers, handles, coordination records. The others cover waits and sizes that had no bound.

--- a/peridotrill/gateway/callers_port.py
+++ b/peridotrill/gateway/callers_port.py
@@ -15,6 +15,7 @@
 from anyio.abc import TaskGroup
 
 from peridotrill.gateway.configuration import CallerLimits
+from peridotrill.gateway.event_log import EventSink
 from peridotrill.gateway.http_text import (
     LAST_CHUNK,
     format_chunk,
@@ -97,8 +98,13 @@
         task_group: TaskGroup,
         limits: Callable[[], CallerLimits],
         now_s: Callable[[], float],
+        log: EventSink,
     ) -> None:
-        """:param limits: returns the limits in force."""
+        """:param limits: returns the limits in force.
+
+        :param log: gets requests that cannot be read, and faults.
+        """
+        self.log = log
         self.handler = handler
         self.task_group = task_group
         self.limits = limits
@@ -343,6 +349,7 @@
 
     def _send_failure(self, status: int) -> None:
         self._is_closing = True
+        self._port.log.write('request_unreadable', status=status)
         head = format_head(
             format_status_line(status),
             [(b'Content-Length', b'0'), (b'Connection', b'close')],
@@ -409,7 +416,12 @@
     async def run(self) -> None:
         """Call the handler; a caller that leaves cancels it."""
         with self._scope:
-            await self._port.handler(self._request, self)
+            try:
+                await self._port.handler(self._request, self)
+            except Exception as error:  # noqa: BLE001
+                # A fault in one request must not end the process, which
+                # serves all the others.
+                self._port.log.write_fault('request_fault', error)
         self._port.buffered_bytes -= len(self._request.body)
         if not self._is_complete:
             self._connection.abort()
--- a/peridotrill/gateway/coordinator.py
+++ b/peridotrill/gateway/coordinator.py
@@ -23,6 +23,8 @@
 from peridotrill.gateway.event_log import EventLog
 
 TICK: Final = timedelta(milliseconds=250)
+# What a record of another shape raises while it is decoded.
+_UNUSABLE: Final = (CodecError, LookupError, TypeError, ValueError)
 # Own records of lost answers may lie before a new one.
 _APPEND_TRIES: Final = 2
 _RENEWALS_PER_TTL: Final = 3
@@ -175,11 +177,11 @@
     def _apply(self, record: bytes) -> None:
         try:
             content: Any = decode_json(record)
-        except CodecError as error:
-            self._events.write('coordination_unreadable', error=str(error))
-            return
-        if isinstance(content, dict) and content.get('kind') == 'usage':
-            self._keep_usage(int(content['window']), dict(content['counts']))
+            if content['kind'] == 'usage':
+                counts = dict(content['counts'])
+                self._keep_usage(int(content['window']), counts)
+        except _UNUSABLE as error:
+            self._events.write('coordination_unreadable', error=repr(error))
 
     def _keep_usage(self, window: int, counts: dict[str, int]) -> None:
         self.fixed_usage[window] = counts
--- a/peridotrill/gateway/event_log.py
+++ b/peridotrill/gateway/event_log.py
@@ -3,7 +3,7 @@
 import logging
 import sys
 import traceback
-from typing import Any, Final, final
+from typing import Any, Final, Protocol, final
 
 from peridotrill.clock import Clock
 from peridotrill.logs import configure_logging
@@ -13,6 +13,16 @@
 _BUFFER_BYTES: Final = 65536
 
 
+class EventSink(Protocol):
+    """Takes events; the log of a process, or a stand-in's."""
+
+    def write(self, event: str, **fields: Any) -> None:
+        """Write an event."""
+
+    def write_fault(self, event: str, error: Exception, **fields: Any) -> None:
+        """Write an event for an unexpected error."""
+
+
 @final
 class EventLog:
     """Writes one line per event; repeats above a rate are counted."""
@@ -35,6 +45,18 @@
 
         :param fields: values; never a key or a body.
         """
+        self._write(logging.INFO, event, fields)
+
+    def write_fault(self, event: str, error: Exception, **fields: Any) -> None:
+        """Write an event for an unexpected error, with its traceback."""
+        trace = ''.join(traceback.format_exception(error))
+        self._write(
+            logging.ERROR,
+            event,
+            {'error': repr(error), 'trace': trace, **fields},
+        )
+
+    def _write(self, level: int, event: str, fields: dict[str, Any]) -> None:
         now_s = self._clock.monotonic_s()
         if now_s - self._window_s >= 1:
             self._window_s = now_s
@@ -54,9 +76,4 @@
         if lines > _MAX_LINES_PER_S:
             self.dropped_lines += 1
             return
-        self._logger.info(event, extra=fields)
-
-    def write_fault(self, event: str, error: Exception, **fields: Any) -> None:
-        """Write an event for an unexpected error, with its traceback."""
-        trace = ''.join(traceback.format_exception(error))
-        self.write(event, error=repr(error), trace=trace, **fields)
+        self._logger.log(level, event, extra=fields)
--- a/peridotrill/gateway/event_stream.py
+++ b/peridotrill/gateway/event_stream.py
@@ -2,8 +2,12 @@
 
 from typing import Final, NamedTuple, final
 
+from peridotrill.exceptions import TargetOutcomeUnknown
+
 _BLANK_LINES: Final = (b'\n\n', b'\r\n\r\n')
 _ID: Final = b'id:'
+# An event holds a few tokens; it is kept in memory until it is whole.
+MAX_EVENT_BYTES: Final = 1024 * 1024
 
 
 class StreamEvent(NamedTuple):
@@ -27,16 +31,22 @@
         return bool(self._rest)
 
     def feed(self, content: bytes) -> list[StreamEvent]:
-        """Return the events that are complete now."""
+        """Return the events that are complete now.
+
+        Raises TargetOutcomeUnknown if an event is too large to be kept.
+        """
         self._rest += content
         events: list[StreamEvent] = []
         while True:
             end = _find_end(self._rest)
             if end < 0:
-                return events
+                break
             event = self._rest[:end]
             self._rest = self._rest[end:]
             events.append(StreamEvent(event, _find_id(event)))
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise TargetOutcomeUnknown('event too large')
+        return events
 
 
 def _find_end(content: bytes) -> int:
--- a/peridotrill/gateway/request_handler.py
+++ b/peridotrill/gateway/request_handler.py
@@ -44,6 +44,12 @@
         """Answer one request."""
         request = self._shared.wire.decode_request(raw)
         if request is None:
+            REQUESTS.labels('', 'malformed_request').inc()
+            self._shared.log.write(
+                'request_refused',
+                status=BAD_REQUEST,
+                reason='malformed_request',
+            )
             send_error(responder, BAD_REQUEST, 'malformed_request')
             return
         self.in_progress += 1
@@ -88,8 +94,8 @@
             except Refused as error:
                 run.fail(error)
             except Exception as error:  # noqa: BLE001
-                # A fault in the handling of one request must not end the
-                # process, which serves all the others.
+                # What may have run is known here: the caller gets an answer
+                # that promises nothing false.
                 self._shared.log.write_fault(
                     'request_fault',
                     error,
--- a/peridotrill/gateway/target_calls.py
+++ b/peridotrill/gateway/target_calls.py
@@ -3,7 +3,10 @@
 from datetime import timedelta
 from typing import Final, NamedTuple, final
 
+import anyio
+
 from peridotrill.clock import Clock
+from peridotrill.exceptions import TargetSilent
 from peridotrill.gateway.requests import CallerRequest
 from peridotrill.gateway.target_messages import (
     RequestOptions,
@@ -25,6 +28,8 @@
     connect_timeout: timedelta = timedelta(milliseconds=350)
     idle: timedelta = timedelta(seconds=5)
     unsafe_idle: timedelta = timedelta(seconds=1.5)
+    # An engine answers the release of a prompt within milliseconds.
+    release: timedelta = timedelta(seconds=1)
 
 
 # All gateways together stay below the connections that a target accepts.
@@ -75,15 +80,10 @@
         connection = await self._pool(target).acquire(
             self._times.idle.total_seconds(),
         )
-        exchange = connection.start(
-            self._wire.format_release(handle),
-            [(b'host', str(target.address).encode())],
-            b'',
-        )
-        try:
-            await exchange.read_body()
-        finally:
-            exchange.close()
+        with anyio.move_on_after(self._times.release.total_seconds()):
+            await connection.call(*self._wire.format_release(handle))
+            return
+        raise TargetSilent('no answer to a release')
 
     def forget(self, target: TargetRecord) -> None:
         """Close the idle connections of a target that is gone."""
--- a/peridotrill/gateway/target_messages.py
+++ b/peridotrill/gateway/target_messages.py
@@ -83,5 +83,5 @@
         """Decode the answer to a prefill; raises CodecError."""
 
     @property
-    def format_release(self) -> Callable[[str], bytes]:
-        """Return the request line that frees a prompt."""
+    def format_release(self) -> Callable[[str], tuple[bytes, bytes]]:
+        """Return method and path of the call that frees a prompt."""
--- a/peridotrill/gateway/target_port.py
+++ b/peridotrill/gateway/target_port.py
@@ -10,6 +10,7 @@
 import struct
 from collections import deque
 from collections.abc import Callable
+from contextlib import closing
 from typing import Final, NamedTuple, final
 
 import httptools
@@ -21,6 +22,8 @@
 
 # Body bytes that may wait for a slow caller before reading stops.
 _MAX_BUFFERED_BYTES: Final = 262144
+# A whole body is kept in memory, of which a gateway has some hundred MB.
+_MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 # A response that belongs to another request is skipped up to this many times.
 _MAX_SKIPPED: Final = 4
 # Linger for no time: closing resets the connection.
@@ -103,10 +106,14 @@
     async def read_body(self) -> bytes:
         """Wait for the whole body; raises TargetOutcomeUnknown."""
         parts: list[bytes] = []
+        size = 0
         while True:
             part = await self.read_part()
             if part is None:
                 return b''.join(parts)
+            size += len(part)
+            if size > _MAX_BODY_BYTES:
+                raise TargetOutcomeUnknown('body too large')
             parts.append(part)
 
     def close(self) -> None:
@@ -174,6 +181,7 @@
         # Seconds for which the target keeps an idle connection, if it says.
         self.keep_alive_s: float | None = None
         self._skipped = 0
+        self._refusal = ''
         self._is_until_eof = False
         self._reset_message()
 
@@ -189,6 +197,12 @@
             return
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserCallbackError:
+            if not self._refusal:
+                # A fault of this program: the event loop logs it and closes
+                # the connection.
+                raise
+            self.abort(self._refusal)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.abort('malformed response')
 
@@ -227,6 +241,37 @@
         self._transport.write(format_head(first_line, headers) + body)
         return self._exchange
 
+    async def call(
+        self,
+        method: bytes,
+        path: bytes,
+        body: bytes = b'',
+        headers: Headers | None = None,
+    ) -> Response:
+        """Send a request and read the whole response.
+
+        :param headers: besides host, type and length of the body.
+        """
+        exchange = self.start(
+            b'%b %b HTTP/1.1' % (method, path),
+            [
+                (b'Host', self._peer_name()),
+                (b'Content-Type', b'application/json'),
+                (b'Content-Length', b'%d' % len(body)),
+                *(headers or []),
+            ],
+            body,
+        )
+        with closing(exchange):
+            head = await exchange.read_head()
+            return Response(head, await exchange.read_body())
+
+    def _peer_name(self) -> bytes:
+        if self._transport is None:
+            raise TargetUnreachable('not connected')
+        host, port = self._transport.get_extra_info('peername')[:2]
+        return f'{host}:{port}'.encode()
+
     def abort(self, reason: str) -> None:
         """Close at once; a request in progress fails.
 
@@ -284,7 +329,8 @@
         )
         exchange = self._exchange
         if exchange is None or exchange.has_head:
-            raise ValueError('a response without a request')
+            self._refuse('a response without a request')
+            return
         if exchange.matches(head):
             self._note_keep_alive(head)
             exchange.deliver_head(head)
@@ -292,7 +338,7 @@
         self._is_skipped = True
         self._skipped += 1
         if self._skipped > _MAX_SKIPPED:
-            raise ValueError('too many responses to other requests')
+            self._refuse('too many responses to other requests')
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body on."""
@@ -329,6 +375,11 @@
             self.resume_reading()
             self._on_idle(self)
 
+    def _refuse(self, reason: str) -> None:
+        """Stop parsing; ``data_received`` closes the connection."""
+        self._refusal = reason
+        raise ValueError(reason)
+
     def _note_keep_alive(self, head: ResponseHead) -> None:
         row = head.get(b'keep-alive')
         if row is None:
--- a/peridotrill/gateway_main.py
+++ b/peridotrill/gateway_main.py
@@ -315,12 +315,14 @@
             tasks,
             self._caller_limits,
             self._clock.monotonic_s,
+            self._log,
         )
         control = CallerPort(
             self._answer_control,
             tasks,
             lambda: DEFAULT_CALLER_LIMITS,
             self._clock.monotonic_s,
+            self._log,
         )
         node = self._node
         listeners = [
--- a/peridotrill/platform/configuration.py
+++ b/peridotrill/platform/configuration.py
@@ -17,7 +17,13 @@
 from peridotrill.gateway.requests import RequestKind
 
 # What a document of another shape raises while it is decoded.
-_UNUSABLE: Final = (KeyError, TypeError, ValueError, AttributeError)
+_UNUSABLE: Final = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    ArithmeticError,
+)
 
 
 def decode_configuration(content: bytes) -> Configuration:
--- a/peridotrill/platform/duties.py
+++ b/peridotrill/platform/duties.py
@@ -1,6 +1,5 @@
 """Calls that one process at a time makes to the platform."""
 
-from contextlib import closing
 from typing import Final, final
 
 import anyio
@@ -8,6 +7,7 @@
 from peridotrill.codec import encode_json
 from peridotrill.exceptions import TargetOutcomeUnknown, TargetUnreachable
 from peridotrill.gateway.target_port import ConnectionPool
+from peridotrill.platform import names
 
 _OK: Final = 200
 _MAX_IDLE_S: Final = 2.0
@@ -42,29 +42,21 @@
         )
 
     async def _post(self, path: str, fence: int, content: object) -> str:
-        body = encode_json(content)
         try:
             with anyio.fail_after(self._timeout_s):
                 connection = await self._pool.acquire(_MAX_IDLE_S)
-                exchange = connection.start(
-                    b'POST %b HTTP/1.1' % path.encode(),
+                answer = await connection.call(
+                    b'POST',
+                    path.encode(),
+                    encode_json(content),
                     [
-                        (b'Host', str(self._pool.address).encode()),
-                        (b'Content-Type', b'application/json'),
-                        (b'Content-Length', str(len(body)).encode()),
-                        (
-                            b'X-Peridotrill-Duty-Holder',
-                            self._holder.encode(),
-                        ),
-                        (b'X-Peridotrill-Fence-Token', b'%d' % fence),
+                        (names.DUTY_HOLDER, self._holder.encode()),
+                        (names.FENCE_TOKEN, b'%d' % fence),
                     ],
-                    body,
                 )
-                with closing(exchange):
-                    head = await exchange.read_head()
-                    await exchange.read_body()
         except TimeoutError:
             return 'timeout'
         except (TargetOutcomeUnknown, TargetUnreachable) as error:
             return str(error)
-        return 'ok' if head.status == _OK else f'status {head.status}'
+        status = answer.head.status
+        return 'ok' if status == _OK else f'status {status}'
--- a/peridotrill/platform/engine_calls.py
+++ b/peridotrill/platform/engine_calls.py
@@ -4,8 +4,9 @@
 
 import anyio
 
-from peridotrill.gateway.target_port import ResponseHead, open_connection
+from peridotrill.gateway.target_port import Response, open_connection
 from peridotrill.gateway.targets import TargetRecord
+from peridotrill.platform import names
 
 
 @final
@@ -21,8 +22,8 @@
         target: TargetRecord,
         method: bytes,
         path: bytes,
-        body: bytes,
-    ) -> tuple[ResponseHead, bytes]:
+        body: bytes = b'',
+    ) -> Response:
         """Send a call and read the whole answer.
 
         Raises TimeoutError, TargetUnreachable, TargetOutcomeUnknown.
@@ -33,21 +34,9 @@
                 self._timeout_s,
                 lambda idle: idle.abort('done'),
             )
-            exchange = connection.start(
-                b'%b %b HTTP/1.1' % (method, path),
-                [
-                    (b'Host', str(target.address).encode()),
-                    (b'Content-Type', b'application/json'),
-                    (b'Content-Length', str(len(body)).encode()),
-                    (
-                        b'X-Peridotrill-Expect-Instance',
-                        target.target_id.encode(),
-                    ),
-                ],
+            return await connection.call(
+                method,
+                path,
                 body,
+                [(names.EXPECT_INSTANCE, target.target_id.encode())],
             )
-            try:
-                head = await exchange.read_head()
-                return head, await exchange.read_body()
-            finally:
-                exchange.close()
--- a/peridotrill/platform/engine_orders.py
+++ b/peridotrill/platform/engine_orders.py
@@ -53,10 +53,10 @@
         role: TargetRole,
         fence: int,
     ) -> str:
-        head, body = await self._calls.send(target, b'GET', b'/-/report', b'')
-        if head.status != _OK:
-            return f'report {head.status}'
-        report: Any = decode_json(body)
+        answer = await self._calls.send(target, b'GET', b'/-/report')
+        if answer.head.status != _OK:
+            return f'report {answer.head.status}'
+        report: Any = decode_json(answer.body)
         if report['stage'] == role.value or report.get('busy') is True:
             return ACCEPTED
         order = {
@@ -66,12 +66,12 @@
             'fence': fence,
             'precondition': int(report['seq']),
         }
-        head, _ = await self._calls.send(
+        answer = await self._calls.send(
             target,
             b'POST',
             b'/-/order',
             encode_json(order),
         )
-        if head.status in _ACCEPTED_STATUSES:
+        if answer.head.status in _ACCEPTED_STATUSES:
             return ACCEPTED
-        return f'status {head.status}'
+        return f'status {answer.head.status}'
--- a/peridotrill/platform/engine_parts.py
+++ b/peridotrill/platform/engine_parts.py
@@ -9,6 +9,8 @@
 from peridotrill.platform.engine_calls import EngineCalls
 
 _OK: Final = 200
+# What a listing of another shape raises while it is decoded.
+_UNUSABLE: Final = (LookupError, TypeError, ValueError, ArithmeticError)
 
 
 @final
@@ -24,15 +26,10 @@
 
         Raises TimeoutError, TargetError, CodecError.
         """
-        head, body = await self._calls.send(
-            target,
-            b'GET',
-            b'/-/kv-list',
-            b'',
-        )
-        if head.status != _OK:
-            raise TargetOutcomeUnknown(f'status {head.status}')
-        return decode_parts(target.target_id, body)
+        answer = await self._calls.send(target, b'GET', b'/-/kv-list')
+        if answer.head.status != _OK:
+            raise TargetOutcomeUnknown(f'status {answer.head.status}')
+        return decode_parts(target.target_id, answer.body)
 
 
 def decode_parts(target_id: str, body: bytes) -> list[PartReading]:
@@ -43,7 +40,7 @@
     listing: Any = decode_json(body)
     try:
         rows = [(str(row[1]), int(row[2])) for row in listing['held']]
-    except (LookupError, TypeError, ValueError) as error:
+    except _UNUSABLE as error:
         raise CodecError(f'listing of parts: {error!r}') from error
     return [
         PartReading(part_id, target_id, tokens)
--- a/peridotrill/platform/names.py
+++ b/peridotrill/platform/names.py
@@ -23,6 +23,8 @@
 NOT_RUN: Final = b'x-peridotrill-not-run'
 ENGINE_ID: Final = b'x-peridotrill-engine-id'
 ENGINE_LOAD: Final = b'x-peridotrill-engine-load'
+DUTY_HOLDER: Final = b'x-peridotrill-duty-holder'
+FENCE_TOKEN: Final = b'x-peridotrill-fence-token'
 LAST_EVENT_ID: Final = b'last-event-id'
 AUTHORIZATION: Final = b'authorization'
 KEEP_ALIVE: Final = b'keep-alive'
@@ -42,8 +44,8 @@
         PIN_MS,
         KV_FETCH,
         b'x-peridotrill-kv-fetch',
-        b'x-peridotrill-duty-holder',
-        b'x-peridotrill-fence-token',
+        DUTY_HOLDER,
+        FENCE_TOKEN,
         LAST_EVENT_ID,
         AUTHORIZATION,
     ),
--- a/peridotrill/platform/store.py
+++ b/peridotrill/platform/store.py
@@ -21,6 +21,14 @@
 _OK: Final = 200
 _GONE: Final = 410
 _PRECONDITION_FAILED: Final = 412
+# What an answer of another shape raises while it is decoded.
+_UNUSABLE: Final = (
+    CodecError,
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+)
 _LENGTH: Final = struct.Struct('>I')
 _OFFSETS: Final = struct.Struct('>QQ')
 # How long an idle connection to the store is used again; the store declares
@@ -49,6 +57,7 @@
 
     records: list[NewestRecord]
     end: int
+    has_more: bool = False
 
 
 class AppendResult(NamedTuple):
@@ -147,19 +156,12 @@
             suffix = '' if after is None else f'&after={quote(after)}'
             response = await self._call(b'GET', path + suffix, b'', 0)
             _require_ok(response)
-            page = _decode(response)
+            page = _decode_page(response)
+            records += page.records
             # Pages are not one snapshot: reading on from the end of the
             # first page repeats what changed between them.
-            end = int(page['end']) if end is None else end
-            for item in page.get('items', ()):
-                records.append(
-                    NewestRecord(
-                        str(item['key']),
-                        base64.b64decode(item['value']),
-                        int(item['offset']),
-                    ),
-                )
-            if not page.get('has-more') or not records:
+            end = page.end if end is None else end
+            if not page.has_more or not page.records:
                 return NewestPage(records, end)
             after = records[-1].key
 
@@ -191,9 +193,9 @@
         except TargetUnreachable as error:
             raise LogUnavailable(str(error)) from error
         if response.head.status == _PRECONDITION_FAILED:
-            return AppendResult(False, int(_decode(response)['end']))
+            return AppendResult(False, _decode_offset(response, 'end'))
         _require_ok(response)
-        return AppendResult(True, int(_decode(response)['offset']))
+        return AppendResult(True, _decode_offset(response, 'offset'))
 
     def close(self) -> None:
         """Close idle connections."""
@@ -220,20 +222,35 @@
     ) -> Response:
         self.calls += 1
         connection = await self._pool.acquire(_MAX_IDLE_S)
-        exchange = connection.start(
-            b'%b %b HTTP/1.1' % (method, path.encode()),
-            [
-                (b'Host', str(self._pool.address).encode()),
-                (b'Content-Length', str(len(body)).encode()),
-            ],
-            body,
-        )
-        try:
-            with anyio.fail_after(self._timeout_s + wait_s):
-                head = await exchange.read_head()
-                return Response(head, await exchange.read_body())
-        finally:
-            exchange.close()
+        with anyio.fail_after(self._timeout_s + wait_s):
+            return await connection.call(method, path.encode(), body)
+
+
+def _decode_page(response: Response) -> NewestPage:
+    try:
+        page = decode_json(response.body)
+        records = [
+            NewestRecord(
+                str(row['key']),
+                base64.b64decode(row['value']),
+                int(row['offset']),
+            )
+            for row in page.get('items', ())
+        ]
+        return NewestPage(records, int(page['end']), bool(page.get('has-more')))
+    except _UNUSABLE as error:
+        raise LogUnavailable(f'unusable page: {error!r}') from error
+
+
+def _decode_offset(response: Response, name: str) -> int:
+    """Return an offset from the answer to an append.
+
+    Raises AppendUnknown: without it nobody knows where the record is.
+    """
+    try:
+        return int(decode_json(response.body)[name])
+    except _UNUSABLE as error:
+        raise AppendUnknown(f'unusable answer: {error!r}') from error
 
 
 def _require_ok(response: Response) -> None:
--- a/peridotrill/platform/wire.py
+++ b/peridotrill/platform/wire.py
@@ -1,5 +1,7 @@
 """Headers of requests and responses, decoded and written."""
 
+import math
+import re
 from typing import Any, Final
 
 from peridotrill.codec import decode_json
@@ -22,6 +24,12 @@
 
 _BEARER: Final = b'bearer '
 _MISDIRECTED: Final = 421
+# What a document of another shape raises while it is decoded.
+_UNUSABLE: Final = (KeyError, TypeError, ValueError, ArithmeticError)
+# Far above any prompt; keeps sums of counts exact.
+_MAX_TOKENS: Final = 10**9
+# A handle becomes a part of request lines and headers.
+_HANDLE: Final = re.compile(r'[\w.~-]+', re.ASCII)
 
 
 def decode_request(raw: RawRequest) -> CallerRequest | None:
@@ -124,17 +132,20 @@
     """Decode the answer to a prefill; raises CodecError."""
     document: Any = decode_json(body)
     try:
-        return PrefilledPrompt(
+        prompt = PrefilledPrompt(
             str(document['handle']),
             int(document['tokens']),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except _UNUSABLE as error:
         raise CodecError(f'invalid prefill answer: {error!r}') from error
+    if not _HANDLE.fullmatch(prompt.handle):
+        raise CodecError('invalid handle')
+    return prompt
 
 
-def format_release(handle: str) -> bytes:
-    """Return the request line that frees a prompt."""
-    return b'DELETE /-/kv-handle/%b HTTP/1.1' % handle.encode()
+def format_release(handle: str) -> tuple[bytes, bytes]:
+    """Return method and path of the call that frees a prompt."""
+    return b'DELETE', b'/-/kv-handle/%b' % handle.encode()
 
 
 def _decode_key(content: bytes | None) -> str | None:
@@ -146,7 +157,21 @@
 def _decode_wait(content: bytes | None) -> float | None:
     if content is None:
         return None
-    return float(content) if content.strip() else None
+    return _decode_finite(content) if content.strip() else None
+
+
+def _decode_finite(content: bytes) -> float:
+    number = float(content)
+    if not math.isfinite(number):
+        raise ValueError('not a finite number')
+    return number
+
+
+def _decode_tokens(content: bytes) -> int:
+    tokens = int(content)
+    if not 0 <= tokens <= _MAX_TOKENS:
+        raise ValueError('tokens out of range')
+    return tokens
 
 
 def _decode_prompt(fields: dict[bytes, bytes]) -> Prompt | None:
@@ -158,18 +183,27 @@
     for row in fields.get(names.PROMPT_PREFIX, b'').split(b','):
         part_id, _, tokens = row.strip().partition(b':')
         if part_id:
-            parts.append(PromptPart(part_id.decode(), int(tokens)))
+            parts.append(PromptPart(part_id.decode(), _decode_tokens(tokens)))
     hint = fields.get(names.LENGTH_HINT)
     return Prompt(
         model=fields.get(names.MODEL, b'').decode('latin-1'),
-        prompt_tokens=int(prompt_tokens),
-        max_output_tokens=int(output_tokens),
+        prompt_tokens=_decode_tokens(prompt_tokens),
+        max_output_tokens=_decode_tokens(output_tokens),
         parts=tuple(parts),
-        expected_output_tokens=None if hint is None else int(float(hint)),
+        expected_output_tokens=None if hint is None else _decode_hint(hint),
     )
 
 
+def _decode_hint(content: bytes) -> int:
+    """Decode the expected number of output tokens, which may be a fraction."""
+    tokens = int(_decode_finite(content))
+    if tokens < 0:
+        raise ValueError('a negative hint')
+    return tokens
+
+
 def _decode_load(content: bytes | None) -> TargetLoad | None:
+    """Decode a load; one that cannot be read is as good as none."""
     if content is None:
         return None
     try:
--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import traceback
 from contextlib import asynccontextmanager
 
 import anyio
@@ -13,11 +14,28 @@
 _LIMITS = CallerLimits(max_body_bytes=16 * 1024 * 1024)
 
 
+class _FaultPrinter:
+    """Prints faults of a stand-in; what its callers do is no news."""
+
+    def write(self, event, **fields):
+        """Drop an event."""
+
+    def write_fault(self, event, error, **fields):
+        """Print a fault with its traceback."""
+        traceback.print_exception(error)
+
+
 @asynccontextmanager
-async def serve_http(handler, host='127.0.0.1', port=0):
+async def serve_http(handler, host='127.0.0.1', port=0, log=None):
     """Serve a handler; yields the address that is listened on."""
     async with anyio.create_task_group() as tasks:
-        callers = CallerPort(handler, tasks, lambda: _LIMITS, time.monotonic)
+        callers = CallerPort(
+            handler,
+            tasks,
+            lambda: _LIMITS,
+            time.monotonic,
+            log or _FaultPrinter(),
+        )
         server = await asyncio.get_running_loop().create_server(
             callers.create_connection,
             host,
--- a/tests/test_gateway_codecs.py
+++ b/tests/test_gateway_codecs.py
@@ -1,17 +1,27 @@
 """Decoders of what arrives from outside: no input ends a process."""
 
 import asyncio
+import time
+from datetime import timedelta
 
+import anyio
 import pytest
 from expression import Result
 from hypothesis import given
 from hypothesis import strategies as st
 
 from peridotrill.codec import encode_json
-from peridotrill.exceptions import CodecError, TargetOutcomeUnknown
+from peridotrill.clock import ManualClock
+from peridotrill.exceptions import (
+    AppendUnknown,
+    CodecError,
+    LogUnavailable,
+    TargetOutcomeUnknown,
+    TargetSilent,
+)
 from peridotrill.gateway.callers_port import CallerPort, RawRequest
 from peridotrill.gateway.configuration import DEFAULT_CALLER_LIMITS
-from peridotrill.gateway.event_stream import EventSplitter
+from peridotrill.gateway.event_stream import MAX_EVENT_BYTES, EventSplitter
 from peridotrill.gateway.http_text import format_chunk, format_head
 from peridotrill.gateway.part_directory import PartReading
 from peridotrill.gateway.peers import (
@@ -22,7 +32,13 @@
 )
 from peridotrill.gateway.requests import RequestKind
 from peridotrill.gateway.target_messages import RequestOptions
-from peridotrill.gateway.target_port import ResponseHead, TargetConnection
+from peridotrill.gateway.target_calls import ConnectionTimes, TargetCaller
+from peridotrill.gateway.target_port import (
+    ConnectionPool,
+    ResponseHead,
+    TargetConnection,
+    open_connection,
+)
 from peridotrill.gateway.targets import TargetRole
 from peridotrill.platform import wire
 from peridotrill.platform.configuration import decode_configuration
@@ -30,16 +46,27 @@
 from peridotrill.platform.directory import decode_target
 from peridotrill.platform.node_settings import read_node_settings
 from peridotrill.platform.store import (
+    StoreClient,
     format_keyed,
     join_records,
     parse_keyed,
     split_records,
 )
 from standins.platform_engine import PlatformEngine
-from tests.gateway_builders import configuration_document, configuration_record
+from standins.platform_server import serve_http
+from tests.gateway_builders import (
+    SilentLog,
+    configuration_document,
+    configuration_record,
+    target,
+)
 
 _json = st.recursive(
-    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats(allow_nan=False)
+    | st.text(max_size=5),
     lambda inner: (
         st.lists(inner, max_size=3)
         | st.dictionaries(st.text(max_size=8), inner, max_size=4)
@@ -385,6 +412,7 @@
                 _Tasks(group),
                 lambda: DEFAULT_CALLER_LIMITS,
                 lambda: 0.0,
+                SilentLog(),
             )
             connection = port.create_connection()
             connection.connection_made(FakeTransport())
@@ -397,6 +425,150 @@
     asyncio.run(run())
 
 
+def test_fault_in_one_request_ends_only_that_request():
+    # Guards against a process that ends because of one request.
+    log = SilentLog()
+
+    async def fail(raw, responder):
+        raise OverflowError(raw.target)
+
+    async def ask(address):
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b'GET /x HTTP/1.1\r\nHost: h\r\n\r\n')
+        try:
+            return await reader.read()
+        except ConnectionResetError:
+            return b''
+        finally:
+            writer.close()
+
+    async def run():
+        async with serve_http(fail, log=log) as address:
+            return [await ask(address), await ask(address)]
+
+    assert anyio.run(run) == [b'', b'']
+    assert [event for event, _ in log.events] == ['request_fault'] * 2
+
+
+_numbers = st.sampled_from(
+    [b'inf', b'nan', b'-1', b'0', b'12', b'1e9', b'9' * 500, b'', b'x'],
+)
+
+
+@given(st.lists(_numbers, min_size=6, max_size=6))
+def test_numbers_of_a_caller_are_usable_or_refused(rows):
+    # Guards against a header that ends the process, and against counts that
+    # are taken from what a team has spent.
+    headers = [
+        (b'host', b'h'),
+        (b'x-peridotrill-token-count', rows[0] + b',' + rows[1]),
+        (b'x-peridotrill-prompt-prefix', b'a:' + rows[2] + b',b:' + rows[3]),
+        (b'x-peridotrill-length-hint', rows[4]),
+        (b'x-peridotrill-deadline-ms', rows[5]),
+    ]
+    raw = RawRequest(b'POST', b'/x', headers, b'', 0)
+    request = wire.decode_request(raw)
+    if request is not None:
+        assert 0 <= request.prompt.total_tokens < 1e10
+        assert request.prompt.shared_tokens >= 0
+        assert request.wait_ms is None or request.wait_ms < 1e12
+
+
+@pytest.mark.parametrize(
+    ('decode', 'content'),
+    [
+        (decode_configuration, b'{"version":1e999,"routes":[],"services":[]}'),
+        (wire.decode_prefilled, b'{"handle":"h","tokens":1e999}'),
+        (
+            lambda content: decode_parts('i', content),
+            b'{"held":[["","a",1e999,"m"]]}',
+        ),
+        # A handle becomes a part of a request line and of a header.
+        (wire.decode_prefilled, b'{"handle":"h\\r\\nX: y","tokens":1}'),
+        (wire.decode_prefilled, b'{"handle":"","tokens":1}'),
+    ],
+)
+def test_contents_out_of_range_are_errors(decode, content):
+    with pytest.raises(CodecError):
+        decode(content)
+
+
+def make_store(status, body):
+    """Return a client of a store that always answers the same."""
+
+    async def answer(raw, responder):
+        responder.send(status, [], body)
+
+    return answer
+
+
+@pytest.mark.parametrize('body', [b'[]', b'{}', b'{"offset":null}', b'x'])
+def test_append_with_an_unusable_answer_may_have_been_done(body):
+    # Guards against an append that counts as not done although it was.
+    async def run():
+        async with serve_http(make_store(200, body)) as address:
+            pool = ConnectionPool(address, time.monotonic, 1, 1)
+            with pytest.raises(AppendUnknown):
+                await StoreClient(pool, 1).append('t', [b'x'])
+
+    anyio.run(run)
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'[]', b'{}', b'{"end":1,"items":[{}]}', b'{"end":1,"items":[1]}', b'x'],
+)
+def test_unusable_page_is_an_unavailable_store(body):
+    # Guards against a follower that ends because of one answer.
+    async def run():
+        async with serve_http(make_store(200, body)) as address:
+            pool = ConnectionPool(address, time.monotonic, 1, 1)
+            with pytest.raises(LogUnavailable):
+                await StoreClient(pool, 1).newest('t')
+
+    anyio.run(run)
+
+
+def test_body_that_does_not_end_is_given_up():
+    # Guards against a target that fills the memory of the gateway.
+    async def pour(raw, responder):
+        responder.start_stream(200, [])
+        while True:
+            responder.send_part(bytes(65536))
+            await responder.drain()
+
+    async def run():
+        async with serve_http(pour) as address:
+            connection = await open_connection(address, 1, lambda idle: None)
+            with pytest.raises(TargetOutcomeUnknown, match='too large'):
+                await connection.call(b'GET', b'/x')
+
+    anyio.run(run)
+
+
+def test_event_that_does_not_end_is_given_up():
+    splitter = EventSplitter()
+    with pytest.raises(TargetOutcomeUnknown):
+        for _ in range(2 * MAX_EVENT_BYTES // 65536):
+            splitter.feed(bytes(65536))
+
+
+def test_release_of_a_prompt_does_not_wait_for_ever():
+    # Guards against tasks and connections that pile up behind an engine
+    # that went silent.
+    async def hang(raw, responder):
+        await anyio.sleep_forever()
+
+    async def run():
+        async with serve_http(hang) as address:
+            times = ConnectionTimes(release=timedelta(milliseconds=50))
+            caller = TargetCaller(wire, ManualClock(), times)
+            with anyio.fail_after(5), pytest.raises(TargetSilent):
+                await caller.release_prompt(target(address=address), 'h1')
+
+    anyio.run(run)
+
+
 class _Tasks:
     def __init__(self, group):
         self._group = group
--- a/tests/test_gateway_coordinator.py
+++ b/tests/test_gateway_coordinator.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -208,6 +209,29 @@
     assert node.held_lease(_NONE).fence == 6
 
 
+@pytest.mark.parametrize(
+    'record',
+    [
+        b'',
+        b'[]',
+        b'{}',
+        b'null',
+        b'{"kind":"usage"}',
+        b'{"kind":"usage","window":null,"counts":{}}',
+        b'{"kind":"usage","window":1,"counts":[1]}',
+    ],
+)
+def test_unreadable_record_does_not_stop_the_coordinator(record):
+    # Guards against a gateway that reads the same record for ever and never
+    # takes the lease.
+    clock = ManualClock()
+    log = FakeLog()
+    log.records = [record]
+    node = Coordinator('a', log, _TTL, clock, SilentLog())
+    run_steps(clock, node, 6)
+    assert node.held_lease(_NONE) is not None
+
+
 class UsagePort:
     def __init__(self):
         self.calls = []
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -407,6 +407,40 @@
     assert statuses == [200] * 60
 
 
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'X-Peridotrill-Length-Hint': 'inf'},
+        {'X-Peridotrill-Length-Hint': 'nan'},
+        {'X-Peridotrill-Length-Hint': '-1'},
+        {'X-Peridotrill-Token-Count': '-100000,0'},
+        {'X-Peridotrill-Token-Count': f'{10**400},1'},
+        {'X-Peridotrill-Prompt-Prefix': 'a1:-5,b2:9'},
+        {'X-Peridotrill-Deadline-Ms': 'nan'},
+    ],
+)
+def test_unusable_numbers_of_a_caller_are_refused(site, gateway, changes):
+    # Guards against a header that ends the process (a hint of ``inf`` did),
+    # and against counts that give a team more than its limit.
+    headers = {**prompt_headers(), **changes}
+    answer = call(gateway, '/draft/x', 'numbers', **headers)
+    assert answer.status_code == 400
+    assert 'malformed_request' in gateway.read_log()
+    assert site.runs('numbers') == []
+    assert call(gateway, '/pay/x', 'after').status_code == 200
+
+
+def test_requests_that_cannot_be_read_are_logged(site, gateway):
+    # Guards against refusals of which the logs show nothing.
+    with socket.create_connection(
+        ('127.0.0.1', gateway.caller_port), timeout=5
+    ) as connection:
+        connection.sendall(b'GET /x HTTP/1.1\r\n' + b'X: y\r\n' * 2000)
+        assert b'431' in connection.recv(4096)
+    wait_until(lambda: 'event=request_unreadable' in gateway.read_log(), 3)
+    assert 'status=431' in gateway.read_log()
+
+
 def test_unreadable_request_fails_after_those_before_it(site, gateway):
     # Guards against an error response that is written into the answers of
     # pipelined requests.
