--- a/peridotrill/gateway/admission_queue.py
+++ b/peridotrill/gateway/admission_queue.py
@@ -27,6 +27,7 @@
 _LATE_WAIT_PART: Final = 0.6
 # Span over which the rate of a queue is measured; bursts last some seconds.
 _RATE_SPAN_S: Final = 0.6
+# All teams weigh the same: the configuration has no weights.
 _TEAM_WEIGHT: Final = 1.0
 
 
--- a/peridotrill/gateway/coordinator.py
+++ b/peridotrill/gateway/coordinator.py
@@ -22,11 +22,13 @@
 )
 from peridotrill.gateway.event_log import EventLog
 
+# Step of the coordinator; well below the time between two renewals.
 TICK: Final = timedelta(milliseconds=250)
 # What a record of another shape raises while it is decoded.
 _UNUSABLE: Final = (CodecError, LookupError, TypeError, ValueError)
 # Own records of lost answers may lie before a new one.
 _APPEND_TRIES: Final = 2
+# Two renewals may fail before the lease ends.
 _RENEWALS_PER_TTL: Final = 3
 # Fixed usage windows that are kept, to send them again after a take-over.
 _KEPT_WINDOWS: Final = 8
--- a/peridotrill/gateway/event_log.py
+++ b/peridotrill/gateway/event_log.py
@@ -1,6 +1,7 @@
 """Structured logs on standard output that never block the process."""
 
 import logging
+import os
 import sys
 import traceback
 from typing import Any, Final, Protocol, final
@@ -10,7 +11,45 @@
 
 # Lines per second and event beyond which lines are counted, not written.
 _MAX_LINES_PER_S: Final = 300
-_BUFFER_BYTES: Final = 65536
+# Lines that wait for the reader of the output; further ones are dropped.
+BUFFER_BYTES: Final = 65536
+
+
+@final
+class LineOutput:
+    """Text output that drops lines instead of waiting for its reader."""
+
+    def __init__(self, descriptor: int) -> None:
+        """:param descriptor: is made non-blocking unless it is a terminal."""
+        self._descriptor = descriptor
+        self._waiting = bytearray()
+        self.dropped_lines = 0
+        if not os.isatty(descriptor):
+            os.set_blocking(descriptor, False)
+
+    def write(self, text: str) -> None:
+        """Write a whole line, or drop it."""
+        line = text.encode()
+        if len(self._waiting) + len(line) > BUFFER_BYTES:
+            self.flush()
+        if len(self._waiting) + len(line) > BUFFER_BYTES:
+            self.dropped_lines += 1
+            return
+        self._waiting += line
+
+    def flush(self) -> None:
+        """Write what the reader takes now."""
+        while self._waiting:
+            try:
+                written = os.write(self._descriptor, self._waiting)
+            except BlockingIOError:
+                return
+            except OSError:
+                # The reader is gone for good; there is nobody to tell.
+                self._waiting.clear()
+                self.dropped_lines += 1
+                return
+            self._waiting = self._waiting[written:]
 
 
 class EventSink(Protocol):
@@ -27,18 +66,30 @@
 class EventLog:
     """Writes one line per event; repeats above a rate are counted."""
 
-    def __init__(self, logger: logging.Logger, clock: Clock) -> None:
+    def __init__(
+        self,
+        logger: logging.Logger,
+        clock: Clock,
+        output: LineOutput,
+    ) -> None:
         """:param clock: its monotonic time bounds the rate."""
+        self._output = output
         self._logger = logger
         self._clock = clock
         self._window_s = 0.0
         self._lines: dict[str, int] = {}
-        self.dropped_lines = 0
+        self._suppressed_lines = 0
+
+    @property
+    def lost_lines(self) -> int:
+        """Number of lines that were not written since the start."""
+        return self._suppressed_lines + self._output.dropped_lines
 
     @classmethod
     def from_settings(cls, node: str, level: str, clock: Clock) -> 'EventLog':
         """Log to standard output under the name of a node."""
-        return cls(configure_logging(node, level, sys.stdout), clock)
+        output = LineOutput(sys.stdout.fileno())
+        return cls(configure_logging(node, level, output), clock, output)
 
     def write(self, event: str, **fields: Any) -> None:
         """Write an event.
@@ -74,6 +125,6 @@
         lines = self._lines.get(event, 0) + 1
         self._lines[event] = lines
         if lines > _MAX_LINES_PER_S:
-            self.dropped_lines += 1
+            self._suppressed_lines += 1
             return
         self._logger.log(level, event, extra=fields)
--- a/peridotrill/gateway/loads.py
+++ b/peridotrill/gateway/loads.py
@@ -41,7 +41,8 @@
         self._reported: dict[str, tuple[float, float]] = {}
         # Work that was begun since the last own report.
         self._begun: dict[str, float] = {}
-        # Average work of this gateway and of all others.
+        # Average work of this gateway and of all others, both units together:
+        # only their ratio is used.
         self._own_work = 0.0
         self._peer_work = 0.0
 
--- a/peridotrill/gateway/metrics.py
+++ b/peridotrill/gateway/metrics.py
@@ -44,6 +44,10 @@
     'peridotrill_store_calls',
     'Calls of the store since the start',
 )
+LOST_LINES: Final = Gauge(
+    'peridotrill_lost_log_lines',
+    'Lines that were suppressed above a rate, or dropped for a slow reader',
+)
 LEASE_HELD: Final = Gauge(
     'peridotrill_coordinator',
     'Whether this process holds the lease of the coordinator',
--- a/peridotrill/gateway/part_directory.py
+++ b/peridotrill/gateway/part_directory.py
@@ -50,12 +50,16 @@
         for reading in readings:
             self._keep(reading)
 
-    def listing(self) -> list[PartReading]:
-        """Return all parts, those used least recently first."""
+    def listing(self, most: int) -> list[PartReading]:
+        """Return the parts of each engine that were used last.
+
+        :param most: number of parts of all engines together.
+        """
+        each = max(1, most // max(1, len(self._parts)))
         return [
             PartReading(part_id, target_id, tokens)
             for target_id, parts in self._parts.items()
-            for part_id, tokens in parts.items()
+            for part_id, tokens in list(parts.items())[-each:]
         ]
 
     def take_recent(self) -> list[PartReading]:
--- a/peridotrill/gateway/part_sharing.py
+++ b/peridotrill/gateway/part_sharing.py
@@ -24,8 +24,11 @@
 _TELLERS: Final = 2
 # Parts in one datagram of at most 8 KiB.
 _PARTS_PER_MESSAGE: Final = 120
+# Bounds what a restart costs on a large fleet to 20 datagrams.
+_MAX_LISTED: Final = 2400
 # A new process that was told nothing until then asks the engines.
 _ASK_AFTER: Final = timedelta(seconds=0.8)
+# Gateways heard of within this time take part; reports come more often.
 _HEARD_S: Final = 1.0
 
 
@@ -69,7 +72,7 @@
             if name != node
         ]
         if self._node in _first(others, node, _TELLERS):
-            self._send(self._parts.listing(), node)
+            self._send(self._parts.listing(_MAX_LISTED), node)
 
     def take_in(self, listing: PartListing) -> None:
         """Learn from what another gateway tells."""
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -19,6 +19,7 @@
 # Interval of the reports of a small system; larger ones report less often,
 # so that the traffic of a node stays bounded.
 _MIN_INTERVAL_S: Final = 0.1
+# Bounds the reports that a gateway receives to 83 a second.
 _INTERVAL_PER_PEER_S: Final = 0.012
 # Datagrams beyond this size could be fragmented.
 _MAX_DATAGRAM_BYTES: Final = 8192
@@ -134,14 +135,14 @@
                 sender=str(addr),
                 size=len(data),
             )
-        elif message.node != self._node:
-            self._take(message)
-
-    def _take(self, message: Message) -> None:
-        if isinstance(message, PartListing):
-            self.on_parts(message)
+        elif message.node == self._node:
             return
-        report = message
+        elif isinstance(message, PartListing):
+            self.on_parts(message)
+        else:
+            self._take_report(message)
+
+    def _take_report(self, report: Report) -> None:
         self.add_member(report.node, Address(report.host, report.port))
         member = self.members[report.node]
         if member.incarnation == report.incarnation:
--- a/peridotrill/gateway/plain_runs.py
+++ b/peridotrill/gateway/plain_runs.py
@@ -4,13 +4,17 @@
 from datetime import timedelta
 from typing import Final
 
-from peridotrill.exceptions import TargetOutcomeUnknown, TargetUnreachable
+from peridotrill.exceptions import (
+    TargetOutcomeUnknown,
+    TargetSilent,
+    TargetUnreachable,
+)
 from peridotrill.gateway.admission_queue import Place
 from peridotrill.gateway.metrics import ATTEMPTS
 from peridotrill.gateway.pools import Pool
 from peridotrill.gateway.serving import RequestRun
 from peridotrill.gateway.target_health import Failure
-from peridotrill.gateway.target_messages import RequestOptions, TargetReply
+from peridotrill.gateway.target_messages import TargetReply
 from peridotrill.gateway.targets import TargetRecord
 
 _FIRST_SERVER_ERROR: Final = 500
@@ -69,7 +73,8 @@
         run.note_failure(target, Failure.UNREACHABLE, str(error))
         return None, b''
     except TargetOutcomeUnknown as error:
-        run.note_failure(target, Failure.BROKEN, str(error))
+        if not isinstance(error, TargetSilent):
+            run.note_failure(target, Failure.BROKEN, str(error))
         if not run.may_repeat():
             raise run.refuse('target_failed') from error
         return None, b''
@@ -86,11 +91,7 @@
     exchange = await run.shared.targets.send(
         run.request,
         target,
-        RequestOptions(
-            target.target_id,
-            run.team.name if run.team else None,
-            run.left_s() * 1000,
-        ),
+        run.options(target),
         run.route.is_repeatable,
     )
     run.note_sent(target)
@@ -112,16 +113,10 @@
 ) -> TargetReply | None:
     target = place.target
     if reply.not_run:
-        run.note_refused(target, reply)
-        run.note_not_run()
-        if not run.shared.budget.try_repeat(
-            run.service,
-            run.shared.quotas.gateways,
-        ):
-            raise run.refuse('targets_full')
+        run.settle_rejection(target, reply)
         return None
     if not reply.is_genuine:
-        run.note_failure(target, Failure.BROKEN, 'no stamp')
+        run.note_failure(target, Failure.BROKEN, 'answer proves nothing')
         if not run.may_repeat():
             raise run.refuse('target_failed')
         return None
--- a/peridotrill/gateway/pools.py
+++ b/peridotrill/gateway/pools.py
@@ -38,6 +38,7 @@
 )
 
 
+# Memory of an engine until the configuration says it.
 _DEFAULT_MEMORY_TOKENS: Final = 500000
 # Bounds the memory and the time that waiting requests take.
 _QUEUE_BOUNDS: Final = QueueBounds(max_requests=400, max_bytes=1)
@@ -174,7 +175,7 @@
                 targets,
                 self._engine_loads,
                 READING_LIMITS,
-                self.find_keeper(prompt) is not None,
+                self.find_part_holder(prompt) is not None,
             )
             if found is None:
                 return None
@@ -185,20 +186,20 @@
 
     def reading_work_ms(self, prompt: Prompt) -> float:
         """Estimate the work of reading a prompt, wherever it is read."""
-        keeper = self.find_keeper(prompt)
+        holder = self.find_part_holder(prompt)
         return estimate_work_ms(
             prompt,
-            '' if keeper is None else keeper.target_id,
+            '' if holder is None else holder.target_id,
             self.parts.has,
-            keeper is not None,
+            holder is not None,
         )
 
-    def find_keeper(
+    def find_part_holder(
         self,
         prompt: Prompt,
         besides: str | None = None,
     ) -> TargetRecord | None:
-        """Return an engine that keeps the main part of a prompt.
+        """Return an engine that holds the main part of a prompt.
 
         :param besides: id of an engine that is not meant.
         """
--- a/peridotrill/gateway/prompt_placement.py
+++ b/peridotrill/gateway/prompt_placement.py
@@ -33,7 +33,7 @@
 _DISTURBED_MS: Final = 40.0
 # Running requests by which an engine that keeps a part may exceed the least
 # loaded one.
-_KEEPER_SLACK: Final = 8
+_HOLDER_SLACK: Final = 8
 # Wait that is accepted so that a part which no engine keeps yet is read once,
 # although several gateways are asked for it at the same moment: less than
 # reading a part of usual size again takes.
@@ -100,15 +100,15 @@
     least = choose_least_loaded(targets, loads, own_zone)
     if least is None:
         return None
-    most = loads.work(least.target_id) + _KEEPER_SLACK
-    keepers = [
+    most = loads.work(least.target_id) + _HOLDER_SLACK
+    holders = [
         target
         for target in targets
         if keeps_part(target.target_id)
         and loads.work(target.target_id) <= most
         and not loads.is_avoided(target.target_id)
     ]
-    return choose_least_loaded(keepers, loads, own_zone) or least
+    return choose_least_loaded(holders, loads, own_zone) or least
 
 
 class ReadingLimits(NamedTuple):
--- a/peridotrill/gateway/refusals.py
+++ b/peridotrill/gateway/refusals.py
@@ -1,20 +1,22 @@
 """Answers of the gateway itself."""
 
-from typing import Final
+from http import HTTPStatus
+from typing import Any, Final
 
 from peridotrill.codec import encode_json
+from peridotrill.exceptions import PeridotrillError
 from peridotrill.gateway.callers_port import Responder
 from peridotrill.gateway.requests import Headers
 
-BAD_REQUEST: Final = 400
-UNAUTHORIZED: Final = 401
-NOT_FOUND: Final = 404
-TOO_MANY_REQUESTS: Final = 429
-BAD_GATEWAY: Final = 502
-UNAVAILABLE: Final = 503
-GATEWAY_TIMEOUT: Final = 504
 # These say that the request has not run and will not run.
-PROMISES_NOT_RUN: Final = frozenset((TOO_MANY_REQUESTS, UNAVAILABLE))
+PROMISES_NOT_RUN: Final = frozenset(
+    (
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    ),
+)
 
 
 def send_error(
@@ -32,3 +34,24 @@
     if retry_after_s is not None:
         headers.append((b'Retry-After', b'%.2f' % retry_after_s))
     responder.send(status, headers, encode_json({'error': reason}))
+
+
+class Refused(PeridotrillError):
+    """The request ends with an error of the gateway."""
+
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        retry_after_s: float | None = None,
+        **inputs: Any,
+    ) -> None:
+        """:param reason: a code in snake case.
+
+        :param inputs: what decided it, for the log.
+        """
+        super().__init__(reason)
+        self.inputs = inputs
+        self.status = status
+        self.reason = reason
+        self.retry_after_s = retry_after_s
--- a/peridotrill/gateway/role_duty.py
+++ b/peridotrill/gateway/role_duty.py
@@ -15,8 +15,6 @@
 # Orders can be carried out late; an engine whose record shows no change after
 # this time is used in its old role again.
 _MAX_SWITCH_S: Final = 5.0
-
-
 # An order without effect after this time is taken to be lost.
 _MAX_LATE_S: Final = 13.0
 # How long an order that was not accepted is sent again; the load may have
--- a/peridotrill/gateway/role_planner.py
+++ b/peridotrill/gateway/role_planner.py
@@ -22,9 +22,11 @@
 # output follow each other within seconds.
 _URGENT_GAIN: Final = 0.6
 _PERSISTENCE_S: Final = 8.0
+# Below this no role is short of engines.
 _MIN_UTILISATION: Final = 0.75
 # Time between two changes; demand is averaged over less.
 _MIN_INTERVAL_S: Final = 10.0
+# With two engines a change would leave one role without any.
 _MIN_ENGINES: Final = 3
 
 
--- a/peridotrill/gateway/settings_follower.py
+++ b/peridotrill/gateway/settings_follower.py
@@ -9,7 +9,7 @@
 from expression import Result
 
 from peridotrill.findings import Finding, format_findings
-from peridotrill.gateway.event_log import EventLog
+from peridotrill.gateway.event_log import EventSink
 
 # The file is small and read from memory; a change without a signal is in
 # force after this time.
@@ -26,18 +26,22 @@
         self,
         path: Path,
         read: Callable[[Path], Result[Settings, list[Finding]]],
+        known: Settings,
         on_change: Callable[[Settings], None],
-        log: EventLog,
+        log: EventSink,
     ) -> None:
         """:param read: decodes and checks the file.
 
+        :param known: settings that are in force.
         :param on_change: called with settings that differ from the last.
         """
         self._path = path
         self._read = read
+        self._known = known
         self._on_change = on_change
         self._log = log
-        self._bytes = self._read_bytes()
+        # The file may have changed since the known settings were read.
+        self._bytes: bytes | None = None
         self._asked = anyio.Event()
 
     def check_now(self) -> None:
@@ -60,14 +64,18 @@
         Settings that are invalid leave those before in force.
         """
         found = self._read_bytes()
-        if found is None or found == self._bytes:
-            if was_asked:
-                self._log.write('settings_unchanged')
-            return
-        self._bytes = found
+        if found is not None and found != self._bytes:
+            self._bytes = found
+            self._reload()
+        elif was_asked:
+            self._log.write('settings_unchanged')
+
+    def _reload(self) -> None:
         match self._read(self._path):
             case Result(tag='ok', ok=settings):
-                self._on_change(settings)
+                if settings != self._known:
+                    self._known = settings
+                    self._on_change(settings)
             case Result(error=findings):
                 self._log.write(
                     'settings_invalid',
--- a/peridotrill/gateway/stream_runs.py
+++ b/peridotrill/gateway/stream_runs.py
@@ -2,6 +2,7 @@
 
 from contextlib import closing
 from datetime import timedelta
+from http import HTTPStatus
 from typing import Final, NamedTuple, final
 
 from peridotrill.exceptions import (
@@ -18,12 +19,13 @@
 from peridotrill.gateway.requests import Prompt
 from peridotrill.gateway.serving import RequestRun
 from peridotrill.gateway.target_health import Failure
-from peridotrill.gateway.target_messages import RequestOptions, TargetReply
+from peridotrill.gateway.target_messages import TargetReply
 from peridotrill.gateway.target_port import TargetExchange
 from peridotrill.gateway.targets import TargetRecord, TargetRole
 
-_OK: Final = 200
+# Lowest status that is not a success.
 _FIRST_ERROR: Final = 300
+# Time below which an output is not begun: no event would come in time.
 _MIN_USEFUL_S: Final = 0.05
 # Time without an answer after which an engine counts as silent: several times
 # what a full queue takes.
@@ -100,13 +102,10 @@
         if place.target.role is not TargetRole.PREFILL:
             return place
         excluded.add(place.target.target_id)
-        prepared, was_sent = await _try_prefill(run, place)
+        prepared, was_sent = await _try_prefill(run, prompt, place)
         if prepared is not None:
             return prepared
-        if was_sent and not run.shared.budget.try_repeat(
-            run.service,
-            run.shared.quotas.gateways,
-        ):
+        if was_sent and not run.take_repeat():
             raise run.refuse('prefill_failed')
 
 
@@ -132,15 +131,18 @@
 
 async def _try_prefill(
     run: RequestRun,
+    prompt: Prompt,
     place: Place,
 ) -> tuple[PreparedPrompt | None, bool]:
     """Return the prepared prompt, and whether the target got the call."""
     target = place.target
     try:
-        handle = await _read_prompt(run, place)
+        handle = await _read_prompt(run, prompt, place)
     except TargetUnreachable as error:
         run.note_failure(target, Failure.UNREACHABLE, str(error))
         return None, False
+    except TargetSilent:
+        return None, True
     except (TargetOutcomeUnknown, CodecError) as error:
         run.note_failure(target, Failure.BROKEN, str(error))
         return None, True
@@ -152,25 +154,23 @@
     return PreparedPrompt(target, handle), True
 
 
-async def _read_prompt(run: RequestRun, place: Place) -> str | None:
+async def _read_prompt(
+    run: RequestRun,
+    prompt: Prompt,
+    place: Place,
+) -> str | None:
     """Have a prompt read; return its handle, or None if it was rejected."""
     shared = run.shared
     target = place.target
-    prompt = run.request.prompt
-    if prompt is None:
-        return None
     started_s = shared.clock.monotonic_s()
-    keeper = shared.placement.find_keeper(prompt, target.target_id)
+    source = shared.placement.find_part_holder(prompt, target.target_id)
     exchange = await shared.targets.send(
         run.request,
         target,
-        RequestOptions(
-            target.target_id,
-            run.team.name if run.team else None,
-            run.left_s() * 1000,
-            _engine_priority(run),
+        run.options(target)._replace(
+            priority=_engine_priority(run),
             role=TargetRole.PREFILL,
-            kv_fetch=None if keeper is None else str(keeper.address),
+            kv_fetch=None if source is None else str(source.address),
         ),
         may_repeat=True,
     )
@@ -183,7 +183,7 @@
             can_leave=True,
         )
         body = await exchange.read_body()
-    if reply.status != _OK:
+    if reply.status != HTTPStatus.OK:
         run.note_refused(target, reply)
         return None
     prefilled = shared.wire.decode_prefilled(body)
@@ -197,7 +197,7 @@
         part=None if prompt.main_part is None else prompt.main_part.part_id,
         estimate_ms=round(place.reading_ms),
         took_ms=round((shared.clock.monotonic_s() - started_s) * 1000),
-        fetch=None if keeper is None else keeper.target_id,
+        fetch=None if source is None else source.target_id,
     )
     return prefilled.handle
 
@@ -303,8 +303,7 @@
             return await self._generate(target)
         except TargetUnreachable as error:
             run.note_failure(target, Failure.UNREACHABLE, str(error))
-        except TargetSilent as error:
-            run.note_failure(target, Failure.BROKEN, str(error))
+        except TargetSilent:
             self._require_repeat()
         except TargetOutcomeUnknown as error:
             # An engine that breaks off an answer has most likely begun it.
@@ -326,11 +325,15 @@
             )
             run.note_load(target, reply)
             if reply.not_run:
-                return self._note_not_run(target, reply)
+                # The prompt may be gone from the engine that read it: the
+                # next engine reads what it lacks itself.
+                self._use_handle = False
+                run.settle_rejection(target, reply)
+                return False
             self.took_prompt = self._use_handle
             self._use_handle = False
             if not reply.is_genuine:
-                raise TargetOutcomeUnknown('no stamp')
+                raise TargetOutcomeUnknown('answer proves nothing')
             if reply.status >= _FIRST_ERROR:
                 return await self._pass_error(target, reply, exchange)
             await self._pass_events(reply, exchange)
@@ -353,11 +356,8 @@
         exchange = await run.shared.targets.send(
             run.request,
             target,
-            RequestOptions(
-                target.target_id,
-                run.team.name if run.team else None,
-                run.left_s() * 1000,
-                _engine_priority(run),
+            run.options(target)._replace(
+                priority=_engine_priority(run),
                 kv_source=source,
                 kv_fetch=fetch,
                 resume_after=self._last_id,
@@ -372,29 +372,11 @@
         run = self._run
         if run.request.prompt is None:
             return None
-        keeper = run.shared.placement.find_keeper(
+        holder = run.shared.placement.find_part_holder(
             run.request.prompt,
             target.target_id,
         )
-        return None if keeper is None else str(keeper.address)
-
-    def _note_not_run(
-        self,
-        target: TargetRecord,
-        reply: TargetReply,
-    ) -> bool:
-        run = self._run
-        run.note_refused(target, reply)
-        run.note_not_run()
-        # The prompt may be gone from the engine that read it: the next
-        # engine reads what it lacks itself.
-        self._use_handle = False
-        if not run.shared.budget.try_repeat(
-            run.service,
-            run.shared.quotas.gateways,
-        ):
-            raise run.refuse('targets_full')
-        return False
+        return None if holder is None else str(holder.address)
 
     async def _pass_error(
         self,
--- a/peridotrill/gateway/target_health.py
+++ b/peridotrill/gateway/target_health.py
@@ -10,7 +10,9 @@
 _DECAY_S: Final = 1.5
 # Penalty from which a target is used only if all others are worse.
 _AVOIDED: Final = 0.8
+# A success takes a fifth of the penalty.
 _SUCCESS_FACTOR: Final = 0.8
+# Bounds the time that a target is avoided to three seconds.
 _MAX_PENALTY: Final = 6.0
 
 
@@ -19,6 +21,8 @@
 
     UNREACHABLE = 1.0
     SILENT = 1.01
+    # Silent, and its request went elsewhere: it also counts as broken.
+    ABANDONED = 1.51
     BROKEN = 0.5
     ERROR = 0.2
     REFUSED = 0.3
--- a/peridotrill/gateway/target_messages.py
+++ b/peridotrill/gateway/target_messages.py
@@ -37,7 +37,8 @@
 class TargetReply(NamedTuple):
     """What the head of a response proves.
 
-    ``is_genuine`` tells that a target answered, ``not_run`` that it did not
+    ``is_genuine`` tells that a target answered, and that its status says
+    nothing of the run that it does not prove; ``not_run`` that it did not
     work on the request, ``is_other_target`` that the address now belongs to
     another target.
     """
--- a/peridotrill/gateway/team_quotas.py
+++ b/peridotrill/gateway/team_quotas.py
@@ -19,6 +19,7 @@
 
 # A peer without reports for longer than this is taken to spend its share.
 PEER_STALE_S: Final = 0.6
+# Callers wait for a third of their time at most.
 _MAX_RETRY_AFTER_S: Final = 5.0
 # Not before the next reports of the other gateways have arrived.
 _MIN_RETRY_AFTER_S: Final = 0.15
--- a/peridotrill/gateway/true_time.py
+++ b/peridotrill/gateway/true_time.py
@@ -1,5 +1,6 @@
 """Wall-clock time that survives steps of a machine's clock."""
 
+import math
 import statistics
 from typing import Final, final
 
@@ -39,6 +40,11 @@
         return self._clock.monotonic_s() + self._own_offset_s
 
     def observe_peer(self, peer: str, unix_s: float) -> None:
-        """Take over what another machine believes to be the time."""
+        """Take over what another machine believes to be the time.
+
+        Anything but a time is dropped: it would spoil the median.
+        """
+        if not math.isfinite(unix_s):
+            return
         now_s = self._clock.monotonic_s()
         self._peers[peer] = (now_s, unix_s - now_s)
--- a/peridotrill/gateway/usage_archive.py
+++ b/peridotrill/gateway/usage_archive.py
@@ -9,14 +9,14 @@
 
 import msgspec
 
-from peridotrill.clock import Clock
 from peridotrill.exceptions import AppendUnknown, CodecError, LogUnavailable
 from peridotrill.gateway.event_log import EventLog
+from peridotrill.gateway.store_follower import Page
 from peridotrill.gateway.usage_counts import Counts, UsageCounts
 
 # Counts of this time are lost at most when all gateways stop at once. Each
 # writing is a call of the store.
-_SAVE_INTERVAL: Final = timedelta(seconds=0.5)
+SAVE_INTERVAL: Final = timedelta(seconds=0.5)
 # A record of the store holds 256 KiB; less leaves room for its key.
 _MAX_BYTES: Final = 200 * 1024
 KEY: Final = 'counts'
@@ -24,18 +24,10 @@
 _decoder: Final = msgspec.msgpack.Decoder(dict[str, Counts])
 
 
-class Row(Protocol):
-    """Records of a keyed topic."""
-
-    @property
-    def rows(self) -> list[tuple[str, bytes]]:
-        """Key and content of each record."""
-
-
 class UsageTopic(Protocol):
     """The topic of the store that holds the newest snapshot."""
 
-    async def newest(self) -> Row:
+    async def newest(self) -> Page:
         """Read the newest records; raises LogUnavailable."""
 
     async def put(self, key: str, content: bytes) -> None:
@@ -51,17 +43,14 @@
         process: str,
         counts: UsageCounts,
         topic: UsageTopic,
-        clock: Clock,
         log: EventLog,
     ) -> None:
         """:param process: name of this process in reports."""
         self._process = process
         self._counts = counts
         self._topic = topic
-        self._clock = clock
         self._log = log
         self._saved = b''
-        self._saved_s = float('-inf')
 
     async def load(self) -> bool:
         """Merge what is in the store; tell whether it could be read."""
@@ -75,11 +64,7 @@
         return True
 
     async def save(self) -> None:
-        """Write the counts if they changed, a few times per second."""
-        now_s = self._clock.monotonic_s()
-        if now_s - self._saved_s < _SAVE_INTERVAL.total_seconds():
-            return
-        self._saved_s = now_s
+        """Write the counts if they changed; to be called each SAVE_INTERVAL."""
         snapshot = self._counts.snapshot(self._process)
         content = msgspec.msgpack.encode(snapshot)
         if content == self._saved:
--- a/peridotrill/gateway/usage_duty.py
+++ b/peridotrill/gateway/usage_duty.py
@@ -60,7 +60,6 @@
             if not await self._archive.load():
                 return
             self._loaded_fence = lease.fence
-        await self._archive.save()
         present = self._counts.present_window()
         for window in range(present - 4, present):
             age_s = self._counts.window_age_s(window)
@@ -69,6 +68,12 @@
                 await self._report(window)
         self._reported = {row for row in self._reported if row > present - 10}
 
+    @property
+    def is_loaded(self) -> bool:
+        """Tell whether the archive was read under the lease that is held."""
+        lease = self._coordinator.held_lease(timedelta(0))
+        return lease is not None and lease.fence == self._loaded_fence
+
     async def _report(self, window: int) -> None:
         if self._coordinator.held_lease(ACT_MARGIN) is None:
             return
--- a/peridotrill/gateway_followers.py
+++ b/peridotrill/gateway_followers.py
@@ -29,11 +29,14 @@
 # How long the store holds a read without news. Twice this is the greatest
 # age of the configuration while all is well.
 _CONFIG_WAIT: Final = timedelta(seconds=1.2)
+# Records of targets change about once per second.
 _TARGETS_WAIT: Final = timedelta(seconds=1.5)
 # Targets write often; reading them together saves calls. Part of the time for
 # which a leaving target still serves.
 _TARGETS_PAUSE_PART: Final = 0.3
+# A configuration must be in force soon after it is written.
 _NO_PAUSE: Final = timedelta(0)
+# The addresses are needed once, while the store may be away.
 _MEMBER_RETRY_S: Final = 0.5
 
 
--- a/peridotrill/logs.py
+++ b/peridotrill/logs.py
@@ -2,7 +2,7 @@
 
 import logging
 import sys
-from typing import Any, TextIO
+from typing import Any, Protocol
 
 from pythonjsonlogger.core import BaseJsonFormatter
 
@@ -11,6 +11,16 @@
 _LOGGER_NAME = 'peridotrill'
 
 
+class TextOutput(Protocol):
+    """Where lines are written to."""
+
+    def write(self, text: str, /) -> Any:
+        """Write a line."""
+
+    def flush(self) -> Any:
+        """Pass written lines on."""
+
+
 class KeyValueFormatter(BaseJsonFormatter):
     """Formats the fields of a record as ``key=value`` pairs on one line."""
 
@@ -35,7 +45,7 @@
 def configure_logging(
     process: str,
     level: str = 'INFO',
-    stream: TextIO | None = None,
+    stream: TextOutput | None = None,
 ) -> logging.Logger:
     """Send the events of this process to a stream.
 
--- a/peridotrill/platform/duties.py
+++ b/peridotrill/platform/duties.py
@@ -1,5 +1,6 @@
 """Calls that one process at a time makes to the platform."""
 
+from http import HTTPStatus
 from typing import Final, final
 
 import anyio
@@ -9,7 +10,7 @@
 from peridotrill.gateway.target_port import ConnectionPool
 from peridotrill.platform import names
 
-_OK: Final = 200
+# Reports come every few seconds; an older connection may be closed.
 _MAX_IDLE_S: Final = 2.0
 
 
@@ -59,4 +60,4 @@
         except (TargetOutcomeUnknown, TargetUnreachable) as error:
             return str(error)
         status = answer.head.status
-        return 'ok' if status == _OK else f'status {status}'
+        return 'ok' if status == HTTPStatus.OK else f'status {status}'
--- a/peridotrill/platform/engine_orders.py
+++ b/peridotrill/platform/engine_orders.py
@@ -1,5 +1,6 @@
 """Orders to engines, conditional on the number of orders before."""
 
+from http import HTTPStatus
 from typing import Any, Final, final
 
 from peridotrill.codec import decode_json, encode_json
@@ -12,8 +13,7 @@
 from peridotrill.gateway.targets import TargetRecord, TargetRole
 from peridotrill.platform.engine_calls import EngineCalls
 
-_ACCEPTED_STATUSES: Final = frozenset((200, 202))
-_OK: Final = 200
+_ACCEPTED_STATUSES: Final = frozenset((HTTPStatus.OK, HTTPStatus.ACCEPTED))
 
 
 @final
@@ -54,7 +54,7 @@
         fence: int,
     ) -> str:
         answer = await self._calls.send(target, b'GET', b'/-/report')
-        if answer.head.status != _OK:
+        if answer.head.status != HTTPStatus.OK:
             return f'report {answer.head.status}'
         report: Any = decode_json(answer.body)
         if report['stage'] == role.value or report.get('busy') is True:
--- a/peridotrill/platform/engine_parts.py
+++ b/peridotrill/platform/engine_parts.py
@@ -1,5 +1,6 @@
 """Lists the parts of prompts that an engine keeps."""
 
+from http import HTTPStatus
 from typing import Any, Final, final
 
 from peridotrill.codec import decode_json
@@ -8,7 +9,6 @@
 from peridotrill.gateway.targets import TargetRecord
 from peridotrill.platform.engine_calls import EngineCalls
 
-_OK: Final = 200
 # What a listing of another shape raises while it is decoded.
 _UNUSABLE: Final = (LookupError, TypeError, ValueError, ArithmeticError)
 
@@ -27,7 +27,7 @@
         Raises TimeoutError, TargetError, CodecError.
         """
         answer = await self._calls.send(target, b'GET', b'/-/kv-list')
-        if answer.head.status != _OK:
+        if answer.head.status != HTTPStatus.OK:
             raise TargetOutcomeUnknown(f'status {answer.head.status}')
         return decode_parts(target.target_id, answer.body)
 
--- a/peridotrill/platform/store.py
+++ b/peridotrill/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import struct
+from http import HTTPStatus
 from typing import Any, Final, NamedTuple, final
 from urllib.parse import quote
 
@@ -18,9 +19,6 @@
 )
 from peridotrill.gateway.target_port import ConnectionPool, Response
 
-_OK: Final = 200
-_GONE: Final = 410
-_PRECONDITION_FAILED: Final = 412
 # What an answer of another shape raises while it is decoded.
 _UNUSABLE: Final = (
     CodecError,
@@ -133,7 +131,7 @@
             b'',
             wait_s,
         )
-        if response.head.status == _GONE:
+        if response.head.status == HTTPStatus.GONE:
             first = _decode(response).get('first')
             raise RecordsExpired(f'{topic} at {start}', first)
         _require_ok(response)
@@ -192,7 +190,7 @@
             raise AppendUnknown(f'no answer: {error}') from error
         except TargetUnreachable as error:
             raise LogUnavailable(str(error)) from error
-        if response.head.status == _PRECONDITION_FAILED:
+        if response.head.status == HTTPStatus.PRECONDITION_FAILED:
             return AppendResult(False, _decode_offset(response, 'end'))
         _require_ok(response)
         return AppendResult(True, _decode_offset(response, 'offset'))
@@ -254,7 +252,7 @@
 
 
 def _require_ok(response: Response) -> None:
-    if response.head.status != _OK:
+    if response.head.status != HTTPStatus.OK:
         raise LogUnavailable(f'status {response.head.status}')
 
 
--- a/peridotrill/platform/wire.py
+++ b/peridotrill/platform/wire.py
@@ -2,11 +2,13 @@
 
 import math
 import re
+from http import HTTPStatus
 from typing import Any, Final
 
 from peridotrill.codec import decode_json
 from peridotrill.exceptions import CodecError
 from peridotrill.gateway.callers_port import RawRequest
+from peridotrill.gateway.refusals import PROMISES_NOT_RUN
 from peridotrill.gateway.requests import (
     CallerRequest,
     Headers,
@@ -23,7 +25,6 @@
 from peridotrill.platform import names
 
 _BEARER: Final = b'bearer '
-_MISDIRECTED: Final = 421
 # What a document of another shape raises while it is decoded.
 _UNUSABLE: Final = (KeyError, TypeError, ValueError, ArithmeticError)
 # Far above any prompt; keeps sums of counts exact.
@@ -112,12 +113,15 @@
 
 def decode_reply(head: ResponseHead) -> TargetReply:
     """Decode the head of a target's response."""
-    other = head.status == _MISDIRECTED
+    other = head.status == HTTPStatus.MISDIRECTED_REQUEST
+    not_run = head.get(names.NOT_RUN) is not None or other
+    has_stamp = head.get(names.ENGINE_STAMP) is not None
     return TargetReply(
         status=head.status,
         headers=[row for row in head.headers if row[0] not in _NOT_RETURNED],
-        is_genuine=head.get(names.ENGINE_STAMP) is not None,
-        not_run=head.get(names.NOT_RUN) is not None or other,
+        is_genuine=has_stamp
+        and (not_run or head.status not in PROMISES_NOT_RUN),
+        not_run=not_run,
         is_other_target=other,
         load=_decode_load(head.get(names.ENGINE_LOAD)),
     )
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -20,7 +20,8 @@
     ``plan`` holds the faults of the next requests, one each: ``shed``
     (503, not run), ``reset`` (runs, then closes), ``error`` (500), ``late``
     (an answer to another request goes before), ``cut`` (breaks off after two
-    events), ``half`` (the same, with a regular end of the body), ``silent`` (runs and never answers), ``unstamped``.
+    events), ``half`` (the same, with a regular end of the body), ``silent`` (runs and never answers),
+    ``unstamped``, ``false_refusal`` (runs, then 503).
     """
 
     def __init__(self, target_id, service, zone, role=None) -> None:
@@ -104,12 +105,16 @@
             await asyncio.Event().wait()
         await asyncio.sleep(self.work_s)
         head = self._stamped(request_id)
+        whole = {
+            'error': (_ERROR, head, b'failed'),
+            'false_refusal': (_UNAVAILABLE, head, b''),
+            'unstamped': (_OK, self._echo(request_id), b'not the answer'),
+        }
+        answer = whole.get(fault)
         if fault == 'reset':
             responder.abort()
-        elif fault == 'error':
-            responder.send(_ERROR, head, b'failed')
-        elif fault == 'unstamped':
-            responder.send(_OK, self._echo(request_id), b'not the answer')
+        elif answer:
+            responder.send(*answer)
         elif self.role is None:
             if fault == 'late':
                 responder.send(_OK, self._stamped('another'), b'not yours')
--- /dev/null
+++ b/tests/test_gateway_log.py
@@ -0,0 +1,74 @@
+"""The log of a gateway: whole lines, bounded, never waited for."""
+
+import os
+
+import pytest
+
+from peridotrill.clock import ManualClock
+from peridotrill.gateway.event_log import BUFFER_BYTES, EventLog, LineOutput
+from peridotrill.logs import configure_logging
+from tests.gateway_builders import advance
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def read_all(reader):
+    parts = []
+    while True:
+        try:
+            parts.append(os.read(reader, 1 << 20))
+        except BlockingIOError:
+            return b''.join(parts)
+
+
+def test_reader_that_does_not_read_costs_lines_not_time(pipe):
+    # Guards against a gateway that stands still because nobody reads its log.
+    reader, writer = pipe
+    output = LineOutput(writer)
+    line = 'x' * 999 + '\n'
+    for _ in range(1000):
+        output.write(line)
+        output.flush()
+    assert output.dropped_lines > 0
+    kept = read_all(reader)
+    output.flush()
+    kept += read_all(reader)
+    # Only whole lines, and all that were not dropped.
+    assert kept == line.encode() * (1000 - output.dropped_lines)
+    assert len(kept) >= BUFFER_BYTES
+    output.write('again\n')
+    output.flush()
+    assert read_all(reader) == b'again\n'
+
+
+def test_reader_that_is_gone_ends_nothing():
+    reader, writer = os.pipe()
+    output = LineOutput(writer)
+    os.close(reader)
+    output.write('line\n')
+    output.flush()
+    assert output.dropped_lines == 1
+    os.close(writer)
+
+
+def test_repeated_lines_are_counted_instead_of_written(pipe):
+    reader, writer = pipe
+    clock = ManualClock()
+    output = LineOutput(writer)
+    log = EventLog(configure_logging('n', 'INFO', output), clock, output)
+    for number in range(400):
+        log.write('attempt_failed', number=number)
+    advance(clock, 1)
+    log.write('attempt_failed')
+    lines = read_all(reader).decode().splitlines()
+    assert len(lines) == 302
+    assert 'event=lines_suppressed' in lines[300]
+    assert 'count=100' in lines[300]
+    assert log.lost_lines == 100
--- a/tests/test_gateway_reporting.py
+++ b/tests/test_gateway_reporting.py
@@ -224,6 +224,16 @@
     assert parts.has('i-1', 'p299')
 
 
+def test_listing_is_bounded_and_has_what_was_used_last():
+    parts = PartDirectory(10**9)
+    for engine in range(10):
+        for number in range(50):
+            parts.record(PartReading(f'p{number}', f'i-{engine}', 1000))
+    listed = parts.listing(100)
+    assert len(listed) == 100
+    assert {row.part_id for row in listed} == {f'p{n}' for n in range(40, 50)}
+
+
 def test_engines_are_asked_once_after_the_loss_of_all_gateways():
     engines = ('i-1', 'i-2', 'i-3', 'i-dark')
     asked = []
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -430,6 +430,15 @@
     assert call(gateway, '/pay/x', 'after').status_code == 200
 
 
+def test_refusal_of_a_target_that_does_not_prove_it_promises_nothing(
+    site, gateway, request_id
+):
+    # Guards against a payment that runs, is answered 503 and is sent again.
+    site.plan('till', 'false_refusal')
+    assert call(gateway, '/pay/x', request_id).status_code == 502
+    assert len(site.runs(request_id)) == 1
+
+
 def test_requests_that_cannot_be_read_are_logged(site, gateway):
     # Guards against refusals of which the logs show nothing.
     with socket.create_connection(
