Tell nothing of quotas while nothing is known of them

A process now tells what was spent only if it is older than the window, has started first, or was told.

--- a/peridotrill/gateway/team_quotas.py
+++ b/peridotrill/gateway/team_quotas.py
@@ -167,9 +167,13 @@
     def used(self) -> dict[str, list[float]]:
         """Return what all gateways used in the last window.
 
-        :return: by team, the amounts by age in whole seconds.
+        :return: by team, the amounts by age in whole seconds; nothing while
+            this process itself has to assume what was used before its start.
         """
         now_s = self._clock.monotonic_s()
+        is_old = now_s - self._started_s >= self._window_s
+        if not (self._is_first_start or is_old or self._told_used):
+            return {}
         self._update_all(now_s)
         return {
             name: window.profile(now_s)
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -263,6 +263,25 @@
     assert spent + admitted <= _RATE * _WINDOW_S + _BURST
 
 
+def test_processes_that_know_nothing_tell_nothing():
+    # Guards against assumptions that gateways which all have just started
+    # take from each other and that last longer each time.
+    clock = ManualClock()
+    limited = team(rate_per_s=_RATE, burst=_BURST)
+    advance(clock, 100)
+    nodes = [TeamQuotas(clock, _WINDOW) for _ in range(2)]
+    for quotas in nodes:
+        quotas.configure({limited.name: limited})
+    assert nodes[0].used() == {}
+    advance(clock, _WINDOW_S)
+    assert nodes[0].used() != {}
+    # One that was told may tell others.
+    late = TeamQuotas(clock, _WINDOW)
+    late.configure({limited.name: limited})
+    late.adopt_used(nodes[0].used())
+    assert late.used() != {}
+
+
 def test_restarted_gateway_does_not_spend_what_was_spent_before():
     # Guards against a limit that is had twice because processes restart.
     clock = ManualClock()
