Log the ends of target processes and the prompts of broken attempts

The logs could not tell whether engines that crash one after the other do so under one request that is sent again, under different requests with something in common, or under load. attempt_failed now names the shared parts of the prompt and the number of events received; target_crashed says that a process has ended (it refuses connections, another process answers at its address, or its record changed) and how many attempts broke with it. A break alone does not prove an end, so the gateway opens one connection to each target that broke attempts.

Requests are handled as before.

--- a/peridotrill/exceptions.py
+++ b/peridotrill/exceptions.py
@@ -70,6 +70,10 @@
     """No connection to the target could be opened; nothing was sent."""
 
 
+class TargetRefused(TargetUnreachable):
+    """The address of the target refuses connections: no process listens."""
+
+
 class TargetOutcomeUnknown(TargetError):
     """The call may have run at the target; its response was lost."""
 
--- a/peridotrill/gateway/components.py
+++ b/peridotrill/gateway/components.py
@@ -15,6 +15,7 @@
 from peridotrill.gateway.target_messages import WireCodec
 from peridotrill.gateway.team_quotas import TeamQuotas
 from peridotrill.gateway.usage_counts import UsageCounts
+from peridotrill.target_crashes import CrashDetector
 
 
 class GatewayComponents(NamedTuple):
@@ -26,6 +27,7 @@
     targets: TargetHttpClient
     placement: Placement
     health: TargetHealth
+    crashes: CrashDetector
     loads: LoadTracker
     demand: DemandMeter
     quotas: TeamQuotas
--- a/peridotrill/gateway/metrics.py
+++ b/peridotrill/gateway/metrics.py
@@ -48,6 +48,10 @@
     'peridotrill_lost_log_lines',
     'Lines that were suppressed above a rate, or dropped for a slow reader',
 )
+TARGET_CRASHES: Final = Gauge(
+    'peridotrill_target_crashes',
+    'Target processes that ended while they ran requests, since the start',
+)
 LEASE_HELD: Final = Gauge(
     'peridotrill_coordinator',
     'Whether this process holds the lease of the coordinator',
--- a/peridotrill/gateway/plain_requests.py
+++ b/peridotrill/gateway/plain_requests.py
@@ -75,7 +75,7 @@
     try:
         response, body = await _exchange(context, target)
     except TargetUnreachable as error:
-        context.record_attempt_failure(target, Failure.UNREACHABLE, str(error))
+        context.record_unreachable(target, error)
         return None, b''
     except TargetOutcomeUnknown as error:
         if not isinstance(error, TargetTimeout):
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -1,12 +1,19 @@
 """State of one admitted request, and handling of its failed attempts."""
 
 from datetime import timedelta
+from functools import partial
 from http import HTTPStatus
 from typing import Final, final
 
 import anyio
 
-from peridotrill.exceptions import TargetTimeout
+from peridotrill.exceptions import (
+    CodecError,
+    TargetOutcomeUnknown,
+    TargetRefused,
+    TargetTimeout,
+    TargetUnreachable,
+)
 from peridotrill.gateway.admission_queue import (
     Reservation,
     ReservationFinder,
@@ -23,6 +30,7 @@
 from peridotrill.gateway.target_health import Failure
 from peridotrill.gateway.target_messages import RequestOptions, TargetResponse
 from peridotrill.gateway.targets import TargetRecord, TargetRole
+from peridotrill.target_crashes import Exposure
 
 # Retry-After in seconds if there is no better estimate.
 DEFAULT_RETRY_AFTER_S: Final = 0.5
@@ -37,6 +45,9 @@
 # time, in which its record is expected to be updated.
 _WRONG_TARGET_SUSPENSION: Final = timedelta(seconds=1.5)
 
+# A prompt is harmless to an engine that goes on after its first output event.
+HARMLESS_EVENTS: Final = 2
+
 
 @final
 class RequestContext:
@@ -265,8 +276,12 @@
         target: TargetRecord,
         failure: Failure,
         detail: str,
+        **fields: str | int | None,
     ) -> None:
-        """Log a failed attempt and record it in the health of the target."""
+        """Log a failed attempt and record it in the health of the target.
+
+        :param fields: further fields of the log line.
+        """
         self.shared.health.record_failure(target.target_id, failure)
         ATTEMPTS.labels(self.service, failure.name.lower()).inc()
         self.shared.log.write(
@@ -276,7 +291,48 @@
             failure=failure.name.lower(),
             detail=detail,
             left_ms=round(self.remaining_s() * 1000),
+            **fields,
+        )
+
+    def record_unreachable(
+        self, target: TargetRecord, error: TargetUnreachable
+    ) -> None:
+        """Record that no connection to a target could be opened."""
+        self.record_attempt_failure(target, Failure.UNREACHABLE, str(error))
+        if isinstance(error, TargetRefused):
+            self.shared.crashes.record_end(target.process, 'connection refused')
+
+    def record_broken_output(
+        self,
+        target: TargetRecord,
+        error: TargetOutcomeUnknown | CodecError,
+        sent_s: float,
+        events: int = 0,
+    ) -> None:
+        """Record that a model engine broke off, and check whether it runs.
+
+        :param sent_s: when the request was sent to the engine.
+        :param events: number of events that the engine had sent.
+        """
+        prompt = self.request.prompt
+        parts = () if prompt is None else prompt.shared_part_ids
+        self.record_attempt_failure(
+            target,
+            Failure.BROKEN,
+            str(error),
+            events=events,
+            parts=','.join(parts) or None,
         )
+        exposure = None
+        if parts and events < HARMLESS_EVENTS:
+            exposure = Exposure(parts, sent_s)
+        crashes = self.shared.crashes
+        if crashes.record_broken(target.process, exposure):
+            self.shared.start_task(
+                crashes.check,
+                target.process,
+                partial(self.shared.targets.is_refused, target),
+            )
 
     def record_rejection(
         self, target: TargetRecord, response: TargetResponse
@@ -291,6 +347,9 @@
                 target.target_id,
                 _WRONG_TARGET_SUSPENSION,
             )
+            self.shared.crashes.record_end(
+                target.process, 'another process answers'
+            )
         self.record_attempt_failure(
             target, Failure.REFUSED, f'status {response.status}'
         )
--- a/peridotrill/gateway/requests.py
+++ b/peridotrill/gateway/requests.py
@@ -35,6 +35,11 @@
         """Number of tokens in parts that other requests may share."""
         return sum(part.tokens for part in self.parts[:-1])
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Ids of the parts that other requests may share."""
+        return tuple(part.part_id for part in self.parts[:-1])
+
     @property
     def main_part(self) -> PromptPart | None:
         """The largest shared part, which determines the prefill engine."""
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -148,15 +148,16 @@
 ) -> tuple[RemotePrompt | None, bool]:
     """Return the prefilled prompt, and whether the call was sent."""
     target = reservation.target
+    sent_s = context.shared.clock.monotonic_s()
     try:
         handle = await _send_prefill(context, prompt, reservation)
     except TargetUnreachable as error:
-        context.record_attempt_failure(target, Failure.UNREACHABLE, str(error))
+        context.record_unreachable(target, error)
         return None, False
     except TargetTimeout:
         return None, True
     except (TargetOutcomeUnknown, CodecError) as error:
-        context.record_attempt_failure(target, Failure.BROKEN, str(error))
+        context.record_broken_output(target, error, sent_s)
         return None, True
     finally:
         context.shared.placement.release(reservation, context.service)
@@ -263,6 +264,9 @@
         self._target: TargetRecord | None = None
         self._last_id = context.request.resume_after
         self._events = 0
+        # Time and number of events of the current attempt.
+        self._sent_s = 0.0
+        self._attempt_events = 0
         self._use_handle = remote_prompt is not None
         self.is_prompt_taken = False
 
@@ -323,16 +327,16 @@
         try:
             return await self._generate(target)
         except TargetUnreachable as error:
-            context.record_attempt_failure(
-                target, Failure.UNREACHABLE, str(error)
-            )
+            context.record_unreachable(target, error)
         except TargetTimeout:
             self._require_retry()
         except TargetOutcomeUnknown as error:
             # An engine whose response broke off has most likely started the
             # request.
             context.count_usage()
-            context.record_attempt_failure(target, Failure.BROKEN, str(error))
+            context.record_broken_output(
+                target, error, self._sent_s, self._attempt_events
+            )
             self._require_retry()
         return False
 
@@ -369,6 +373,8 @@
 
     async def _send(self, target: TargetRecord) -> TargetExchange:
         context = self._context
+        self._sent_s = context.shared.clock.monotonic_s()
+        self._attempt_events = 0
         source = None
         fetch = None
         if self._remote_prompt is not None and self._use_handle:
@@ -461,6 +467,7 @@
                 )
         context.responder.send_chunk(content)
         self._events += 1
+        self._attempt_events += 1
         if event_id is not None:
             self._last_id = event_id
 
--- a/peridotrill/gateway/target_connections.py
+++ b/peridotrill/gateway/target_connections.py
@@ -16,7 +16,11 @@
 
 import httptools
 
-from peridotrill.exceptions import TargetOutcomeUnknown, TargetUnreachable
+from peridotrill.exceptions import (
+    TargetOutcomeUnknown,
+    TargetRefused,
+    TargetUnreachable,
+)
 from peridotrill.gateway.http_format import format_head
 from peridotrill.gateway.requests import Headers
 from peridotrill.settings import Address
@@ -409,7 +413,7 @@
     timeout_s: float,
     on_idle: Callable[[TargetConnection], None],
 ) -> TargetConnection:
-    """Connect to a target; raises TargetUnreachable.
+    """Connect to a target; raises TargetUnreachable or TargetRefused.
 
     :param timeout_s: timeout for the connection attempt.
     :param on_idle: called when the connection can be reused.
@@ -424,6 +428,8 @@
             )
     except TimeoutError as error:
         raise TargetUnreachable('connect timeout') from error
+    except ConnectionRefusedError as error:
+        raise TargetRefused(f'connect failed: {error}') from error
     except OSError as error:
         raise TargetUnreachable(f'connect failed: {error}') from error
     return connection
@@ -456,11 +462,11 @@
         connection = self._pop_idle(max_idle_s)
         if connection is not None:
             return connection
-        return await open_connection(
-            self.address,
-            self._connect_timeout_s,
-            self._release,
-        )
+        return await self._open()
+
+    async def check(self) -> None:
+        """Open another connection; raises TargetUnreachable."""
+        self._release(await self._open())
 
     def close(self) -> None:
         """Close idle connections; those in use are closed after use."""
@@ -468,6 +474,13 @@
         while self._idle:
             self._idle.pop().abort('pool closed')
 
+    async def _open(self) -> TargetConnection:
+        return await open_connection(
+            self.address,
+            self._connect_timeout_s,
+            self._release,
+        )
+
     def _pop_idle(self, max_idle_s: float) -> TargetConnection | None:
         now_s = self._now_s()
         while self._idle:
--- a/peridotrill/gateway/target_http_client.py
+++ b/peridotrill/gateway/target_http_client.py
@@ -6,7 +6,11 @@
 import anyio
 
 from peridotrill.clock import Clock
-from peridotrill.exceptions import TargetTimeout
+from peridotrill.exceptions import (
+    TargetRefused,
+    TargetTimeout,
+    TargetUnreachable,
+)
 from peridotrill.gateway.requests import CallerRequest
 from peridotrill.gateway.target_connections import (
     ConnectionPool,
@@ -99,14 +103,27 @@
             return
         raise TargetTimeout('no response to the release of a prompt')
 
+    async def is_refused(self, target: TargetRecord) -> bool:
+        """Open a connection; return whether it was refused.
+
+        A target that does not respond may still be running.
+        """
+        try:
+            await self._pool(target).check()
+        except TargetRefused:
+            return True
+        except TargetUnreachable:
+            return False
+        return False
+
     def forget(self, target: TargetRecord) -> None:
         """Close the idle connections of a target that was removed."""
-        pool = self._pools.pop(_pool_key(target), None)
+        pool = self._pools.pop(target.process, None)
         if pool is not None:
             pool.close()
 
     def _pool(self, target: TargetRecord) -> ConnectionPool:
-        key = _pool_key(target)
+        key = target.process
         pool = self._pools.get(key)
         if pool is None:
             pool = ConnectionPool(
@@ -117,7 +134,3 @@
             )
             self._pools[key] = pool
         return pool
-
-
-def _pool_key(target: TargetRecord) -> str:
-    return f'{target.target_id}@{target.address}/{target.started_ms}'
--- a/peridotrill/gateway/targets.py
+++ b/peridotrill/gateway/targets.py
@@ -30,3 +30,8 @@
     is_draining: bool
     role: TargetRole | None
     started_ms: int
+
+    @property
+    def process(self) -> str:
+        """Identifier of this incarnation of the target at its address."""
+        return f'{self.target_id}@{self.address}/{self.started_ms}'
--- a/peridotrill/gateway_main.py
+++ b/peridotrill/gateway_main.py
@@ -41,6 +41,7 @@
     LEASE_HELD,
     LOST_LOG_LINES,
     STORE_CALLS,
+    TARGET_CRASHES,
 )
 from peridotrill.gateway.part_sharing import PartSharing
 from peridotrill.gateway.peers import PeerExchange
@@ -88,6 +89,7 @@
     Address,
     load_settings,
 )
+from peridotrill.target_crashes import CrashDetector
 
 # Timeout of one call to the store, excluding the long-poll time.
 _STORE_TIMEOUT_S: Final = 1.0
@@ -148,6 +150,7 @@
         )
         self._loads = LoadTracker(self._clock)
         self._health = TargetHealth(self._clock)
+        self._crashes = CrashDetector(self._clock, self._log)
         self._demand = DemandMeter(self._clock)
         self._quotas = TeamQuotas(
             self._clock,
@@ -273,6 +276,7 @@
                 targets=self._targets,
                 placement=self._placement,
                 health=self._health,
+                crashes=self._crashes,
                 loads=self._loads,
                 demand=self._demand,
                 quotas=self._quotas,
@@ -399,6 +403,7 @@
         CONFIG_AGE_S.set(self._cluster_state.config_age_s() or -1)
         STORE_CALLS.set(self._store.calls)
         LOST_LOG_LINES.set(self._log.lost_lines)
+        TARGET_CRASHES.set(self._crashes.crashes)
         held = self._coordinator.held_lease(timedelta(0))
         LEASE_HELD.set(0 if held is None else 1)
 
@@ -412,6 +417,7 @@
     def _on_target_gone(self, target: TargetRecord) -> None:
         self._targets.forget(target)
         self._health.forget(target.target_id)
+        self._crashes.record_end(target.process, 'record replaced or removed')
         self._placement.parts.forget(target.target_id)
 
     async def _wait_for_stop(self) -> None:
