--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -31,6 +31,9 @@
     - ``unstamped``: omits the engine stamp from the response
     - ``false_refusal``: runs the request, then responds 503 as if it
       had not run, but without ``X-Peridotrill-Not-Run``
+
+    Independent of the plan, the engine crashes when it begins to respond to a
+    prompt that contains ``deadly_part``.
     """
 
     def __init__(self, target_id, service, zone, role=None) -> None:
@@ -39,6 +42,7 @@
         self.service = service
         self.zone = zone
         self.role = role
+        self.started_ms = 1700000000000
         self.plan: list[str] = []
         self.default_fault = ''
         self.processing_s = 0.01
@@ -53,8 +57,23 @@
         self.orders: list[dict] = []
         # Number of role orders to execute without a response.
         self.order_responses_to_drop = 0
+        self.deadly_part = ''
+        self.crashes = 0
+        self.crashed = asyncio.Event()
+        self._responders: set = set()
         self._handles = itertools.count(1)
 
+    def restart(self) -> None:
+        """Start again after a crash, under the same id."""
+        self.started_ms += 1
+        self.crashed.clear()
+
+    def _crash(self) -> None:
+        self.crashes += 1
+        self.crashed.set()
+        for responder in list(self._responders):
+            responder.abort()
+
     def record(self, address, state='ready', **changes) -> bytes:
         """Return the registration record of the engine."""
         content = {
@@ -66,7 +85,7 @@
             'state': state,
             'cold-left-ms': 0,
             'seq': 1,
-            'born': 1700000000000,
+            'born': self.started_ms,
         }
         if self.role is not None:
             content['stage'] = self.role
@@ -74,6 +93,16 @@
 
     async def handle(self, request, responder) -> None:
         """Handle one request."""
+        if self.crashed.is_set():
+            responder.abort()
+            return
+        self._responders.add(responder)
+        try:
+            await self._handle(request, responder)
+        finally:
+            self._responders.discard(responder)
+
+    async def _handle(self, request, responder) -> None:
         headers = {
             name.decode(): content.decode() for name, content in request.headers
         }
@@ -117,6 +146,9 @@
         if fault == 'silent':
             await asyncio.Event().wait()
         await asyncio.sleep(self.processing_s)
+        if self.deadly_part and self.deadly_part in _part_ids(headers):
+            self._crash()
+            return
         response_headers = self._stamped_headers(request_id)
         fault_responses = {
             'error': (_INTERNAL_SERVER_ERROR, response_headers, b'failed'),
@@ -198,6 +230,11 @@
         return [*self._request_id_headers(request_id), stamp]
 
 
+def _part_ids(headers) -> set[str]:
+    rows = headers.get('x-peridotrill-prompt-prefix', '').split(',')
+    return {row.partition(':')[0] for row in rows}
+
+
 class UsageReceiver:
     """Stand-in for the platform endpoint that receives usage reports."""
 
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -10,6 +10,7 @@
 from contextlib import AsyncExitStack, contextmanager
 from pathlib import Path
 
+import anyio
 import httpx
 import yaml
 from anyio.from_thread import start_blocking_portal
@@ -23,6 +24,7 @@
 
 ROOT = Path(__file__).parent.parent
 START_TIMEOUT_S = 20
+ENGINE_RESTART_S = 0.5
 CONFIG_TOPIC = 'keyed.op'
 SERVERS_TOPIC = 'keyed.servers'
 
@@ -149,15 +151,28 @@
             serve_http(self.duties.handle),
         )
         self._real_store_address = store_address
+        tasks = await stack.enter_async_context(anyio.create_task_group())
         for name, engine in self.engines.items():
-            self.addresses[name] = await stack.enter_async_context(
-                serve_http(engine.handle),
-            )
+            self.addresses[name] = await tasks.start(self._run_engine, engine)
         await self.store.put(CONFIG_TOPIC, 'config', configuration_record())
         for name, engine in self.engines.items():
             record = engine.record(self.addresses[name])
             await self.store.put(SERVERS_TOPIC, name, record)
 
+    async def _run_engine(self, engine, *, task_status):
+        """Serve an engine; start it again at its address after a crash."""
+        async with serve_http(engine.handle) as address:
+            task_status.started(address)
+            await engine.crashed.wait()
+        while True:
+            await anyio.sleep(ENGINE_RESTART_S)
+            engine.restart()
+            async with serve_http(engine.handle, port=address.port):
+                await self.store.put(
+                    SERVERS_TOPIC, engine.target_id, engine.record(address)
+                )
+                await engine.crashed.wait()
+
     def start_gateways(self, *nodes, **bounds):
         for node in nodes:
             self.store_proxy = self.proxies.start(
