Quarantine prompt parts under which engines crash

Callers of sound requests saw broken streams and refusals for twenty seconds while one engine after the other crashed. Cause: a gateway remembered failures by target only. Each of the different requests that shared the harmful part was sent as if it were the first, through all gateways.

The class is a request whose content ends its target. Crashes are now also held against the shared parts of the prompts that the engine was running: after three crashes in a row, without a response to any prompt with the part in between, prompts with it are refused at once as not run. Gateways share crashes and proofs, since each sees only its own requests, and keep the verdicts in the store, since all gateways may be restarted together. A part is tried again with one request, after a time that grows.

--- a/peridotrill/gateway/components.py
+++ b/peridotrill/gateway/components.py
@@ -9,6 +9,7 @@
 from peridotrill.gateway.event_log import EventLog
 from peridotrill.gateway.load_tracker import LoadTracker
 from peridotrill.gateway.placement import Placement
+from peridotrill.gateway.quarantine_sharing import QuarantineSharing
 from peridotrill.gateway.retry_budget import RetryBudget
 from peridotrill.gateway.target_health import TargetHealth
 from peridotrill.gateway.target_http_client import TargetHttpClient
@@ -28,6 +29,7 @@
     placement: Placement
     health: TargetHealth
     crashes: CrashDetector
+    quarantine: QuarantineSharing
     loads: LoadTracker
     demand: DemandMeter
     quotas: TeamQuotas
--- a/peridotrill/gateway/metrics.py
+++ b/peridotrill/gateway/metrics.py
@@ -52,6 +52,10 @@
     'peridotrill_target_crashes',
     'Target processes that ended while they ran requests, since the start',
 )
+QUARANTINED_PARTS: Final = Gauge(
+    'peridotrill_quarantined_parts',
+    'Prompt parts that are not sent because engines crash under them',
+)
 LEASE_HELD: Final = Gauge(
     'peridotrill_coordinator',
     'Whether this process holds the lease of the coordinator',
--- a/peridotrill/gateway/part_sharing.py
+++ b/peridotrill/gateway/part_sharing.py
@@ -5,7 +5,6 @@
 too high a prefill demand.
 """
 
-import zlib
 from datetime import timedelta
 from typing import Final, Protocol, final
 
@@ -16,7 +15,11 @@
 from peridotrill.gateway.cluster_state import ClusterState
 from peridotrill.gateway.event_log import EventLog
 from peridotrill.gateway.part_directory import PartDirectory, PartLocation
-from peridotrill.gateway.peers import PartListing, PeerExchange
+from peridotrill.gateway.peers import (
+    PartListing,
+    PeerExchange,
+    rank_for_key,
+)
 from peridotrill.gateway.targets import TargetRecord
 
 # Gateways that send a listing to a new process: datagrams may be lost, and one
@@ -74,7 +77,7 @@
             )
             if name != node
         ]
-        if self._node in _rank_for_key(others, node, _SENDERS_PER_PROCESS):
+        if self._node in rank_for_key(others, node, _SENDERS_PER_PROCESS):
             self._send(self._parts.listing(_MAX_LISTED_PARTS), node)
 
     def handle_listing(self, listing: PartListing) -> None:
@@ -97,7 +100,7 @@
         )
         for target in self._cluster_state.all_targets():
             name = target.target_id
-            if target.role is not None and self._node in _rank_for_key(
+            if target.role is not None and self._node in rank_for_key(
                 active_nodes, name, 1
             ):
                 await self._query_engine(target)
@@ -124,13 +127,3 @@
         for start in range(0, len(parts), _PARTS_PER_MESSAGE):
             rows = parts[start : start + _PARTS_PER_MESSAGE]
             self._peers.send(PartListing(self._node, rows), node)
-
-
-def _rank_for_key(
-    names: tuple[str, ...] | list[str], key: str, count: int
-) -> list[str]:
-    """Return the highest-ranked names for a key (rendezvous hashing)."""
-    return sorted(
-        names,
-        key=lambda name: zlib.crc32(f'{key}/{name}'.encode()),
-    )[:count]
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -6,8 +6,9 @@
 """
 
 import asyncio
+import zlib
 from collections.abc import Callable
-from typing import Any, Final, final
+from typing import Any, Final, NamedTuple, final
 
 import msgspec
 
@@ -72,7 +73,39 @@
     parts: list[PartLocation]
 
 
-Message = Report | PartListing
+class CrashRow(NamedTuple):
+    """A request with these prompt parts that ran at a process as it ended.
+
+    ``process`` identifies the process; ages are at the time of sending.
+    """
+
+    process: int
+    ended_age_ms: int
+    sent_age_ms: int
+    parts: tuple[str, ...]
+
+
+class PartProof(NamedTuple):
+    """A part to which an engine began to respond without a crash."""
+
+    part_id: str
+    age_ms: int
+
+
+class CrashReport(
+    msgspec.Struct,
+    array_like=True,
+    frozen=True,
+    tag='crashes',
+):
+    """Crashes that one gateway has seen, and proofs against suspicions."""
+
+    node: str
+    crashes: list[CrashRow]
+    proofs: list[PartProof]
+
+
+Message = Report | PartListing | CrashReport
 
 _encoder: Final = msgspec.msgpack.Encoder()
 _decoder: Final = msgspec.msgpack.Decoder(Message)
@@ -122,6 +155,7 @@
         self.on_report: Callable[[Report], None] = _ignore
         self.on_new_member: Callable[[str], None] = _ignore
         self.on_parts: Callable[[PartListing], None] = _ignore
+        self.on_crashes: Callable[[CrashReport], None] = _ignore
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the open socket."""
@@ -141,6 +175,8 @@
             return
         elif isinstance(message, PartListing):
             self.on_parts(message)
+        elif isinstance(message, CrashReport):
+            self.on_crashes(message)
         else:
             self._handle_report(message)
 
@@ -195,5 +231,15 @@
         ]
 
 
+def rank_for_key(
+    names: tuple[str, ...] | list[str], key: str, count: int
+) -> list[str]:
+    """Return the highest-ranked names for a key (rendezvous hashing)."""
+    return sorted(
+        names,
+        key=lambda name: zlib.crc32(f'{key}/{name}'.encode()),
+    )[:count]
+
+
 def _ignore(found: Any) -> None:
     """Do nothing; used until a callback is set."""
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -85,6 +85,8 @@
         self.queue_s = 0.0
         self.first_byte_s: float | None = None
         self.is_usage_counted = False
+        # Whether the request tries a part whose quarantine has ended.
+        self.is_trial = False
         timeout_ms = route.timeout_ms
         if request.wait_ms is not None:
             timeout_ms = min(timeout_ms, request.wait_ms)
@@ -106,6 +108,27 @@
         """Return the time left until the deadline; negative after it."""
         return self.deadline_s - self.shared.clock.monotonic_s()
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Ids of the prompt parts that other requests may share."""
+        prompt = self.request.prompt
+        return () if prompt is None else prompt.shared_part_ids
+
+    def require_no_quarantine(self) -> None:
+        """Raise GatewayError if the prompt was quarantined meanwhile."""
+        if self.is_trial:
+            return
+        found = self.shared.quarantine.find(self.shared_part_ids)
+        if found is not None:
+            raise self.build_error('prompt_quarantined', found.retry_after_s)
+
+    def record_harmless(self, started_s: float) -> None:
+        """Record that an engine goes on with its response to the prompt.
+
+        :param started_s: when the response began.
+        """
+        self.shared.quarantine.record_proof(self.shared_part_ids, started_s)
+
     async def require_target(self, excluded: set[str]) -> None:
         """Raise GatewayError if the service has no target that may be tried.
 
@@ -314,8 +337,7 @@
         :param sent_s: when the request was sent to the engine.
         :param events: number of events that the engine had sent.
         """
-        prompt = self.request.prompt
-        parts = () if prompt is None else prompt.shared_part_ids
+        parts = self.shared_part_ids
         self.record_attempt_failure(
             target,
             Failure.BROKEN,
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -16,7 +16,10 @@
 from peridotrill.gateway.event_stream import EventStreamParser
 from peridotrill.gateway.metrics import ATTEMPTS
 from peridotrill.gateway.placement import Pool
-from peridotrill.gateway.request_context import RequestContext
+from peridotrill.gateway.request_context import (
+    HARMLESS_EVENTS,
+    RequestContext,
+)
 from peridotrill.gateway.requests import Prompt
 from peridotrill.gateway.target_connections import TargetExchange
 from peridotrill.gateway.target_health import Failure
@@ -173,6 +176,7 @@
     reservation: Reservation,
 ) -> str | None:
     """Prefill a prompt; return its handle, or None if it was rejected."""
+    context.require_no_quarantine()
     shared = context.shared
     target = reservation.target
     started_s = shared.clock.monotonic_s()
@@ -264,8 +268,9 @@
         self._target: TargetRecord | None = None
         self._last_id = context.request.resume_after
         self._events = 0
-        # Time and number of events of the current attempt.
+        # The current attempt.
         self._sent_s = 0.0
+        self._first_event_s = 0.0
         self._attempt_events = 0
         self._use_handle = remote_prompt is not None
         self.is_prompt_taken = False
@@ -373,6 +378,7 @@
 
     async def _send(self, target: TargetRecord) -> TargetExchange:
         context = self._context
+        context.require_no_quarantine()
         self._sent_s = context.shared.clock.monotonic_s()
         self._attempt_events = 0
         source = None
@@ -446,6 +452,8 @@
             await context.responder.drain()
         if splitter.has_partial_event or not context.responder.has_started:
             raise TargetOutcomeUnknown('stream ended inside an event')
+        if self._attempt_events < HARMLESS_EVENTS:
+            context.record_harmless(self._sent_s)
         context.responder.end_stream()
 
     def _forward_event(
@@ -456,6 +464,8 @@
     ) -> None:
         context = self._context
         self._mark_prefill_done()
+        if not self._attempt_events:
+            self._first_event_s = context.shared.clock.monotonic_s()
         if not context.responder.has_started:
             context.first_byte_s = context.shared.clock.monotonic_s()
             context.count_usage()
@@ -468,6 +478,8 @@
         context.responder.send_chunk(content)
         self._events += 1
         self._attempt_events += 1
+        if self._attempt_events == HARMLESS_EVENTS:
+            context.record_harmless(self._first_event_s)
         if event_id is not None:
             self._last_id = event_id
 
--- a/peridotrill/gateway_main.py
+++ b/peridotrill/gateway_main.py
@@ -40,12 +40,18 @@
     CONFIG_AGE_S,
     LEASE_HELD,
     LOST_LOG_LINES,
+    QUARANTINED_PARTS,
     STORE_CALLS,
     TARGET_CRASHES,
 )
 from peridotrill.gateway.part_sharing import PartSharing
 from peridotrill.gateway.peers import PeerExchange
 from peridotrill.gateway.placement import Placement
+from peridotrill.gateway.quarantine_archive import (
+    SAVE_INTERVAL,
+    QuarantineArchive,
+)
+from peridotrill.gateway.quarantine_sharing import QuarantineSharing
 from peridotrill.gateway.reporting import (
     Reporting,
     ReportSources,
@@ -84,6 +90,7 @@
     read_node_settings,
 )
 from peridotrill.platform.store import StoreClient
+from peridotrill.prompt_quarantine import PromptQuarantine
 from peridotrill.settings import (
     EXIT_USAGE,
     Address,
@@ -164,6 +171,11 @@
             node.bounds.usage_window_s, self._cluster_clock
         )
         self._peers = PeerExchange(node.node, self._clock, self._log)
+        self._quarantine = PromptQuarantine(self._clock, self._log)
+        self._quarantine_sharing = QuarantineSharing(
+            node.node, self._quarantine, self._peers, self._clock
+        )
+        self._crashes.on_crash = self._quarantine_sharing.record_crash
         self._targets = TargetHttpClient(
             wire, self._clock, ConnectionTimeouts()
         )
@@ -210,6 +222,13 @@
             self._clock,
             self._log,
         )
+        self._quarantine_archive = QuarantineArchive(
+            self._quarantine,
+            self._followers.open_topic(names.QUARANTINE_TOPIC),
+            self._cluster_clock,
+            self._clock,
+            self._log,
+        )
         self._settings = SettingsWatcher(
             _settings_path(),
             read_node_settings,
@@ -277,6 +296,7 @@
                 placement=self._placement,
                 health=self._health,
                 crashes=self._crashes,
+                quarantine=self._quarantine_sharing,
                 loads=self._loads,
                 demand=self._demand,
                 quotas=self._quotas,
@@ -337,15 +357,25 @@
             self._followers.follow_targets,
             self._followers.join_members,
             self._reporting.run,
+            self._quarantine_sharing.run,
+            self._save_quarantine,
             self._settings.run,
         ]
         if not self._node.is_first_start:
             tasks.append(self._part_sharing.ask_engines)
+            tasks.append(self._quarantine_archive.load)
         duties = self._create_coordinator_tasks()
         if duties is not None:
             tasks += [duties.coordinate, duties.save_usage]
         return tasks
 
+    async def _save_quarantine(self) -> None:
+        """Save the quarantined parts while this gateway is coordinator."""
+        while True:
+            if self._coordinator.held_lease(timedelta(0)) is not None:
+                await self._quarantine_archive.save()
+            await anyio.sleep(SAVE_INTERVAL.total_seconds())
+
     def _create_coordinator_tasks(self) -> CoordinatorTasks | None:
         address = self._node.duties_address
         if address is None or 'usage' not in self._node.duties:
@@ -404,6 +434,7 @@
         STORE_CALLS.set(self._store.calls)
         LOST_LOG_LINES.set(self._log.lost_lines)
         TARGET_CRASHES.set(self._crashes.crashes)
+        QUARANTINED_PARTS.set(len(self._quarantine.quarantined_parts))
         held = self._coordinator.held_lease(timedelta(0))
         LEASE_HELD.set(0 if held is None else 1)
 
