Serve prompts that share a part with those that crash engines

Cause: where a sound request with the companion had been a victim of a crash as well, a gateway no longer saw the two parts together and blamed the companion alone; without any request, no response could clear it.

The parts that came with a part now are those of all requests at a crash, not those that all requests have in common. The new test failed before.

--- a/peridotrill/prompt_quarantine.py
+++ b/peridotrill/prompt_quarantine.py
@@ -42,9 +42,9 @@
 
 
 class _PartExposure(NamedTuple):
-    """A crash while a request with a part was running.
+    """The last request with a part that a process was running at its end.
 
-    ``companions`` are the parts that all such requests have in common.
+    ``companions`` are the parts of all such requests at the process.
     """
 
     sent_s: float
@@ -67,7 +67,7 @@
 
     @property
     def companions(self) -> frozenset[str]:
-        """The parts that all exposed requests have in common."""
+        """The parts that came with this one at each crash."""
         rows = [row.companions for row in self.exposures.values()]
         return frozenset.intersection(*rows)
 
@@ -85,7 +85,7 @@
             exposure = _PartExposure(
                 min(ended_s, max(known.sent_s, exposure.sent_s)),
                 ended_s,
-                known.companions & exposure.companions,
+                known.companions | exposure.companions,
             )
         self.exposures[process] = exposure
         if len(self.exposures) > _MAX_EXPOSURES:
@@ -134,8 +134,9 @@
     def find(self, parts: Collection[str]) -> Quarantine | None:
         """Return the quarantine that applies to a prompt, or None.
 
-        Where the blame is shared by several parts that always came together,
-        only prompts with all of them are held back.
+        Where a part came with another one at each crash, either may be to
+        blame. Then only prompts with both are held back, and the outcomes of
+        the others decide.
 
         :param parts: ids of the parts that other requests may share.
         """
@@ -143,7 +144,7 @@
             suspect = self._suspects.get(part_id)
             if suspect is None or not suspect.is_quarantined:
                 continue
-            if self._blamed_with(suspect) <= set(parts):
+            if self._find_blamed(suspect) <= set(parts):
                 wait_s = suspect.hold_until_s - self._clock.monotonic_s()
                 return Quarantine(
                     part_id, suspect.crashes, max(_MIN_RETRY_AFTER_S, wait_s)
@@ -203,16 +204,17 @@
 
     def quarantined_crashes(self) -> list[TargetCrash]:
         """Return the crashes that the quarantined parts are blamed for."""
-        return [
-            TargetCrash(
-                process,
-                row.ended_s,
-                (Exposure(tuple(sorted(row.companions)), row.sent_s),),
-            )
-            for suspect in self._suspects.values()
-            if suspect.is_quarantined
-            for process, row in suspect.exposures.items()
-        ]
+        crashes: list[TargetCrash] = []
+        for suspect in self._suspects.values():
+            if suspect.is_quarantined:
+                blamed = tuple(sorted(self._find_blamed(suspect)))
+                crashes.extend(
+                    TargetCrash(
+                        process, row.ended_s, (Exposure(blamed, row.sent_s),)
+                    )
+                    for process, row in suspect.exposures.items()
+                )
+        return crashes
 
     @property
     def quarantined_parts(self) -> list[str]:
@@ -223,8 +225,8 @@
             if suspect.is_quarantined
         ]
 
-    def _blamed_with(self, suspect: _Suspect) -> set[str]:
-        """Return the companions of a part that are quarantined as well."""
+    def _find_blamed(self, suspect: _Suspect) -> set[str]:
+        """Return a part and those that came with it and are quarantined."""
         return {
             part_id
             for part_id in suspect.companions
@@ -248,7 +250,8 @@
                 'part_quarantined',
                 part=part_id,
                 crashes=suspect.crashes,
-                companions=','.join(suspect.companions - {part_id}) or None,
+                blamed_with=','.join(self._find_blamed(suspect) - {part_id})
+                or None,
                 hold_s=round(suspect.hold_until_s - suspect.last_crash_s),
             )
         while len(self._suspects) > _MAX_SUSPECTS:
--- a/tests/test_prompt_quarantine.py
+++ b/tests/test_prompt_quarantine.py
@@ -125,6 +125,19 @@
     assert not fleet.is_held('a')
 
 
+def test_part_of_a_victim_is_not_held_where_another_explains_the_crashes():
+    # Guards against the rejection of sound prompts that were running beside
+    # those that crash engines.
+    fleet = Fleet()
+    for _ in range(MIN_CRASHES):
+        fleet.crash(('a', 'p'), ('a',))
+    assert fleet.is_held('a', 'p')
+    assert not fleet.is_held('a')
+    fleet.crash(('b', 'p'))
+    assert fleet.is_held('b', 'p')
+    assert not fleet.is_held('a')
+
+
 def test_quarantined_part_is_tried_once_after_its_time():
     # Guards against parts that stay quarantined for ever, and against a crowd
     # of requests at the end of a quarantine.
