Quarantine prompt prefixes that crash targets at entries, too

The path with agents had the same cause: an entry remembered failures by target only, and a retry or the next request took a prompt that had crashed a target to another one. The entry now holds crashes against the hashed prefixes of prompts, with the same detector and quarantine as the gateway. A target has ended if its agent reports it as not ready, or not reachable, after attempts broke.

Entries do not share what they learn: each may lose three targets to a prefix.

--- a/peridotrill/attempt_dependencies.py
+++ b/peridotrill/attempt_dependencies.py
@@ -3,6 +3,7 @@
 from typing import Any, NamedTuple, Protocol, Self
 
 from peridotrill.clock import Clock
+from peridotrill.crash_guard import CrashGuard
 from peridotrill.dispatch import Dispatcher
 from peridotrill.forwarded_keys import ForwardedKeyTable
 from peridotrill.inboxes import Inboxes
@@ -49,6 +50,7 @@
     usage: UsageSink
     clock: Clock
     recorder: Recorder
+    crash_guard: CrashGuard
 
     @classmethod
     def from_config(
@@ -59,5 +61,13 @@
         clock: Clock,
         recorder: Recorder,
     ) -> Self:
-        """Return the dependencies, with a new retry budget."""
-        return cls(links, dispatcher, RetryBudget(), usage, clock, recorder)
+        """Return the dependencies, with a new budget and crash guard."""
+        return cls(
+            links,
+            dispatcher,
+            RetryBudget(),
+            usage,
+            clock,
+            recorder,
+            CrashGuard.from_config(clock, recorder.emit),
+        )
--- a/peridotrill/entry.py
+++ b/peridotrill/entry.py
@@ -232,7 +232,7 @@
             self.state.placements,
         )
         self.links.on_change = dispatcher.dispatch_all
-        self.links.on_load_report = dispatcher.local_attempts.reported
+        self.links.on_load_report = self._handle_load_report
         self.dependencies = AttemptDependencies.from_config(
             self.links,
             dispatcher,
@@ -261,6 +261,13 @@
             self.unavailable_reason,
         )
 
+    def _handle_load_report(self, target_id: str) -> None:
+        dependencies = self.dependencies
+        dependencies.dispatcher.local_attempts.reported(target_id)
+        view = self.table.find(target_id)
+        if view is not None and not view.ready:
+            dependencies.crash_guard.record_end(target_id)
+
     def _open_link(self, address: Address) -> AgentLink:
         return AgentLink.from_config(
             address,
--- a/peridotrill/errors.py
+++ b/peridotrill/errors.py
@@ -204,6 +204,14 @@
         'The target did not start the request and never will.',
         'Send the request again after `Retry-After`.',
     ),
+    ErrorCode(
+        'prompt_quarantined',
+        503,
+        _UNAVAILABLE,
+        NOT_RUN,
+        'Targets crashed repeatedly while they ran prompts that begin alike.',
+        'Change the prompt, or send it again after `Retry-After`.',
+    ),
     ErrorCode(
         'entry_unavailable',
         503,
--- a/peridotrill/request_runner.py
+++ b/peridotrill/request_runner.py
@@ -21,6 +21,8 @@
 MAX_BUFFERED_BYTES: Final = 8 * 1024 * 1024
 _MIN_BACK_OFF: Final = timedelta(milliseconds=50)
 _MAX_BACK_OFF: Final = timedelta(seconds=1)
+# A prompt is harmless to an engine that goes on after its first output.
+_HARMLESS_CHUNKS: Final = 2
 
 # Refusals that another attempt at the same request would also get.
 _NON_RETRYABLE_REASONS: Final = frozenset(
@@ -36,6 +38,40 @@
 _UNDETERMINED_REASONS: Final = frozenset(('recovering', 'placement_old'))
 
 
+@final
+class _Progress:
+    """Tells the crash guard how far an attempt has come."""
+
+    def __init__(
+        self, request: Request, dependencies: AttemptDependencies
+    ) -> None:
+        self._request = request
+        self._guard = dependencies.crash_guard
+        self._clock = dependencies.clock
+        self._sent_s = self._clock.monotonic_s()
+        self._started_s = self._sent_s
+        self._chunks = 0
+        self._is_harmless = False
+
+    def observe(self, part: ResponsePart) -> None:
+        """Record a part of the response."""
+        if isinstance(part, ResponseChunk):
+            self._chunks += 1
+            if self._chunks == 1:
+                self._started_s = self._clock.monotonic_s()
+        is_end = isinstance(part, ResponseEnd)
+        if not self._is_harmless and (
+            is_end or self._chunks >= _HARMLESS_CHUNKS
+        ):
+            self._is_harmless = True
+            self._guard.record_harmless(self._request, self._started_s)
+
+    def fail(self, target_id: str, error: RequestError) -> None:
+        """Record the error that ended the attempt."""
+        sent_s = None if self._is_harmless else self._sent_s
+        self._guard.record_failure(self._request, target_id, error, sent_s)
+
+
 @final
 class _RequestRun:
     """The attempts of one request; decides whether to retry."""
@@ -55,24 +91,39 @@
         attempt = Attempt(self._request, assignment, self._dependencies)
         self.needs_attempt = False
         is_yielded = False
+        progress = _Progress(self._request, self._dependencies)
         try:
             async with aclosing(
                 _buffer_unless_streaming(self._request, attempt)
             ) as response_parts:
                 async for part in response_parts:
                     is_yielded = True
+                    progress.observe(part)
                     yield part
         except RequestError as error:
+            progress.fail(assignment.target_id, error)
             if is_yielded or not self._may_retry(error, assignment.target_id):
                 raise _final_error(error, self._request) from error
             self.needs_attempt = True
             await self._back_off()
 
     async def _choose_target(self) -> Assignment:
+        guard = self._dependencies.crash_guard
+        is_trial = guard.check(self._request)
         dispatcher = self._dependencies.dispatcher
         if self._request.caller_key:
             return await dispatcher.place_at_home_target(self._request)
-        return await dispatcher.place(self._request, self._tried_targets)
+        assignment = await dispatcher.place(self._request, self._tried_targets)
+        try:
+            # The prompt may have been quarantined while the request waited.
+            if not is_trial:
+                guard.check(self._request)
+        except RequestError:
+            dispatcher.local_attempts.ended(
+                assignment.target_id, assignment.attempt_id
+            )
+            raise
+        return assignment
 
     def _may_retry(self, error: RequestError, target_id: str) -> bool:
         request = self._request
--- a/peridotrill/target_crashes.py
+++ b/peridotrill/target_crashes.py
@@ -66,7 +66,7 @@
         # Times at which processes ended, oldest first.
         self._ended_s: dict[str, float] = {}
         self.crashes = 0
-        self.on_crash: Callable[[TargetCrash], None] = _ignore
+        self.on_crash: Callable[[TargetCrash], object] = _ignore
 
     def record_broken(self, process: str, exposure: Exposure | None) -> bool:
         """Record an attempt whose connection broke.
