Log the limits that targets name

The logs could not tell whether a limit in a response was read, and when it began and ended. Responses to callers no longer carry the header, which concerns the gateways only. Requests are placed as before.

--- a/peridotrill/gateway/components.py
+++ b/peridotrill/gateway/components.py
@@ -13,6 +13,7 @@
 from peridotrill.gateway.retry_budget import RetryBudget
 from peridotrill.gateway.target_health import TargetHealth
 from peridotrill.gateway.target_http_client import TargetHttpClient
+from peridotrill.gateway.target_limits import TargetLimits
 from peridotrill.gateway.target_messages import WireCodec
 from peridotrill.gateway.team_quotas import TeamQuotas
 from peridotrill.gateway.usage_counts import UsageCounts
@@ -33,6 +34,7 @@
     loads: LoadTracker
     demand: DemandMeter
     quotas: TeamQuotas
+    limits: TargetLimits
     budget: RetryBudget
     usage: UsageCounts
     log: EventLog
--- a/peridotrill/gateway/metrics.py
+++ b/peridotrill/gateway/metrics.py
@@ -56,6 +56,10 @@
     'peridotrill_quarantined_parts',
     'Prompt parts that are not sent because engines crash under them',
 )
+LIMITED_TARGETS: Final = Gauge(
+    'peridotrill_limited_targets',
+    'Targets that name a limit on their requests',
+)
 LEASE_HELD: Final = Gauge(
     'peridotrill_coordinator',
     'Whether this process holds the lease of the coordinator',
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -213,16 +213,22 @@
             so, TargetTimeout is raised after ``response_timeout``; otherwise
             this request keeps waiting.
         """
-        targets = self.shared.targets
         with anyio.move_on_after(response_timeout.total_seconds()):
-            return await targets.read_response_head(exchange)
+            return await self._read_head(target, exchange)
         if can_retry_elsewhere:
             self.record_attempt_failure(
                 target, Failure.ABANDONED, 'no response yet'
             )
             raise TargetTimeout('silent')
         self.record_attempt_failure(target, Failure.SILENT, 'no response yet')
-        return await targets.read_response_head(exchange)
+        return await self._read_head(target, exchange)
+
+    async def _read_head(
+        self, target: TargetRecord, exchange: TargetExchange
+    ) -> TargetResponse:
+        response = await self.shared.targets.read_response_head(exchange)
+        self.shared.limits.observe(target.target_id, response.limit_per_s)
+        return response
 
     def can_retry_elsewhere(self) -> bool:
         """Tell whether another target may be tried if one may have run it."""
--- a/peridotrill/gateway/target_messages.py
+++ b/peridotrill/gateway/target_messages.py
@@ -41,7 +41,8 @@
     ``is_verified`` means that the response comes from a target, and that its
     status makes no unproven claim that the request did not run. ``not_run``
     means that the target did not run the request, ``is_wrong_target`` that
-    the address now belongs to another target.
+    the address now belongs to another target. ``limit_per_s`` is the number of
+    requests per second that the target accepts from all gateways together.
     """
 
     status: int
@@ -50,6 +51,7 @@
     not_run: bool
     is_wrong_target: bool
     load: TargetLoad | None
+    limit_per_s: float | None = None
 
 
 class PrefilledPrompt(NamedTuple):
--- a/peridotrill/gateway_main.py
+++ b/peridotrill/gateway_main.py
@@ -39,6 +39,7 @@
 from peridotrill.gateway.metrics import (
     CONFIG_AGE_S,
     LEASE_HELD,
+    LIMITED_TARGETS,
     LOST_LOG_LINES,
     QUARANTINED_PARTS,
     STORE_CALLS,
@@ -66,6 +67,7 @@
     ConnectionTimeouts,
     TargetHttpClient,
 )
+from peridotrill.gateway.target_limits import TargetLimits
 from peridotrill.gateway.targets import TargetRecord
 from peridotrill.gateway.team_quotas import TeamQuotas
 from peridotrill.gateway.usage_counts import UsageCounts
@@ -158,6 +160,7 @@
         self._loads = LoadTracker(self._clock)
         self._health = TargetHealth(self._clock)
         self._crashes = CrashDetector(self._clock, self._log)
+        self._limits = TargetLimits(self._clock, self._log)
         self._demand = DemandMeter(self._clock)
         self._quotas = TeamQuotas(
             self._clock,
@@ -300,6 +303,7 @@
                 loads=self._loads,
                 demand=self._demand,
                 quotas=self._quotas,
+                limits=self._limits,
                 budget=self._budget,
                 usage=self._usage,
                 log=self._log,
@@ -433,6 +437,7 @@
         CONFIG_AGE_S.set(self._cluster_state.config_age_s() or -1)
         STORE_CALLS.set(self._store.calls)
         LOST_LOG_LINES.set(self._log.lost_lines)
+        LIMITED_TARGETS.set(self._limits.limited_targets)
         TARGET_CRASHES.set(self._crashes.crashes)
         QUARANTINED_PARTS.set(len(self._quarantine.quarantined_parts))
         held = self._coordinator.held_lease(timedelta(0))
@@ -448,6 +453,7 @@
     def _on_target_gone(self, target: TargetRecord) -> None:
         self._targets.forget(target)
         self._health.forget(target.target_id)
+        self._limits.forget(target.target_id)
         self._crashes.record_end(target.process, 'record replaced or removed')
         self._placement.parts.forget(target.target_id)
 
--- a/peridotrill/platform/names.py
+++ b/peridotrill/platform/names.py
@@ -23,6 +23,8 @@
 NOT_RUN: Final = b'x-peridotrill-not-run'
 ENGINE_ID: Final = b'x-peridotrill-engine-id'
 ENGINE_LOAD: Final = b'x-peridotrill-engine-load'
+# Requests per second that a target accepts from all callers together.
+SERVER_LIMIT: Final = b'server-limit'
 DUTY_HOLDER: Final = b'x-peridotrill-duty-holder'
 FENCE_TOKEN: Final = b'x-peridotrill-fence-token'
 LAST_EVENT_ID: Final = b'last-event-id'
--- a/peridotrill/platform/wire.py
+++ b/peridotrill/platform/wire.py
@@ -127,11 +127,12 @@
         not_run=not_run,
         is_wrong_target=is_misdirected,
         load=_decode_load(head.get(names.ENGINE_LOAD)),
+        limit_per_s=_decode_limit(head.get(names.SERVER_LIMIT)),
     )
 
 
 _DROPPED_RESPONSE_HEADERS: Final = names.CONNECTION_HEADERS | frozenset(
-    (names.ENGINE_LOAD, names.NOT_RUN),
+    (names.ENGINE_LOAD, names.NOT_RUN, names.SERVER_LIMIT),
 )
 
 
@@ -218,3 +219,14 @@
     except ValueError:
         return None
     return TargetLoad(running, waiting, slots)
+
+
+def _decode_limit(value: bytes | None) -> float | None:
+    """Decode a rate limit; return None if it is missing or malformed."""
+    if value is None:
+        return None
+    try:
+        limit_per_s = _parse_finite_float(value)
+    except ValueError:
+        return None
+    return limit_per_s if limit_per_s >= 0 else None
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import time
 
 from peridotrill.codec import decode_json, encode_json
 
@@ -57,6 +58,10 @@
         self.orders: list[dict] = []
         # Number of role orders to execute without a response.
         self.order_responses_to_drop = 0
+        # Requests per second that the responses name as a limit.
+        self.limit_per_s: float | None = None
+        # Monotonic times at which requests arrived.
+        self.received_s: list[float] = []
         self.deadly_part = ''
         self.crashes = 0
         self.crashed = asyncio.Event()
@@ -111,6 +116,7 @@
         if path.startswith('/-/'):
             await self._handle_control_request(request, path, responder)
             return
+        self.received_s.append(time.monotonic())
         self.received.append({**headers, 'path': path, 'body': request.body})
         expected_id = headers.get('x-peridotrill-expect-instance')
         if expected_id not in {None, self.target_id}:
@@ -227,7 +233,11 @@
 
     def _stamped_headers(self, request_id):
         stamp = (b'X-Peridotrill-Engine-Stamp', f'{self.target_id}.1'.encode())
-        return [*self._request_id_headers(request_id), stamp]
+        headers = [*self._request_id_headers(request_id), stamp]
+        if self.limit_per_s is not None:
+            limit = str(self.limit_per_s).encode()
+            headers.append((b'Server-Limit', limit))
+        return headers
 
 
 def _part_ids(headers) -> set[str]:
