Let quotas be shared for other limits than those of teams

TeamQuotas becomes SharedQuotas: any limit with a name, a rate and a burst can be shared by the gateways in the same way. admit is split into the decision and the charge. Behaviour is unchanged; the tests of limits and reports pass as before.

--- a/peridotrill/gateway/components.py
+++ b/peridotrill/gateway/components.py
@@ -15,7 +15,7 @@
 from peridotrill.gateway.target_http_client import TargetHttpClient
 from peridotrill.gateway.target_limits import TargetLimits
 from peridotrill.gateway.target_messages import WireCodec
-from peridotrill.gateway.team_quotas import TeamQuotas
+from peridotrill.gateway.shared_quotas import SharedQuotas
 from peridotrill.gateway.usage_counts import UsageCounts
 from peridotrill.target_crashes import CrashDetector
 
@@ -33,7 +33,7 @@
     quarantine: QuarantineSharing
     loads: LoadTracker
     demand: DemandMeter
-    quotas: TeamQuotas
+    quotas: SharedQuotas
     limits: TargetLimits
     budget: RetryBudget
     usage: UsageCounts
--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -20,7 +20,7 @@
     Report,
     report_interval_s,
 )
-from peridotrill.gateway.team_quotas import TeamQuotas
+from peridotrill.gateway.shared_quotas import SharedQuotas
 from peridotrill.gateway.usage_counts import UsageCounts
 from peridotrill.settings import Address
 
@@ -45,7 +45,7 @@
 
     cluster_state: ClusterState
     coordinator: Coordinator
-    quotas: TeamQuotas
+    quotas: SharedQuotas
     loads: LoadTracker
     usage: UsageCounts
     demand: DemandMeter
--- a/peridotrill/gateway/team_quotas.py
+++ b/peridotrill/gateway/shared_quotas.py
@@ -1,6 +1,6 @@
-"""Distributed rate limits of teams, enforced by all gateways together.
+"""Distributed rate limits, enforced by all gateways together.
 
-In any window, a team may use its rate times the window plus its burst. Each
+In any window, a quota allows its rate times the window plus its burst. Each
 gateway tracks the usage of the whole system in the last window: its own
 admissions and those that its peers report a few times per second. Between two
 reports, a gateway spends at most its share of the remaining quota, so that the
@@ -12,10 +12,9 @@
 from collections import deque
 from collections.abc import Mapping, Sequence
 from datetime import timedelta
-from typing import Final, NamedTuple, final
+from typing import Final, NamedTuple, Protocol, final
 
 from peridotrill.clock import Clock
-from peridotrill.gateway.configuration import Team
 
 # A peer without a report for longer than this is assumed to use its full share.
 PEER_STALE_S: Final = 0.6
@@ -40,6 +39,22 @@
 _USE_DECAY_S: Final = 1.5
 
 
+class Quota(Protocol):
+    """A limit, for example of a team or of a target; no limit if the rate is 0."""
+
+    @property
+    def name(self) -> str:
+        """Key of the quota; unique among those of one ``SharedQuotas``."""
+
+    @property
+    def rate_per_s(self) -> float:
+        """Allowed rate, in the unit of the quota per second."""
+
+    @property
+    def burst(self) -> float:
+        """Amount that is allowed in any window in addition to the rate."""
+
+
 class QuotaDecision(NamedTuple):
     """Admission decision; ``retry_after_s`` is 0 for admitted requests.
 
@@ -55,7 +70,7 @@
 
 @final
 class _Window:
-    """Usage of one team at all gateways, by time slot."""
+    """Usage of one quota at all gateways, by time slot."""
 
     def __init__(self, size_s: float) -> None:
         self._slots: deque[tuple[int, float]] = deque()
@@ -106,8 +121,8 @@
 
 
 @final
-class TeamQuotas:
-    """Quotas of all teams, as tracked by one gateway."""
+class SharedQuotas:
+    """Quotas of one kind, as tracked by one gateway."""
 
     def __init__(
         self,
@@ -116,7 +131,7 @@
         tolerated_excess: float = 0,
         is_first_start: bool = False,
     ) -> None:
-        """:param window: period in which a team may use its rate and burst.
+        """:param window: period in which a quota allows its rate and burst.
 
         :param tolerated_excess: amount by which the sum over all gateways
             may exceed a limit.
@@ -129,8 +144,8 @@
         self._started_s = clock.monotonic_s()
         self._is_first_start = is_first_start
         self._windows: dict[str, _Window] = {}
-        self._teams: Mapping[str, Team] = {}
-        # Usage before the start, imported from peers: by team, the time of
+        self._quotas: Mapping[str, Quota] = {}
+        # Usage before the start, imported from peers: by quota, the time of
         # the import and the amounts by age in seconds.
         self._imported_usage: dict[str, tuple[float, Sequence[float]]] = {}
         self._spent: dict[str, float] = {}
@@ -142,10 +157,10 @@
         """Set the tolerated excess, in the unit of the limits."""
         self._excess = tolerated_excess * _USED_EXCESS_RATIO
 
-    def configure(self, teams: Mapping[str, Team]) -> None:
-        """Apply the team limits of a configuration."""
-        self._teams = teams
-        for gone in self._windows.keys() - teams.keys():
+    def configure(self, quotas: Mapping[str, Quota]) -> None:
+        """Replace the quotas; the usage of those that stay is kept."""
+        self._quotas = quotas
+        for gone in self._windows.keys() - quotas.keys():
             self._windows.pop(gone)
         self._update_all(self._clock.monotonic_s())
 
@@ -163,13 +178,13 @@
         return len(self._peer_last_report_s) + 1
 
     def spent(self) -> dict[str, float]:
-        """Return the usage admitted by this process since its start, by team."""
+        """Return the usage admitted by this process since its start, by quota."""
         return self._spent
 
     def usage(self) -> dict[str, list[float]]:
         """Return the usage of all gateways in the last window.
 
-        :return: by team, the amounts by age in whole seconds; empty while
+        :return: by quota, the amounts by age in whole seconds; empty while
             this process itself only assumes the usage before its start.
         """
         now_s = self._clock.monotonic_s()
@@ -209,7 +224,7 @@
         """Apply a report of another gateway.
 
         :param incarnation: identifies the reporting process.
-        :param spent: totals since the start of that process, by team.
+        :param spent: totals since the start of that process, by quota.
         """
         now_s = self._clock.monotonic_s()
         self._update_all(now_s)
@@ -219,10 +234,10 @@
             self._peer_spent[peer] = dict(spent)
             return
         known = self._peer_spent[peer]
-        for team, total in spent.items():
-            before = known.get(team, 0)
-            known[team] = max(total, before)
-            window = self._windows.get(team)
+        for name, total in spent.items():
+            before = known.get(name, 0)
+            known[name] = max(total, before)
+            window = self._windows.get(name)
             if window is not None:
                 usage = max(0, total - before)
                 window.add(now_s, usage)
@@ -232,65 +247,76 @@
         """Start a new interval after reporting the local totals."""
         for name, window in self._windows.items():
             window.spent_since_report = 0
-            team = self._teams.get(name)
-            if team is not None:
-                window.local_share = self._local_share(window, team)
+            quota = self._quotas.get(name)
+            if quota is not None:
+                window.local_share = self._local_share(window, quota)
 
-    def admit(self, team: Team, cost: float) -> QuotaDecision:
-        """Charge the cost of a request if the team's limit allows it.
+    def admit(self, quota: Quota, cost: float) -> QuotaDecision:
+        """Charge the cost of a request if the quota allows it.
 
-        :param cost: cost in the unit of the team's limit.
+        :param cost: cost in the unit of the quota.
         """
-        if team.rate_per_s <= 0:
+        if quota.rate_per_s <= 0:
             return QuotaDecision(True, 0)
-        now_s = self._clock.monotonic_s()
-        window = self._update(team, now_s)
-        left = self._limit(team) - window.spent
-        left_at_report = left + window.spent_since_report
-        share = left_at_report * (window.local_share or 1 / self.gateways)
-        available = share - window.spent_since_report
-        # A request larger than the local share is admitted if the total
-        # remaining quota suffices and nothing was spent since the last report.
-        fits = available >= cost or (
-            left >= max(2 * cost, team.burst / 2)
-            and window.spent_since_report <= 0
-        )
-        if not fits:
+        window = self._update(quota, self._clock.monotonic_s())
+        left = self._limit(quota) - window.spent
+        available = self._available(window, left)
+        if not _fits(quota, window, cost, left, available):
             lacking = cost - min(available, left)
-            wait_s = _SLOT_S + lacking / self._mean_rate(team)
+            wait_s = _SLOT_S + lacking / self._mean_rate(quota)
             return QuotaDecision(
                 False,
                 min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s)),
                 left,
                 available,
             )
+        self.charge(quota, cost)
+        return QuotaDecision(True, 0)
+
+    def has_room(self, quota: Quota, cost: float) -> bool:
+        """Return whether the quota allows a request now, without charging it."""
+        if quota.rate_per_s <= 0:
+            return True
+        window = self._update(quota, self._clock.monotonic_s())
+        left = self._limit(quota) - window.spent
+        return _fits(quota, window, cost, left, self._available(window, left))
+
+    def charge(self, quota: Quota, cost: float) -> None:
+        """Charge the cost of a request, even if the quota does not allow it."""
+        now_s = self._clock.monotonic_s()
+        window = self._update(quota, now_s)
         window.add(now_s, cost)
         window.spent_since_report += cost
         window.local_use += cost
         window.total_use += cost
-        self._spent[team.name] = self._spent.get(team.name, 0) + cost
-        return QuotaDecision(True, 0)
+        self._spent[quota.name] = self._spent.get(quota.name, 0) + cost
+
+    def _available(self, window: _Window, left: float) -> float:
+        """Return what this gateway may spend until the next reports."""
+        left_at_report = left + window.spent_since_report
+        share = left_at_report * (window.local_share or 1 / self.gateways)
+        return share - window.spent_since_report
 
-    def _limit(self, team: Team) -> float:
+    def _limit(self, quota: Quota) -> float:
         """Return the quota of all gateways together in one window."""
-        return team.rate_per_s * self._window_s + team.burst + self._excess
+        return quota.rate_per_s * self._window_s + quota.burst + self._excess
 
-    def _mean_rate(self, team: Team) -> float:
-        """Return the mean rate of a team that always uses its full limit."""
-        return self._limit(team) / self._window_s
+    def _mean_rate(self, quota: Quota) -> float:
+        """Return the mean rate of a quota that is always fully used."""
+        return self._limit(quota) / self._window_s
 
     def _update_all(self, now_s: float) -> None:
-        """Update all windows; teams without a limit have none."""
-        for team in self._teams.values():
-            if team.rate_per_s > 0:
-                self._update(team, now_s)
+        """Update all windows; quotas without a limit have none."""
+        for quota in self._quotas.values():
+            if quota.rate_per_s > 0:
+                self._update(quota, now_s)
 
-    def _update(self, team: Team, now_s: float) -> _Window:
+    def _update(self, quota: Quota, now_s: float) -> _Window:
         """Expire old usage, and add the assumed usage of silent peers."""
-        window = self._windows.get(team.name)
+        window = self._windows.get(quota.name)
         if window is None:
-            window = self._create_window(team)
-            self._windows[team.name] = window
+            window = self._create_window(quota)
+            self._windows[quota.name] = window
         known_s = now_s if window.updated_s is None else window.updated_s
         elapsed_s = max(0, now_s - known_s)
         window.updated_s = max(known_s, now_s)
@@ -299,36 +325,54 @@
             for last_report_s in self._peer_last_report_s.values()
         )
         share = silent / self.gateways
-        window.add(now_s, elapsed_s * self._mean_rate(team) * share)
+        window.add(now_s, elapsed_s * self._mean_rate(quota) * share)
         window.expire(now_s)
         window.decay(elapsed_s)
         return window
 
-    def _create_window(self, team: Team) -> _Window:
+    def _create_window(self, quota: Quota) -> _Window:
         """Return a window with the usage before the start."""
         window = _Window(self._window_s)
         if self._is_first_start:
             return window
-        imported = self._imported_usage.get(team.name)
+        imported = self._imported_usage.get(quota.name)
         if imported is None:
             slots = math.ceil(self._window_s / _SLOT_S)
-            share = self._limit(team) / slots
+            share = self._limit(quota) / slots
             for slot in range(slots, 0, -1):
                 window.add(self._started_s - slot * _SLOT_S, share)
             return window
         imported_s, amounts = imported
         for age_s in range(len(amounts) - 1, -1, -1):
             window.add(imported_s - age_s, amounts[age_s])
-        window.add(imported_s, self._spent.get(team.name, 0))
+        window.add(imported_s, self._spent.get(quota.name, 0))
         return window
 
-    def _local_share(self, window: _Window, team: Team) -> float:
+    def _local_share(self, window: _Window, quota: Quota) -> float:
         """Return the fraction of the remaining quota for this gateway.
 
         All gateways derive their shares from the same reports, so these add
         up to about one.
         """
         even = 1 / self.gateways
-        prior = max(1.0, team.burst * _PRIOR_USE_RATIO)
+        prior = max(1.0, quota.burst * _PRIOR_USE_RATIO)
         by_use = (window.local_use + prior * even) / (window.total_use + prior)
         return _EVEN_SHARE_RATIO * even + (1 - _EVEN_SHARE_RATIO) * by_use
+
+
+def _fits(
+    quota: Quota,
+    window: _Window,
+    cost: float,
+    left: float,
+    available: float,
+) -> bool:
+    """Return whether a quota allows a cost.
+
+    A request larger than the local share is admitted if the total remaining
+    quota suffices and nothing was spent since the last report.
+    """
+    return available >= cost or (
+        left >= max(2 * cost, quota.burst / 2)
+        and window.spent_since_report <= 0
+    )
--- a/peridotrill/gateway_main.py
+++ b/peridotrill/gateway_main.py
@@ -69,7 +69,7 @@
 )
 from peridotrill.gateway.target_limits import TargetLimits
 from peridotrill.gateway.targets import TargetRecord
-from peridotrill.gateway.team_quotas import TeamQuotas
+from peridotrill.gateway.shared_quotas import SharedQuotas
 from peridotrill.gateway.usage_counts import UsageCounts
 from peridotrill.gateway_coordinator_tasks import (
     CoordinatorTaskDependencies,
@@ -162,7 +162,7 @@
         self._crashes = CrashDetector(self._clock, self._log)
         self._limits = TargetLimits(self._clock, self._log)
         self._demand = DemandMeter(self._clock)
-        self._quotas = TeamQuotas(
+        self._quotas = SharedQuotas(
             self._clock,
             timedelta(seconds=node.bounds.quota_window_s),
             node.bounds.quota_slack,
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -12,7 +12,7 @@
 from peridotrill.gateway.admission_queue import Reservation
 from peridotrill.gateway.load_tracker import LoadTracker, prefill_key
 from peridotrill.gateway.retry_budget import RetryBounds, RetryBudget
-from peridotrill.gateway.team_quotas import TeamQuotas
+from peridotrill.gateway.shared_quotas import SharedQuotas
 from tests.gateway_builders import advance, target, team
 
 _RATE = 1000.0
@@ -48,7 +48,7 @@
         self.admitted = []
 
     def _create(self):
-        quotas = TeamQuotas(self.clock, _WINDOW, _EXCESS)
+        quotas = SharedQuotas(self.clock, _WINDOW, _EXCESS)
         quotas.configure({self.team.name: self.team})
         for peer in _NODES[1:]:
             quotas.add_peer(peer)
@@ -118,7 +118,7 @@
     # Guards against fixed shares that leave the quota of idle gateways unused.
     clock = ManualClock()
     limited = team(rate_per_s=_RATE, burst=_BURST)
-    nodes = [TeamQuotas(clock, _WINDOW) for _ in range(6)]
+    nodes = [SharedQuotas(clock, _WINDOW) for _ in range(6)]
     for index, quotas in enumerate(nodes):
         quotas.configure({limited.name: limited})
         for peer in range(6):
@@ -143,7 +143,7 @@
     clock = ManualClock()
     limited = team(rate_per_s=_RATE, burst=_BURST)
     gateways = 24
-    nodes = [TeamQuotas(clock, _WINDOW) for _ in range(gateways)]
+    nodes = [SharedQuotas(clock, _WINDOW) for _ in range(gateways)]
 
     def report():
         for index, quotas in enumerate(nodes):
@@ -172,7 +172,7 @@
     # was busy shortly before (saltbush quiet-1: 214 prompts).
     clock = ManualClock()
     limited = team(rate_per_s=_RATE, burst=_BURST)
-    quotas = TeamQuotas(clock, _WINDOW, is_first_start=True)
+    quotas = SharedQuotas(clock, _WINDOW, is_first_start=True)
     quotas.configure({limited.name: limited})
     limit = _RATE * _WINDOW_S + _BURST
     admitted = []
@@ -196,13 +196,13 @@
     clock = ManualClock()
     limited = team(rate_per_s=_RATE, burst=_BURST)
     advance(clock, 100)
-    nodes = [TeamQuotas(clock, _WINDOW, is_first_start=True), None]
+    nodes = [SharedQuotas(clock, _WINDOW, is_first_start=True), None]
     nodes[0].configure({limited.name: limited})
     while nodes[0].admit(limited, 100).is_admitted:
         if nodes[0].spent()[limited.name] >= 3000:
             break
     advance(clock, 0.5)
-    nodes[1] = TeamQuotas(clock, _WINDOW)
+    nodes[1] = SharedQuotas(clock, _WINDOW)
     nodes[1].configure({limited.name: limited})
     nodes[1].add_peer('n0')
     nodes[1].import_usage(nodes[0].usage())
@@ -218,7 +218,7 @@
     # receives its first request of a team late.
     clock = ManualClock()
     limited = team(rate_per_s=_RATE, burst=_BURST)
-    quotas = TeamQuotas(clock, _WINDOW, is_first_start=True)
+    quotas = SharedQuotas(clock, _WINDOW, is_first_start=True)
     quotas.configure({limited.name: limited})
     quotas.observe_peer('n1', '1', {})
     advance(clock, 0.1)
@@ -232,7 +232,7 @@
     clock = ManualClock()
     limited = team(rate_per_s=_RATE, burst=_BURST)
     advance(clock, 50)
-    quotas = TeamQuotas(clock, _WINDOW)
+    quotas = SharedQuotas(clock, _WINDOW)
     quotas.configure({limited.name: limited})
     quotas.observe_peer('n1', '1', {limited.name: 100})
     quotas.import_usage({limited.name: [1000, 0]})
@@ -248,13 +248,13 @@
     clock = ManualClock()
     limited = team(rate_per_s=_RATE, burst=_BURST)
     advance(clock, 100)
-    old = TeamQuotas(clock, _WINDOW, is_first_start=True)
+    old = SharedQuotas(clock, _WINDOW, is_first_start=True)
     old.configure({limited.name: limited})
     while old.admit(limited, 100).is_admitted:
         old.end_report_interval()
     spent = old.spent()[limited.name]
     advance(clock, 0.3)
-    new = TeamQuotas(clock, _WINDOW)
+    new = SharedQuotas(clock, _WINDOW)
     new.configure({limited.name: limited})
     new.observe_peer('n0', '1', old.spent())
     new.import_usage(old.usage())
@@ -273,14 +273,14 @@
     clock = ManualClock()
     limited = team(rate_per_s=_RATE, burst=_BURST)
     advance(clock, 100)
-    nodes = [TeamQuotas(clock, _WINDOW) for _ in range(2)]
+    nodes = [SharedQuotas(clock, _WINDOW) for _ in range(2)]
     for quotas in nodes:
         quotas.configure({limited.name: limited})
     assert nodes[0].usage() == {}
     advance(clock, _WINDOW_S)
     assert nodes[0].usage() != {}
     # A gateway with imported usage may export it.
-    late = TeamQuotas(clock, _WINDOW)
+    late = SharedQuotas(clock, _WINDOW)
     late.configure({limited.name: limited})
     late.import_usage(nodes[0].usage())
     assert late.usage() != {}
@@ -291,7 +291,7 @@
     clock = ManualClock()
     limited = team(rate_per_s=_RATE, burst=_BURST)
     advance(clock, 100)
-    quotas = TeamQuotas(clock, _WINDOW)
+    quotas = SharedQuotas(clock, _WINDOW)
     quotas.configure({limited.name: limited})
     assert not quotas.admit(limited, 100).is_admitted
     advance(clock, 4)
@@ -305,7 +305,7 @@
     # the full limit.
     clock = ManualClock()
     limited = team(rate_per_s=_RATE, burst=_BURST)
-    alone = TeamQuotas(clock, _WINDOW)
+    alone = SharedQuotas(clock, _WINDOW)
     alone.configure({limited.name: limited})
     for peer in ('a', 'b', 'c'):
         alone.add_peer(peer)
@@ -320,7 +320,7 @@
 def test_rejection_has_a_usable_retry_after():
     clock = ManualClock()
     limited = team(rate_per_s=100, burst=100)
-    quotas = TeamQuotas(clock, _WINDOW)
+    quotas = SharedQuotas(clock, _WINDOW)
     quotas.configure({limited.name: limited})
     rejection = quotas.admit(limited, 50)
     assert not rejection.is_admitted
--- a/tests/test_gateway_reporting.py
+++ b/tests/test_gateway_reporting.py
@@ -21,7 +21,7 @@
 )
 from peridotrill.gateway.reporting import Reporting, ReportSources, Sender
 from peridotrill.gateway.targets import TargetRole
-from peridotrill.gateway.team_quotas import TeamQuotas
+from peridotrill.gateway.shared_quotas import SharedQuotas
 from peridotrill.gateway.usage_counts import UsageCounts
 from peridotrill.settings import Address
 from tests.gateway_builders import RecordingLog, advance, target
@@ -48,7 +48,7 @@
             ReportSources(
                 self.cluster_state,
                 Coordinator(node, FakeLog(), timedelta(seconds=4), clock, log),
-                TeamQuotas(clock, timedelta(seconds=8)),
+                SharedQuotas(clock, timedelta(seconds=8)),
                 self.loads,
                 UsageCounts(5, cluster_clock),
                 self.demand,
