Keep to the limits that targets name, at all gateways together

Engines that asked for fewer requests got up to twice what they allowed. Cause: the gateways did not read the limit, so placement chose such an engine as before and because it looked idle. The class is a constraint that a target states in its responses and that only the one who reads the response could know; a limit for all callers needs the sum over them.

Reservations are now charged against the limit, and a target without room is left out when requests are placed. Gateways share limits and usage in their reports, with the account that also divides the quotas of teams.

--- a/peridotrill/gateway/components.py
+++ b/peridotrill/gateway/components.py
@@ -11,11 +11,11 @@
 from peridotrill.gateway.placement import Placement
 from peridotrill.gateway.quarantine_sharing import QuarantineSharing
 from peridotrill.gateway.retry_budget import RetryBudget
+from peridotrill.gateway.shared_quotas import SharedQuotas
 from peridotrill.gateway.target_health import TargetHealth
 from peridotrill.gateway.target_http_client import TargetHttpClient
 from peridotrill.gateway.target_limits import TargetLimits
 from peridotrill.gateway.target_messages import WireCodec
-from peridotrill.gateway.shared_quotas import SharedQuotas
 from peridotrill.gateway.usage_counts import UsageCounts
 from peridotrill.target_crashes import CrashDetector
 
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -41,7 +41,9 @@
     ``can_claim`` tells whether the sender may become the coordinator.
     ``quota_used`` is the quota usage of all gateways in the last window, by
     team and by age in whole seconds. It is only sent for a short time after
-    a process has started.
+    a process has started. ``target_limits`` are the limits that targets have
+    named, in requests per second and with their age in milliseconds, and
+    ``target_spent`` the requests of this process to limited targets.
     """
 
     node: str
@@ -59,6 +61,8 @@
     switching: list[str]
     lease: LeaseNotice | None = None
     quota_used: dict[str, list[float]] = {}
+    target_limits: dict[str, tuple[float, int]] = {}
+    target_spent: dict[str, float] = {}
 
 
 class PartListing(
--- a/peridotrill/gateway/placement.py
+++ b/peridotrill/gateway/placement.py
@@ -25,6 +25,7 @@
 )
 from peridotrill.gateway.requests import Prompt
 from peridotrill.gateway.target_health import TargetHealth
+from peridotrill.gateway.target_limits import TargetLimits
 from peridotrill.gateway.targets import TargetRecord, TargetRole
 
 # Large enough to keep an engine busy between two reports of the gateways, and
@@ -62,12 +63,17 @@
         cluster_state: ClusterState,
         loads: LoadTracker,
         health: TargetHealth,
+        limits: TargetLimits,
         clock: Clock,
         local_zone: str,
     ) -> None:
-        """:param local_zone: zone of the preferred targets."""
+        """:param limits: limits that targets name on their requests.
+
+        :param local_zone: zone of the preferred targets.
+        """
         self._cluster_state = cluster_state
         self._load_tracker = loads
+        self._limits = limits
         self._clock = clock
         self._local_zone = local_zone
         self.parts = PartDirectory(_DEFAULT_MEMORY_TOKENS)
@@ -87,7 +93,7 @@
             self._queues[key] = AdmissionQueue(
                 self._clock,
                 _QUEUE_BOUNDS,
-                self._load_tracker.begin,
+                self._begin,
                 self._load_tracker.end,
             )
             # Queues are dispatched in the order of the pools.
@@ -96,6 +102,10 @@
             )
         return self._queues[key]
 
+    def _begin(self, reservation: Reservation) -> None:
+        self._load_tracker.begin(reservation)
+        self._limits.charge(reservation.target.target_id)
+
     def has_target(self, service: str, excluded: set[str]) -> bool:
         """Return whether a service has a target that is not excluded."""
         return any(
@@ -266,6 +276,7 @@
             row
             for row in healthy or targets
             if self._load_tracker.total(row.target_id) < row.slots
+            and self._limits.has_room(row.target_id)
         ]
 
     def _prefill_ms(self, target_id: str) -> float:
--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -21,6 +21,7 @@
     report_interval_s,
 )
 from peridotrill.gateway.shared_quotas import SharedQuotas
+from peridotrill.gateway.target_limits import TargetLimits
 from peridotrill.gateway.usage_counts import UsageCounts
 from peridotrill.settings import Address
 
@@ -51,6 +52,7 @@
     demand: DemandMeter
     parts: PartDirectory
     cluster_clock: ClusterClock
+    limits: TargetLimits
 
 
 class Sender(NamedTuple):
@@ -89,13 +91,14 @@
         self.switching: Callable[[], list[str]] = list
         self.on_new_process: Callable[[str], None] = _ignore
         peers.on_report = self.handle_report
-        peers.on_new_member = sources.quotas.add_peer
+        peers.on_new_member = self._add_peer
 
     async def run(self) -> None:
         """Send reports until cancelled."""
         while True:
             self._peers.send(self.make_report())
             self._sources.quotas.end_report_interval()
+            self._sources.limits.quotas.end_report_interval()
             self._sources.loads.end_report_interval()
             await anyio.sleep(report_interval_s(len(self._peers.members)))
 
@@ -122,6 +125,8 @@
             switching,
             self._lease_notice(),
             self._next_quota_usage(),
+            sources.limits.report(),
+            _round_up_nonzero(sources.limits.spent()),
         )
 
     def handle_report(self, report: Report) -> None:
@@ -138,6 +143,10 @@
             report.incarnation,
             report.spent,
         )
+        sources.limits.observe_peer(report.target_limits)
+        sources.limits.quotas.observe_peer(
+            report.node, report.incarnation, report.target_spent
+        )
         sources.loads.observe_peer(report.node, report.work)
         sources.usage.observe_peer(process, report.usage)
         if report.demand:
@@ -173,6 +182,10 @@
             if self._candidates.get(peer)
         )
 
+    def _add_peer(self, node: str) -> None:
+        self._sources.quotas.add_peer(node)
+        self._sources.limits.quotas.add_peer(node)
+
     def _next_quota_usage(self) -> dict[str, list[float]]:
         """Return the quota usage if a new process still needs it."""
         if not self._quota_reports_left:
--- a/peridotrill/gateway/target_limits.py
+++ b/peridotrill/gateway/target_limits.py
@@ -1,14 +1,34 @@
-"""Rate limits that targets name in their responses."""
+"""Rate limits that targets name in their responses.
 
+A limit holds for all gateways together, also for those that have had no
+response with it. They share the usage of each limited target as they share
+the quotas of teams.
+"""
+
+from collections.abc import Callable, Mapping, Sequence
 from datetime import timedelta
 from typing import Final, NamedTuple, final
 
 from peridotrill.clock import Clock
 from peridotrill.gateway.event_log import EventSink
+from peridotrill.gateway.peers import rank_for_key
+from peridotrill.gateway.shared_quotas import SharedQuotas
 
+# Period in which a target gets its rate and burst. Reports of other gateways
+# are up to a quarter of a second old, so a shorter one would be exceeded.
+_WINDOW: Final = timedelta(seconds=2)
+# With fewer requests in a window, the shares of all gateways could be less
+# than one request each.
+_MIN_PER_WINDOW: Final = 2.5
+_MIN_BURST: Final = 1.0
+# A target that names a limit of 0 still gets requests that show its end.
+_MIN_RATE_PER_S: Final = 0.01
 # Responses without a limit end it only after this time without one that names
 # it: a target may have sent them before it named the limit.
 _END_DELAY: Final = timedelta(seconds=1)
+# A limit that no response has named for this time is forgotten.
+_LIFETIME: Final = timedelta(seconds=60)
+_MS_PER_S: Final = 1000
 
 
 class TargetLimit(NamedTuple):
@@ -19,47 +39,154 @@
 
     name: str
     rate_per_s: float
+    burst: float
     named_s: float
 
 
 @final
 class TargetLimits:
-    """The limits in force, by target id."""
+    """The limits in force, by target id, and their usage."""
+
+    def __init__(
+        self,
+        node: str,
+        active_peers: Callable[[], Sequence[str]],
+        clock: Clock,
+        log: EventSink,
+    ) -> None:
+        """:param node: name of the node of this gateway.
 
-    def __init__(self, clock: Clock, log: EventSink) -> None:
-        """Start without limits."""
+        :param active_peers: returns the names of the other gateways.
+        """
+        self._node = node
+        self._active_peers = active_peers
         self._clock = clock
         self._log = log
         self._limits: dict[str, TargetLimit] = {}
+        # When limits ended by responses without one.
+        self._ended_s: dict[str, float] = {}
+        # Limited targets that only other gateways send to.
+        self._reserved: set[str] = set()
+        self.quotas = SharedQuotas(clock, _WINDOW)
 
     def observe(self, target_id: str, limit_per_s: float | None) -> None:
         """Apply the limit that a response names.
 
         :param limit_per_s: None if the response names none.
         """
-        known = self._limits.get(target_id)
         now_s = self._clock.monotonic_s()
-        if limit_per_s is None:
-            if known is not None and (
-                now_s - known.named_s > _END_DELAY.total_seconds()
-            ):
-                self._limits.pop(target_id)
-                self._log.write('target_unlimited', target=target_id)
+        if limit_per_s is not None:
+            self._apply(target_id, limit_per_s, now_s)
             return
-        self._limits[target_id] = TargetLimit(target_id, limit_per_s, now_s)
-        if known is None or known.rate_per_s != limit_per_s:
-            self._log.write(
-                'target_limited',
-                target=target_id,
-                rate_per_s=limit_per_s,
-                previous=None if known is None else known.rate_per_s,
+        known = self._limits.get(target_id)
+        if known is not None and (
+            now_s - known.named_s > _END_DELAY.total_seconds()
+        ):
+            self._ended_s[target_id] = now_s
+            self._end(target_id, 'not named')
+
+    def observe_peer(self, limits: Mapping[str, tuple[float, int]]) -> None:
+        """Apply the limits that another gateway knows.
+
+        :param limits: by target, the rate per second and the age in
+            milliseconds.
+        """
+        now_s = self._clock.monotonic_s()
+        for target_id, (rate_per_s, age_ms) in limits.items():
+            named_s = now_s - age_ms / _MS_PER_S
+            known = self._limits.get(target_id)
+            known_s = (
+                self._ended_s.get(target_id, float('-inf'))
+                if known is None
+                else known.named_s
+            )
+            if named_s > known_s and not self._is_old(named_s):
+                self._apply(target_id, rate_per_s, named_s)
+
+    def report(self) -> dict[str, tuple[float, int]]:
+        """Return the limits in force, for the other gateways."""
+        self._reserve()
+        now_s = self._clock.monotonic_s()
+        for known in list(self._limits.values()):
+            if self._is_old(known.named_s):
+                self._end(known.name, 'no responses')
+        return {
+            limit.name: (
+                limit.rate_per_s,
+                round((now_s - limit.named_s) * _MS_PER_S),
             )
+            for limit in self._limits.values()
+        }
+
+    def spent(self) -> dict[str, float]:
+        """Return the requests of this process to the limited targets."""
+        spent = self.quotas.spent()
+        return {name: spent.get(name, 0) for name in self._limits}
+
+    def has_room(self, target_id: str) -> bool:
+        """Return whether a target may get a request now."""
+        limit = self._limits.get(target_id)
+        if limit is None:
+            return True
+        if target_id in self._reserved:
+            return False
+        return self.quotas.has_room(limit, 1)
+
+    def charge(self, target_id: str) -> None:
+        """Count a request to a target."""
+        limit = self._limits.get(target_id)
+        if limit is not None:
+            self.quotas.charge(limit, 1)
 
     def forget(self, target_id: str) -> None:
         """Drop the limit of a target that was removed or replaced."""
-        self._limits.pop(target_id, None)
+        self._ended_s.pop(target_id, None)
+        if target_id in self._limits:
+            self._end(target_id, 'target removed or replaced')
 
     @property
     def limited_targets(self) -> int:
         """Number of targets with a limit."""
         return len(self._limits)
+
+    def _reserve(self) -> None:
+        """Find the targets that only other gateways may send to.
+
+        Between two reports each gateway may send one request. Where a limit
+        is lower than the number of gateways, only some of them send, chosen
+        alike by all of them.
+        """
+        nodes = (*self._active_peers(), self._node)
+        self._reserved = {
+            limit.name
+            for limit in self._limits.values()
+            if self._node
+            not in rank_for_key(
+                nodes, limit.name, max(1, int(limit.rate_per_s))
+            )
+        }
+
+    def _apply(self, target_id: str, rate_per_s: float, named_s: float) -> None:
+        known = self._limits.get(target_id)
+        rate_per_s = max(_MIN_RATE_PER_S, rate_per_s)
+        burst = _MIN_PER_WINDOW - rate_per_s * _WINDOW.total_seconds()
+        self._limits[target_id] = TargetLimit(
+            target_id, rate_per_s, max(_MIN_BURST, burst), named_s
+        )
+        if known is None or known.rate_per_s != rate_per_s:
+            self.quotas.configure(self._limits)
+            self._log.write(
+                'target_limited',
+                target=target_id,
+                rate_per_s=rate_per_s,
+                previous=None if known is None else known.rate_per_s,
+            )
+
+    def _end(self, target_id: str, reason: str) -> None:
+        self._limits.pop(target_id)
+        self.quotas.configure(self._limits)
+        self._log.write('target_unlimited', target=target_id, reason=reason)
+
+    def _is_old(self, named_s: float) -> bool:
+        age_s = self._clock.monotonic_s() - named_s
+        return age_s > _LIFETIME.total_seconds()
--- a/peridotrill/gateway_main.py
+++ b/peridotrill/gateway_main.py
@@ -61,6 +61,7 @@
 from peridotrill.gateway.request_handler import RequestHandler
 from peridotrill.gateway.retry_budget import RetryBudget
 from peridotrill.gateway.settings_watcher import SettingsWatcher
+from peridotrill.gateway.shared_quotas import SharedQuotas
 from peridotrill.gateway.target_connections import ConnectionPool
 from peridotrill.gateway.target_health import TargetHealth
 from peridotrill.gateway.target_http_client import (
@@ -69,7 +70,6 @@
 )
 from peridotrill.gateway.target_limits import TargetLimits
 from peridotrill.gateway.targets import TargetRecord
-from peridotrill.gateway.shared_quotas import SharedQuotas
 from peridotrill.gateway.usage_counts import UsageCounts
 from peridotrill.gateway_coordinator_tasks import (
     CoordinatorTaskDependencies,
@@ -118,6 +118,8 @@
 # Listen backlog; holds a burst of new connections.
 _BACKLOG: Final = 1024
 _METRICS_PATH: Final = b'/metrics'
+# Peers with a report within this time are active; reports are more frequent.
+_ACTIVE_PEER_AGE_S: Final = 1.0
 # Limits the load and the log volume of a task that fails repeatedly.
 _RESTART_DELAY_S: Final = 0.5
 
@@ -160,7 +162,6 @@
         self._loads = LoadTracker(self._clock)
         self._health = TargetHealth(self._clock)
         self._crashes = CrashDetector(self._clock, self._log)
-        self._limits = TargetLimits(self._clock, self._log)
         self._demand = DemandMeter(self._clock)
         self._quotas = SharedQuotas(
             self._clock,
@@ -179,6 +180,12 @@
             node.node, self._quarantine, self._peers, self._clock
         )
         self._crashes.on_crash = self._quarantine_sharing.record_crash
+        self._limits = TargetLimits(
+            node.node,
+            partial(self._peers.members_heard_within, _ACTIVE_PEER_AGE_S),
+            self._clock,
+            self._log,
+        )
         self._targets = TargetHttpClient(
             wire, self._clock, ConnectionTimeouts()
         )
@@ -186,6 +193,7 @@
             self._cluster_state,
             self._loads,
             self._health,
+            self._limits,
             self._clock,
             node.zone,
         )
@@ -214,6 +222,7 @@
                 self._demand,
                 self._placement.parts,
                 self._cluster_clock,
+                self._limits,
             ),
             self._clock,
         )
--- a/tests/test_gateway_reporting.py
+++ b/tests/test_gateway_reporting.py
@@ -20,8 +20,9 @@
     encode_message,
 )
 from peridotrill.gateway.reporting import Reporting, ReportSources, Sender
-from peridotrill.gateway.targets import TargetRole
 from peridotrill.gateway.shared_quotas import SharedQuotas
+from peridotrill.gateway.target_limits import TargetLimits
+from peridotrill.gateway.targets import TargetRole
 from peridotrill.gateway.usage_counts import UsageCounts
 from peridotrill.settings import Address
 from tests.gateway_builders import RecordingLog, advance, target
@@ -54,6 +55,7 @@
                 self.demand,
                 PartDirectory(1000),
                 cluster_clock,
+                TargetLimits(node, list, clock, log),
             ),
             clock,
         )
