Break off responses that do not end

A target, the store or a server of duties may send bytes without end until the connection is closed. A head, interim responses, trailers, chunk extensions and responses to other requests were read until the deadline of the request, into memory without a bound, and so was the load report that an agent reads. Bodies that are read as a whole were bounded one by one, at 16 MiB: about twenty of them exceed the memory of a gateway.

A connection now allows 256 KiB in a row that belong to no body of the expected response. The agent reads at most 4 MiB of a control document, in at most 2 s.

--- a/peridotrill/gateway/target_connections.py
+++ b/peridotrill/gateway/target_connections.py
@@ -21,15 +21,16 @@
     TargetRefused,
     TargetUnreachable,
 )
+from peridotrill.gateway.body_budget import BodyBudget, ReservedBytes
 from peridotrill.gateway.http_format import format_head
 from peridotrill.gateway.requests import Headers
 from peridotrill.settings import Address
 
 # Body bytes that are buffered for a slow caller before reading is paused.
 _MAX_BUFFERED_BYTES: Final = 262144
-# Limit for a body that is read as a whole; a gateway has a few hundred MB of
-# memory.
-_MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+# Limit for bytes in a row that belong to no body of the expected response:
+# heads, interim responses, trailers, responses to other requests.
+_MAX_OVERHEAD_BYTES: Final = 256 * 1024
 # Responses to other requests that are skipped before the connection is closed.
 _MAX_SKIPPED_RESPONSES: Final = 4
 # SO_LINGER with a zero timeout: closing resets the connection.
@@ -112,16 +113,17 @@
 
     async def read_body(self) -> bytes:
         """Wait for the whole body; raises TargetOutcomeUnknown."""
-        parts: list[bytes] = []
-        size = 0
-        while True:
+        body = bytearray()
+        reserved = ReservedBytes(self._connection.budget)
+        try:
             part = await self.read_chunk()
-            if part is None:
-                return b''.join(parts)
-            size += len(part)
-            if size > _MAX_BODY_BYTES:
-                raise TargetOutcomeUnknown('response body too large')
-            parts.append(part)
+            while part is not None:
+                body += part
+                reserved.grow(len(body))
+                part = await self.read_chunk()
+        finally:
+            reserved.release()
+        return bytes(body)
 
     def close(self) -> None:
         """Reset the connection unless the response is complete."""
@@ -176,9 +178,17 @@
 class TargetConnection(asyncio.Protocol):  # noqa: WPS338
     """One connection to a target, for one request at a time."""
 
-    def __init__(self, on_idle: Callable[['TargetConnection'], None]) -> None:
-        """:param on_idle: called when the connection can be reused."""
+    def __init__(
+        self,
+        on_idle: Callable[['TargetConnection'], None],
+        budget: BodyBudget | None = None,
+    ) -> None:
+        """:param on_idle: called when the connection can be reused.
+
+        :param budget: for the bodies that are read as a whole.
+        """
         self._on_idle = on_idle
+        self.budget = budget or BodyBudget()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: TargetExchange | None = None
@@ -188,6 +198,7 @@
         # Idle timeout that the target declared in Keep-Alive, if any.
         self.keep_alive_s: float | None = None
         self._skipped = 0
+        self._overhead_bytes = 0
         self._parse_error = ''
         self._ends_at_eof = False
         self._reset_message()
@@ -202,6 +213,7 @@
         if self._exchange is None:
             self.abort('data received without a request in progress')
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError:
@@ -212,6 +224,8 @@
             self.abort(self._parse_error)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.abort('malformed response')
+        if self._overhead_bytes > _MAX_OVERHEAD_BYTES:
+            self.abort('response head too large')
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the stream."""
@@ -245,6 +259,7 @@
             raise TargetUnreachable('not connected')
         self._exchange = TargetExchange(self, matches)
         self._skipped = 0
+        self._overhead_bytes = 0
         self._transport.write(format_head(first_line, headers) + body)
         return self._exchange
 
@@ -352,6 +367,7 @@
     def on_body(self, body: bytes) -> None:
         """Deliver a chunk of the body."""
         if self._exchange is not None and not self._is_skipped:
+            self._overhead_bytes = 0
             self._exchange.deliver_chunk(body)
 
     def on_message_complete(self) -> None:
@@ -412,17 +428,20 @@
     address: Address,
     timeout_s: float,
     on_idle: Callable[[TargetConnection], None],
+    budget: BodyBudget | None = None,
 ) -> TargetConnection:
     """Connect to a target; raises TargetUnreachable or TargetRefused.
 
     :param timeout_s: timeout for the connection attempt.
     :param on_idle: called when the connection can be reused.
+    :param budget: for the bodies that are read as a whole on this and other
+        connections.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: TargetConnection(on_idle),
+                lambda: TargetConnection(on_idle, budget),
                 address.host,
                 address.port,
             )
@@ -445,8 +464,13 @@
         now_s: Callable[[], float],
         connect_timeout_s: float,
         max_idle: int,
+        budget: BodyBudget | None = None,
     ) -> None:
-        """:param max_idle: maximum number of idle connections."""
+        """:param max_idle: maximum number of idle connections.
+
+        :param budget: for the bodies that are read as a whole.
+        """
+        self._budget = budget or BodyBudget()
         self.address = address
         self._now_s = now_s
         self._connect_timeout_s = connect_timeout_s
@@ -479,6 +503,7 @@
             self.address,
             self._connect_timeout_s,
             self._release,
+            self._budget,
         )
 
     def _pop_idle(self, max_idle_s: float) -> TargetConnection | None:
--- a/peridotrill/gateway/target_http_client.py
+++ b/peridotrill/gateway/target_http_client.py
@@ -11,6 +11,7 @@
     TargetTimeout,
     TargetUnreachable,
 )
+from peridotrill.gateway.body_budget import BodyBudget
 from peridotrill.gateway.requests import CallerRequest
 from peridotrill.gateway.target_connections import (
     ConnectionPool,
@@ -56,6 +57,7 @@
         self._wire = wire
         self._clock = clock
         self._timeouts = timeouts
+        self._budget = BodyBudget()
         self._pools: dict[str, ConnectionPool] = {}
 
     async def send(
@@ -131,6 +133,7 @@
                 self._clock.monotonic_s,
                 self._timeouts.connect_timeout.total_seconds(),
                 _MAX_IDLE_PER_TARGET,
+                self._budget,
             )
             self._pools[key] = pool
         return pool
--- a/peridotrill/target_client.py
+++ b/peridotrill/target_client.py
@@ -19,6 +19,8 @@
 
 _CONNECT_TIMEOUT_S: Final = 2.0
 _CONTROL_TIMEOUT_S: Final = 2.0
+# Far above any document of a control endpoint.
+_MAX_DOCUMENT_BYTES: Final = 4 * 1024 * 1024
 _MAX_CONNECTIONS: Final = 2048
 _CONNECT_STARTED_EVENT: Final = 'connection.connect_tcp.started'
 _CONNECTION_CLOSED_ERRORS: Final = (
@@ -216,9 +218,24 @@
     :param path: path of a control endpoint of the target.
     """
     try:
-        response = await http.get(path, timeout=_CONTROL_TIMEOUT_S)
-        document = decode_json(response.content)
-    except (httpx.HTTPError, CodecError):
+        with anyio.fail_after(_CONTROL_TIMEOUT_S):
+            content = await _get_content(http, path)
+        document = decode_json(content)
+    except (httpx.HTTPError, CodecError, TimeoutError):
         return {}
-    is_valid = response.is_success and isinstance(document, dict)
-    return document if is_valid else {}
+    return document if isinstance(document, dict) else {}
+
+
+async def _get_content(http: httpx.AsyncClient, path: str) -> bytes:
+    """Return the body of a successful response.
+
+    Raises httpx.HTTPError, and CodecError if the body is too large.
+    """
+    content = bytearray()
+    async with http.stream('GET', path) as response:
+        response.raise_for_status()
+        async for part in response.aiter_bytes():
+            content += part
+            if len(content) > _MAX_DOCUMENT_BYTES:
+                raise CodecError('control document too large')
+    return bytes(content)
