Spread the requests to a limited target evenly over time

Cause: between two reports each gateway may send one request, which uses up a window of low limits at once.

Each gateway now also keeps a pace of 1.25 times its share, and a limit counts as used when it begins. test_limit_is_used_evenly fails without the pace (0 to 15 requests in a second at 7/s) and passes (5 to 10).

--- a/peridotrill/gateway/shared_quotas.py
+++ b/peridotrill/gateway/shared_quotas.py
@@ -273,6 +273,12 @@
         self.charge(quota, cost)
         return QuotaDecision(True, 0)
 
+    def local_share(self, quota: Quota) -> float:
+        """Return the fraction of a quota that this gateway should use."""
+        window = self._windows.get(quota.name)
+        share = None if window is None else window.local_share
+        return share or 1 / self.gateways
+
     def has_room(self, quota: Quota, cost: float) -> bool:
         """Return whether the quota allows a request now, without charging it."""
         if quota.rate_per_s <= 0:
@@ -291,6 +297,22 @@
         window.total_use += cost
         self._spent[quota.name] = self._spent.get(quota.name, 0) + cost
 
+    def assume_used(self, quota: Quota) -> None:
+        """Assume that a new quota was fully and evenly used until now.
+
+        Otherwise the gateways would use it up at once, and then again after
+        each window.
+        """
+        window = _Window(self._window_s)
+        self._fill(window, quota, self._clock.monotonic_s())
+        self._windows[quota.name] = window
+
+    def _fill(self, window: _Window, quota: Quota, until_s: float) -> None:
+        slots = math.ceil(self._window_s / _SLOT_S)
+        share = self._limit(quota) / slots
+        for slot in range(slots, 0, -1):
+            window.add(until_s - slot * _SLOT_S, share)
+
     def _available(self, window: _Window, left: float) -> float:
         """Return what this gateway may spend until the next reports."""
         left_at_report = left + window.spent_since_report
@@ -337,10 +359,7 @@
             return window
         imported = self._imported_usage.get(quota.name)
         if imported is None:
-            slots = math.ceil(self._window_s / _SLOT_S)
-            share = self._limit(quota) / slots
-            for slot in range(slots, 0, -1):
-                window.add(self._started_s - slot * _SLOT_S, share)
+            self._fill(window, quota, self._started_s)
             return window
         imported_s, amounts = imported
         for age_s in range(len(amounts) - 1, -1, -1):
--- a/peridotrill/gateway/target_limits.py
+++ b/peridotrill/gateway/target_limits.py
@@ -21,6 +21,13 @@
 # than one request each.
 _MIN_PER_WINDOW: Final = 2.5
 _MIN_BURST: Final = 1.0
+# A gateway sends at most at this ratio of its share of the rate. Without a pace
+# the gateways would use up a window at once, and then wait for the next one.
+_PACE_RATIO: Final = 1.25
+# Lowest pace of a gateway that may send at all; the window still bounds it.
+_MIN_PACE_PER_S: Final = 0.5
+# Requests that a gateway may send at once after a time without any.
+_PACE_BURST: Final = timedelta(seconds=0.25)
 # A target that names a limit of 0 still gets requests that show its end.
 _MIN_RATE_PER_S: Final = 0.01
 # Responses without a limit end it only after this time without one that names
@@ -43,6 +50,22 @@
     named_s: float
 
 
+@final
+class _Pace:
+    """Token bucket of one gateway for one target."""
+
+    def __init__(self, now_s: float) -> None:
+        self._updated_s = now_s
+        self.tokens = 1.0
+
+    def refill(self, now_s: float, rate_per_s: float) -> None:
+        """Add the tokens of the time since the last call."""
+        most = max(1.0, rate_per_s * _PACE_BURST.total_seconds())
+        elapsed_s = max(0.0, now_s - self._updated_s)
+        self.tokens = min(most, self.tokens + elapsed_s * rate_per_s)
+        self._updated_s = now_s
+
+
 @final
 class TargetLimits:
     """The limits in force, by target id, and their usage."""
@@ -65,6 +88,7 @@
         self._limits: dict[str, TargetLimit] = {}
         # When limits ended by responses without one.
         self._ended_s: dict[str, float] = {}
+        self._paces: dict[str, _Pace] = {}
         # Limited targets that only other gateways send to.
         self._reserved: set[str] = set()
         self.quotas = SharedQuotas(clock, _WINDOW)
@@ -130,13 +154,20 @@
             return True
         if target_id in self._reserved:
             return False
-        return self.quotas.has_room(limit, 1)
+        pace = self._paces[target_id]
+        share_per_s = limit.rate_per_s * self.quotas.local_share(limit)
+        pace.refill(
+            self._clock.monotonic_s(),
+            max(_MIN_PACE_PER_S, share_per_s * _PACE_RATIO),
+        )
+        return pace.tokens >= 1 and self.quotas.has_room(limit, 1)
 
     def charge(self, target_id: str) -> None:
         """Count a request to a target."""
         limit = self._limits.get(target_id)
         if limit is not None:
             self.quotas.charge(limit, 1)
+            self._paces[target_id].tokens -= 1
 
     def forget(self, target_id: str) -> None:
         """Drop the limit of a target that was removed or replaced."""
@@ -175,6 +206,9 @@
         )
         if known is None or known.rate_per_s != rate_per_s:
             self.quotas.configure(self._limits)
+            if known is None:
+                self.quotas.assume_used(self._limits[target_id])
+                self._paces[target_id] = _Pace(self._clock.monotonic_s())
             self._log.write(
                 'target_limited',
                 target=target_id,
@@ -184,6 +218,7 @@
 
     def _end(self, target_id: str, reason: str) -> None:
         self._limits.pop(target_id)
+        self._paces.pop(target_id)
         self.quotas.configure(self._limits)
         self._log.write('target_unlimited', target=target_id, reason=reason)
 
--- a/tests/test_target_limits.py
+++ b/tests/test_target_limits.py
@@ -1,6 +1,7 @@
 """Limits that targets name, shared by all gateways; without a network."""
 
 import random
+from collections import Counter
 from functools import partial
 
 import pytest
@@ -189,3 +190,16 @@
     response = decode_response_head(head)
     assert response.limit_per_s == expected
     assert response.headers == [(b'x-a', b'1')]
+
+
+@pytest.mark.parametrize('rate_per_s', [7, 30])
+def test_limit_is_used_evenly(rate_per_s):
+    # Guards against gateways that use up a window at once and then leave their
+    # callers waiting until the next one.
+    cluster = Cluster(5, rate_per_s)
+    cluster.limits[0].observe(TARGET, rate_per_s)
+    cluster.play(10)
+    per_second = Counter(int(at_s) for at_s in cluster.sent_s)
+    settled = [per_second[second] for second in range(102, 110)]
+    assert min(settled) >= 0.5 * rate_per_s
+    assert max(settled) <= 1.5 * rate_per_s
