Try a quarantined part with one attempt, and list it from two gateways

A trial of a request that may be repeated skipped the check for all of its attempts, so a harmful part could end two engines in one trial. Only the first attempt is a trial now. And each gateway repeated all quarantined parts to all others every second, which grows with the square of the fleet; two gateways in turn do so now. Both found by reading; the two new tests failed before.

--- a/peridotrill/gateway/quarantine_sharing.py
+++ b/peridotrill/gateway/quarantine_sharing.py
@@ -32,13 +32,15 @@
 # Limits the rows of a gateway that has many requests at an engine.
 _MAX_ROWS_PER_REPORT: Final = 240
 # Quarantined parts are reported again at this interval, for gateways that have
-# started or were unreachable.
+# started or were unreachable. Two gateways in turn do so, since datagrams may
+# be lost; from all of them, the traffic would grow with the size of the fleet.
 _LISTING_INTERVAL: Final = timedelta(seconds=1)
+_LISTING_SENDERS: Final = 2
 # Peers with a report within this time are active; reports are more frequent.
 _ACTIVE_PEER_AGE_S: Final = 1.0
 # Time for which one gateway may try a part. Its callers may not send the part,
 # so the others get a turn later.
-_TRIAL_TURN_S: Final = 10
+_TRIAL_TURN: Final = timedelta(seconds=10)
 _MS_PER_S: Final = 1000
 
 
@@ -73,12 +75,7 @@
 
         Only one of the gateways may try it at a time.
         """
-        turn = int(self._clock.now().timestamp() // _TRIAL_TURN_S)
-        active = (
-            *self._peers.members_heard_within(_ACTIVE_PEER_AGE_S),
-            self._node,
-        )
-        if rank_for_key(active, f'{part_id}/{turn}', 1) != [self._node]:
+        if not self._has_turn(part_id, _TRIAL_TURN, 1):
             return False
         return self._quarantine.try_start_trial(part_id)
 
@@ -107,7 +104,8 @@
         crashes = [crash for batch in self._crashes for crash in batch]
         if now_s - self._listed_s >= _LISTING_INTERVAL.total_seconds():
             self._listed_s = now_s
-            crashes += self._quarantine.quarantined_crashes()
+            if self._has_turn('listing', _LISTING_INTERVAL, _LISTING_SENDERS):
+                crashes += self._quarantine.quarantined_crashes()
         rows = _to_rows(crashes, now_s)[:_MAX_ROWS_PER_REPORT]
         proofs = [
             PartProof(part_id, _age_ms(now_s, started_s))
@@ -135,6 +133,15 @@
             crash = TargetCrash(str(row.process), ended_s, (exposure,))
             self._record_proofs(self._quarantine.record_crash(crash))
 
+    def _has_turn(self, key: str, duration: timedelta, count: int) -> bool:
+        """Return whether this gateway is among those whose turn it is."""
+        turn = int(self._clock.now().timestamp() // duration.total_seconds())
+        active = (
+            *self._peers.members_heard_within(_ACTIVE_PEER_AGE_S),
+            self._node,
+        )
+        return self._node in rank_for_key(active, f'{key}/{turn}', count)
+
     def _record_proofs(self, harmless: Iterable[str]) -> None:
         """Report proofs that the sender of a crash does not know."""
         for part_id in harmless:
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -354,6 +354,8 @@
         exposure = None
         if parts and events < HARMLESS_EVENTS:
             exposure = Exposure(parts, sent_s)
+        # A trial is one attempt: another one could cost another engine.
+        self.is_trial = False
         crashes = self.shared.crashes
         if crashes.record_broken(target.process, exposure):
             self.shared.start_task(
--- a/tests/test_gateway_quarantine.py
+++ b/tests/test_gateway_quarantine.py
@@ -1,13 +1,15 @@
 """Agreement of gateways on quarantined prompt parts, without a network."""
 
 import random
+from types import SimpleNamespace
 
 import anyio
 import pytest
 
 from peridotrill.clock import ManualClock
-from peridotrill.exceptions import LogUnavailable
+from peridotrill.exceptions import LogUnavailable, TargetOutcomeUnknown
 from peridotrill.gateway.cluster_clock import ClusterClock
+from peridotrill.gateway.error_responses import GatewayError
 from peridotrill.gateway.peers import (
     PeerExchange,
     decode_message,
@@ -15,11 +17,14 @@
 )
 from peridotrill.gateway.quarantine_archive import QuarantineArchive
 from peridotrill.gateway.quarantine_sharing import QuarantineSharing
+from peridotrill.gateway.request_context import RequestContext
+from peridotrill.gateway.target_health import TargetHealth
+from peridotrill.gateway.targets import TargetRole
 from peridotrill.platform.topics import KeyedPage
 from peridotrill.prompt_quarantine import MIN_CRASHES, PromptQuarantine
 from peridotrill.settings import Address
-from peridotrill.target_crashes import Exposure, TargetCrash
-from tests.gateway_builders import RecordingLog, advance
+from peridotrill.target_crashes import CrashDetector, Exposure, TargetCrash
+from tests.gateway_builders import RecordingLog, advance, prompt, target
 
 NODES = ('front-1', 'front-2', 'front-3')
 # Reports from 23 gateways are 0.26 s apart.
@@ -128,6 +133,28 @@
     assert started.holds('p')
 
 
+def test_quarantine_is_listed_by_few_gateways():
+    # Guards against traffic that grows with the square of the fleet.
+    cluster = Cluster()
+    for gateway in cluster.gateways:
+        for node in NODES:
+            gateway.peers.add_member(node, Address('127.0.0.1', 7500))
+    for number in range(MIN_CRASHES):
+        cluster.gateways[0].crash(f'process-{number}', 'p')
+        cluster.exchange()
+    cluster.exchange(4)
+    listings = 0
+    for _ in range(10):
+        advance(cluster.clock, 1)
+        for gateway in cluster.gateways:
+            for member in gateway.peers.members.values():
+                member.heard_s = cluster.clock.monotonic_s()
+            gateway.sharing.send_report()
+            listings += len(gateway.sent)
+            gateway.sent.clear()
+    assert 10 <= listings <= 2 * 10
+
+
 def test_only_one_gateway_tries_a_part_at_a_time():
     # Guards against one crash for each gateway at the end of a quarantine.
     cluster = Cluster()
@@ -236,3 +263,40 @@
         decode_message(b'\x94\xa7crashes\xa1n\x91\x94\x01\x02\x03\x90') is None
     )
     assert decode_message(b'\x92\xa7crashes\xa1n') is None
+
+
+def test_trial_that_crashes_an_engine_is_not_repeated_at_another():
+    # Guards against two crashes for each trial of a request that may be
+    # repeated.
+    cluster = Cluster()
+    gateway = cluster.gateways[0]
+    for number in range(MIN_CRASHES):
+        gateway.crash(f'process-{number}', 'p')
+        cluster.exchange()
+    log = RecordingLog()
+    shared = SimpleNamespace(
+        clock=cluster.clock,
+        log=log,
+        health=TargetHealth(cluster.clock),
+        crashes=CrashDetector(cluster.clock, log),
+        quarantine=gateway.sharing,
+        targets=SimpleNamespace(is_refused=print),
+        start_task=lambda *_: None,
+    )
+    request = SimpleNamespace(
+        request_id='r',
+        received_s=cluster.clock.monotonic_s(),
+        wait_ms=5000,
+        prompt=prompt(part_id='p'),
+    )
+    route = SimpleNamespace(timeout_ms=5000)
+    context = RequestContext(request, route, None, 'llm', None, shared)
+    context.is_trial = True
+    context.require_no_quarantine()
+    context.record_broken_output(
+        target('i-9', role=TargetRole.DECODE),
+        TargetOutcomeUnknown('connection closed'),
+        cluster.clock.monotonic_s(),
+    )
+    with pytest.raises(GatewayError):
+        context.require_no_quarantine()
