Let engines of the soak name limits and crash under a prompt part

Both troubles come from a random sequence of their own, so that the other faults of a seed stay as they were. A crashed stand-in also closes its idle connections.

--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -45,4 +45,5 @@
             yield Address(*server.sockets[0].getsockname()[:2])
         finally:
             server.close()
+            caller_server.close_idle()
             tasks.cancel_scope.cancel()
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -36,6 +36,9 @@
 RECOVERY_S = 12
 AT_MOST_ONCE_KINDS = ('pay', 'draft')
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+# A part of each twentieth prompt, under which engines may crash.
+DEADLY_PART = 'dead'
+DEADLY_INTERVAL = 20
 ENGINE_FAULTS = ('shed', 'reset', 'silent', 'late', 'cut', 'half', 'error')
 
 
@@ -45,6 +48,8 @@
     def __init__(self, site, seed):
         self.site = site
         self.random = random.Random(seed)
+        # A sequence of its own, so that the other faults of a seed stay.
+        self._engine_random = random.Random(f'engines {seed}')
         self.stopping = threading.Event()
         self.outcomes = {}
         self.violations = []
@@ -62,6 +67,7 @@
         end_s = time.monotonic() + DURATION_S
         while time.monotonic() < end_s:
             self._inject()
+            self._change_engine()
             time.sleep(self.random.uniform(0.05, 0.5))
         self.stopping.set()
         for caller in callers:
@@ -86,7 +92,7 @@
             try:
                 response = client.post(
                     f'{gateway.url}/{kind}/x',
-                    headers=_headers(name, kind),
+                    headers=_headers(name, kind, count),
                     content=b'body',
                 )
             except httpx.HTTPError as error:
@@ -138,6 +144,17 @@
             for _ in range(self.random.randint(1, 6))
         ]
 
+    def _change_engine(self):
+        """Let an engine name a limit, or crash under a part of prompts."""
+        engine = self._engine_random.choice(list(self.site.engines.values()))
+        chance = self._engine_random.random()
+        if chance < 0.15:
+            engine.limit_per_s = self._engine_random.uniform(2, 50)
+        elif chance < 0.3:
+            engine.limit_per_s = None
+        elif chance < 0.4:
+            engine.deadly_part = DEADLY_PART
+
     def _pause_gateway(self):
         gateway = self._gateway()
         if gateway.process.poll() is None:
@@ -183,6 +200,8 @@
             gateway.store_proxy.heal()
         for name, engine in self.site.engines.items():
             engine.plan = []
+            engine.limit_per_s = None
+            engine.deadly_part = ''
             self.site.register(name)
 
     # Invariants that are checked at the end.
@@ -228,7 +247,7 @@
             self.violations.append(f'fencing tokens decrease: {fences}')
 
 
-def _headers(name, kind):
+def _headers(name, kind, count):
     headers = {
         'Host': HOST,
         'Authorization': 'Bearer key-g',
@@ -237,6 +256,9 @@
     }
     if kind in {'draft', 'quick'}:
         headers.update(prompt_headers(shared=50 if kind == 'quick' else 5000))
+        if count % DEADLY_INTERVAL == 0:
+            parts = headers['X-Peridotrill-Prompt-Prefix']
+            headers['X-Peridotrill-Prompt-Prefix'] = f'{DEADLY_PART}:9,{parts}'
     return headers
 
 
@@ -246,7 +268,11 @@
         soak = Soak(site, seed)
         violations = soak.run()
         summary = Counter(str(outcome) for outcome in soak.outcomes.values())
-        return violations, {**summary, 'faults': sum(soak.faults.values())}
+        return violations, {
+            **summary,
+            'faults': sum(soak.faults.values()),
+            'crashes': sum(row.crashes for row in site.engines.values()),
+        }
 
 
 def main():
