--- a/tests/test_gateway_quarantine.py
+++ b/tests/test_gateway_quarantine.py
@@ -49,6 +49,11 @@
         exposure = Exposure(parts, now_s - 0.05)
         self.sharing.record_crash(TargetCrash(process, now_s, (exposure,)))
 
+    def hear_all(self):
+        """Let all other gateways count as active."""
+        for member in self.peers.members.values():
+            member.heard_s = self.clock.monotonic_s()
+
     def holds(self, *parts):
         return self.sharing.find(parts) is not None
 
@@ -61,6 +66,12 @@
         self._random = random.Random(1)
         self._loss = loss
 
+    def join(self):
+        """Let the gateways know each other."""
+        for gateway in self.gateways:
+            for node in NODES:
+                gateway.peers.add_member(node, Address('127.0.0.1', 7500))
+
     def exchange(self, reports=1):
         for _ in range(reports):
             for gateway in self.gateways:
@@ -136,9 +147,7 @@
 def test_quarantine_is_listed_by_few_gateways():
     # Guards against traffic that grows with the square of the fleet.
     cluster = Cluster()
-    for gateway in cluster.gateways:
-        for node in NODES:
-            gateway.peers.add_member(node, Address('127.0.0.1', 7500))
+    cluster.join()
     for number in range(MIN_CRASHES):
         cluster.gateways[0].crash(f'process-{number}', 'p')
         cluster.exchange()
@@ -147,8 +156,7 @@
     for _ in range(10):
         advance(cluster.clock, 1)
         for gateway in cluster.gateways:
-            for member in gateway.peers.members.values():
-                member.heard_s = cluster.clock.monotonic_s()
+            gateway.hear_all()
             gateway.sharing.send_report()
             listings += len(gateway.sent)
             gateway.sent.clear()
@@ -158,9 +166,7 @@
 def test_only_one_gateway_tries_a_part_at_a_time():
     # Guards against one crash for each gateway at the end of a quarantine.
     cluster = Cluster()
-    for gateway in cluster.gateways:
-        for node in NODES:
-            gateway.peers.add_member(node, Address('127.0.0.1', 7500))
+    cluster.join()
     for number in range(MIN_CRASHES):
         cluster.gateways[0].crash(f'process-{number}', 'p')
         cluster.exchange()
@@ -168,8 +174,7 @@
     for _ in range(40):
         advance(cluster.clock, 1)
         for gateway in cluster.gateways:
-            for member in gateway.peers.members.values():
-                member.heard_s = cluster.clock.monotonic_s()
+            gateway.hear_all()
             trials += gateway.sharing.try_start_trial('p')
     assert 1 <= trials <= 2
 
