--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -44,6 +44,10 @@
         try:
             yield Address(*server.sockets[0].getsockname()[:2])
         finally:
-            server.close()
-            caller_server.close_idle()
+            _close(server, caller_server)
             tasks.cancel_scope.cancel()
+
+
+def _close(server, caller_server):
+    server.close()
+    caller_server.close_idle()
