Log when the store has been restored from an older copy

Change: the store client decodes the generation that each response of the store names. A higher one is logged once as store_restored with the configuration in force, and shown as a metric; store_regained names the offset of the next read. The stand-in of the store names its generation, can be restored from a copy, and answers a read beyond its end with 410.

--- a/peridotrill/gateway/metrics.py
+++ b/peridotrill/gateway/metrics.py
@@ -44,6 +44,10 @@
     'peridotrill_store_calls',
     'Calls of the store since the start',
 )
+STORE_GENERATION: Final = Gauge(
+    'peridotrill_store_generation',
+    'Generation of the store, which rises when it is restored from a copy',
+)
 LOST_LOG_LINES: Final = Gauge(
     'peridotrill_lost_log_lines',
     'Lines that were suppressed above a rate, or dropped for a slow reader',
--- a/peridotrill/gateway/store_follower.py
+++ b/peridotrill/gateway/store_follower.py
@@ -131,7 +131,7 @@
             except (LogUnavailable, CodecError) as error:
                 await self._back_off(error)
                 continue
-            self._mark_connected()
+            self._mark_connected(end)
             if end is None:
                 on_snapshot(page.rows)
             else:
@@ -172,11 +172,11 @@
         await anyio.sleep(self._retry_s)
         self._retry_s = min(_MAX_RETRY_S, self._retry_s * 2)
 
-    def _mark_connected(self) -> None:
+    def _mark_connected(self, at: int | None) -> None:
         self._retry_s = _MIN_RETRY_S
         if not self._is_connected:
             self._is_connected = True
-            self._log.write('store_regained', topic=self._topic)
+            self._log.write('store_regained', topic=self._topic, at=at)
 
 
 def _apply_rows(
--- a/peridotrill/gateway_main.py
+++ b/peridotrill/gateway_main.py
@@ -43,6 +43,7 @@
     LOST_LOG_LINES,
     QUARANTINED_PARTS,
     STORE_CALLS,
+    STORE_GENERATION,
     TARGET_CRASHES,
 )
 from peridotrill.gateway.part_sharing import PartSharing
@@ -261,6 +262,7 @@
         self._caller_server: asyncio.AbstractServer | None = None
         self._cluster_state.on_change = self._on_cluster_state_changed
         self._cluster_state.on_target_gone = self._on_target_gone
+        self._store.on_restored = self._on_store_restored
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finish the requests in progress."""
@@ -445,6 +447,7 @@
     def _update_gauges(self) -> None:
         CONFIG_AGE_S.set(self._cluster_state.config_age_s() or -1)
         STORE_CALLS.set(self._store.calls)
+        STORE_GENERATION.set(self._store.generation)
         LOST_LOG_LINES.set(self._log.lost_lines)
         LIMITED_TARGETS.set(self._limits.limited_targets)
         TARGET_CRASHES.set(self._crashes.crashes)
@@ -466,6 +469,15 @@
         self._crashes.record_end(target.process, 'record replaced or removed')
         self._placement.parts.forget(target.target_id)
 
+    def _on_store_restored(self, previous: int, generation: int) -> None:
+        current = self._cluster_state.configuration
+        self._log.write(
+            'store_restored',
+            previous=previous,
+            generation=generation,
+            config_version=None if current is None else current.version,
+        )
+
     async def _wait_for_stop(self) -> None:
         with anyio.open_signal_receiver(
             signal.SIGTERM,
--- a/peridotrill/platform/names.py
+++ b/peridotrill/platform/names.py
@@ -27,6 +27,9 @@
 SERVER_LIMIT: Final = b'server-limit'
 DUTY_HOLDER: Final = b'x-peridotrill-duty-holder'
 FENCE_TOKEN: Final = b'x-peridotrill-fence-token'
+# Generation of the store; it rises each time the store is restored from an
+# older copy.
+STORE_GENERATION: Final = b'store-era'
 LAST_EVENT_ID: Final = b'last-event-id'
 AUTHORIZATION: Final = b'authorization'
 KEEP_ALIVE: Final = b'keep-alive'
--- a/peridotrill/platform/store.py
+++ b/peridotrill/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import struct
+from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Final, NamedTuple, final
 from urllib.parse import quote
@@ -17,7 +18,12 @@
     TargetOutcomeUnknown,
     TargetUnreachable,
 )
-from peridotrill.gateway.target_connections import ConnectionPool, Response
+from peridotrill.gateway.target_connections import (
+    ConnectionPool,
+    Response,
+    ResponseHead,
+)
+from peridotrill.platform.names import STORE_GENERATION
 
 # Raised while decoding a malformed response.
 _DECODE_ERRORS: Final = (
@@ -114,6 +120,9 @@
         self._pool = pool
         self._timeout_s = timeout_s
         self.calls = 0
+        # Highest generation that the store has named; 0 if it has named none.
+        self.generation = 0
+        self.on_restored: Callable[[int, int], None] = _ignore_restore
 
     async def read(
         self,
@@ -226,7 +235,37 @@
         self.calls += 1
         connection = await self._pool.acquire(_MAX_IDLE_S)
         with anyio.fail_after(self._timeout_s + wait_s):
-            return await connection.call(method, path.encode(), body)
+            response = await connection.call(method, path.encode(), body)
+        self._observe_generation(response.head)
+        return response
+
+    def _observe_generation(self, head: ResponseHead) -> None:
+        generation = _decode_generation(head)
+        previous = self.generation
+        if generation > previous:
+            self.generation = generation
+            if previous:
+                self.on_restored(previous, generation)
+
+
+def _ignore_restore(previous: int, generation: int) -> None:
+    """Default callback for a restored store."""
+
+
+def _decode_generation(head: ResponseHead) -> int:
+    """Return the generation that a response names.
+
+    Raises TargetOutcomeUnknown, as the call may have taken effect.
+
+    :return: 0 if it names none.
+    """
+    named = head.get(STORE_GENERATION)
+    if named is None:
+        return 0
+    try:
+        return int(named)
+    except ValueError as error:
+        raise TargetOutcomeUnknown(f'invalid generation: {named!r}') from error
 
 
 def _decode_page(response: Response) -> NewestPage:
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -10,6 +10,7 @@
 
 from peridotrill.codec import encode_json
 from peridotrill.exceptions import CodecError
+from peridotrill.platform.names import STORE_GENERATION
 from peridotrill.platform.store import (
     decode_keyed_record,
     encode_keyed_record,
@@ -30,7 +31,8 @@
 
     ``fault`` is empty or one of ``down`` (503 to every request), ``silent``
     (no responses) and ``lose_appends`` (appends take effect, but their
-    connections are closed without a response).
+    connections are closed without a response). Each response names the
+    ``generation``, which rises when the store is restored from a copy.
     """
 
     def __init__(self) -> None:
@@ -38,6 +40,7 @@
         self.topics: dict[str, list[bytes]] = defaultdict(list)
         self.first_offsets: dict[str, int] = defaultdict(int)
         self.fault = ''
+        self.generation = 1
         self.calls: Counter[str] = Counter()
         self._changed = asyncio.Condition()
 
@@ -45,8 +48,19 @@
         """Append a record to a keyed topic, as operators and targets do."""
         await self._append(topic, [encode_keyed_record(key, content)])
 
+    def copy(self) -> dict[str, list[bytes]]:
+        """Return a copy of all topics for ``restore``."""
+        return {topic: list(rows) for topic, rows in self.topics.items()}
+
+    def restore(self, copied: dict[str, list[bytes]]) -> None:
+        """Replace all topics by a copy, as after the loss of the store."""
+        self.topics.clear()
+        self.topics.update({topic: list(copied[topic]) for topic in copied})
+        self.generation += 1
+
     async def handle(self, request, responder) -> None:
         """Handle one request."""
+        responder = _GenerationResponder(self, responder)
         parts = urlsplit(request.target.decode())
         query = {name: rows[0] for name, rows in parse_qs(parts.query).items()}
         if self.fault == 'silent':
@@ -96,7 +110,7 @@
     async def _handle_read(self, topic, query, responder) -> None:
         start = int(query['from'])
         first = self.first_offsets[topic]
-        if start < first:
+        if not first <= start <= self._end_offset(topic):
             responder.send(_GONE, [], encode_json({'first': first}))
             return
         await self._wait_for(topic, start, int(query.get('wait-ms', 0)))
@@ -131,3 +145,19 @@
             'has-more': False,
             'end': self._end_offset(topic),
         }
+
+
+class _GenerationResponder:
+    """Adds the generation of the store to each response."""
+
+    def __init__(self, store, responder) -> None:
+        self._store = store
+        self._responder = responder
+
+    def send(self, status, headers, body) -> None:
+        generation = str(self._store.generation).encode()
+        named = (STORE_GENERATION, generation)
+        self._responder.send(status, [*headers, named], body)
+
+    def abort(self) -> None:
+        self._responder.abort()
