--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -72,6 +72,14 @@
     return {**document, **changes}
 
 
+def without_key(version, key):
+    """Return changes of a configuration that withdraw a key."""
+    teams = configuration_document()['tenants']
+    for row in teams:
+        row['api-keys'] = [name for name in row['api-keys'] if name != key]
+    return {'version': version, 'tenants': teams}
+
+
 def configuration_record(version=1, **changes):
     return encode_json(configuration_document(version, **changes))
 
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -10,7 +10,7 @@
 import httpx
 import pytest
 
-from tests.gateway_builders import configuration_document
+from tests.gateway_builders import without_key
 from tests.gateway_site import (
     ROOT,
     SIGCONT,
@@ -31,13 +31,6 @@
         yield running
 
 
-def without_key(version, key):
-    teams = configuration_document()['tenants']
-    for row in teams:
-        row['api-keys'] = [name for name in row['api-keys'] if name != key]
-    return {'version': version, 'tenants': teams}
-
-
 def status_of(gateway, key='key-g', client=httpx):
     return call(
         gateway, '/pay/x', f'fault-{next(_numbers)}', key=key, client=client
