Read topics again in full after the store has been restored

What callers saw: a gateway that was cut off or frozen while the store was restored from an older copy kept the old configuration: removed routes ran, added ones got 404 (CONFIG, DENIED), until the next change.

Cause: an offset was taken as a position in one history. After a restore offsets are given out again; once the log has grown to the old length, a reader continues behind records that it has never seen, without any error.

Change: each response of the store is checked against the generation in which its offset was read, before its status is looked at. Another generation raises StoreRestored, and the follower reads the topic in full. A response of an earlier generation that arrives late counts as lost.

--- a/peridotrill/exceptions.py
+++ b/peridotrill/exceptions.py
@@ -54,6 +54,19 @@
         self.first_kept = first_kept
 
 
+class StoreRestored(LogError):
+    """The store was restored from an older copy.
+
+    Offsets that were read before belong to records that may be lost, and are
+    given out again.
+    """
+
+    def __init__(self, message: str, generation: int) -> None:
+        """:param generation: current generation of the store."""
+        super().__init__(message)
+        self.generation = generation
+
+
 class LinkError(PeridotrillError):
     """A connection between an entry and an agent failed."""
 
--- a/peridotrill/gateway/store_follower.py
+++ b/peridotrill/gateway/store_follower.py
@@ -11,6 +11,7 @@
     CodecError,
     LogUnavailable,
     RecordsExpired,
+    StoreRestored,
 )
 from peridotrill.gateway.cluster_state import ClusterState
 from peridotrill.gateway.configuration import Configuration
@@ -47,7 +48,7 @@
     async def read(self, start: int, wait_s: float) -> Page:
         """Read from an offset.
 
-        Raises LogUnavailable, RecordsExpired, CodecError.
+        Raises LogUnavailable, RecordsExpired, StoreRestored, CodecError.
         """
 
 
@@ -124,8 +125,8 @@
             requested_s = self._clock.monotonic_s()
             try:
                 page = await self._read(end)
-            except RecordsExpired:
-                self._log.write('records_expired', topic=self._topic, at=end)
+            except (RecordsExpired, StoreRestored) as error:
+                self._log_full_read(error, end)
                 end = None
                 continue
             except (LogUnavailable, CodecError) as error:
@@ -141,6 +142,14 @@
             self._end_refresh()
             await self._pause()
 
+    def _log_full_read(
+        self, error: RecordsExpired | StoreRestored, at: int | None
+    ) -> None:
+        event = 'records_expired'
+        if isinstance(error, StoreRestored):
+            event = 'records_replaced'
+        self._log.write(event, topic=self._topic, at=at, error=str(error))
+
     async def _pause(self) -> None:
         over = anyio.Event()
         self._pause_ended = over
--- a/peridotrill/platform/store.py
+++ b/peridotrill/platform/store.py
@@ -15,6 +15,7 @@
     CodecError,
     LogUnavailable,
     RecordsExpired,
+    StoreRestored,
     TargetOutcomeUnknown,
     TargetUnreachable,
 )
@@ -40,11 +41,15 @@
 
 
 class StorePage(NamedTuple):
-    """Records from the requested offset on; ``end`` is the next offset."""
+    """Records from the requested offset on; ``end`` is the next offset.
+
+    Offsets are only valid in this ``generation`` of the store.
+    """
 
     end: int
     first_kept: int
     records: list[bytes]
+    generation: int
 
 
 class NewestRecord(NamedTuple):
@@ -56,21 +61,27 @@
 
 
 class NewestPage(NamedTuple):
-    """The newest records of a topic; ``end`` is the offset of the next read."""
+    """The newest records of a topic; ``end`` is the offset of the next read.
+
+    The offset is only valid in this ``generation`` of the store.
+    """
 
     records: list[NewestRecord]
     end: int
+    generation: int
     has_more: bool = False
 
 
 class AppendResult(NamedTuple):
     """Result of a conditional append.
 
-    ``offset`` is that of the record, or the end of the log if rejected.
+    ``offset`` is that of the record, or the end of the log if rejected. The
+    record may be lost in a later ``generation`` of the store.
     """
 
     appended: bool
     offset: int
+    generation: int
 
 
 def split_records(content: bytes) -> list[bytes]:
@@ -129,19 +140,22 @@
         topic: str,
         start: int,
         wait_s: float,
-        partition: int = 0,
+        generation: int | None = None,
     ) -> StorePage:
-        """Read records; wait up to ``wait_s`` if there are none yet.
+        """Read records of partition 0; wait up to ``wait_s`` if there are none.
 
-        Raises RecordsExpired or LogUnavailable.
+        :param generation: generation of the store in which ``start`` was read;
+            None for any. Raises StoreRestored in another one, RecordsExpired
+            or LogUnavailable.
         """
         response = await self._call(
             b'GET',
-            f'/-/log-read?topic={quote(topic)}&part={partition}'
+            f'/-/log-read?topic={quote(topic)}&part=0'
             + f'&from={start}&wait-ms={int(wait_s * 1000)}',
             b'',
             wait_s,
         )
+        found = _require_generation(response, generation, topic)
         if response.head.status == HTTPStatus.GONE:
             first = _decode(response).get('first')
             raise RecordsExpired(f'{topic} at {start}', first)
@@ -153,44 +167,50 @@
             records = split_records(response.body[_OFFSETS.size :])
         except CodecError as error:
             raise LogUnavailable(str(error)) from error
-        return StorePage(end, first_kept, records)
+        return StorePage(end, first_kept, records, found)
 
     async def newest(self, topic: str) -> NewestPage:
-        """Read the newest record of each key; raises LogUnavailable."""
+        """Read the newest record of each key.
+
+        Raises LogUnavailable, also if the store is restored between two pages.
+        """
         records: list[NewestRecord] = []
         path = f'/-/log-newest?topic={quote(topic)}&part=0'
-        after: str | None = None
-        end: int | None = None
+        suffix = ''
+        first: NewestPage | None = None
         while True:
-            suffix = '' if after is None else f'&after={quote(after)}'
             response = await self._call(b'GET', path + suffix, b'', 0)
             _require_ok(response)
             page = _decode_page(response)
             records += page.records
             # Pages are not a consistent snapshot. A reader that continues at
             # the end of the first page sees all changes made meanwhile.
-            end = page.end if end is None else end
+            first = first or page
+            if page.generation != first.generation:
+                raise LogUnavailable(f'{topic} was restored between two pages')
             if not page.has_more or not page.records:
-                return NewestPage(records, end)
-            after = records[-1].key
+                return first._replace(records=records, has_more=False)
+            suffix = f'&after={quote(records[-1].key)}'
 
     async def append(
         self,
         topic: str,
         records: list[bytes],
         at: int | None = None,
-        partition: int = 0,
+        generation: int | None = None,
     ) -> AppendResult:
-        """Append records.
+        """Append records to partition 0.
 
         :param at: append only if the log ends at this offset; None appends
             unconditionally.
+        :param generation: generation of the store in which ``at`` was read.
         :return: offset of the first record, or the end of the log if it
             is not ``at``.
 
-        Raises AppendOutcomeUnknown or LogUnavailable.
+        Raises AppendOutcomeUnknown, LogUnavailable, or StoreRestored in another
+        generation, where the records may have been appended.
         """
-        path = f'/-/log-append?topic={quote(topic)}&part={partition}'
+        path = f'/-/log-append?topic={quote(topic)}&part=0'
         if at is not None:
             path = f'{path}&at={at}'
         try:
@@ -204,10 +224,11 @@
             raise AppendOutcomeUnknown(f'no response: {error}') from error
         except TargetUnreachable as error:
             raise LogUnavailable(str(error)) from error
+        found = _require_generation(response, generation, topic)
         if response.head.status == HTTPStatus.PRECONDITION_FAILED:
-            return AppendResult(False, _decode_offset(response, 'end'))
+            return AppendResult(False, _decode_offset(response, 'end'), found)
         _require_ok(response)
-        return AppendResult(True, _decode_offset(response, 'offset'))
+        return AppendResult(True, _decode_offset(response, 'offset'), found)
 
     def close(self) -> None:
         """Close idle connections."""
@@ -242,6 +263,9 @@
     def _observe_generation(self, head: ResponseHead) -> None:
         generation = _decode_generation(head)
         previous = self.generation
+        if generation < previous:
+            # Sent before the restore, which may have undone the call.
+            raise TargetOutcomeUnknown(f'response of generation {generation}')
         if generation > previous:
             self.generation = generation
             if previous:
@@ -268,6 +292,19 @@
         raise TargetOutcomeUnknown(f'invalid generation: {named!r}') from error
 
 
+def _require_generation(
+    response: Response, generation: int | None, topic: str
+) -> int:
+    """Return the generation of a response; raises StoreRestored.
+
+    :param generation: the expected one; None for any.
+    """
+    found = _decode_generation(response.head)
+    if generation is not None and found != generation:
+        raise StoreRestored(f'{topic} in generation {found}', found)
+    return found
+
+
 def _decode_page(response: Response) -> NewestPage:
     try:
         page = decode_json(response.body)
@@ -279,7 +316,12 @@
             )
             for row in page.get('items', ())
         ]
-        return NewestPage(records, int(page['end']), bool(page.get('has-more')))
+        return NewestPage(
+            records,
+            int(page['end']),
+            _decode_generation(response.head),
+            bool(page.get('has-more')),
+        )
     except _DECODE_ERRORS as error:
         raise LogUnavailable(f'invalid page: {error!r}') from error
 
--- a/peridotrill/platform/topics.py
+++ b/peridotrill/platform/topics.py
@@ -20,7 +20,7 @@
 
 @final
 class KeyedTopic:
-    """Partition 0 of one keyed topic."""
+    """Partition 0 of one keyed topic, for one reader."""
 
     def __init__(
         self,
@@ -36,21 +36,27 @@
         self._store = store
         self._topic = topic
         self._on_unreadable = on_unreadable
+        # Generation of the store at the last full read.
+        self._generation = 0
 
     async def newest(self) -> KeyedPage:
         """Read the newest record of each key; raises LogUnavailable."""
         page = await self._store.newest(self._topic)
+        self._generation = page.generation
         return KeyedPage(
             [(row.key, row.content) for row in page.records],
             page.end,
         )
 
     async def read(self, start: int, wait_s: float) -> KeyedPage:
-        """Read from an offset; raises LogUnavailable, RecordsExpired.
+        """Read from an offset; records that cannot be decoded are skipped.
 
-        Records that cannot be decoded are skipped, as they have no key.
+        Raises LogUnavailable, RecordsExpired, or StoreRestored if the store
+        was restored since the last full read.
         """
-        page = await self._store.read(self._topic, start, wait_s)
+        page = await self._store.read(
+            self._topic, start, wait_s, self._generation
+        )
         rows: list[tuple[str, bytes]] = []
         for record in page.records:
             try:
