Confirm no configuration that is older than that of a peer

What callers saw: a gateway that started while the restored store still held an older configuration was ready at once and accepted a key that had been withdrawn and whose withdrawal had been confirmed.

Cause: a read of the store was taken as proof that no newer configuration exists. After a restore that only holds for what the copy contains, while running gateways have the newer version in force.

Change: reports name the version in force. A read confirms the configuration only if no peer has a newer one, so that requests with keys get 503 with a time to return once the last confirmation is too old. A gateway that starts into a running system settles until its peers have reported, 0.2 s and one report interval after it joined, at most 3 s.

--- a/peridotrill/gateway/cluster_state.py
+++ b/peridotrill/gateway/cluster_state.py
@@ -1,5 +1,6 @@
 """Configuration and targets as known to a gateway process."""
 
+import math
 from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import NamedTuple, final
@@ -41,6 +42,9 @@
         self._removed_at_s: dict[str, float] = {}
         self._suspended_until_s: dict[str, float] = {}
         self._config_confirmed_at_s: float | None = None
+        # Highest version that this gateway or a peer has in force.
+        self._newest_version = 0
+        self._settles_at_s = -math.inf
         self._are_targets_loaded = False
         self.configuration: Configuration | None = None
         self.on_target_gone: Callable[[TargetRecord], None] = _ignore
@@ -65,24 +69,63 @@
     @property
     def is_fresh(self) -> bool:
         """Whether the configuration is recent enough for API keys."""
+        if self._clock.monotonic_s() < self._settles_at_s:
+            return False
         age_s = self.config_age_s()
         return age_s is not None and age_s < self._max_age_s
 
     def confirm_configuration(self, requested_s: float) -> None:
-        """Record that the configuration was current at a given time.
+        """Record that the store had no newer configuration at a given time.
+
+        That does not prove that the configuration is current while a peer has a
+        newer one: the store may have been restored from an older copy.
 
         :param requested_s: monotonic time of the request to the store.
         """
+        if self.config_version < self._newest_version:
+            return
         self._config_confirmed_at_s = max(
             self._config_confirmed_at_s or requested_s, requested_s
         )
 
+    @property
+    def config_version(self) -> int:
+        """Version of the configuration in force; 0 if there is none."""
+        return 0 if self.configuration is None else self.configuration.version
+
+    def settle_within(self, duration: timedelta) -> None:
+        """Serve no API keys until then, as peers may have newer versions.
+
+        :param duration: time in which the reports of all peers arrive.
+        """
+        self._settles_at_s = self._clock.monotonic_s() + (
+            duration.total_seconds()
+        )
+
+    def observe_peer_version(self, version: int) -> None:
+        """Process the version of the configuration that a peer has in force."""
+        if version <= self._newest_version:
+            return
+        self._newest_version = version
+        if version <= self.config_version:
+            return
+        is_settling = self._clock.monotonic_s() < self._settles_at_s
+        if is_settling:
+            self._config_confirmed_at_s = None
+        self._log.write(
+            'configuration_behind',
+            version=self.config_version,
+            newest=version,
+            settling=is_settling,
+        )
+
     def update_configuration(self, configuration: Configuration) -> None:
         """Apply a version unless a newer one is in force."""
         current = self.configuration
         if current is not None and configuration.version <= current.version:
             return
         self.configuration = configuration
+        self._newest_version = max(self._newest_version, configuration.version)
         self._log.write(
             'configuration_adopted',
             version=configuration.version,
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -44,6 +44,7 @@
     a process has started. ``target_limits`` are the limits that targets have
     named, in requests per second and with their age in milliseconds, and
     ``target_spent`` the requests of this process to limited targets.
+    ``config_version`` is the version of the configuration in force.
     """
 
     node: str
@@ -63,6 +64,7 @@
     quota_used: dict[str, list[float]] = {}
     target_limits: dict[str, tuple[float, int]] = {}
     target_spent: dict[str, float] = {}
+    config_version: int = 0
 
 
 class PartListing(
--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -127,6 +127,7 @@
             self._next_quota_usage(),
             sources.limits.report(),
             _round_up_nonzero(sources.limits.spent()),
+            sources.cluster_state.config_version,
         )
 
     def handle_report(self, report: Report) -> None:
@@ -143,6 +144,7 @@
             report.incarnation,
             report.spent,
         )
+        sources.cluster_state.observe_peer_version(report.config_version)
         sources.limits.observe_peer(report.target_limits)
         sources.limits.quotas.observe_peer(
             report.node, report.incarnation, report.target_spent
--- a/peridotrill/gateway_followers.py
+++ b/peridotrill/gateway_followers.py
@@ -11,7 +11,7 @@
 from peridotrill.gateway.cluster_state import ClusterState
 from peridotrill.gateway.event_log import EventLog
 from peridotrill.gateway.metrics import UNREADABLE
-from peridotrill.gateway.peers import PeerExchange
+from peridotrill.gateway.peers import PeerExchange, report_interval_s
 from peridotrill.gateway.store_follower import (
     Decoders,
     PollTimings,
@@ -39,6 +39,11 @@
 # Delay between attempts to exchange addresses with an unreachable store; the
 # exchange has to succeed only once.
 _MEMBER_RETRY_S: Final = 0.5
+# Time until the first report of this process is sent and has arrived.
+_JOIN_MARGIN: Final = timedelta(seconds=0.2)
+# A gateway that cannot exchange addresses serves without knowing its peers
+# after this time.
+_MAX_JOIN_TIME: Final = timedelta(seconds=3)
 
 
 @final
@@ -63,6 +68,8 @@
         self._cluster_state = cluster_state
         self._peers = peers
         self._log = log
+        # Whether the address of this gateway is in the store.
+        self._is_joined = False
         pause = timedelta(
             milliseconds=node.bounds.drain_ms * _TARGETS_PAUSE_RATIO,
         )
@@ -104,23 +111,33 @@
 
     async def join_members(self) -> None:
         """Write this gateway's address, then read those of the others."""
+        if not self._node.is_first_start:
+            self._cluster_state.settle_within(_MAX_JOIN_TIME)
         topic = self.open_topic(names.MEMBERS_TOPIC)
+        while not await self._exchange_addresses(topic):
+            await anyio.sleep(_MEMBER_RETRY_S)
+        if not self._node.is_first_start:
+            self._cluster_state.settle_within(self._peer_report_time())
+
+    async def _exchange_addresses(self, topic: KeyedTopic) -> bool:
         own = Address(self._node.ip, self._node.peer_port)
-        is_written = False
-        while True:
-            try:
-                if not is_written:
-                    await topic.put(self._node.node, str(own).encode())
-                    is_written = True
-                page = await topic.newest()
-            except (AppendOutcomeUnknown, LogUnavailable) as error:
-                self._log.write('join_failed', error=str(error))
-                await anyio.sleep(_MEMBER_RETRY_S)
-                continue
-            for node, address in page.rows:
-                if address:
-                    self._add_member(node, address)
-            return
+        try:
+            if not self._is_joined:
+                await topic.put(self._node.node, str(own).encode())
+                self._is_joined = True
+            page = await topic.newest()
+        except (AppendOutcomeUnknown, LogUnavailable) as error:
+            self._log.write('join_failed', error=str(error))
+            return False
+        for node, address in page.rows:
+            if address:
+                self._add_member(node, address)
+        return True
+
+    def _peer_report_time(self) -> timedelta:
+        """Time in which all peers learn of this process and report to it."""
+        interval_s = report_interval_s(len(self._peers.members))
+        return _JOIN_MARGIN + timedelta(seconds=interval_s)
 
     def _add_member(self, node: str, address: bytes) -> None:
         try:
