Keep leases, fencing numbers and commitments through a restored store

The platform takes a lower fencing number as an order of a holder without authority, and the same number twice as two holders.

Cause: fencing numbers are offsets, which are given out again after a restore. A log of which nothing is left was taken for one in which no lease was ever claimed, so that a candidate claimed at once beside a holder whose lease was in force. The record of a committed usage window could be lost, and a successor could commit other counts.

Change: offsets are bound to the generation of the store. The fencing number rises with the generation. After a restore each process waits for a whole lease duration from when it noticed; the holder reads the log to its end and renews while its lease is valid. Commitments are named in reports and written again.

--- a/peridotrill/gateway/coordinator.py
+++ b/peridotrill/gateway/coordinator.py
@@ -7,9 +7,15 @@
 measured on its own monotonic clock. A holder stops acting one lease duration
 after it sent its last renewal. Leases therefore never overlap, even though
 the clocks are not synchronised.
+
+If the store is restored from an older copy, the record of the lease in force
+may be lost and offsets are given out again. Every process then waits for the
+whole lease duration from when it noticed the restore. The holder, whose last
+renewal was earlier, may renew in the restored log while its lease is valid.
 """
 
 import secrets
+from collections.abc import Mapping
 from datetime import timedelta
 from typing import Any, Final, NamedTuple, Protocol, final
 
@@ -20,6 +26,7 @@
     CodecError,
     LogUnavailable,
     RecordsExpired,
+    StoreRestored,
 )
 from peridotrill.gateway.event_log import EventLog
 
@@ -35,6 +42,12 @@
 _RENEWALS_PER_TTL: Final = 3
 # Committed usage windows kept so that a new holder can report them again.
 _MAX_COMMITTED_WINDOWS: Final = 8
+# Errors of the log after which a step is repeated.
+_LOG_ERRORS: Final = (LogUnavailable, AppendOutcomeUnknown, RecordsExpired)
+# A log in a later generation of the store may have lost its leases.
+_FIRST_GENERATION: Final = 1
+# Fencing numbers of a generation; more than a log has records.
+_FENCES_PER_GENERATION: Final = 2**32
 
 
 class AppendOutcome(Protocol):
@@ -56,17 +69,32 @@
     def records(self) -> list[bytes]:
         """The records in log order."""
 
+    @property
+    def generation(self) -> int:
+        """Generation of the store that the records belong to."""
+
 
 class CoordinationLog(Protocol):
-    """The log partition used for coordination."""
+    """The log partition used for coordination.
+
+    Calls raise StoreRestored if the store is not in the given generation.
+    """
+
+    async def read(self, start: int, generation: int | None) -> LogPage:
+        """Read from an offset; raises LogUnavailable, RecordsExpired.
 
-    async def read(self, start: int) -> LogPage:
-        """Read from an offset; raises LogUnavailable, RecordsExpired."""
+        :param generation: None for the current one.
+        """
 
-    async def append(self, record: bytes, at: int) -> AppendOutcome:
+    async def append(
+        self, record: bytes, at: int, generation: int | None
+    ) -> AppendOutcome:
         """Append at an offset; raises LogUnavailable, AppendOutcomeUnknown."""
 
 
+Commitments = Mapping[int, Mapping[str, int]]
+
+
 class Lease(NamedTuple):
     """Lease held by this process.
 
@@ -98,11 +126,16 @@
         self._clock = clock
         self._events = events
         self._position = 0
+        self._generation: int | None = None
+        # Set by a restore until the log was read to its end.
+        self._must_catch_up = False
         self._log_changed_s: float | None = None
         self._lease: Lease | None = None
         self._renewed_s = 0.0
-        # Usage counts that are in the log and final, by window.
+        # Usage counts that are final, by window.
         self.committed_usage: dict[int, dict[str, int]] = {}
+        # Windows whose counts are in the log.
+        self._logged_windows: set[int] = set()
 
     def held_lease(self, margin: timedelta) -> Lease | None:
         """Return the lease if it stays valid for longer than the margin.
@@ -125,7 +158,10 @@
                 await self._renew()
             elif may_claim:
                 await self._claim()
-        except (LogUnavailable, AppendOutcomeUnknown, RecordsExpired) as error:
+            await self._restore_commitments()
+        except StoreRestored as error:
+            self._handle_restore(error.generation)
+        except _LOG_ERRORS as error:
             self._events.write('coordination_failed', error=str(error))
         self._drop_expired()
 
@@ -134,40 +170,103 @@
 
         :return: whether the counts are in the log under this lease.
         """
-        if self._lease is None:
+        if self._lease is None or self._must_catch_up:
             return False
-        record = {'kind': 'usage', 'window': window, 'counts': counts}
         try:
-            is_committed = await self._append(record)
-        except (LogUnavailable, AppendOutcomeUnknown, RecordsExpired) as error:
+            return await self._append_usage(window, counts)
+        except StoreRestored as error:
+            self._handle_restore(error.generation)
+        except _LOG_ERRORS as error:
             self._events.write('coordination_failed', error=str(error))
-            return False
-        if not is_committed:
+        return False
+
+    def observe_commitments(self, commitments: Commitments) -> None:
+        """Process the counts that another holder has committed.
+
+        A restore of the store may undo the records of windows that have been
+        reported; the processes that run still know them.
+        """
+        for window, counts in commitments.items():
+            if window not in self.committed_usage:
+                self._store_committed_usage(window, dict(counts))
+
+    async def _append_usage(self, window: int, counts: dict[str, int]) -> bool:
+        record = {'kind': 'usage', 'window': window, 'counts': counts}
+        if not await self._append(record):
             return False
         self._store_committed_usage(window, counts)
+        self._logged_windows.add(window)
         return True
 
+    async def _restore_commitments(self) -> None:
+        """Append the commitments that a restore of the store has undone."""
+        if self._lease is None or self._must_catch_up:
+            return
+        for window in sorted(
+            self.committed_usage.keys() - self._logged_windows
+        ):
+            if not await self._append_usage(
+                window, self.committed_usage[window]
+            ):
+                return
+
     async def _renew(self) -> None:
         now_s = self._clock.monotonic_s()
         if now_s - self._renewed_s < self._ttl_s / _RENEWALS_PER_TTL:
             return
+        if self._must_catch_up:
+            has_more = True
+            while has_more:
+                has_more = await self._read_new_records()
+            self._must_catch_up = False
+            # The end of a restored log does not show claims that others made
+            # after this lease had expired.
+            if self.held_lease(timedelta(0)) is None:
+                return
         await self._append({'kind': 'lease', 'holder': self._node})
 
+    def _handle_restore(self, generation: int) -> None:
+        """Read the log again from its start and wait for the lease duration."""
+        self._events.write(
+            'coordination_restored',
+            generation=generation,
+            position=self._position,
+            is_holder=self._lease is not None,
+        )
+        self._generation = generation
+        self._position = 0
+        self._must_catch_up = True
+        self._logged_windows.clear()
+        self._log_changed_s = self._clock.monotonic_s()
+
     async def _claim(self) -> None:
         if await self._read_new_records() or self._log_changed_s is None:
             self._log_changed_s = self._clock.monotonic_s()
         unchanged_s = self._clock.monotonic_s() - self._log_changed_s
-        is_log_empty = self._position == 0
-        if not is_log_empty and unchanged_s < self._ttl_s * (
-            1 + MAX_CLOCK_DRIFT_RATIO
-        ):
+        max_ttl_s = self._ttl_s * (1 + MAX_CLOCK_DRIFT_RATIO)
+        if unchanged_s < max_ttl_s and not self._is_log_unused:
             return
-        offset = self._position
+        self._must_catch_up = False
         if await self._append({'kind': 'lease', 'holder': self._node}):
-            lease = Lease(offset + 1, self._renewed_s + self._valid_s)
+            lease = Lease(self._fence(), self._renewed_s + self._valid_s)
             self._lease = lease
             self._events.write('lease_taken', fence=lease.fence)
 
+    @property
+    def _is_log_unused(self) -> bool:
+        """Whether no lease was ever claimed."""
+        generation = self._generation or 0
+        return self._position == 0 and generation <= _FIRST_GENERATION
+
+    def _fence(self) -> int:
+        """Return the fencing number for a claim in the last record.
+
+        Offsets are given out again in a later generation of the store.
+        """
+        generation = max(_FIRST_GENERATION, self._generation or 0)
+        base = (generation - _FIRST_GENERATION) * _FENCES_PER_GENERATION
+        return base + self._position
+
     @property
     def _valid_s(self) -> float:
         return self._ttl_s * (1 - MAX_CLOCK_DRIFT_RATIO)
@@ -175,12 +274,13 @@
     async def _read_new_records(self) -> bool:
         """Read and apply new records; return whether there were any."""
         try:
-            page = await self._log.read(self._position)
+            page = await self._log.read(self._position, self._generation)
         except RecordsExpired as error:
             if error.first_kept is None:
                 raise LogUnavailable('records expired') from error
             self._position = error.first_kept
             return True
+        self._generation = page.generation
         self._apply_records(page.records)
         return bool(page.records)
 
@@ -188,8 +288,9 @@
         try:
             content: Any = decode_json(record)
             if content['kind'] == 'usage':
-                counts = dict(content['counts'])
-                self._store_committed_usage(int(content['window']), counts)
+                window, counts = int(content['window']), dict(content['counts'])
+                self._store_committed_usage(window, counts)
+                self._logged_windows.add(window)
         except _DECODE_ERRORS as error:
             self._events.write('coordination_unreadable', error=repr(error))
 
@@ -199,6 +300,7 @@
         self.committed_usage[window] = counts
         for old in sorted(self.committed_usage)[:-_MAX_COMMITTED_WINDOWS]:
             self.committed_usage.pop(old)
+            self._logged_windows.discard(old)
 
     async def _append(self, content: dict[str, Any]) -> bool:
         """Append at the known end of the log.
@@ -215,16 +317,16 @@
         for _ in range(_MAX_APPEND_ATTEMPTS):
             sent_s = self._clock.monotonic_s()
             try:
-                outcome = await self._log.append(record, self._position)
+                outcome = await self._append_at_end(record)
             except AppendOutcomeUnknown:
                 # Retried at the same offset, so at most one of the two appends
                 # can take effect.
-                outcome = await self._log.append(record, self._position)
+                outcome = await self._append_at_end(record)
             if outcome.appended:
                 self._position = outcome.offset + 1
                 self._record_renewal(sent_s)
                 return True
-            page = await self._log.read(self._position)
+            page = await self._log.read(self._position, self._generation)
             self._apply_records(page.records)
             process = f'"{self._process}.'.encode()
             if not all(process in row for row in page.records):
@@ -235,6 +337,9 @@
         self._end_lease('another process appended')
         return False
 
+    async def _append_at_end(self, record: bytes) -> AppendOutcome:
+        return await self._log.append(record, self._position, self._generation)
+
     def _apply_records(self, records: list[bytes]) -> None:
         for record in records:
             self._apply_record(record)
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -44,7 +44,9 @@
     a process has started. ``target_limits`` are the limits that targets have
     named, in requests per second and with their age in milliseconds, and
     ``target_spent`` the requests of this process to limited targets.
-    ``config_version`` is the version of the configuration in force.
+    ``config_version`` is the version of the configuration in force, and
+    ``committed`` the final usage counts of the last windows, sent by the
+    holder of the lease.
     """
 
     node: str
@@ -65,6 +67,7 @@
     target_limits: dict[str, tuple[float, int]] = {}
     target_spent: dict[str, float] = {}
     config_version: int = 0
+    committed: dict[int, dict[str, int]] = {}
 
 
 class PartListing(
--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -37,6 +37,8 @@
 # Usage and demand change slowly and are large, so only every third report
 # carries them. A process that is killed loses what it counted since then.
 _FULL_REPORT_INTERVAL: Final = 3
+# Windows whose commitments are reported: those whose usage may still be due.
+_REPORTED_COMMITMENTS: Final = 3
 # Number of reports that carry quota usage after a new process was seen.
 _QUOTA_USAGE_REPORTS: Final = 3
 
@@ -128,6 +130,7 @@
             sources.limits.report(),
             _round_up_nonzero(sources.limits.spent()),
             sources.cluster_state.config_version,
+            self._commitments() if is_full_report else {},
         )
 
     def handle_report(self, report: Report) -> None:
@@ -145,6 +148,7 @@
             report.spent,
         )
         sources.cluster_state.observe_peer_version(report.config_version)
+        sources.coordinator.observe_commitments(report.committed)
         sources.limits.observe_peer(report.target_limits)
         sources.limits.quotas.observe_peer(
             report.node, report.incarnation, report.target_spent
@@ -203,6 +207,17 @@
         remaining_s = held.valid_until_s - self._clock.monotonic_s()
         return LeaseNotice(self._sender.node, held.fence, remaining_s)
 
+    def _commitments(self) -> dict[int, dict[str, int]]:
+        """Return the last windows committed, if this process is the holder."""
+        coordinator = self._sources.coordinator
+        if coordinator.held_lease(timedelta(0)) is None:
+            return {}
+        committed = coordinator.committed_usage
+        return {
+            window: committed[window]
+            for window in sorted(committed)[-_REPORTED_COMMITMENTS:]
+        }
+
     def _suspend(self, target_ids: list[str]) -> None:
         """Suspend engines that are changing their roles."""
         for target_id in target_ids:
--- a/peridotrill/platform/coordination.py
+++ b/peridotrill/platform/coordination.py
@@ -14,10 +14,18 @@
         """:param store: the platform's store."""
         self._store = store
 
-    async def read(self, start: int) -> StorePage:
-        """Read from an offset; raises LogUnavailable, RecordsExpired."""
-        return await self._store.read(LEASE_TOPIC, start, 0)
+    async def read(self, start: int, generation: int | None) -> StorePage:
+        """Read from an offset of a generation of the store.
 
-    async def append(self, record: bytes, at: int) -> AppendResult:
-        """Append at an offset; raises LogUnavailable, AppendOutcomeUnknown."""
-        return await self._store.append(LEASE_TOPIC, [record], at)
+        Raises LogUnavailable, RecordsExpired, StoreRestored.
+        """
+        return await self._store.read(LEASE_TOPIC, start, 0, generation)
+
+    async def append(
+        self, record: bytes, at: int, generation: int | None
+    ) -> AppendResult:
+        """Append at an offset of a generation of the store.
+
+        Raises LogUnavailable, AppendOutcomeUnknown, StoreRestored.
+        """
+        return await self._store.append(LEASE_TOPIC, [record], at, generation)
--- a/tests/test_gateway_coordinator.py
+++ b/tests/test_gateway_coordinator.py
@@ -15,6 +15,7 @@
     CodecError,
     LogUnavailable,
     RecordsExpired,
+    StoreRestored,
 )
 from peridotrill.gateway.cluster_clock import ClusterClock
 from peridotrill.gateway.coordinator import Coordinator
@@ -29,6 +30,7 @@
 
 class Page(NamedTuple):
     records: list
+    generation: int
 
 
 class Outcome(NamedTuple):
@@ -40,20 +42,31 @@
     """An in-memory log; ``faults`` lists the faults of the next appends."""
 
     def __init__(self):
+        self.generation = 1
         self.records = []
         self.first = 0
         self.faults = []
         self.delayed = []
         self.down = False
 
-    async def read(self, start):
+    def restore(self, length):
+        """Drop all records after the first ``length`` ones."""
+        self.records = self.records[:length]
+        self.generation += 1
+
+    async def read(self, start, generation=None):
         if self.down:
             raise LogUnavailable('down')
-        if start < self.first:
+        self._require(generation)
+        if not self.first <= start <= len(self.records):
             raise RecordsExpired('expired', self.first)
-        return Page(self.records[start:])
+        return Page(self.records[start:], self.generation)
+
+    def _require(self, generation):
+        if generation not in {None, self.generation}:
+            raise StoreRestored('restored', self.generation)
 
-    async def append(self, record, at):
+    async def append(self, record, at, generation=None):
         fault = self.faults.pop(0) if self.faults else ''
         if self.down or fault == 'down':
             raise LogUnavailable('down')
@@ -61,6 +74,7 @@
             self.delayed.append((record, at))
             raise AppendOutcomeUnknown('late')
         outcome = self._append(record, at)
+        self._require(generation)
         if fault == 'lost':
             raise AppendOutcomeUnknown('lost')
         return outcome
@@ -117,6 +131,10 @@
     def plan_faults(self, faults):
         self.log.faults = faults
 
+    @rule(lost=st.integers(0, 12))
+    def restore(self, lost):
+        self.log.restore(max(0, len(self.log.records) - lost))
+
     @rule()
     def toggle_outage(self):
         self.log.down = not self.log.down
@@ -136,6 +154,8 @@
             return
         if asyncio.run(node.commit_usage(1, {'team': count})):
             assert self.committed.setdefault(1, count) == count
+            for peer in self.nodes.values():
+                peer.observe_commitments(node.committed_usage)
 
     @invariant()
     def at_most_one_holder(self):
@@ -202,6 +222,64 @@
     assert node.held_lease(timedelta(seconds=1.2)) is None
 
 
+def test_restored_log_gives_no_second_holder_while_a_lease_is_in_force():
+    # Guards against a candidate that takes a log without records for one in
+    # which no lease was ever claimed.
+    clock = ManualClock()
+    log = FakeLog()
+    first = Coordinator('a', log, _TTL, clock, RecordingLog())
+    run_steps(clock, first, 1)
+    log.restore(0)
+    second = Coordinator('b', log, _TTL, clock, RecordingLog())
+    run_steps(clock, second, 1)
+    assert first.held_lease(_NO_MARGIN)
+    assert second.held_lease(_NO_MARGIN) is None
+
+
+def test_fencing_number_rises_when_the_log_was_restored():
+    # Guards against numbers that are used twice because offsets are.
+    clock = ManualClock()
+    log = FakeLog()
+    first = Coordinator('a', log, _TTL, clock, RecordingLog())
+    run_steps(clock, first, 12)
+    second = Coordinator('b', log, _TTL, clock, RecordingLog())
+    run_steps(clock, second, 6)
+    before = second.held_lease(_NO_MARGIN).fence
+    log.restore(0)
+    third = Coordinator('c', log, _TTL, clock, RecordingLog())
+    run_steps(clock, third, 6)
+    assert third.held_lease(_NO_MARGIN).fence > before
+
+
+def test_holder_keeps_its_lease_in_a_restored_log():
+    # Guards against some seconds without coordinator after each restore.
+    clock = ManualClock()
+    log = FakeLog()
+    node = Coordinator('a', log, _TTL, clock, RecordingLog())
+    run_steps(clock, node, 4)
+    fence = node.held_lease(_NO_MARGIN).fence
+    log.restore(1)
+    for _ in range(40):
+        run_steps(clock, node, 0.25)
+        assert node.held_lease(_NO_MARGIN).fence == fence
+
+
+def test_commitments_are_written_again_to_a_restored_log():
+    # Guards against a window that is committed with other counts after the
+    # record of its commitment was lost.
+    clock = ManualClock()
+    log = FakeLog()
+    node = Coordinator('a', log, _TTL, clock, RecordingLog())
+    run_steps(clock, node, 1)
+    assert asyncio.run(node.commit_usage(1, {'growers': 3}))
+    log.restore(1)
+    run_steps(clock, node, 3)
+    successor = Coordinator('b', log, _TTL, clock, RecordingLog())
+    run_steps(clock, successor, 6)
+    assert successor.held_lease(_NO_MARGIN)
+    assert successor.committed_usage[1] == {'growers': 3}
+
+
 def test_coordinator_skips_expired_records():
     # Guards against a coordinator that stops at records that have expired.
     clock = ManualClock()
