Write addresses, usage and quarantine again to a restored store

Cause: writers skipped what they had saved once. After the store was restored from a copy older than the record, it was gone for good: a gateway that started later did not learn of its peers, and counts and quarantined parts were missing after a restart of all gateways.

Change: a write returns the generation of the store that holds it; a writer compares it with the current one. Addresses are exchanged again after a restore.

--- a/peridotrill/gateway/quarantine_archive.py
+++ b/peridotrill/gateway/quarantine_archive.py
@@ -42,11 +42,18 @@
 class QuarantineTopic(Protocol):
     """Topic of the store that holds the newest snapshot."""
 
+    @property
+    def generation(self) -> int:
+        """Current generation of the store, as far as known."""
+
     async def newest(self) -> Page:
         """Read the newest records; raises LogUnavailable."""
 
-    async def put(self, key: str, content: bytes) -> None:
-        """Write a record; raises AppendOutcomeUnknown or LogUnavailable."""
+    async def put(self, key: str, content: bytes) -> int:
+        """Write a record; raises AppendOutcomeUnknown or LogUnavailable.
+
+        :return: generation of the store that holds the record.
+        """
 
 
 @final
@@ -69,6 +76,8 @@
         self._log = log
         # Processes and parts of the last snapshot.
         self._saved: set[tuple[str, tuple[str, ...]]] = set()
+        # Generation of the store that holds it; None before the first write.
+        self._saved_generation: int | None = None
 
     async def load(self) -> None:
         """Apply the saved crashes; repeat until the store can be read."""
@@ -97,18 +106,19 @@
             for exposure in crash.exposures
         ]
         current = {(row.process, row.parts) for row in rows}
-        if current == self._saved:
+        is_kept = self._saved_generation in {None, self._topic.generation}
+        if current == self._saved and is_kept:
             return
         content = msgspec.msgpack.encode(rows)
         if len(content) > _MAX_SNAPSHOT_BYTES:
             self._log.write('quarantine_not_saved', size=len(content))
             return
         try:
-            await self._topic.put(SNAPSHOT_KEY, content)
+            generation = await self._topic.put(SNAPSHOT_KEY, content)
         except (AppendOutcomeUnknown, LogUnavailable) as error:
             self._log.write('quarantine_not_saved', error=str(error))
             return
-        self._saved = current
+        self._saved, self._saved_generation = current, generation
 
     def _apply(self, content: bytes) -> None:
         try:
--- a/peridotrill/gateway/usage_archive.py
+++ b/peridotrill/gateway/usage_archive.py
@@ -31,11 +31,18 @@
 class UsageTopic(Protocol):
     """Topic of the store that holds the newest snapshot."""
 
+    @property
+    def generation(self) -> int:
+        """Current generation of the store, as far as known."""
+
     async def newest(self) -> Page:
         """Read the newest records; raises LogUnavailable."""
 
-    async def put(self, key: str, content: bytes) -> None:
-        """Write a record; raises AppendOutcomeUnknown or LogUnavailable."""
+    async def put(self, key: str, content: bytes) -> int:
+        """Write a record; raises AppendOutcomeUnknown or LogUnavailable.
+
+        :return: generation of the store that holds the record.
+        """
 
 
 @final
@@ -55,6 +62,7 @@
         self._topic = topic
         self._log = log
         self._saved = b''
+        self._saved_generation = 0
 
     async def load(self) -> bool:
         """Merge the saved counts; return whether they could be read."""
@@ -71,17 +79,20 @@
         """Write the counts if they changed; call this every SAVE_INTERVAL."""
         snapshot = self._counts.snapshot(self._process)
         content = msgspec.msgpack.encode(snapshot)
-        if content == self._saved:
+        if (content, self._topic.generation) == (
+            self._saved,
+            self._saved_generation,
+        ):
             return
         if len(content) > _MAX_SNAPSHOT_BYTES:
             self._log.write('usage_not_saved', size=len(content))
             return
         try:
-            await self._topic.put(SNAPSHOT_KEY, content)
+            generation = await self._topic.put(SNAPSHOT_KEY, content)
         except (AppendOutcomeUnknown, LogUnavailable) as error:
             self._log.write('usage_not_saved', error=str(error))
             return
-        self._saved = content
+        self._saved, self._saved_generation = content, generation
 
 
 def decode_snapshot(content: bytes) -> dict[str, Counts]:
--- a/peridotrill/gateway_followers.py
+++ b/peridotrill/gateway_followers.py
@@ -68,8 +68,8 @@
         self._cluster_state = cluster_state
         self._peers = peers
         self._log = log
-        # Whether the address of this gateway is in the store.
-        self._is_joined = False
+        # Generation of the store that holds the address of this gateway.
+        self._joined_generation: int | None = None
         pause = timedelta(
             milliseconds=node.bounds.drain_ms * _TARGETS_PAUSE_RATIO,
         )
@@ -110,7 +110,10 @@
         )
 
     async def join_members(self) -> None:
-        """Write this gateway's address, then read those of the others."""
+        """Exchange addresses with the other gateways through the store.
+
+        A restore of the store may lose addresses, which are written again.
+        """
         if not self._node.is_first_start:
             self._cluster_state.settle_within(_MAX_JOIN_TIME)
         topic = self.open_topic(names.MEMBERS_TOPIC)
@@ -118,13 +121,19 @@
             await anyio.sleep(_MEMBER_RETRY_S)
         if not self._node.is_first_start:
             self._cluster_state.settle_within(self._peer_report_time())
+        while True:
+            await anyio.sleep(_MEMBER_RETRY_S)
+            if self._joined_generation != topic.generation:
+                await self._exchange_addresses(topic)
 
     async def _exchange_addresses(self, topic: KeyedTopic) -> bool:
+        """Write the own address, then read all; return whether both worked."""
         own = Address(self._node.ip, self._node.peer_port)
         try:
-            if not self._is_joined:
-                await topic.put(self._node.node, str(own).encode())
-                self._is_joined = True
+            if self._joined_generation != topic.generation:
+                self._joined_generation = await topic.put(
+                    self._node.node, str(own).encode()
+                )
             page = await topic.newest()
         except (AppendOutcomeUnknown, LogUnavailable) as error:
             self._log.write('join_failed', error=str(error))
--- a/peridotrill/platform/topics.py
+++ b/peridotrill/platform/topics.py
@@ -37,12 +37,17 @@
         self._topic = topic
         self._on_unreadable = on_unreadable
         # Generation of the store at the last full read.
-        self._generation = 0
+        self._read_generation = 0
+
+    @property
+    def generation(self) -> int:
+        """Current generation of the store, as far as known."""
+        return self._store.generation
 
     async def newest(self) -> KeyedPage:
         """Read the newest record of each key; raises LogUnavailable."""
         page = await self._store.newest(self._topic)
-        self._generation = page.generation
+        self._read_generation = page.generation
         return KeyedPage(
             [(row.key, row.content) for row in page.records],
             page.end,
@@ -55,7 +60,7 @@
         was restored since the last full read.
         """
         page = await self._store.read(
-            self._topic, start, wait_s, self._generation
+            self._topic, start, wait_s, self._read_generation
         )
         rows: list[tuple[str, bytes]] = []
         for record in page.records:
@@ -65,8 +70,12 @@
                 self._on_unreadable(str(error))
         return KeyedPage(rows, start + len(page.records))
 
-    async def put(self, key: str, content: bytes) -> None:
-        """Write a record; raises AppendOutcomeUnknown or LogUnavailable."""
-        await self._store.append(
+    async def put(self, key: str, content: bytes) -> int:
+        """Write a record; raises AppendOutcomeUnknown or LogUnavailable.
+
+        :return: generation of the store that holds the record.
+        """
+        appended = await self._store.append(
             self._topic, [encode_keyed_record(key, content)]
         )
+        return appended.generation
--- a/tests/test_gateway_coordinator.py
+++ b/tests/test_gateway_coordinator.py
@@ -345,6 +345,21 @@
     assert port.calls == [(1, window, {'growers': 1})] * 2
 
 
+def test_unchanged_usage_is_written_again_after_a_restore():
+    # Guards against a writer that skips what it saved before the restore.
+    counts = UsageCounts(5, ClusterClock(ManualClock()))
+    topic = FakeTopic()
+    archive = UsageArchive('n/1', counts, topic, RecordingLog())
+    counts.count('growers')
+    asyncio.run(archive.save())
+    asyncio.run(archive.save())
+    assert topic.puts == 1
+    topic.generation += 1
+    asyncio.run(archive.save())
+    asyncio.run(archive.save())
+    assert topic.puts == 2
+
+
 class FakeTopic:
     """An in-memory keyed topic; ``down`` makes its calls fail."""
 
@@ -352,6 +367,7 @@
         self.content = {}
         self.puts = 0
         self.down = False
+        self.generation = 1
 
     async def newest(self):
         if self.down:
@@ -363,6 +379,7 @@
             raise AppendOutcomeUnknown('down')
         self.puts += 1
         self.content[key] = content
+        return self.generation
 
 
 class UsagePage(NamedTuple):
--- a/tests/test_gateway_quarantine.py
+++ b/tests/test_gateway_quarantine.py
@@ -186,6 +186,7 @@
         self.rows = {}
         self.writes = 0
         self.failures = 0
+        self.generation = 1
 
     async def newest(self):
         if self.failures:
@@ -199,6 +200,7 @@
             raise LogUnavailable('down')
         self.writes += 1
         self.rows[key] = content
+        return self.generation
 
 
 class ArchiveSite:
@@ -252,6 +254,18 @@
     assert topic.writes == 2
 
 
+def test_unchanged_quarantine_is_written_again_after_a_restore():
+    # Guards against a writer that skips what it saved before the restore.
+    topic = MemoryTopic()
+    site = ArchiveSite(topic)
+    site.crash_three_times()
+    anyio.run(site.archive.save)
+    topic.generation += 1
+    for _ in range(3):
+        anyio.run(site.archive.save)
+    assert topic.writes == 2
+
+
 @pytest.mark.parametrize('content', [b'', b'\xc1', b'\x91\x01'])
 def test_unreadable_archive_is_logged(content):
     # Guards against a gateway that does not start because of a bad record.
--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from peridotrill.platform.names import MEMBERS_TOPIC
 from tests.gateway_builders import without_key
 from tests.gateway_site import SIGKILL, call, run_site, wait_until
 
@@ -71,6 +72,21 @@
     assert status_of(second, 'key-h') == 200
 
 
+def test_member_is_found_after_its_record_was_lost(site):
+    # Guards against gateways that do not learn of each other because the record
+    # of one was written after the copy from which the store was restored.
+    older = site.portal.call(_copy, site.store)
+    first, second = site.start_gateways('front-a-1', 'front-b-1')
+    first.stop()
+    site.portal.call(_restore, site.store, older)
+    wait_until(lambda: 'store_restored' in second.read_log(), 5)
+    wait_until(lambda: b'front-b-1' in members(site), 3, second.read_log)
+
+
+def members(site):
+    return b''.join(site.store.topics[MEMBERS_TOPIC])
+
+
 async def _copy(store):
     return store.copy()
 
