Ignore records of targets that are older than what is known of them

Cause: the list of targets was taken as the store shows it. A store that was restored from an older copy shows a target that is leaving as ready again and one that has left as present, so that new requests are sent there; and it does not list targets that registered after the copy was made, which were dropped after 0.8 s although they register again within 2 s.

Change: records carry the sequence number of the target's reports. A record of the same process with a lower number is ignored, and after a deletion also one with the same number. Targets that are only missing from the list after a restore are kept for 2 s.

Evidence: the three new tests failed before (with the new field alone) and pass.

--- a/peridotrill/gateway/cluster_state.py
+++ b/peridotrill/gateway/cluster_state.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Callable, Iterable
 from datetime import timedelta
-from typing import NamedTuple, final
+from typing import Final, NamedTuple, final
 
 from peridotrill.clock import Clock
 from peridotrill.gateway.configuration import Configuration
@@ -24,6 +24,13 @@
     removal_grace: timedelta
 
 
+# Time after a restore of the store in which targets that are alive have
+# registered again.
+_RELISTING_TIME: Final = timedelta(seconds=2)
+# Longer than the age of a copy from which the store may be restored.
+_GONE_RETENTION: Final = timedelta(minutes=5)
+
+
 @final
 class ClusterState:
     """The latest configuration and the targets, with their ages."""
@@ -39,7 +46,13 @@
         self._log = log
         self.apply_bounds(bounds)
         self._targets: dict[str, TargetRecord] = {}
-        self._removed_at_s: dict[str, float] = {}
+        # Times at which removed targets are dropped.
+        self._drops_at_s: dict[str, float] = {}
+        # Targets whose records were deleted and that have not written again.
+        self._deleted: set[str] = set()
+        # Last records of targets that are gone, and the times of their end.
+        self._gone: dict[str, tuple[TargetRecord, float]] = {}
+        self._relisted_at_s = -math.inf
         self._suspended_until_s: dict[str, float] = {}
         self._config_confirmed_at_s: float | None = None
         # Highest version that this gateway or a peer has in force.
@@ -136,13 +149,21 @@
         self.on_change()
 
     def update_target(self, record: TargetRecord) -> None:
-        """Apply the record of a target; older incarnations are ignored."""
+        """Apply the record of a target; older records are ignored."""
         current = self._targets.get(record.target_id)
-        self._removed_at_s.pop(record.target_id, None)
-        if current is not None and record.started_ms < current.started_ms:
+        if self._is_outdated(record):
+            self._log.write(
+                'target_record_outdated',
+                target=record.target_id,
+                started_ms=record.started_ms,
+                sequence=record.sequence,
+            )
             return
+        self._drops_at_s.pop(record.target_id, None)
+        self._deleted.discard(record.target_id)
+        self._gone.pop(record.target_id, None)
         self._targets[record.target_id] = record
-        if current == record:
+        if current and current._replace(sequence=record.sequence) == record:
             return
         self._log.write(
             'target_changed',
@@ -163,10 +184,45 @@
             self.on_target_gone(current)
         self.on_change()
 
+    def _is_outdated(self, record: TargetRecord) -> bool:
+        """Whether a record was written before what is known of its target.
+
+        A store that was restored from an older copy shows targets that have
+        left, and those that are leaving as ready. A target whose record was
+        deleted is only alive if it has written again.
+        """
+        target_id = record.target_id
+        known = self._targets.get(target_id)
+        is_deleted = target_id in self._deleted
+        if known is None and target_id in self._gone:
+            known, is_deleted = self._gone[target_id][0], True
+        if known is None:
+            return False
+        if is_deleted and record.sequence and not known.is_older_than(record):
+            return True
+        return record.is_older_than(known)
+
+    def expect_relisting(self) -> None:
+        """Keep targets that the restored store does not list for a short time.
+
+        Those that registered after the copy was made register again.
+        """
+        self._relisted_at_s = (
+            self._clock.monotonic_s() + _RELISTING_TIME.total_seconds()
+        )
+
     def remove_target(self, target_id: str, reason: str) -> None:
         """Schedule the removal of a target after the grace period."""
-        if target_id in self._targets and target_id not in self._removed_at_s:
-            self._removed_at_s[target_id] = self._clock.monotonic_s()
+        if target_id in self._targets:
+            self._deleted.add(target_id)
+        self._schedule_drop(target_id, reason, -math.inf)
+
+    def _schedule_drop(
+        self, target_id: str, reason: str, not_before_s: float
+    ) -> None:
+        if target_id in self._targets and target_id not in self._drops_at_s:
+            drops_at_s = self._clock.monotonic_s() + self._grace_s
+            self._drops_at_s[target_id] = max(drops_at_s, not_before_s)
             self._log.write(
                 'target_record_removed',
                 target=target_id,
@@ -177,18 +233,30 @@
         """Remove the targets that are missing from a full listing."""
         self._are_targets_loaded = True
         for target_id in self._targets.keys() - set(target_ids):
-            self.remove_target(target_id, 'not listed')
+            self._schedule_drop(target_id, 'not listed', self._relisted_at_s)
 
     def drop_removed_targets(self) -> None:
         """Drop removed targets whose grace period has ended."""
         now_s = self._clock.monotonic_s()
-        for target_id, removed_s in list(self._removed_at_s.items()):
-            if now_s - removed_s >= self._grace_s:
-                self._removed_at_s.pop(target_id)
+        for target_id, drops_at_s in list(self._drops_at_s.items()):
+            if now_s >= drops_at_s:
+                self._drops_at_s.pop(target_id)
                 gone = self._targets.pop(target_id)
+                if target_id in self._deleted or gone.is_draining:
+                    self._remember_gone(gone, now_s)
+                self._deleted.discard(target_id)
                 self._log.write('target_gone', target=target_id)
                 self.on_target_gone(gone)
 
+    def _remember_gone(self, gone: TargetRecord, now_s: float) -> None:
+        since_s = now_s - _GONE_RETENTION.total_seconds()
+        self._gone = {
+            target_id: entry
+            for target_id, entry in self._gone.items()
+            if entry[1] >= since_s
+        }
+        self._gone[gone.target_id] = (gone, now_s)
+
     def suspend_target(self, target_id: str, duration: timedelta) -> None:
         """Send no new requests to a target for the given time.
 
--- a/peridotrill/gateway/targets.py
+++ b/peridotrill/gateway/targets.py
@@ -19,7 +19,9 @@
     ``slots`` is the number of requests that the target can run concurrently.
     ``role`` is None for plain services. ``started_ms`` is the start time of the
     target as Unix time, 0 if unknown: of two incarnations with the same id,
-    the one with the higher value is the newer.
+    the one with the higher value is the newer. ``sequence`` counts the reports
+    of a process: of two records of one process, the one with the higher value
+    is the newer.
     """
 
     target_id: str
@@ -30,6 +32,14 @@
     is_draining: bool
     role: TargetRole | None
     started_ms: int
+    sequence: int = 0
+
+    def is_older_than(self, other: 'TargetRecord') -> bool:
+        """Whether the same process, or a later one, wrote the other later."""
+        return (self.started_ms, self.sequence) < (
+            other.started_ms,
+            other.sequence,
+        )
 
     @property
     def process(self) -> str:
--- a/peridotrill/gateway_main.py
+++ b/peridotrill/gateway_main.py
@@ -470,6 +470,7 @@
         self._placement.parts.forget(target.target_id)
 
     def _on_store_restored(self, previous: int, generation: int) -> None:
+        self._cluster_state.expect_relisting()
         current = self._cluster_state.configuration
         self._log.write(
             'store_restored',
--- a/peridotrill/platform/target_records.py
+++ b/peridotrill/platform/target_records.py
@@ -18,7 +18,8 @@
     document = decode_json(content)
     if not isinstance(document, dict):
         raise CodecError('record is not a JSON object')
-    _require(document, 'seq', int)
+    sequence = _require(document, 'seq', int)
+    started_ms = _require_integer(document.get('born', 0))
     state = _require(document, 'state', str)
     if state not in _STATES:
         raise CodecError(f'unknown state {state!r}')
@@ -32,7 +33,9 @@
             slots=_check_slots(_require(document, 'slots', int)),
             is_draining=state == 'draining',
             role=None if stage is None else TargetRole(stage),
-            started_ms=_require_integer(document.get('born', 0)),
+            started_ms=started_ms,
+            # Without a start time, a lower number may be that of a new process.
+            sequence=sequence if started_ms else 0,
         )
     except ValueError as error:
         raise CodecError(str(error)) from error
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -67,6 +67,7 @@
         self.crashed = asyncio.Event()
         self._responders: set = set()
         self._handles = itertools.count(1)
+        self._next_report = itertools.count(1).__next__
 
     def restart(self) -> None:
         """Start again after a crash, under the same id."""
@@ -89,7 +90,7 @@
             'slots': 8,
             'state': state,
             'cold-left-ms': 0,
-            'seq': 1,
+            'seq': self._next_report(),
             'born': self.started_ms,
         }
         if self.role is not None:
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -367,6 +367,52 @@
     assert cluster_state.find_target('i-1').started_ms == 2
 
 
+def restored_cluster_state():
+    clock = ManualClock()
+    cluster_state = ClusterState(clock, _BOUNDS, RecordingLog())
+    return clock, cluster_state
+
+
+def test_draining_target_is_not_used_again_after_a_restore():
+    # Guards against an older record that shows a leaving target as ready.
+    _, cluster_state = restored_cluster_state()
+    cluster_state.update_target(target(sequence=1))
+    cluster_state.update_target(target(sequence=9, is_draining=True))
+    cluster_state.update_target(target(sequence=1))
+    assert not cluster_state.usable_targets('till')
+
+
+def test_target_that_left_is_not_used_again_after_a_restore():
+    # Guards against an older record of a target whose record was deleted.
+    clock, cluster_state = restored_cluster_state()
+    cluster_state.update_target(target(sequence=4))
+    cluster_state.remove_target('i-1', 'deleted')
+    cluster_state.update_target(target(sequence=4))
+    advance(clock, 2)
+    assert not cluster_state.usable_targets('till')
+    cluster_state.update_target(target(sequence=4))
+    assert not cluster_state.usable_targets('till')
+    cluster_state.update_target(target(sequence=5))
+    assert cluster_state.usable_targets('till')
+
+
+def test_target_that_a_restored_store_does_not_list_is_kept_until_it_registers():
+    # Guards against targets that are dropped because they registered after the
+    # copy was made.
+    clock, cluster_state = restored_cluster_state()
+    cluster_state.update_target(target(sequence=4))
+    cluster_state.expect_relisting()
+    cluster_state.retain_targets([])
+    advance(clock, 1.9)
+    assert cluster_state.usable_targets('till')
+    cluster_state.update_target(target(sequence=4))
+    advance(clock, 2)
+    assert cluster_state.usable_targets('till')
+    cluster_state.retain_targets([])
+    advance(clock, 1.1)
+    assert not cluster_state.usable_targets('till')
+
+
 def test_suspension_of_a_target_expires():
     clock = ManualClock()
     cluster_state = cluster_state_with(clock, target())
