Settle as soon as all peers have reported

Cause: after a restart of all gateways each waited for 0.2 s and a report interval although its peers had reported before.

Change: a starting gateway settles when all members have reported, at the latest after that time.

--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -230,6 +230,13 @@
             if node is None or member.node == node:
                 self._transport.sendto(datagram, member.address)
 
+    @property
+    def has_heard_all(self) -> bool:
+        """Whether all known members have sent a report."""
+        return all(
+            member.heard_s is not None for member in self.members.values()
+        )
+
     def members_heard_within(self, age_s: float) -> list[str]:
         """Return the members that sent a report in the last ``age_s``."""
         since_s = self._clock.monotonic_s() - age_s
--- a/peridotrill/gateway_followers.py
+++ b/peridotrill/gateway_followers.py
@@ -41,6 +41,8 @@
 _MEMBER_RETRY_S: Final = 0.5
 # Time until the first report of this process is sent and has arrived.
 _JOIN_MARGIN: Final = timedelta(seconds=0.2)
+# Interval in which a starting gateway checks whether all peers have reported.
+_PEER_CHECK_S: Final = 0.02
 # A gateway that cannot exchange addresses serves without knowing its peers
 # after this time.
 _MAX_JOIN_TIME: Final = timedelta(seconds=3)
@@ -119,8 +121,7 @@
         topic = self.open_topic(names.MEMBERS_TOPIC)
         while not await self._exchange_addresses(topic):
             await anyio.sleep(_MEMBER_RETRY_S)
-        if not self._node.is_first_start:
-            self._cluster_state.settle_within(self._peer_report_time())
+        await self._wait_for_peers()
         while True:
             await anyio.sleep(_MEMBER_RETRY_S)
             if self._joined_generation != topic.generation:
@@ -143,10 +144,17 @@
                 self._add_member(node, address)
         return True
 
-    def _peer_report_time(self) -> timedelta:
-        """Time in which all peers learn of this process and report to it."""
+    async def _wait_for_peers(self) -> None:
+        """Wait until all peers that run have reported, then settle.
+
+        Peers learn of this process by its first report and answer with their
+        next one.
+        """
         interval_s = report_interval_s(len(self._peers.members))
-        return _JOIN_MARGIN + timedelta(seconds=interval_s)
+        with anyio.move_on_after(_JOIN_MARGIN.total_seconds() + interval_s):
+            while not self._peers.has_heard_all:
+                await anyio.sleep(_PEER_CHECK_S)
+        self._cluster_state.settle_within(timedelta(0))
 
     def _add_member(self, node: str, address: bytes) -> None:
         try:
