Log what repeats of a broken request have in common

Cause: the logs could not tell one request that comes again from many requests, and the ends of targets of plain services were not looked for.

Change: attempt_failed names a digest of team, host, method, path and body where a response broke off. A broken response of a plain service is checked like that of a model engine, so that target_crashed is logged. No request is treated otherwise.

--- a/peridotrill/gateway/plain_requests.py
+++ b/peridotrill/gateway/plain_requests.py
@@ -79,7 +79,7 @@
         return None, b''
     except TargetOutcomeUnknown as error:
         if not isinstance(error, TargetTimeout):
-            context.record_attempt_failure(target, Failure.BROKEN, str(error))
+            context.record_broken_response(target, error, context.sent_s)
         if not context.allow_retry():
             raise context.build_error('target_failed') from error
         return None, b''
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -83,6 +83,8 @@
         self.excluded: set[str] = set()
         # Total time spent in admission queues.
         self.queue_s = 0.0
+        # When the last attempt was sent.
+        self.sent_s = request.received_s
         self.first_byte_s: float | None = None
         self.is_usage_counted = False
         # Whether the request tries a part whose quarantine has ended.
@@ -114,6 +116,11 @@
         prompt = self.request.prompt
         return () if prompt is None else prompt.shared_part_ids
 
+    @property
+    def digest(self) -> str:
+        """What repeats of the request have in common, in hex."""
+        return self.request.digest(self.team.name if self.team else '')
+
     def require_no_quarantine(self) -> None:
         """Raise GatewayError if the prompt was quarantined meanwhile."""
         if self.is_trial:
@@ -288,6 +295,7 @@
         """Record that the request was sent to a target."""
         self.targets_used.append(target.target_id)
         self._unrejected_attempts += 1
+        self.sent_s = self.shared.clock.monotonic_s()
 
     def record_not_run(self) -> None:
         """Record that the target of the last attempt did not run the request."""
@@ -331,17 +339,17 @@
         if isinstance(error, TargetRefused):
             self.shared.crashes.record_end(target.process, 'connection refused')
 
-    def record_broken_output(
+    def record_broken_response(
         self,
         target: TargetRecord,
         error: TargetOutcomeUnknown | CodecError,
         sent_s: float,
         events: int = 0,
     ) -> None:
-        """Record that a model engine broke off, and check whether it runs.
+        """Record that a target broke off, and check whether it still runs.
 
-        :param sent_s: when the request was sent to the engine.
-        :param events: number of events that the engine had sent.
+        :param sent_s: when the request was sent to the target.
+        :param events: number of events that a model engine had sent.
         """
         parts = self.shared_part_ids
         self.record_attempt_failure(
@@ -350,6 +358,7 @@
             str(error),
             events=events,
             parts=','.join(parts) or None,
+            digest=self.digest,
         )
         exposure = None
         if parts and events < HARMLESS_EVENTS:
--- a/peridotrill/gateway/requests.py
+++ b/peridotrill/gateway/requests.py
@@ -1,7 +1,12 @@
 """Requests of callers, as handled by the gateway."""
 
 import enum
-from typing import NamedTuple
+import hashlib
+from typing import Final, NamedTuple
+
+# Bytes of a request digest: two of a thousand million requests are alike with a
+# probability of 3 percent.
+_DIGEST_BYTES: Final = 8
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -72,3 +77,15 @@
     prompt: Prompt | None
     resume_after: bytes | None
     received_s: float
+
+    def digest(self, team: str) -> str:
+        """Return what repeats of this request have in common, in hex.
+
+        :param team: name of the team that sent it.
+        """
+        content = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+        for field in (team.encode(), self.host.encode(), self.method):
+            content.update(b'%d:%b' % (len(field), field))
+        content.update(b'%d:%b' % (len(self.target), self.target))
+        content.update(self.body)
+        return content.hexdigest()
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -160,7 +160,7 @@
     except TargetTimeout:
         return None, True
     except (TargetOutcomeUnknown, CodecError) as error:
-        context.record_broken_output(target, error, sent_s)
+        context.record_broken_response(target, error, sent_s)
         return None, True
     finally:
         context.shared.placement.release(reservation, context.service)
@@ -339,7 +339,7 @@
             # An engine whose response broke off has most likely started the
             # request.
             context.count_usage()
-            context.record_broken_output(
+            context.record_broken_response(
                 target, error, self._sent_s, self._attempt_events
             )
             self._require_retry()
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -5,7 +5,7 @@
 from peridotrill.clock import ManualClock
 from peridotrill.codec import encode_json
 from peridotrill.gateway.configuration import Team
-from peridotrill.gateway.requests import Prompt, PromptPart
+from peridotrill.gateway.requests import CallerRequest, Prompt, PromptPart
 from peridotrill.gateway.targets import TargetRecord
 from peridotrill.settings import Address
 
@@ -112,6 +112,24 @@
     )
 
 
+def caller_request(**changes):
+    request = CallerRequest(
+        request_id='r',
+        method=b'POST',
+        target=b'/read/x',
+        host=HOST,
+        path='/read/x',
+        headers=[],
+        body=b'body',
+        api_key=None,
+        wait_ms=5000,
+        prompt=None,
+        resume_after=None,
+        received_s=0,
+    )
+    return request._replace(**changes)
+
+
 def advance(clock: ManualClock, seconds: float) -> None:
     clock.advance(timedelta(seconds=seconds))
 
--- a/tests/test_gateway_quarantine.py
+++ b/tests/test_gateway_quarantine.py
@@ -24,7 +24,13 @@
 from peridotrill.prompt_quarantine import MIN_CRASHES, PromptQuarantine
 from peridotrill.settings import Address
 from peridotrill.target_crashes import CrashDetector, Exposure, TargetCrash
-from tests.gateway_builders import RecordingLog, advance, prompt, target
+from tests.gateway_builders import (
+    RecordingLog,
+    advance,
+    caller_request,
+    prompt,
+    target,
+)
 
 NODES = ('front-1', 'front-2', 'front-3')
 # Reports from 23 gateways are 0.26 s apart.
@@ -302,17 +308,14 @@
         targets=SimpleNamespace(is_refused=print),
         start_task=lambda *_: None,
     )
-    request = SimpleNamespace(
-        request_id='r',
-        received_s=cluster.clock.monotonic_s(),
-        wait_ms=5000,
-        prompt=prompt(part_id='p'),
+    request = caller_request(
+        received_s=cluster.clock.monotonic_s(), prompt=prompt(part_id='p')
     )
     route = SimpleNamespace(timeout_ms=5000)
     context = RequestContext(request, route, None, 'llm', None, shared)
     context.is_trial = True
     context.require_no_quarantine()
-    context.record_broken_output(
+    context.record_broken_response(
         target('i-9', role=TargetRole.DECODE),
         TargetOutcomeUnknown('connection closed'),
         cluster.clock.monotonic_s(),
