--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -34,7 +34,7 @@
       had not run, but without ``X-Peridotrill-Not-Run``
 
     Independent of the plan, the engine crashes when it begins to respond to a
-    prompt that contains ``deadly_part``.
+    prompt that contains ``deadly_part``, or to a request for ``deadly_path``.
     """
 
     def __init__(self, target_id, service, zone, role=None) -> None:
@@ -63,6 +63,7 @@
         # Monotonic times at which requests arrived.
         self.received_s: list[float] = []
         self.deadly_part = ''
+        self.deadly_path = ''
         self.crashes = 0
         self.crashed = asyncio.Event()
         self._responders: set = set()
@@ -74,6 +75,11 @@
         self.started_ms += 1
         self.crashed.clear()
 
+    def _is_deadly(self, path, headers) -> bool:
+        if self.deadly_path and path == self.deadly_path:
+            return True
+        return bool(self.deadly_part) and self.deadly_part in _part_ids(headers)
+
     def _crash(self) -> None:
         self.crashes += 1
         self.crashed.set()
@@ -141,6 +147,8 @@
                 _OK, self._request_id_headers(request_id), encode_json(response)
             )
             return
+        if self._is_deadly(path, headers):
+            fault = 'crash'
         self.runs.append(request_id)
         try:
             await self._run(fault, headers, responder)
@@ -153,7 +161,7 @@
         if fault == 'silent':
             await asyncio.Event().wait()
         await asyncio.sleep(self.processing_s)
-        if self.deadly_part and self.deadly_part in _part_ids(headers):
+        if fault == 'crash':
             self._crash()
             return
         response_headers = self._stamped_headers(request_id)
