Quarantine requests that come again and crash their targets

What callers saw: all targets of the till service were down together several times; requests that had nothing to do with the one that came again got 502 and 503.

Cause: crashes were held against the shared parts of prompts only. A plain request, or a prompt without shared parts, was sent as if it were the first each time it came again, to as many targets as its route allows. The class: a request whose content ends its target.

Change: the digest of a request is suspected beside the parts of its prompt. The quarantine, its sharing among gateways and its archive are the same. A proof for a request is kept only while the request is suspected.

Sound requests of the same team are served beside it.

--- a/peridotrill/gateway/plain_requests.py
+++ b/peridotrill/gateway/plain_requests.py
@@ -30,6 +30,7 @@
 async def serve_plain_request(context: RequestContext) -> None:
     """Forward a request and send the response; raises GatewayError."""
     while True:
+        context.require_no_quarantine()
         reservation = await _reserve_target(context)
         response, body = await _try_target(context, reservation)
         if response is None:
@@ -128,6 +129,7 @@
             raise context.build_error('target_failed')
         return None
     context.count_usage()
+    context.record_harmless(context.sent_s)
     if response.status >= _MIN_SERVER_ERROR_STATUS:
         context.record_attempt_failure(
             target, Failure.ERROR, f'status {response.status}'
--- a/peridotrill/gateway/quarantine_sharing.py
+++ b/peridotrill/gateway/quarantine_sharing.py
@@ -27,7 +27,7 @@
 
 # Each row is repeated in this many reports, since datagrams may be lost.
 _REPORT_COUNT: Final = 3
-# Keeps each datagram within 8 KiB: rows of 60 bytes.
+# Keeps each datagram within 8 KiB: rows of 80 bytes.
 _ROWS_PER_MESSAGE: Final = 80
 # Limits the rows of a gateway that has many requests at an engine.
 _MAX_ROWS_PER_REPORT: Final = 240
@@ -70,6 +70,15 @@
         """Return the quarantine that applies to a prompt, or None."""
         return self._quarantine.find(parts)
 
+    @property
+    def is_needed(self) -> bool:
+        """Whether anything is suspected."""
+        return self._quarantine.has_suspects
+
+    def is_suspected(self, part_id: str) -> bool:
+        """Whether a target crashed under a part since its last response."""
+        return self._quarantine.is_suspected(part_id)
+
     def try_start_trial(self, part_id: str) -> bool:
         """Allow one request with a part whose quarantine has ended.
 
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -1,7 +1,7 @@
 """State of one admitted request, and handling of its failed attempts."""
 
 from datetime import timedelta
-from functools import partial
+from functools import cached_property, partial
 from http import HTTPStatus
 from typing import Final, final
 
@@ -30,6 +30,7 @@
 from peridotrill.gateway.target_health import Failure
 from peridotrill.gateway.target_messages import RequestOptions, TargetResponse
 from peridotrill.gateway.targets import TargetRecord, TargetRole
+from peridotrill.prompt_quarantine import Quarantine
 from peridotrill.target_crashes import Exposure
 
 # Retry-After in seconds if there is no better estimate.
@@ -87,7 +88,7 @@
         self.sent_s = request.received_s
         self.first_byte_s: float | None = None
         self.is_usage_counted = False
-        # Whether the request tries a part whose quarantine has ended.
+        # Whether the request tries what is suspected after its quarantine.
         self.is_trial = False
         timeout_ms = route.timeout_ms
         if request.wait_ms is not None:
@@ -116,25 +117,55 @@
         prompt = self.request.prompt
         return () if prompt is None else prompt.shared_part_ids
 
-    @property
-    def digest(self) -> str:
-        """What repeats of the request have in common, in hex."""
-        return self.request.digest(self.team.name if self.team else '')
+    @cached_property
+    def suspects(self) -> tuple[str, ...]:
+        """What a crash of a target may be due to.
 
-    def require_no_quarantine(self) -> None:
-        """Raise GatewayError if the prompt was quarantined meanwhile."""
-        if self.is_trial:
+        That is the request, which may come again, or a part of its prompt.
+        """
+        team = self.team.name if self.team else ''
+        return (*self.shared_part_ids, self.request.digest(team))
+
+    def check_quarantine(self) -> None:
+        """Raise GatewayError if the request or its prompt is quarantined.
+
+        One request may try it when the quarantine has ended.
+        """
+        quarantine = self.shared.quarantine
+        found = self._find_quarantine()
+        if found is None:
+            return
+        if quarantine.try_start_trial(found.part_id):
+            self.is_trial = True
             return
-        found = self.shared.quarantine.find(self.shared_part_ids)
+        raise GatewayError(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            'prompt_quarantined',
+            found.retry_after_s,
+            part=found.part_id,
+            crashes=found.crashes,
+        )
+
+    def require_no_quarantine(self) -> None:
+        """Raise GatewayError if the request was quarantined meanwhile."""
+        found = None if self.is_trial else self._find_quarantine()
         if found is not None:
             raise self.build_error('prompt_quarantined', found.retry_after_s)
 
+    def _find_quarantine(self) -> Quarantine | None:
+        quarantine = self.shared.quarantine
+        return quarantine.find(self.suspects) if quarantine.is_needed else None
+
     def record_harmless(self, started_s: float) -> None:
-        """Record that an engine goes on with its response to the prompt.
+        """Record that a target survived the start of its response.
 
         :param started_s: when the response began.
         """
-        self.shared.quarantine.record_proof(self.shared_part_ids, started_s)
+        quarantine = self.shared.quarantine
+        quarantine.record_proof(self.shared_part_ids, started_s)
+        # Proofs of all requests would displace those of prompt parts.
+        if quarantine.is_needed and quarantine.is_suspected(self.suspects[-1]):
+            quarantine.record_proof(self.suspects[-1:], started_s)
 
     async def require_target(self, excluded: set[str]) -> None:
         """Raise GatewayError if the service has no target that may be tried.
@@ -358,11 +389,11 @@
             str(error),
             events=events,
             parts=','.join(parts) or None,
-            digest=self.digest,
+            digest=self.suspects[-1],
         )
         exposure = None
-        if parts and events < HARMLESS_EVENTS:
-            exposure = Exposure(parts, sent_s)
+        if events < HARMLESS_EVENTS:
+            exposure = Exposure(self.suspects, sent_s)
         # A trial is one attempt: another one could cost another engine.
         self.is_trial = False
         crashes = self.shared.crashes
--- a/peridotrill/gateway/request_handler.py
+++ b/peridotrill/gateway/request_handler.py
@@ -125,34 +125,15 @@
             [row.service for row in route.services],
             [row.weight for row in route.services],
         )[0]
-        is_trial = self._check_quarantine(request)
-        if team is not None:
-            self._take_quota(request, team)
-        shared.budget.record_request(service)
         context = RequestContext(
             request, route, team, service, responder, shared
         )
-        context.is_trial = is_trial
+        context.check_quarantine()
+        if team is not None:
+            self._take_quota(request, team)
+        shared.budget.record_request(service)
         return context
 
-    def _check_quarantine(self, request: CallerRequest) -> bool:
-        """Reject a prompt with a quarantined part; return if it is a trial."""
-        if request.prompt is None:
-            return False
-        quarantine = self._shared.quarantine
-        found = quarantine.find(request.prompt.shared_part_ids)
-        if found is None:
-            return False
-        if quarantine.try_start_trial(found.part_id):
-            return True
-        raise GatewayError(
-            HTTPStatus.SERVICE_UNAVAILABLE,
-            'prompt_quarantined',
-            found.retry_after_s,
-            part=found.part_id,
-            crashes=found.crashes,
-        )
-
     def _find_team(
         self,
         request: CallerRequest,
--- a/peridotrill/gateway/requests.py
+++ b/peridotrill/gateway/requests.py
@@ -7,6 +7,8 @@
 # Bytes of a request digest: two of a thousand million requests are alike with a
 # probability of 3 percent.
 _DIGEST_BYTES: Final = 8
+# Tells digests of requests from ids of prompt parts.
+_DIGEST_PREFIX: Final = 'r:'
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -79,7 +81,7 @@
     received_s: float
 
     def digest(self, team: str) -> str:
-        """Return what repeats of this request have in common, in hex.
+        """Return what repeats of this request have in common.
 
         :param team: name of the team that sent it.
         """
@@ -88,4 +90,4 @@
             content.update(b'%d:%b' % (len(field), field))
         content.update(b'%d:%b' % (len(self.target), self.target))
         content.update(self.body)
-        return content.hexdigest()
+        return f'{_DIGEST_PREFIX}{content.hexdigest()}'
--- a/peridotrill/prompt_quarantine.py
+++ b/peridotrill/prompt_quarantine.py
@@ -1,4 +1,8 @@
-"""Quarantine of prompt parts under which target processes crash.
+"""Quarantine of requests and prompt parts under which target processes crash.
+
+A request that comes again is treated like a part of its prompt that only its
+repeats share; its digest is the id of that part. In what follows, a part can be
+either.
 
 A part is suspected if a process ends while it runs a request with the part
 that has not proved harmless. One crash proves nothing: all other requests at
@@ -151,6 +155,15 @@
                 )
         return None
 
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any part is suspected."""
+        return bool(self._suspects)
+
+    def is_suspected(self, part_id: str) -> bool:
+        """Whether a process crashed under a part since its last response."""
+        return part_id in self._suspects
+
     def try_start_trial(self, part_id: str) -> bool:
         """Allow one request with a part whose quarantine has ended.
 
