Quarantine repeated requests at entries with agents as well

Change: the digest of service, team, method, path and body is suspected beside the prefixes. Entries still do not share what they learn.

Evidence: the new test failed before (the fourth request is sent) and passes.

--- a/peridotrill/crash_guard.py
+++ b/peridotrill/crash_guard.py
@@ -1,5 +1,6 @@
-"""Protects engines from prompts under which engines crash, at one entry."""
+"""Protects targets from requests under which they crash, at one entry."""
 
+import hashlib
 from collections.abc import Callable
 from typing import Any, Final, Self, final
 
@@ -29,10 +30,10 @@
 
 @final
 class CrashGuard:
-    """Quarantines prompt prefixes by the attempts of one entry.
+    """Quarantines requests and prompt prefixes by the attempts of one entry.
 
     Entries do not share what they learn, so each entry may lose as many
-    targets as it takes to quarantine a prefix.
+    targets as it takes to quarantine one.
     """
 
     def __init__(
@@ -69,7 +70,9 @@
 
         :return: whether the request tries a prefix whose quarantine has ended.
         """
-        found = self._quarantine.find(_prefixes(request))
+        if not self._quarantine.has_suspects:
+            return False
+        found = self._quarantine.find(_suspects(request))
         if found is None:
             return False
         if self._quarantine.try_start_trial(found.part_id):
@@ -98,8 +101,8 @@
             self.record_end(target_id)
         elif error.reason == _BROKEN_REASON:
             exposure = None
-            if sent_s is not None and request.cost.prefix_hashes:
-                exposure = Exposure(_prefixes(request), sent_s)
+            if sent_s is not None:
+                exposure = Exposure(_suspects(request), sent_s)
             self._detector.record_broken(process, exposure)
 
     def record_end(self, target_id: str) -> None:
@@ -112,10 +115,34 @@
     def record_harmless(self, request: Request, started_s: float) -> None:
         """Record that a target goes on with its response to the prompt."""
         self._quarantine.record_proof(_prefixes(request), started_s)
+        # Proofs of all requests would displace those of prefixes.
+        if self._quarantine.has_suspects:
+            digest = _digest(request)
+            if self._quarantine.is_suspected(digest):
+                self._quarantine.record_proof((digest,), started_s)
 
     def _process(self, target_id: str) -> str:
         return f'{target_id}/{self._ends.get(target_id, 0)}'
 
 
+def _suspects(request: Request) -> tuple[str, ...]:
+    """Return what a crash of a target may be due to."""
+    return (*_prefixes(request), _digest(request))
+
+
 def _prefixes(request: Request) -> tuple[str, ...]:
     return tuple(f'{number:x}' for number in request.cost.prefix_hashes)
+
+
+def _digest(request: Request) -> str:
+    """Return what repeats of a request have in common."""
+    content = hashlib.sha256()
+    for field in (
+        request.service.name,
+        request.team,
+        request.method,
+        request.path,
+    ):
+        content.update(f'{len(field)}:{field}'.encode())
+    content.update(request.body)
+    return content.hexdigest()
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -51,10 +51,10 @@
     def starts(self):
         return sum(isinstance(row, START) for _, row in self.sent)
 
-    async def crash(self, *prefixes):
-        """Send a prompt to a target, which then does not respond any more."""
+    async def crash(self, *prefixes, **changes):
+        """Send a request to a target, which then does not respond any more."""
         before = len(self.sent)
-        await self.run(*prefixes)
+        await self.run(*prefixes, **changes)
         target_id, _ = self.sent[before]
         self.dependencies.crash_guard.record_end(target_id)
 
@@ -77,6 +77,20 @@
     assert (await entry.run(COMMON, DEADLY)).outcome == NOT_RUN
 
 
+async def test_request_without_prompt_that_crashes_targets_is_no_longer_sent():
+    # Guards against an entry that crashes target after target with a request
+    # that comes again.
+    entry = create_entry(MIN_CRASHES, 2)
+    for _ in range(MIN_CRASHES):
+        await entry.crash(body=b'deadly')
+    starts = entry.starts()
+    error = await entry.run(body=b'deadly')
+    assert (error.code.code, error.outcome) == ('prompt_quarantined', NOT_RUN)
+    assert entry.starts() == starts
+    assert await entry.run(body=b'sound') is None
+    assert await entry.run(body=b'deadly', team='other') is None
+
+
 async def test_request_with_a_key_is_not_refused_as_not_run():
     # Guards against a refusal as not run although an earlier request with the
     # key may have run.
