Name repeated requests in the error of a quarantine

Cause: the page of error codes was changed by hand for requests that crash targets, while it is made from the codes.

Change: the text of prompt_quarantined says what holds for requests and prompts.

--- a/peridotrill/errors.py
+++ b/peridotrill/errors.py
@@ -209,8 +209,8 @@
         503,
         _UNAVAILABLE,
         NOT_RUN,
-        'Targets crashed repeatedly while they ran prompts that begin alike.',
-        'Change the prompt, or send it again after `Retry-After`.',
+        'Targets crashed repeatedly while they ran such requests.',
+        'Change the request, or send it again after `Retry-After`.',
     ),
     ErrorCode(
         'entry_unavailable',
