Log requests that end without a response, and who closed the connection

The logs could not tell a request that was cut off by its gateway from one whose caller left: both ended as 'cancelled', and a connection that was closed with a request on it was not logged. request_ended now says 'caller_left', and requests_abandoned says how many requests had been read from a connection that is closed, and by which side. No behaviour changes.

--- a/peridotrill/gateway/caller_server.py
+++ b/peridotrill/gateway/caller_server.py
@@ -64,6 +64,10 @@
     def has_started(self) -> bool:
         """Whether any part of the response has been written."""
 
+    @property
+    def is_disconnected(self) -> bool:
+        """Whether the caller has closed the connection."""
+
     def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Write a complete response."""
 
@@ -172,6 +176,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress."""
+        self._log_abandoned_requests()
         self._is_closing = True
         self._server.connections.discard(self)
         self._cancel_timer()
@@ -298,6 +303,18 @@
         elif not self._is_in_message:
             self._arm_idle_timer()
 
+    def _log_abandoned_requests(self) -> None:
+        """Log the requests that were read whole and get no response."""
+        requests = len(self._pipelined)
+        if self._exchange is not None and not self._exchange.is_complete:
+            requests += 1
+        if requests:
+            self._server.log.write(
+                'requests_abandoned',
+                requests=requests,
+                closed_by='gateway' if self._is_closing else 'caller',
+            )
+
     def _start_next(self) -> None:
         received = self._pipelined.popleft()
         if self._transport is not None and not self._pipelined:
@@ -410,8 +427,9 @@
         # because an HTTP/1.0 caller does not support chunked encoding.
         self._buffered_response: tuple[int, Headers, list[bytes]] | None = None
         self._scope = anyio.CancelScope()
-        self._is_complete = False
+        self.is_complete = False
         self.has_started = False
+        self.is_disconnected = False
         self.finished = asyncio.Event()
 
     async def run(self) -> None:
@@ -424,14 +442,15 @@
                 # fail all others.
                 self._server.log.write_exception('request_fault', error)
         self._server.buffered_bytes -= len(self._request.body)
-        if not self._is_complete:
+        if not self.is_complete:
             self._connection.abort()
         self.finished.set()
         self._connection.finish_exchange(self._keep_alive)
 
     def on_disconnect(self) -> None:
         """Cancel the handler because the caller has disconnected."""
-        self._is_complete = True
+        self.is_disconnected = True
+        self.is_complete = True
         self._scope.cancel()
 
     def send(self, status: int, headers: Headers, body: bytes) -> None:
@@ -439,7 +458,7 @@
         length = str(len(body)).encode()
         head = self._format_head(status, headers, (b'Content-Length', length))
         self._connection.write(head + body)
-        self._is_complete = True
+        self.is_complete = True
 
     def start_stream(self, status: int, headers: Headers) -> None:
         """Write the head of a chunked response."""
@@ -472,11 +491,11 @@
             self.send(status, headers, b''.join(parts))
             return
         self._connection.write(LAST_CHUNK)
-        self._is_complete = True
+        self.is_complete = True
 
     def abort(self) -> None:
         """Reset the connection."""
-        self._is_complete = True
+        self.is_complete = True
         self._connection.abort()
 
     def _format_head(
--- a/peridotrill/gateway/request_handler.py
+++ b/peridotrill/gateway/request_handler.py
@@ -193,6 +193,8 @@
 
     def _log_end(self, context: RequestContext) -> None:
         now_s = self._shared.clock.monotonic_s()
+        if context.responder.is_disconnected:
+            context.outcome = 'caller_left'
         route = context.route.name
         duration_s = now_s - context.request.received_s
         first_s = None
