--- a/capacity/programs.py
+++ b/capacity/programs.py
@@ -24,13 +24,13 @@
 @measurement('start_entry', 'run', 'entry_main', _RUNS)
 def measure_entry(_size: int) -> Quantities:
     """Measure the imports of ``peridotrill-entry``."""
-    return _measure_imports('peridotrill.entry_main')
+    return _measure_imports('peridotrill.entry_program')
 
 
 @measurement('start_agent', 'run', 'agent_main', _RUNS)
 def measure_agent(_size: int) -> Quantities:
     """Measure the imports of ``peridotrill-agent``."""
-    return _measure_imports('peridotrill.agent_main')
+    return _measure_imports('peridotrill.agent_program')
 
 
 @measurement('start_operator', 'run', 'cli', _RUNS)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -14,7 +14,7 @@
 from peridotrill.control_state import ControlState
 from peridotrill.entry import Entry, EntrySettings
 from peridotrill.entry_background_tasks import UsageSettings
-from peridotrill.entry_main import parse_address_overrides
+from peridotrill.entry_program import parse_address_overrides
 from peridotrill.exceptions import LogUnavailable
 from peridotrill.keys import create_key, digest_key
 from peridotrill.link_listener import LinkListener, PeerMessage, PeerUp
