Handle signals at the gateway until its process is gone

Cause: the handlers existed only while the program waited for its first stop signal. anyio's receiver restores the default action when it is left, so that any further signal ended the process while it drained; before it listened, a signal ended it as well.

SIGHUP reloads the settings also while the gateway drains; a further SIGTERM is logged.

--- /dev/null
+++ b/peridotrill/gateway_program.py
@@ -0,0 +1,578 @@
+"""Program ``peridotrill-gateway``: wires gateway and platform together."""
+
+import asyncio
+import gc
+import os
+import secrets
+import signal
+import sys
+from collections.abc import Callable, Coroutine
+from datetime import timedelta
+from functools import partial
+from http import HTTPStatus
+from pathlib import Path
+from typing import Any, Final, final
+
+import anyio
+from anyio.abc import TaskGroup
+from expression import Result
+from prometheus_client import REGISTRY, generate_latest
+
+from peridotrill.clock import SuspendAwareClock
+from peridotrill.findings import format_findings
+from peridotrill.gateway.caller_server import (
+    CallerServer,
+    RawRequest,
+    Responder,
+)
+from peridotrill.gateway.cluster_clock import ClusterClock
+from peridotrill.gateway.cluster_state import ClusterState
+from peridotrill.gateway.components import GatewayComponents
+from peridotrill.gateway.configuration import (
+    DEFAULT_CALLER_LIMITS,
+    CallerLimits,
+)
+from peridotrill.gateway.coordinator import Coordinator
+from peridotrill.gateway.demand import DemandMeter
+from peridotrill.gateway.event_log import EventLog
+from peridotrill.gateway.load_tracker import LoadTracker
+from peridotrill.gateway.metrics import (
+    CONFIG_AGE_S,
+    LEASE_HELD,
+    LIMITED_TARGETS,
+    LOST_LOG_LINES,
+    QUARANTINED_PARTS,
+    STORE_CALLS,
+    STORE_GENERATION,
+    TARGET_CRASHES,
+)
+from peridotrill.gateway.part_sharing import PartSharing
+from peridotrill.gateway.peers import PeerExchange
+from peridotrill.gateway.placement import Placement
+from peridotrill.gateway.quarantine_archive import (
+    SAVE_INTERVAL,
+    QuarantineArchive,
+)
+from peridotrill.gateway.quarantine_sharing import QuarantineSharing
+from peridotrill.gateway.reporting import (
+    Reporting,
+    ReportSources,
+    Sender,
+)
+from peridotrill.gateway.request_handler import RequestHandler
+from peridotrill.gateway.retry_budget import RetryBudget
+from peridotrill.gateway.settings_watcher import SettingsWatcher
+from peridotrill.gateway.shared_quotas import SharedQuotas
+from peridotrill.gateway.target_connections import ConnectionPool
+from peridotrill.gateway.target_health import TargetHealth
+from peridotrill.gateway.target_http_client import (
+    ConnectionTimeouts,
+    TargetHttpClient,
+)
+from peridotrill.gateway.target_limits import TargetLimits
+from peridotrill.gateway.targets import TargetRecord
+from peridotrill.gateway.usage_counts import UsageCounts
+from peridotrill.gateway_coordinator_tasks import (
+    CoordinatorTaskDependencies,
+    CoordinatorTasks,
+)
+from peridotrill.gateway_followers import StoreFollowers
+from peridotrill.gateway_settings import (
+    SETTINGS,
+    changed_fields,
+    effective_bounds,
+    freshness_bounds,
+    retry_bounds,
+)
+from peridotrill.platform import names, wire
+from peridotrill.platform.coordination import CoordinationTopic
+from peridotrill.platform.engine_parts import EngineParts
+from peridotrill.platform.node_settings import (
+    SETTINGS_VARIABLE,
+    NodeSettings,
+    read_node_settings,
+)
+from peridotrill.platform.store import StoreClient
+from peridotrill.process_signals import SignalReceiver
+from peridotrill.prompt_quarantine import PromptQuarantine
+from peridotrill.settings import (
+    EXIT_USAGE,
+    Address,
+    load_settings,
+)
+from peridotrill.target_crashes import CrashDetector
+
+# Timeout of one call to the store, excluding the long-poll time.
+_STORE_TIMEOUT_S: Final = 1.0
+# A lost SYN is only retransmitted after seconds; a new attempt is faster.
+_STORE_CONNECT_TIMEOUT_S: Final = 0.6
+# Concurrent calls: two followers, the lease and usage.
+_MAX_IDLE_STORE_CONNECTIONS: Final = 4
+# With a shorter lease, a single slow response of the store would lose it.
+_MIN_LEASE_S: Final = 4.0
+# Listing prompt parts delays the engine's work; it takes some milliseconds.
+_LISTING_TIMEOUT_S: Final = 1.0
+# Time until a gateway that is not ready is out of rotation: readiness checks
+# come once per second, and two consecutive failures are needed.
+_ROTATION_DELAY_S: Final = 2.6
+# Draining ends this long before the process would be killed.
+_EXIT_MARGIN_S: Final = 0.9
+# Listen backlog; holds a burst of new connections.
+_BACKLOG: Final = 1024
+_METRICS_PATH: Final = b'/metrics'
+# Peers with a report within this time are active; reports are more frequent.
+_ACTIVE_PEER_AGE_S: Final = 1.0
+# Limits the load and the log volume of a task that fails repeatedly.
+_RESTART_DELAY_S: Final = 0.5
+
+Task = Callable[[], Coroutine[Any, Any, None]]
+
+
+@final
+class GatewayProgram:
+    """Components and tasks of one gateway process."""
+
+    def __init__(self, node: NodeSettings, options: dict[str, Any]) -> None:
+        """:param node: validated settings provided by the platform.
+
+        :param options: settings of the program itself, see ``SETTINGS``.
+        """
+        self._node = node
+        self._options = options
+        self._clock = SuspendAwareClock()
+        self._started_s = self._clock.monotonic_s()
+        self._incarnation = secrets.token_hex(4)
+        self._log = EventLog.from_settings(
+            node.node,
+            options['log_level'],
+            self._clock,
+        )
+        self._cluster_state = ClusterState(
+            self._clock,
+            freshness_bounds(node.bounds),
+            self._log,
+        )
+        self._store = StoreClient(
+            ConnectionPool(
+                node.store_address,
+                self._clock.monotonic_s,
+                _STORE_CONNECT_TIMEOUT_S,
+                _MAX_IDLE_STORE_CONNECTIONS,
+            ),
+            _STORE_TIMEOUT_S,
+        )
+        self._loads = LoadTracker(self._clock)
+        self._health = TargetHealth(self._clock)
+        self._crashes = CrashDetector(self._clock, self._log)
+        self._demand = DemandMeter(self._clock)
+        self._quotas = SharedQuotas(
+            self._clock,
+            timedelta(seconds=node.bounds.quota_window_s),
+            node.bounds.quota_slack,
+            node.is_first_start,
+        )
+        self._cluster_clock = ClusterClock(self._clock)
+        self._budget = RetryBudget(retry_bounds(node.bounds), self._clock)
+        self._usage = UsageCounts(
+            node.bounds.usage_window_s, self._cluster_clock
+        )
+        self._peers = PeerExchange(node.node, self._clock, self._log)
+        self._quarantine = PromptQuarantine(self._clock, self._log)
+        self._quarantine_sharing = QuarantineSharing(
+            node.node, self._quarantine, self._peers, self._clock
+        )
+        self._crashes.on_crash = self._quarantine_sharing.record_crash
+        self._limits = TargetLimits(
+            node.node,
+            partial(self._peers.members_heard_within, _ACTIVE_PEER_AGE_S),
+            self._clock,
+            self._log,
+        )
+        self._targets = TargetHttpClient(
+            wire, self._clock, ConnectionTimeouts()
+        )
+        self._placement = Placement(
+            self._cluster_state,
+            self._loads,
+            self._health,
+            self._limits,
+            self._clock,
+            node.zone,
+        )
+        self._coordinator = Coordinator(
+            node.node,
+            CoordinationTopic(self._store),
+            timedelta(
+                seconds=max(_MIN_LEASE_S, node.bounds.lease_ms / 1000),
+            ),
+            self._clock,
+            self._log,
+        )
+        self._reporting = Reporting(
+            Sender(
+                node.node,
+                self._incarnation,
+                Address(node.ip, node.peer_port),
+            ),
+            self._peers,
+            ReportSources(
+                self._cluster_state,
+                self._coordinator,
+                self._quotas,
+                self._loads,
+                self._usage,
+                self._demand,
+                self._placement.parts,
+                self._cluster_clock,
+                self._limits,
+            ),
+            self._clock,
+        )
+        self._followers = StoreFollowers(
+            node,
+            self._store,
+            self._cluster_state,
+            self._peers,
+            self._clock,
+            self._log,
+        )
+        self._quarantine_archive = QuarantineArchive(
+            self._quarantine,
+            self._followers.open_topic(names.QUARANTINE_TOPIC),
+            self._cluster_clock,
+            self._clock,
+            self._log,
+        )
+        self._settings = SettingsWatcher(
+            _settings_path(),
+            read_node_settings,
+            node,
+            self._apply_settings,
+            self._log,
+        )
+        self._part_sharing = PartSharing(
+            node.node,
+            self._placement.parts,
+            self._peers,
+            self._cluster_state,
+            EngineParts(_LISTING_TIMEOUT_S),
+            self._clock,
+            self._log,
+        )
+        self._reporting.on_new_process = self._part_sharing.send_listing
+        self._caller_server: asyncio.AbstractServer | None = None
+        self._cluster_state.on_change = self._on_cluster_state_changed
+        self._cluster_state.on_target_gone = self._on_target_gone
+        self._store.on_restored = self._on_store_restored
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then finish the requests in progress."""
+        self._log.write(
+            'process_started',
+            incarnation=self._incarnation,
+            zone=self._node.zone,
+            pid=os.getpid(),
+            first_start=self._node.is_first_start,
+        )
+        async with anyio.create_task_group() as tasks:
+            stopping = anyio.Event()
+            tasks.start_soon(self._handle_signals, stopping)
+            handler = self._create_handler(tasks)
+            port = await self._listen(tasks, handler)
+            for task in self._tasks():
+                tasks.start_soon(self._supervise, task)
+            gc.collect()
+            gc.freeze()
+            await stopping.wait()
+            await self._drain(port, handler)
+            tasks.cancel_scope.cancel()
+        self._log.write('process_stopped')
+
+    async def _supervise(self, task: Task) -> None:
+        """Run a task; restart it after an unexpected error."""
+        while True:
+            try:
+                await task()
+            except Exception as error:  # noqa: BLE001
+                self._log.write_exception(
+                    'task_fault',
+                    error,
+                    task=getattr(task, '__name__', ''),
+                )
+                await anyio.sleep(_RESTART_DELAY_S)
+            else:
+                return
+
+    def _create_handler(self, tasks: TaskGroup) -> RequestHandler:
+        return RequestHandler(
+            GatewayComponents(
+                clock=self._clock,
+                cluster_state=self._cluster_state,
+                wire=wire,
+                targets=self._targets,
+                placement=self._placement,
+                health=self._health,
+                crashes=self._crashes,
+                quarantine=self._quarantine_sharing,
+                loads=self._loads,
+                demand=self._demand,
+                quotas=self._quotas,
+                limits=self._limits,
+                budget=self._budget,
+                usage=self._usage,
+                log=self._log,
+                start_task=partial(_start_guarded, tasks, self._log),
+                refresh_targets=self._followers.refresh_targets,
+            ),
+        )
+
+    async def _listen(
+        self,
+        tasks: TaskGroup,
+        handler: RequestHandler,
+    ) -> CallerServer:
+        loop = asyncio.get_running_loop()
+        callers = CallerServer(
+            handler.handle,
+            tasks,
+            self._caller_limits,
+            self._clock.monotonic_s,
+            self._log,
+        )
+        control = CallerServer(
+            self._answer_control,
+            tasks,
+            lambda: DEFAULT_CALLER_LIMITS,
+            self._clock.monotonic_s,
+            self._log,
+        )
+        node = self._node
+        listeners = [
+            (callers, node.caller_address),
+            (control, node.ready_address),
+        ]
+        if self._options['metrics_port']:
+            metrics = Address(node.ip, self._options['metrics_port'])
+            listeners.append((control, metrics))
+        for port, address in listeners:
+            server = await loop.create_server(
+                port.create_connection,
+                address.host,
+                address.port,
+                backlog=_BACKLOG,
+            )
+            if port is callers:
+                self._caller_server = server
+        await loop.create_datagram_endpoint(
+            lambda: self._peers,
+            (node.ip, node.peer_port),
+        )
+        return callers
+
+    def _tasks(self) -> list[Task]:
+        tasks: list[Task] = [
+            self._followers.follow_configuration,
+            self._followers.follow_targets,
+            self._followers.join_members,
+            self._reporting.run,
+            self._quarantine_sharing.run,
+            self._save_quarantine,
+            self._settings.run,
+        ]
+        if not self._node.is_first_start:
+            tasks.append(self._part_sharing.ask_engines)
+            tasks.append(self._quarantine_archive.load)
+        duties = self._create_coordinator_tasks()
+        if duties is not None:
+            tasks += [duties.coordinate, duties.save_usage]
+        return tasks
+
+    async def _save_quarantine(self) -> None:
+        """Save the quarantined parts while this gateway is coordinator."""
+        while True:
+            if self._coordinator.held_lease(timedelta(0)) is not None:
+                await self._quarantine_archive.save()
+            await anyio.sleep(SAVE_INTERVAL.total_seconds())
+
+    def _create_coordinator_tasks(self) -> CoordinatorTasks | None:
+        address = self._node.duties_address
+        if address is None or 'usage' not in self._node.duties:
+            return None
+        return CoordinatorTasks(
+            self._node,
+            f'{self._node.node}/{self._incarnation}',
+            CoordinatorTaskDependencies(
+                self._cluster_state,
+                self._coordinator,
+                self._demand,
+                self._loads,
+                self._reporting,
+                self._usage,
+                self._followers.open_topic(names.USAGE_TOPIC),
+            ),
+            address,
+            self._clock,
+            self._log,
+        )
+
+    def _caller_limits(self) -> CallerLimits:
+        current = self._cluster_state.configuration
+        return DEFAULT_CALLER_LIMITS if current is None else current.limits
+
+    async def _answer_control(
+        self,
+        raw: RawRequest,
+        responder: Responder,
+    ) -> None:
+        path = raw.target.split(b'?', 1)[0]
+        if path == _METRICS_PATH:
+            self._update_gauges()
+            responder.send(HTTPStatus.OK, [], generate_latest(REGISTRY))
+        elif path == names.READY_PATH.encode():
+            responder.send(
+                HTTPStatus.OK
+                if self._is_ready
+                else HTTPStatus.SERVICE_UNAVAILABLE,
+                [],
+                b'',
+            )
+        else:
+            responder.send(HTTPStatus.NOT_FOUND, [], b'')
+
+    @property
+    def _is_ready(self) -> bool:
+        return (
+            not self._reporting.is_draining
+            and self._cluster_state.is_complete
+            and self._cluster_state.is_fresh
+        )
+
+    def _update_gauges(self) -> None:
+        CONFIG_AGE_S.set(self._cluster_state.config_age_s() or -1)
+        STORE_CALLS.set(self._store.calls)
+        STORE_GENERATION.set(self._store.generation)
+        LOST_LOG_LINES.set(self._log.lost_lines)
+        LIMITED_TARGETS.set(self._limits.limited_targets)
+        TARGET_CRASHES.set(self._crashes.crashes)
+        QUARANTINED_PARTS.set(len(self._quarantine.quarantined_parts))
+        held = self._coordinator.held_lease(timedelta(0))
+        LEASE_HELD.set(0 if held is None else 1)
+
+    def _on_cluster_state_changed(self) -> None:
+        current = self._cluster_state.configuration
+        if current is not None:
+            self._quotas.configure(current.teams)
+            self._placement.parts.memory_tokens = current.engine_memory_tokens
+        self._placement.dispatch()
+
+    def _on_target_gone(self, target: TargetRecord) -> None:
+        self._targets.forget(target)
+        self._health.forget(target.target_id)
+        self._limits.forget(target.target_id)
+        self._crashes.record_end(target.process, 'record replaced or removed')
+        self._placement.parts.forget(target.target_id)
+
+    def _on_store_restored(self, previous: int, generation: int) -> None:
+        self._cluster_state.expect_relisting()
+        current = self._cluster_state.configuration
+        self._log.write(
+            'store_restored',
+            previous=previous,
+            generation=generation,
+            config_version=None if current is None else current.version,
+        )
+
+    async def _handle_signals(self, stopping: anyio.Event) -> None:
+        """Handle signals until the process ends, also while it drains."""
+        with SignalReceiver() as signals:
+            while True:
+                number = await signals.wait()
+                self._log.write(
+                    'signal_received',
+                    signal=number.name,
+                    draining=stopping.is_set(),
+                )
+                if number == signal.SIGHUP:
+                    self._settings.request_check()
+                else:
+                    stopping.set()
+
+    def _apply_settings(self, new: NodeSettings) -> None:
+        """Apply the settings that can change while the process runs.
+
+        The others, such as addresses, apply at the next start.
+        """
+        current = self._node
+        bounds = effective_bounds(current.bounds, new.bounds)
+        self._node = current._replace(bounds=bounds)
+        self._cluster_state.apply_bounds(freshness_bounds(bounds))
+        self._quotas.apply_excess(bounds.quota_slack)
+        self._budget.apply_bounds(retry_bounds(bounds))
+        self._log.write(
+            'settings_reloaded',
+            applied=changed_fields(current.bounds, bounds),
+            at_next_start=changed_fields(self._node, new),
+        )
+
+    async def _drain(self, port: CallerServer, handler: RequestHandler) -> None:
+        """Leave the rotation, then wait for the requests in progress."""
+        self._reporting.is_draining = True
+        port.drain()
+        stop_s = self._clock.monotonic_s() + (
+            self._node.bounds.grace_s - _EXIT_MARGIN_S
+        )
+        await anyio.sleep(
+            min(_ROTATION_DELAY_S, self._node.bounds.grace_s - _EXIT_MARGIN_S),
+        )
+        if self._caller_server is not None:
+            self._caller_server.close()
+        port.close_idle()
+        while handler.in_progress and self._clock.monotonic_s() < stop_s:
+            await anyio.sleep(0.02)
+        port.close_idle()
+        self._log.write('drained', in_progress=handler.in_progress)
+
+
+def _start_guarded(
+    tasks: TaskGroup,
+    log: EventLog,
+    task: Callable[..., Coroutine[Any, Any, None]],
+    *arguments: Any,
+) -> None:
+    """Start a task of one request; its errors do not affect other tasks."""
+
+    async def run() -> None:  # noqa: WPS430
+        try:
+            await task(*arguments)
+        except Exception as error:  # noqa: BLE001
+            log.write_exception('task_fault', error)
+
+    tasks.start_soon(run)
+
+
+def _settings_path() -> Path:
+    return Path(os.environ.get(SETTINGS_VARIABLE, ''))
+
+
+def main() -> None:
+    """Run the gateway; exit with status 2 if the settings are invalid."""
+    options = load_settings(
+        'peridotrill-gateway',
+        SETTINGS,
+        sys.argv[1:],
+        os.environ,
+    )
+    match read_node_settings(_settings_path()):
+        case Result(tag='ok', ok=node):
+            anyio.run(
+                GatewayProgram(node, options).run,
+                backend='asyncio',
+                backend_options={'use_uvloop': True},
+            )
+        case Result(error=findings):
+            sys.stderr.write(f'{format_findings(findings)}\n')
+            sys.exit(EXIT_USAGE)
+
+
+if __name__ == '__main__':
+    main()
