Answer a request with 500 if its handler fails

Change: a 500 that ends the connection, if no response has begun. Nothing is said about whether the request has run. The test of this case expected an empty response; it now expects the exact 500, with the same check of the log.

Evidence: test_fault_in_one_request_ends_only_that_request with the new expectation fails on (b'' instead of the response) and passes now.

--- a/peridotrill/gateway/caller_server.py
+++ b/peridotrill/gateway/caller_server.py
@@ -441,6 +441,9 @@
                 # A bug that affects one request must not stop the process and
                 # fail all others.
                 self._server.log.write_exception('request_fault', error)
+                if not self.has_started:
+                    self._keep_alive = False
+                    self.send(HTTPStatus.INTERNAL_SERVER_ERROR, [], b'')
         self._server.buffered_bytes -= len(self._request.body)
         if not self.is_complete:
             self._connection.abort()
--- a/tests/test_gateway_codecs.py
+++ b/tests/test_gateway_codecs.py
@@ -437,7 +437,8 @@
 
 
 def test_fault_in_one_request_ends_only_that_request():
-    # Guards against a process that crashes because of one request.
+    # Guards against a process that crashes because of one request, and against
+    # a request that ends without a response.
     log = RecordingLog()
 
     async def fail(raw, responder):
@@ -457,7 +458,11 @@
         async with serve_http(fail, log=log) as address:
             return [await ask(address), await ask(address)]
 
-    assert anyio.run(run) == [b'', b'']
+    response = (
+        b'HTTP/1.1 500 Internal Server Error\r\n'
+        b'Content-Length: 0\r\nConnection: close\r\n\r\n'
+    )
+    assert anyio.run(run) == [response, response]
     assert [event for event, _ in log.events] == ['request_fault'] * 2
 
 
