Read what has arrived before a timer closes a caller's connection

Cause: the event loop runs due timers before it reads, so a timer that is late decides without the bytes that wait in the socket. The idle timer kept the timeout that was in force when it was set. A header timer that expired during the request before was never set again.

Change: a due timer waits for one pass of reading (5 ms) before it acts; the idle timer asks for the current limit; a request that is still incomplete when the one before it ends gets the header timeout.

--- a/peridotrill/gateway/caller_server.py
+++ b/peridotrill/gateway/caller_server.py
@@ -33,6 +33,9 @@
 _MAX_BUFFERED_BYTES: Final = 67108864
 _HTTP_1_0: Final = '1.0'
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
+# Before a connection is closed by a timer, the event loop gets this long to
+# read what has already arrived: it runs due timers before it reads.
+_READ_DELAY_S: Final = 0.005
 # After an error response, further input is discarded for this long before the
 # connection is closed. Closing with unread bytes would reset the connection,
 # and the caller could lose the response.
@@ -143,6 +146,8 @@
         self._exchange: _Exchange | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._timer_status = 0
+        # When the current idle period began.
+        self._idle_since_s = 0.0
         self._is_closing = False
         self._can_write = asyncio.Event()
         self._can_write.set()
@@ -153,7 +158,7 @@
         """Wait for the first request."""
         self._transport = transport  # type: ignore[assignment]
         self._server.connections.add(self)
-        self._arm_idle_timer()
+        self._start_idle_period()
 
     def data_received(self, data: bytes) -> None:
         """Parse the received bytes."""
@@ -202,10 +207,7 @@
         """Reset the parsing state and start the header timeout."""
         self._reset_message()
         self._is_in_message = True
-        self._arm_timer(
-            self._server.limits().header_timeout_ms / 1000,
-            HTTPStatus.REQUEST_TIMEOUT,
-        )
+        self._arm_header_timer()
 
     def on_url(self, url: bytes) -> None:
         """Collect the request target."""
@@ -296,12 +298,10 @@
         self._exchange = None
         if self._is_closing:
             return
-        if not keep_alive:
+        if keep_alive:
+            self._continue()
+        else:
             self._close()
-        elif self._pipelined:
-            self._start_next()
-        elif not self._is_in_message:
-            self._arm_idle_timer()
 
     def _log_abandoned_requests(self) -> None:
         """Log the requests that were read whole and get no response."""
@@ -315,6 +315,15 @@
                 closed_by='gateway' if self._is_closing else 'caller',
             )
 
+    def _continue(self) -> None:
+        """Go on with the next request, or wait for it."""
+        if self._pipelined:
+            self._start_next()
+        elif self._is_in_message:
+            self._arm_header_timer()
+        else:
+            self._start_idle_period()
+
     def _start_next(self) -> None:
         received = self._pipelined.popleft()
         if self._transport is not None and not self._pipelined:
@@ -378,8 +387,20 @@
             loop = asyncio.get_running_loop()
             loop.call_later(_LINGERING_CLOSE_S, self._transport.close)
 
-    def _arm_idle_timer(self) -> None:
-        self._arm_timer(self._server.limits().idle_timeout_ms / 1000, 0)
+    def _arm_header_timer(self) -> None:
+        self._arm_timer(
+            self._server.limits().header_timeout_ms / 1000,
+            HTTPStatus.REQUEST_TIMEOUT,
+        )
+
+    def _start_idle_period(self) -> None:
+        self._idle_since_s = self._server.now_s()
+        self._arm_timer(self._remaining_idle_s(), 0)
+
+    def _remaining_idle_s(self) -> float:
+        """Return the time until the idle timeout, by the current limits."""
+        idle_s = self._server.now_s() - self._idle_since_s
+        return self._server.limits().idle_timeout_ms / 1000 - idle_s
 
     def _arm_timer(self, delay_s: float, status: int) -> None:
         self._cancel_timer()
@@ -393,11 +414,18 @@
             self._timer = None
 
     def _on_timer(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(_READ_DELAY_S, self._on_timeout)
+
+    def _on_timeout(self) -> None:
         self._timer = None
         if self._exchange is not None or self._is_closing:
             return
         if self._timer_status:
             self._reject(self._timer_status)
+        elif self._remaining_idle_s() > 0:
+            # A newer configuration allows a longer idle time.
+            self._arm_timer(self._remaining_idle_s(), 0)
         else:
             self._close()
 
