Answer every request before a gateway has drained

Cause: the drain counted requests whose handler had started, closed idle connections once, and ended the others by cancelling them. The class is that of a second signal: work that arrives while other work is being ended.

Change: the gateway drains until its connections are closed, not until a count of handlers is zero. Once it no longer accepts, a connection is closed as soon as it is idle, also one that becomes idle later, after the bytes that have arrived were read; a caller that has just connected gets 0.25 s to send its request. The end of a connection is announced only with the response to the last request on it. A request that may last longer than the process is refused at once (503, gateway_stopping, Retry-After 0.1). When the grace period is nearly over, each request in progress gets 502 if a target may have run it, else 503, and one that is still being received 503.

--- a/peridotrill/gateway/caller_server.py
+++ b/peridotrill/gateway/caller_server.py
@@ -36,6 +36,9 @@
 # Before a connection is closed by a timer, the event loop gets this long to
 # read what has already arrived: it runs due timers before it reads.
 _READ_DELAY_S: Final = 0.005
+# A caller that has just connected gets this long to send its first request
+# before its connection is closed as idle.
+_FIRST_REQUEST_DELAY_S: Final = 0.25
 # After an error response, further input is discarded for this long before the
 # connection is closed. Closing with unread bytes would reset the connection,
 # and the caller could lose the response.
@@ -115,6 +118,8 @@
         self.limits = limits
         self.now_s = now_s
         self.is_draining = False
+        # Whether connections are closed as soon as they are idle.
+        self.closes_idle = False
         # Body bytes of requests that are being received, queued or handled.
         self.buffered_bytes = 0
         self.connections: set[CallerConnection] = set()
@@ -124,13 +129,19 @@
         return CallerConnection(self)
 
     def drain(self) -> None:
-        """Close each connection after its current request from now on."""
+        """Close each connection after its current requests from now on."""
         self.is_draining = True
 
     def close_idle(self) -> None:
-        """Close the connections without a request in progress."""
+        """Close the connections without a request, the others once idle."""
+        self.closes_idle = True
         for connection in list(self.connections):
-            connection.close_if_idle()
+            connection.schedule_idle_close()
+
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests that are still being received."""
+        for connection in list(self.connections):
+            connection.refuse_incomplete()
 
 
 @final
@@ -148,6 +159,7 @@
         self._timer_status = 0
         # When the current idle period began.
         self._idle_since_s = 0.0
+        self._has_received = False
         self._is_closing = False
         self._can_write = asyncio.Event()
         self._can_write.set()
@@ -164,6 +176,7 @@
         """Parse the received bytes."""
         if self._is_closing:
             return
+        self._has_received = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError:
@@ -272,11 +285,22 @@
 
     # Called by the server and by exchanges.
 
-    def close_if_idle(self) -> None:
-        """Close unless a request is in progress or being received."""
-        is_busy = self._exchange is not None or self._pipelined
-        if not is_busy and not self._is_in_message:
-            self._close()
+    @property
+    def has_next_request(self) -> bool:
+        """Whether a request follows the one in progress."""
+        return bool(self._pipelined) or self._is_in_message
+
+    def schedule_idle_close(self) -> None:
+        """Close soon, unless a request arrives or is in progress."""
+        delay_s = _READ_DELAY_S
+        if not self._has_received:
+            delay_s = _FIRST_REQUEST_DELAY_S
+        asyncio.get_running_loop().call_later(delay_s, self._close_if_idle)
+
+    def refuse_incomplete(self) -> None:
+        """Refuse a request that is still being received."""
+        if self._is_in_message and not self._is_closing:
+            self._reject(HTTPStatus.SERVICE_UNAVAILABLE)
 
     def write(self, content: bytes) -> None:
         """Write response bytes unless the connection is closing."""
@@ -396,12 +420,19 @@
     def _start_idle_period(self) -> None:
         self._idle_since_s = self._server.now_s()
         self._arm_timer(self._remaining_idle_s(), 0)
+        if self._server.closes_idle:
+            self.schedule_idle_close()
 
     def _remaining_idle_s(self) -> float:
         """Return the time until the idle timeout, by the current limits."""
         idle_s = self._server.now_s() - self._idle_since_s
         return self._server.limits().idle_timeout_ms / 1000 - idle_s
 
+    def _close_if_idle(self) -> None:
+        is_busy = self._exchange is not None or self.has_next_request
+        if not is_busy and not self._is_closing:
+            self._close()
+
     def _arm_timer(self, delay_s: float, status: int) -> None:
         self._cancel_timer()
         self._timer_status = status
@@ -537,7 +568,7 @@
     ) -> bytes:
         self.has_started = True
         rows = [*headers, framing]
-        if self._server.is_draining:
+        if self._server.is_draining and not self._connection.has_next_request:
             self._keep_alive = False
         if not self._keep_alive:
             rows.append((b'Connection', b'close'))
--- a/peridotrill/gateway/request_handler.py
+++ b/peridotrill/gateway/request_handler.py
@@ -1,5 +1,6 @@
 """Handling of caller requests: routing, authentication, quotas, dispatch."""
 
+import math
 import random
 from http import HTTPStatus
 from typing import final
@@ -20,8 +21,8 @@
 from peridotrill.gateway.requests import CallerRequest, RequestKind
 from peridotrill.gateway.stream_requests import serve_stream_request
 
-# Retry-After of a gateway without a usable configuration. It is short because
-# another gateway most likely has one.
+# Retry-After of a gateway that cannot serve, for lack of a usable configuration
+# or because it stops. It is short because another gateway most likely can.
 _RETRY_ELSEWHERE_S = 0.1
 
 
@@ -33,6 +34,26 @@
         """:param shared: components that all requests use."""
         self._shared = shared
         self.in_progress = 0
+        self._scopes: set[anyio.CancelScope] = set()
+        self._is_stopping = False
+        # When ``stop`` will be called, once that is known.
+        self._stop_s = math.inf
+
+    def announce_stop(self, stop_s: float) -> None:
+        """Refuse new requests that may not end before the gateway stops.
+
+        :param stop_s: when ``stop`` will be called, as a monotonic time.
+        """
+        self._stop_s = stop_s
+
+    def stop(self) -> None:
+        """Give up the requests in progress, and refuse all others.
+
+        Each caller gets an error that tells whether its request may have run.
+        """
+        self._is_stopping = True
+        for scope in self._scopes:
+            scope.cancel()
 
     async def handle(self, raw: RawRequest, responder: Responder) -> None:
         """Handle one request and send the response."""
@@ -81,27 +102,40 @@
             self._log_end(context)
 
     async def _execute(self, context: RequestContext) -> None:
+        scope = anyio.move_on_after(max(0, context.remaining_s()))
+        self._scopes.add(scope)
+        try:
+            with scope:
+                await self._serve(context)
+        finally:
+            self._scopes.discard(scope)
+        if scope.cancelled_caught:
+            self._give_up(context)
+
+    async def _serve(self, context: RequestContext) -> None:
         serve_request = serve_plain_request
         if context.route.kind is RequestKind.STREAM:
             serve_request = serve_stream_request
-        scope = anyio.move_on_after(max(0, context.remaining_s()))
-        with scope:
-            try:
-                await serve_request(context)
-            except GatewayError as error:
-                context.fail(error)
-            except Exception as error:  # noqa: BLE001
-                # A target may have run the request, so the response is a 502,
-                # which does not tell the caller that it did not run.
-                self._shared.log.write_exception(
-                    'request_fault',
-                    error,
-                    request=context.request.request_id,
-                )
-                context.fail(
-                    GatewayError(HTTPStatus.BAD_GATEWAY, 'internal_error')
-                )
-        if scope.cancelled_caught:
+        try:
+            await serve_request(context)
+        except GatewayError as error:
+            context.fail(error)
+        except Exception as error:  # noqa: BLE001
+            # A target may have run the request, so the response is a 502,
+            # which does not tell the caller that it did not run.
+            self._shared.log.write_exception(
+                'request_fault',
+                error,
+                request=context.request.request_id,
+            )
+            context.fail(GatewayError(HTTPStatus.BAD_GATEWAY, 'internal_error'))
+
+    def _give_up(self, context: RequestContext) -> None:
+        if self._is_stopping:
+            context.fail(
+                context.build_error('gateway_stopping', _RETRY_ELSEWHERE_S)
+            )
+        else:
             context.expire()
 
     def _admit(
@@ -128,6 +162,8 @@
         context = RequestContext(
             request, route, team, service, responder, shared
         )
+        if self._is_stopping or context.deadline_s > self._stop_s:
+            raise context.build_error('gateway_stopping', _RETRY_ELSEWHERE_S)
         context.check_quarantine()
         if team is not None:
             self._take_quota(request, team)
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -117,6 +117,9 @@
 _ROTATION_DELAY_S: Final = 2.6
 # Draining ends this long before the process would be killed.
 _EXIT_MARGIN_S: Final = 0.9
+# Time for the responses to requests that were given up to be sent.
+_FLUSH_TIME_S: Final = 0.4
+_DRAIN_POLL_INTERVAL_S: Final = 0.02
 # Listen backlog; holds a burst of new connections.
 _BACKLOG: Final = 1024
 _METRICS_PATH: Final = b'/metrics'
@@ -515,7 +518,7 @@
         )
 
     async def _drain(self, port: CallerServer, handler: RequestHandler) -> None:
-        """Leave the rotation, then wait for the requests in progress."""
+        """Leave the rotation, then wait until all connections are closed."""
         self._reporting.is_draining = True
         port.drain()
         stop_s = self._clock.monotonic_s() + (
@@ -526,11 +529,22 @@
         )
         if self._caller_server is not None:
             self._caller_server.close()
+        handler.announce_stop(stop_s)
         port.close_idle()
-        while handler.in_progress and self._clock.monotonic_s() < stop_s:
-            await anyio.sleep(0.02)
-        port.close_idle()
-        self._log.write('drained', in_progress=handler.in_progress)
+        await self._wait_for_close(port, stop_s)
+        unfinished = handler.in_progress
+        handler.stop()
+        port.refuse_incomplete()
+        await self._wait_for_close(port, stop_s + _FLUSH_TIME_S)
+        self._log.write(
+            'drained',
+            in_progress=unfinished,
+            connections=len(port.connections),
+        )
+
+    async def _wait_for_close(self, port: CallerServer, until_s: float) -> None:
+        while port.connections and self._clock.monotonic_s() < until_s:
+            await anyio.sleep(_DRAIN_POLL_INTERVAL_S)
 
 
 def _start_guarded(
--- a/tests/test_gateway_planned_work.py
+++ b/tests/test_gateway_planned_work.py
@@ -9,7 +9,11 @@
 
 import pytest
 
-from tests.gateway_builders import HOST, configuration_document
+from tests.gateway_builders import (
+    HOST,
+    configuration_document,
+    prompt_headers,
+)
 from tests.gateway_site import (
     SIGHUP,
     SIGTERM,
@@ -19,6 +23,8 @@
 )
 
 SIGINT = signal.SIGINT
+# When the gateway closes idle connections after SIGTERM, in seconds.
+IDLE_CLOSE_S = 2.6
 
 _numbers = itertools.count()
 
@@ -71,6 +77,16 @@
     return head.encode() + body
 
 
+def publish_long_timeouts(site, gateway):
+    """Let requests take longer than a gateway waits to close connections."""
+    document = configuration_document(2)
+    document['limits']['header-timeout-ms'] = 5000
+    for route in document['routes']:
+        route['timeout-ms'] = 5000
+    site.publish(**document)
+    wait_until(lambda: 'version=2' in gateway.read_log())
+
+
 def start_call(gateway, path):
     """Send a request in a thread; return the thread and its results."""
     results = []
@@ -140,6 +156,81 @@
     assert gateway.process.wait(timeout=10) == 0
 
 
+def test_request_received_in_parts_during_drain_is_answered(site):
+    # Guards against a drain that ends while a request is still being received.
+    (gateway,) = site.start_gateways('front-a-1')
+    publish_long_timeouts(site, gateway)
+    connection = KeptConnection(gateway)
+    content = format_request('/pay/x', b'body', deadline_ms=1000)
+    connection.send(content[:-2])
+    gateway.signal(SIGTERM)
+    time.sleep(IDLE_CLOSE_S + 0.4)
+    connection.send(content[-2:])
+    assert connection.read().startswith(b'HTTP/1.1 200 ')
+    assert gateway.process.wait(timeout=6) == 0
+
+
+def test_pipelined_requests_are_all_answered_during_drain(site):
+    # Guards against a connection that is closed behind the first of them.
+    (gateway,) = site.start_gateways('front-a-1')
+    for engine in site.engines.values():
+        engine.processing_s = 0.5
+    connection = KeptConnection(gateway)
+    connection.send(format_request('/pay/x') + format_request('/pay/y'))
+    wait_until(lambda: any(row.runs for row in site.engines.values()))
+    gateway.signal(SIGTERM)
+    responses = connection.read()
+    assert responses.count(b'HTTP/1.1 200 ') == 2
+    assert responses.count(b'Connection: close') == 1
+
+
+@pytest.mark.parametrize(
+    ('path', 'headers', 'status'),
+    [('/pay/x', {}, b'502'), ('/draft/x', prompt_headers(), b'503')],
+    ids=['sent', 'not sent'],
+)
+def test_request_unfinished_at_the_end_of_the_grace_period_gets_an_error(
+    site, path, headers, status
+):
+    # Guards against connections that are reset when the process ends.
+    (gateway,) = site.start_gateways('front-a-1', **{'grace-s': 2})
+    site.engines['i-pre'].processing_s = 30
+    site.plan('till', 'silent', 'silent')
+    connection = KeptConnection(gateway)
+    connection.send(format_request(path, headers=headers))
+    wait_until(lambda: any(row.received for row in site.engines.values()))
+    gateway.signal(SIGTERM)
+    assert connection.read().startswith(b'HTTP/1.1 ' + status)
+    assert gateway.process.wait(timeout=3) == 0
+
+
+@pytest.mark.parametrize(
+    ('deadline_ms', 'status', 'runs'), [(1000, b'200', 1), (5000, b'503', 0)]
+)
+def test_request_on_a_kept_connection_during_drain_gets_a_response(
+    site, deadline_ms, status, runs
+):
+    # Guards against requests that are sent to a target and then cut off.
+    (gateway,) = site.start_gateways('front-a-1')
+    publish_long_timeouts(site, gateway)
+    for engine in site.engines.values():
+        engine.event_count = 400
+        engine.event_interval_s = 0.008
+    connection = KeptConnection(gateway)
+    connection.send(format_request('/draft/x'))
+    wait_until(lambda: any(row.runs for row in site.engines.values()))
+    # The response has begun, so it can't announce the end of the connection.
+    time.sleep(0.2)
+    gateway.signal(SIGTERM)
+    time.sleep(IDLE_CLOSE_S + 0.1)
+    connection.send(format_request('/pay/x', deadline_ms=deadline_ms))
+    responses = connection.read()
+    assert responses.startswith(b'HTTP/1.1 200 ')
+    assert b'0\r\n\r\nHTTP/1.1 ' + status in responses
+    tills = (site.engines['i-till-1'], site.engines['i-till-2'])
+    assert sum(len(row.runs) for row in tills) == runs
+
+
 def test_longer_idle_timeout_applies_to_open_connections(site):
     # Guards against a connection that is closed while its caller, by the newest
     # configuration, may still use it.
