Separate faults of the site from those of gateways in the soak

Change: ports of gateways are below those that the kernel gives to connections, and whether a process had been ready is read from its readiness instead of a fixed time. Lost and crossing requests are listed in the time line.

--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -1,6 +1,7 @@
 """Gateway processes with a store and engines that run in a thread."""
 
 import os
+import secrets
 import signal
 import socket
 import subprocess
@@ -26,14 +27,24 @@
 ROOT = Path(__file__).parent.parent
 START_TIMEOUT_S = 20
 ENGINE_RESTART_S = 0.5
+PORTS = (12000, 32000)
 CONFIG_TOPIC = 'keyed.op'
 SERVERS_TOPIC = 'keyed.servers'
 
 
 def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(type=kind) as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    """Return a port that no connection gets while a gateway is started again.
+
+    It is below the range of ports that the kernel gives to connections.
+    """
+    while True:
+        port = PORTS[0] + secrets.randbelow(PORTS[1] - PORTS[0])
+        with socket.socket(type=kind) as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        return port
 
 
 class SentSignal(NamedTuple):
@@ -77,6 +88,7 @@
         self._starting = threading.Lock()
         # Times at which a process was started.
         self.starts_s = []
+        self._client = httpx.Client(verify=False)  # noqa: S501
         # Signals sent, and processes that ended, with their exit status.
         self.signals = []
         self.exits = []
@@ -121,7 +133,9 @@
 
     def is_ready(self):
         try:
-            response = httpx.get(f'http://127.0.0.1:{self.ready_port}/-/ready')
+            response = self._client.get(
+                f'http://127.0.0.1:{self.ready_port}/-/ready'
+            )
         except httpx.HTTPError:
             return False
         return response.status_code == 200
--- a/tests/planned_soak.py
+++ b/tests/planned_soak.py
@@ -35,6 +35,7 @@
     1: 'a second signal ended a process that was starting or draining',
     2: 'a request on a kept connection began too late in the drain to end',
     5: 'a signal ended a process that was leaving after its drain',
+    13: 'SIGTERM while a process started: it ran longer than its grace period',
 }
 # Bounds of the platform: ``grace-s``, ``lost-ms``, ``drain-ms``, and
 # ``config-ms`` with the second that the platform adds.
@@ -46,9 +47,7 @@
 # engine still works on it in the last sixth of the grace period.
 LATE_WORK_S = GRACE_S * 5 / 6
 LATE_SENT_S = 3.0
-# A gateway that was started less than this before may not know the
-# configuration yet.
-START_S = 4.0
+POLL_S = 0.1
 # Tolerance of measured times.
 SLACK_S = 0.1
 # Before its deadline, a request is no longer queued for this long: its
@@ -270,6 +269,10 @@
         self._published = []
         # Engine, and the span in which no request may arrive at it.
         self._left = []
+        # When each process, named by node and start, was ready.
+        self._ready_s = {}
+        # Of requests without a response: when they ended, and what is known.
+        self._notes = []
         self._threads = []
         self._is_over = threading.Event()
         self._start_s = 0
@@ -280,7 +283,9 @@
         bounds = {'window-s': 2, 'grace-s': GRACE_S}
         self.site.start_gateways(*self._nodes, **bounds)
         supervisors = [
-            threading.Thread(target=self._supervise, args=(gateway,))
+            threading.Thread(
+                target=self._supervise, args=(gateway,), daemon=True
+            )
             for gateway in self.site.gateways.values()
         ]
         for supervisor in supervisors:
@@ -327,8 +332,8 @@
         }
 
     def time_line(self):
-        """Return the signals and the ends of processes, ordered by time."""
-        rows = []
+        """Return signals, ends of processes and lost or crossed requests."""
+        rows = list(self._notes)
         for gateway in self.site.gateways.values():
             rows += (
                 (row.sent_s, f'{gateway.node} {row.pid} {row.number!r}')
@@ -403,11 +408,14 @@
             gateway.signal(SIGHUP, process)
 
     def _supervise(self, gateway):
-        """Start a process again whenever it ends."""
+        """Record when a process is ready; start it again when it ends."""
         while not self._is_over.is_set():
-            process = gateway.process
-            if _wait_for_end(process, time.monotonic() + 0.1):
-                gateway.start_after(process)
+            if _wait_for_end(gateway.process, time.monotonic() + POLL_S):
+                gateway.start_after(gateway.process)
+                continue
+            started = (gateway.node, gateway.starts_s[-1])
+            if started not in self._ready_s and gateway.is_ready():
+                self._ready_s[started] = time.monotonic()
 
     # Checks at the end of the run.
 
@@ -433,8 +441,11 @@
                 arrivals.get(row.name, ()), key=lambda arrival: arrival[0]
             )
             fault = self._find_fault(row, arrived)
+            text = self._describe(row, fault or 'allowed', arrived)
             if fault:
-                self._violations.append(self._describe(row, fault, arrived))
+                self._violations.append(text)
+            if fault or not row.is_complete:
+                self._notes.append((row.ended_s, text))
 
     def _describe(self, row, fault, arrived):
         engines = ', '.join(
@@ -511,10 +522,15 @@
         return delay_s > MAX_DELAY_S
 
     def _is_starting(self, row):
-        starts_s = self.site.gateways[row.node].starts_s
-        return any(reason in row.body for reason in REASONS_AT_START) and any(
-            start_s < row.ended_s < start_s + START_S for start_s in starts_s
+        """Tell whether the gateway had not become ready yet."""
+        start_s = max(
+            start_s
+            for start_s in self.site.gateways[row.node].starts_s
+            if start_s < row.ended_s
         )
+        ready_s = self._ready_s.get((row.node, start_s), row.ended_s)
+        is_known = any(reason in row.body for reason in REASONS_AT_START)
+        return is_known and row.ended_s <= ready_s
 
     def _may_lack_route(self, row):
         return row.kind == 'spare' and not all(
