Count the grace period of a gateway from its signal

Cause: the time of a signal was not kept.

Change: process_signals records when each signal came; the gateway plans the end of its drain from that. A plain request is refused during the drain only if less than its latency goal is left, since it usually takes tens of milliseconds; a stream as before if it may last longer than the process.

--- a/peridotrill/agent_program.py
+++ b/peridotrill/agent_program.py
@@ -111,7 +111,7 @@
     """Drain at SIGTERM or SIGINT; SIGHUP has no effect."""
     with SignalReceiver() as signals:
         while True:
-            number = await signals.wait()
+            number = (await signals.wait()).number
             recorder.emit(
                 'signal_received',
                 signal=number.name,
--- a/peridotrill/gateway/request_handler.py
+++ b/peridotrill/gateway/request_handler.py
@@ -162,7 +162,7 @@
         context = RequestContext(
             request, route, team, service, responder, shared
         )
-        if self._is_stopping or context.deadline_s > self._stop_s:
+        if self._is_stopping or self._latest_end_s(context) > self._stop_s:
             raise context.build_error('gateway_stopping', _RETRY_ELSEWHERE_S)
         context.check_quarantine()
         if team is not None:
@@ -170,6 +170,16 @@
         shared.budget.record_request(service)
         return context
 
+    def _latest_end_s(self, context: RequestContext) -> float:
+        """Return when the request should have ended, as a monotonic time.
+
+        A stream lasts for as long as its output, a plain request much shorter
+        than its deadline.
+        """
+        if context.route.kind is RequestKind.STREAM:
+            return context.deadline_s
+        return context.request.received_s + context.route.goal_ms / 1000
+
     def _find_team(
         self,
         request: CallerRequest,
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import math
 import os
 import secrets
 import signal
@@ -144,6 +145,8 @@
         self._options = options
         self._clock = SuspendAwareClock()
         self._started_s = self._clock.monotonic_s()
+        # When a drain gives up the requests in progress.
+        self._exit_s = math.inf
         self._incarnation = secrets.token_hex(4)
         self._log = EventLog.from_settings(
             node.node,
@@ -489,17 +492,28 @@
         """Handle signals until the process ends, also while it drains."""
         with SignalReceiver() as signals:
             while True:
-                number = await signals.wait()
+                received = await signals.wait()
                 self._log.write(
                     'signal_received',
-                    signal=number.name,
+                    signal=received.number.name,
+                    age_ms=round(received.age_s() * 1000),
                     draining=stopping.is_set(),
                 )
-                if number == signal.SIGHUP:
+                if received.number == signal.SIGHUP:
                     self._settings.request_check()
-                else:
+                elif not stopping.is_set():
+                    self._set_exit_time(received.age_s())
                     stopping.set()
 
+    def _set_exit_time(self, waited_s: float) -> None:
+        """Plan the end of the drain.
+
+        :param waited_s: time since the process was asked to stop, which was
+            perhaps while it started.
+        """
+        drain_s = self._node.bounds.grace_s - _EXIT_MARGIN_S - waited_s
+        self._exit_s = self._clock.monotonic_s() + max(0.0, drain_s)
+
     def _apply_settings(self, new: NodeSettings) -> None:
         """Apply the settings that can change while the process runs.
 
@@ -521,12 +535,9 @@
         """Leave the rotation, then wait until all connections are closed."""
         self._reporting.is_draining = True
         port.drain()
-        stop_s = self._clock.monotonic_s() + (
-            self._node.bounds.grace_s - _EXIT_MARGIN_S
-        )
-        await anyio.sleep(
-            min(_ROTATION_DELAY_S, self._node.bounds.grace_s - _EXIT_MARGIN_S),
-        )
+        stop_s = self._exit_s
+        left_s = stop_s - self._clock.monotonic_s()
+        await anyio.sleep(min(_ROTATION_DELAY_S, max(0.0, left_s)))
         if self._caller_server is not None:
             self._caller_server.close()
         handler.announce_stop(stop_s)
--- a/peridotrill/process_signals.py
+++ b/peridotrill/process_signals.py
@@ -8,11 +8,11 @@
 import atexit
 import os
 import signal
-from collections import deque
+import time
 from collections.abc import Callable
 from importlib import import_module
 from types import FrameType
-from typing import Any, Final, Self, final
+from typing import Any, Final, NamedTuple, Self, final
 
 _RECORDED_SIGNALS: Final = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 # No program uses them, and their default action would end the process.
@@ -24,7 +24,22 @@
 )
 _MAX_WAKE_UP_BYTES: Final = 4096
 
-_recorded: Final[deque[signal.Signals]] = deque()
+
+class ReceivedSignal(NamedTuple):
+    """A signal; it may have come long before a receiver delivers it."""
+
+    number: signal.Signals
+    received_s: float
+
+    def age_s(self) -> float:
+        """Return the time since the signal came."""
+        return time.monotonic() - self.received_s
+
+
+# Times of the signals that wait, by number, in the order in which they came. A
+# handler may run between any two bytecodes, also of another handler, so each
+# access is one operation without Python code.
+_recorded: Final[dict[int, float]] = {}
 _wake_ups: Final[list[Callable[[], Any]]] = []
 
 
@@ -83,12 +98,13 @@
         os.close(self._reading_fd)
         os.close(self._writing_fd)
 
-    async def wait(self) -> signal.Signals:
+    async def wait(self) -> ReceivedSignal:
         """Wait for the next signal, in the order in which they came."""
         while not _recorded:
             self._changed.clear()
             await self._changed.wait()
-        return _recorded.popleft()
+        number = tuple(_recorded)[0]
+        return ReceivedSignal(signal.Signals(number), _recorded.pop(number))
 
     def _wake_up(self) -> None:
         self._loop.call_soon_threadsafe(self._changed.set)
@@ -102,8 +118,7 @@
 
 def _record(number: int, _frame: FrameType | None) -> None:
     # As in the kernel, a signal that waits already is not counted twice.
-    if number not in _recorded:
-        _recorded.append(signal.Signals(number))
+    _recorded.setdefault(number, time.monotonic())
     for wake_up in _wake_ups:
         wake_up()
 
--- a/tests/planned_soak.py
+++ b/tests/planned_soak.py
@@ -67,6 +67,12 @@
 LARGE_SCALE = 8
 # An engine is back this long after it began to drain.
 LEAVE_INTERVAL_S = 9.0
+# After SIGTERM, a gateway closes idle connections and refuses what may last
+# longer than itself at CLOSE_S, and ends what is still in progress at STOP_S.
+CLOSE_S = 2.6
+STOP_S = GRACE_S - 0.9
+# ``goal-ms`` of the routes.
+GOAL_S = 0.5
 REASONS_AT_START = (b'configuration_unknown', b'configuration_stale')
 
 
@@ -492,6 +498,7 @@
             # The engines run in the same event loop.
             or (row.status >= 500 and self._was_delayed(row))
             or (row.status == 503 and self._is_starting(row))
+            or (row.status in {502, 503} and self._is_stopping(row))
             or (row.status == 404 and self._may_lack_route(row))
             or (row.status == 408 and took_s > HEADER_TIMEOUT_S - SLACK_S)
         )
@@ -532,6 +539,18 @@
         is_known = any(reason in row.body for reason in REASONS_AT_START)
         return is_known and row.ended_s <= ready_s
 
+    def _is_stopping(self, row):
+        """Tell whether the request could have lasted longer than its gateway.
+
+        It is refused then, unless it was sent to an engine before.
+        """
+        delay_s = CLOSE_S if row.kind in STREAM_KINDS else STOP_S - GOAL_S
+        return b'gateway_stopping' in row.body and any(
+            delay_s < row.ended_s - signal.sent_s < GRACE_S
+            for signal in self.site.gateways[row.node].signals
+            if signal.number == SIGTERM
+        )
+
     def _may_lack_route(self, row):
         return row.kind == 'spare' and not all(
             change.has_spare_route for change in self._changes(row)
