Take no unnamed response for that of the current request

Callers got 503 ("not run") for a payment that its engine ran, or it was sent to a second engine: an engine wrote an earlier refusal once more on a kept connection.

Cause: a response without a request id counted as the response to the request in progress, on any connection. A refusal may lack the id, so its repetition was taken for a refusal of the next request.

Evidence: test_repeated_refusal_is_not_that_of_the_next_request failed for both refusals before (503, expected 502).

Change: on a connection that has carried a request before, or on which a response to another request was skipped, a response that names no request breaks the connection, and the outcome is unknown. On a new connection nothing else can have been meant, so an unnamed refusal is still believed there.

--- a/peridotrill/gateway/target_connections.py
+++ b/peridotrill/gateway/target_connections.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import enum
 import socket
 import struct
 from collections import deque
@@ -60,11 +61,23 @@
     body: bytes
 
 
-HeadMatcher = Callable[[ResponseHead], bool]
+class Match(enum.Enum):
+    """Whether a response belongs to the request in progress.
+
+    ``UNNAMED`` is a response that names no request: it may repeat the response
+    to an earlier request on the same connection.
+    """
+
+    OWN = 1
+    OTHER = 2
+    UNNAMED = 3
 
 
-def _match_any(head: ResponseHead) -> bool:
-    return True
+HeadMatcher = Callable[[ResponseHead], Match]
+
+
+def _match_any(head: ResponseHead) -> Match:
+    return Match.OWN
 
 
 @final
@@ -197,6 +210,7 @@
         self.idle_since_s = 0.0
         # Idle timeout that the target declared in Keep-Alive, if any.
         self.keep_alive_s: float | None = None
+        self._is_reused = False
         self._skipped = 0
         self._overhead_bytes = 0
         self._parse_error = ''
@@ -355,7 +369,11 @@
         if exchange is None or exchange.has_head:
             self._abort_parsing('response without a request in progress')
             return
-        if exchange.matches(head):
+        match = exchange.matches(head)
+        if match is Match.UNNAMED and (self._is_reused or self._skipped):
+            self._abort_parsing('response names no request')
+            return
+        if match is not Match.OTHER:
             self._parse_keep_alive(head)
             exchange.deliver_head(head)
             return
@@ -398,6 +416,7 @@
                 self.abort('data received without a request in progress')
                 return
             self.resume_reading()
+            self._is_reused = True
             self._on_idle(self)
 
     def _abort_parsing(self, reason: str) -> None:
--- a/peridotrill/gateway/target_messages.py
+++ b/peridotrill/gateway/target_messages.py
@@ -5,7 +5,7 @@
 
 from peridotrill.gateway.caller_server import RawRequest
 from peridotrill.gateway.requests import CallerRequest, Headers
-from peridotrill.gateway.target_connections import ResponseHead
+from peridotrill.gateway.target_connections import Match, ResponseHead
 from peridotrill.gateway.targets import TargetRole
 
 
@@ -75,7 +75,7 @@
         """Return the request line and the headers for a target."""
 
     @property
-    def matches_request(self) -> Callable[[str, ResponseHead], bool]:
+    def matches_request(self) -> Callable[[str, ResponseHead], Match]:
         """Tell whether a response belongs to a request."""
 
     @property
--- a/peridotrill/platform/wire.py
+++ b/peridotrill/platform/wire.py
@@ -15,7 +15,7 @@
     Prompt,
     PromptPart,
 )
-from peridotrill.gateway.target_connections import ResponseHead
+from peridotrill.gateway.target_connections import Match, ResponseHead
 from peridotrill.gateway.target_messages import (
     PrefilledPrompt,
     RequestOptions,
@@ -100,14 +100,16 @@
     return b'%b %b HTTP/1.1' % (request.method, request.target), headers
 
 
-def matches_request(request_id: str, head: ResponseHead) -> bool:
+def matches_request(request_id: str, head: ResponseHead) -> Match:
     """Tell whether a response belongs to a request.
 
-    A response without an id is accepted, because a target that rejects a
-    request may omit it.
+    A target that rejects a request may omit the id.
     """
     found = head.get(names.REQUEST_ID)
-    return found is None or found.decode('latin-1') == request_id
+    if not found:
+        return Match.UNNAMED
+    is_own = found.decode('latin-1') == request_id
+    return Match.OWN if is_own else Match.OTHER
 
 
 def decode_response_head(head: ResponseHead) -> TargetResponse:
--- /dev/null
+++ b/tests/test_broken_responses.py
@@ -0,0 +1,58 @@
+"""A real gateway whose engines break their responses."""
+
+import itertools
+
+import pytest
+
+from tests.broken_engines import (
+    ANSWER,
+    EMPTY,
+    REFUSAL,
+    BrokenEngines,
+    publish_routes,
+    start_engines,
+)
+from tests.gateway_site import call, run_site
+
+_numbers = itertools.count()
+
+
+@pytest.fixture(scope='module')
+def site(tmp_path_factory):
+    with run_site(tmp_path_factory.mktemp('site')) as running:
+        (running.gateway,) = running.start_gateways('front-a-1')
+        running.broken = BrokenEngines()
+        running.portal.call(start_engines, running, running.broken)
+        publish_routes(running, running.gateway)
+        yield running
+
+
+@pytest.fixture
+def engines(site):
+    yield site.broken
+    site.portal.call(site.broken.reset)
+
+
+def ask(site, path):
+    return call(site.gateway, path, f'broken-{next(_numbers)}')
+
+
+@pytest.mark.parametrize(
+    'refusal',
+    [REFUSAL + EMPTY, b'HTTP/1.1 421 Misdirected\r\n' + EMPTY],
+)
+def test_repeated_refusal_is_not_that_of_the_next_request(
+    site, engines, refusal
+):
+    # Guards against a payment that ran but is answered as not run, because its
+    # engine wrote an earlier refusal once more.
+    engines.scripts = [[ANSWER], [refusal, ANSWER]]
+    assert ask(site, '/one/x').status_code == 200
+    assert ask(site, '/one/x').status_code == 502
+    assert len(engines.received) == 2
+
+
+def test_refusal_without_id_is_believed_on_a_new_connection(site, engines):
+    # Guards against refused payments that are not sent to another engine.
+    engines.scripts = [[REFUSAL + EMPTY]]
+    assert ask(site, '/one/x').status_code == 503
