Believe no head that two responses have run into

Callers got 503 for a payment that ran, or 200 where the engine had failed: a response stopped in a line of its head (a reason phrase or a header), and the next head of the engine continued that line. A 200 with X-Peridotrill-Not-Run also counted as not run.

Cause: the parser takes the second status line for the end of the phrase or header, so the status of one response was joined with the request id and the stamp of another. The header that states a refusal was believed at any status.

Evidence: the four cases of test_head_of_two_responses_is_not_believed failed before (503, 200, 503 and 503, expected 502).

Change: a status line inside a head breaks the connection, so the outcome is unknown. A success that says it did not run is neither.

--- a/peridotrill/gateway/target_connections.py
+++ b/peridotrill/gateway/target_connections.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import enum
+import re
 import socket
 import struct
 from collections import deque
@@ -38,6 +39,8 @@
 _LINGER_RESET: Final = struct.pack('ii', 1, 0)
 _NO_BODY_STATUSES: Final = frozenset((204, 304))
 _MIN_FINAL_STATUS: Final = 200
+# A head that breaks off in a line is continued by the next head that is sent.
+_STATUS_LINE_PATTERN: Final = re.compile(rb'HTTP/\d\.\d \d{3}')
 
 
 class ResponseHead(NamedTuple):
@@ -347,6 +350,10 @@
         self._reset_message()
         self._is_in_message = True
 
+    def on_status(self, phrase: bytes) -> None:
+        """Collect the reason phrase, which may come in several pieces."""
+        self._reason += phrase
+
     def on_header(self, name: bytes, content: bytes) -> None:
         """Collect a header; trailers are ignored."""
         if not self._headers_done:
@@ -354,6 +361,9 @@
 
     def on_headers_complete(self) -> None:
         """Deliver the head if it belongs to the request in progress."""
+        texts = (self._reason, *(content for _, content in self._headers))
+        if any(_STATUS_LINE_PATTERN.search(text) for text in texts):
+            self._abort_parsing('head inside another head')
         head = ResponseHead(self._parser.get_status_code(), self._headers)
         if head.status < _MIN_FINAL_STATUS:
             self._is_interim = True
@@ -434,6 +444,7 @@
                 self.keep_alive_s = float(seconds)
 
     def _reset_message(self) -> None:
+        self._reason = b''
         self._headers: Headers = []
         self._headers_done = False
         self._is_in_message = False
--- a/peridotrill/platform/wire.py
+++ b/peridotrill/platform/wire.py
@@ -115,7 +115,9 @@
 def decode_response_head(head: ResponseHead) -> TargetResponse:
     """Decode the head of a target's response."""
     is_misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST
-    not_run = head.get(names.NOT_RUN) is not None or is_misdirected
+    is_error = head.status >= HTTPStatus.BAD_REQUEST
+    has_not_run = head.get(names.NOT_RUN) is not None
+    not_run = is_misdirected or (is_error and has_not_run)
     has_stamp = head.get(names.ENGINE_STAMP) is not None
     return TargetResponse(
         status=head.status,
@@ -125,7 +127,8 @@
             if row[0] not in _DROPPED_RESPONSE_HEADERS
         ],
         is_verified=has_stamp
-        and (not_run or head.status not in NOT_RUN_STATUSES),
+        and (not_run or head.status not in NOT_RUN_STATUSES)
+        and (is_error or not has_not_run),
         not_run=not_run,
         is_wrong_target=is_misdirected,
         load=_decode_load(head.get(names.ENGINE_LOAD)),
--- a/tests/broken_engines.py
+++ b/tests/broken_engines.py
@@ -10,11 +10,13 @@
 STAMP = b'X-Peridotrill-Engine-Stamp: s.1\r\n'
 UNSTAMPED = b'X-Peridotrill-Request-Id: %(id)b\r\n'
 NAMED = UNSTAMPED + STAMP
-REFUSAL = b'HTTP/1.1 503 Full\r\nX-Peridotrill-Not-Run: 1\r\n'
+REFUSAL_FIELD = b'X-Peridotrill-Not-Run: 1\r\n'
+REFUSAL = b'HTTP/1.1 503 Full\r\n' + REFUSAL_FIELD
 EMPTY = b'Content-Length: 0\r\n\r\n'
 CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
 OK = b'HTTP/1.1 200 OK\r\n' + NAMED
 ANSWER = OK + b'Content-Length: 6\r\n\r\nanswer'
+FAILURE = b'HTTP/1.1 500 Failed\r\n' + NAMED + EMPTY
 CLOSE, RESET = 'close', 'reset'
 _NOT_FOUND = b'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n'
 
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -7,7 +7,10 @@
 from tests.broken_engines import (
     ANSWER,
     EMPTY,
+    FAILURE,
+    OK,
     REFUSAL,
+    REFUSAL_FIELD,
     BrokenEngines,
     publish_routes,
     start_engines,
@@ -56,3 +59,19 @@
     # Guards against refused payments that are not sent to another engine.
     engines.scripts = [[REFUSAL + EMPTY]]
     assert ask(site, '/one/x').status_code == 503
+
+
+@pytest.mark.parametrize(
+    'broken',
+    [
+        REFUSAL.removesuffix(b'\r\n') + ANSWER,
+        b'HTTP/1.1 200 O' + FAILURE,
+        OK + REFUSAL_FIELD + EMPTY,
+        b'HTTP/1.1 421 Mis' + ANSWER,
+    ],
+)
+def test_head_of_two_responses_is_not_believed(site, engines, broken):
+    # Guards against a refusal that is read for a payment that ran, and against
+    # a success that is read for a failure.
+    engines.scripts = [[broken]]
+    assert ask(site, '/one/x').status_code == 502
