Continue a broken stream only with the same kind of response

A stream had begun and broke off, and the next engine answered 200 with a text of another type: callers found the text in the middle of their stream. When it answered 200 with no event at all, the stream ended as if it were complete.

Cause: any success with a stamp was taken for the continuation. That a response held no event was only noticed while the caller had not received any.

Evidence: test_broken_stream_takes_nothing_from_a_failed_resumption failed for 'other type' and 'no event' before (did not raise: the stream had a clean end). The cases of a failure, a refusal, a cut head, a reset and a cut failure passed before as well.

Change: a continuation must have the status and the media type of the response that began, and at least one event. An engine that broke off after its very last event can't be told from one that lost events, so that stream is broken too.

--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -13,7 +13,7 @@
     TargetUnreachable,
 )
 from peridotrill.gateway.admission_queue import Reservation
-from peridotrill.gateway.event_stream import EventStreamParser
+from peridotrill.gateway.event_stream import EventStreamParser, StreamEvent
 from peridotrill.gateway.metrics import ATTEMPTS
 from peridotrill.gateway.placement import Pool
 from peridotrill.gateway.request_context import (
@@ -239,6 +239,12 @@
     return min(_ENGINE_PRIORITY_MAX, priority)
 
 
+def _media_type(response: TargetResponse) -> bytes:
+    """Return the type without parameters; empty if there is none."""
+    fields = dict(response.headers)
+    return fields.get(b'content-type', b'').partition(b';')[0].strip().lower()
+
+
 def _is_duplicate(event_id: bytes | None, last_id: bytes | None) -> bool:
     """Tell whether the caller already has an event.
 
@@ -268,6 +274,8 @@
         self._target: TargetRecord | None = None
         self._last_id = context.request.resume_after
         self._events = 0
+        # The response whose head the caller has received.
+        self._started_response: TargetResponse | None = None
         # The current attempt.
         self._sent_s = 0.0
         self._first_event_s = 0.0
@@ -441,21 +449,41 @@
         exchange: TargetExchange,
     ) -> None:
         context = self._context
+        self._require_same_stream(response)
         splitter = EventStreamParser()
+        events = 0
         while True:
             part = await exchange.read_chunk()
             if part is None:
                 break
-            for event in splitter.feed(part):
-                if not _is_duplicate(event.event_id, self._last_id):
-                    self._forward_event(response, event.content, event.event_id)
+            events += self._forward_new_events(response, splitter.feed(part))
             await context.responder.drain()
-        if splitter.has_partial_event or not context.responder.has_started:
+        if splitter.has_partial_event:
             raise TargetOutcomeUnknown('stream ended inside an event')
+        if not events or not context.responder.has_started:
+            raise TargetOutcomeUnknown('stream without an event')
         if self._attempt_events < HARMLESS_EVENTS:
             context.record_harmless(self._sent_s)
         context.responder.end_stream()
 
+    def _require_same_stream(self, response: TargetResponse) -> None:
+        """Raise TargetOutcomeUnknown if a response cannot continue another."""
+        started = self._started_response
+        if started is None:
+            return
+        is_same_type = _media_type(response) == _media_type(started)
+        if response.status != started.status or not is_same_type:
+            raise TargetOutcomeUnknown('response does not continue the stream')
+
+    def _forward_new_events(
+        self, response: TargetResponse, events: list[StreamEvent]
+    ) -> int:
+        """Forward what the caller lacks; return the number of all events."""
+        for event in events:
+            if not _is_duplicate(event.event_id, self._last_id):
+                self._forward_event(response, event.content, event.event_id)
+        return len(events)
+
     def _forward_event(
         self,
         response: TargetResponse,
@@ -470,6 +498,7 @@
             context.first_byte_s = context.shared.clock.monotonic_s()
             context.count_usage()
             context.responder.start_stream(response.status, response.headers)
+            self._started_response = response
             if context.request.prompt is not None and self._target is not None:
                 context.shared.placement.record_prefill(
                     context.request.prompt,
--- a/tests/broken_engines.py
+++ b/tests/broken_engines.py
@@ -1,10 +1,11 @@
 """Engines behind a real gateway that break their responses as scripted."""
 
 import asyncio
+from socket import SO_LINGER, SOL_SOCKET
 
 from peridotrill.settings import Address
 from standins.platform_engine import ScriptedEngine
-from tests.gateway_builders import configuration_document, route_row
+from tests.gateway_builders import HOST, configuration_document, route_row
 from tests.gateway_site import SERVERS_TOPIC, wait_until
 
 STAMP = b'X-Peridotrill-Engine-Stamp: s.1\r\n'
@@ -17,10 +18,26 @@
 OK = b'HTTP/1.1 200 OK\r\n' + NAMED
 ANSWER = OK + b'Content-Length: 6\r\n\r\nanswer'
 FAILURE = b'HTTP/1.1 500 Failed\r\n' + NAMED + EMPTY
+EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
+LAST_EVENT = b'id: 3\ndata: c\n\n'
+END = b'0\r\n\r\n'
+LINGER_RESET = b'\1\0\0\0\0\0\0\0'
 CLOSE, RESET = 'close', 'reset'
 _NOT_FOUND = b'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n'
 
 
+def chunk(content):
+    return b'%x\r\n%b\r\n' % (len(content), content)
+
+
+def caller_headers(request_id):
+    return {
+        'Host': HOST,
+        'X-Peridotrill-Request-Id': request_id,
+        'Authorization': 'Bearer key-g',
+    }
+
+
 class BrokenEngines:
     """Engines that answer each request with the next script.
 
@@ -66,6 +83,8 @@
         self.received.append((request_id, headers.get('last-event-id')))
         for step in self.scripts.pop(0):
             if step == RESET:
+                peer = writer.get_extra_info('socket')
+                peer.setsockopt(SOL_SOCKET, SO_LINGER, LINGER_RESET)
                 writer.transport.abort()
             elif step == CLOSE:
                 writer.close()
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -2,16 +2,26 @@
 
 import itertools
 
+import httpx
 import pytest
 
 from tests.broken_engines import (
     ANSWER,
+    CHUNKED,
+    CLOSE,
     EMPTY,
+    END,
+    EVENTS,
     FAILURE,
+    LAST_EVENT,
+    NAMED,
     OK,
     REFUSAL,
     REFUSAL_FIELD,
+    RESET,
     BrokenEngines,
+    caller_headers,
+    chunk,
     publish_routes,
     start_engines,
 )
@@ -75,3 +85,55 @@
     # a success that is read for a failure.
     engines.scripts = [[broken]]
     assert ask(site, '/one/x').status_code == 502
+
+
+@pytest.mark.parametrize(
+    'second',
+    [
+        [FAILURE],
+        [REFUSAL + NAMED + EMPTY],
+        [OK + b'Content-Type: text/plain\r\n' + CHUNKED, chunk(b'no\n\n'), END],
+        [OK + CHUNKED, END],
+        [OK, CLOSE],
+        [OK + b'\r\n', RESET],
+        [FAILURE.replace(EMPTY, b'Content-Length: 9\r\n\r\nsorry'), CLOSE],
+    ],
+    ids=[
+        'failure',
+        'refusal',
+        'other type',
+        'no event',
+        'cut head',
+        'reset',
+        'cut failure',
+    ],
+)
+def test_broken_stream_takes_nothing_from_a_failed_resumption(
+    site, engines, second
+):
+    # Guards against the error of another engine inside a stream, and against a
+    # stream that ends as if it were complete.
+    first = [OK + CHUNKED, chunk(EVENTS), RESET]
+    engines.scripts = [first, second]
+    received = b''
+    with httpx.stream(
+        'POST',
+        f'{site.gateway.url}/flow/x',
+        headers=caller_headers(f'broken-{next(_numbers)}'),
+    ) as response:
+        with pytest.raises(httpx.RemoteProtocolError):
+            for part in response.iter_raw():
+                received += part
+    assert received == EVENTS
+    assert [row[1] for row in engines.received] == [None, '2']
+
+
+@pytest.mark.parametrize('ending', [RESET, CLOSE])
+def test_broken_stream_is_resumed(site, engines, ending):
+    # Guards against a check that breaks streams which can be resumed.
+    engines.scripts = [
+        [OK + CHUNKED, chunk(EVENTS), ending],
+        [OK + CHUNKED, chunk(LAST_EVENT), END],
+    ]
+    response = ask(site, '/flow/x')
+    assert response.content == EVENTS + LAST_EVENT
