Resume no stream whose last event has no id

Callers got events twice: an engine sent events without ids and broke off, and the next engine, told to go on after no or an older event, began again there.

Cause: the last id stayed what it was when an event without one was forwarded.

Evidence: test_stream_without_ids_is_not_resumed failed before (the stream had a clean end with the first event repeated).

Change: after an event without an id, no other engine is tried.

--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -276,6 +276,8 @@
         self._events = 0
         # The response whose head the caller has received.
         self._started_response: TargetResponse | None = None
+        # Whether an engine can be told after which event to go on.
+        self._has_resume_id = True
         # The current attempt.
         self._sent_s = 0.0
         self._first_event_s = 0.0
@@ -509,11 +511,12 @@
         self._attempt_events += 1
         if self._attempt_events == HARMLESS_EVENTS:
             context.record_harmless(self._first_event_s)
+        self._has_resume_id = event_id is not None
         if event_id is not None:
             self._last_id = event_id
 
     def _require_retry(self) -> None:
         """Raise GatewayError unless the request may be retried elsewhere."""
         context = self._context
-        if not context.allow_retry():
+        if not self._has_resume_id or not context.allow_retry():
             raise context.build_error('target_failed')
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -137,3 +137,15 @@
     ]
     response = ask(site, '/flow/x')
     assert response.content == EVENTS + LAST_EVENT
+
+
+def test_stream_without_ids_is_not_resumed(site, engines):
+    # Guards against events that are sent twice, because the next engine cannot
+    # be told where to go on.
+    engines.scripts = [
+        [OK + CHUNKED, chunk(b'data: a\n\n'), RESET],
+        [OK + CHUNKED, chunk(EVENTS), END],
+    ]
+    with pytest.raises(httpx.RemoteProtocolError):
+        ask(site, '/flow/x')
+    assert len(engines.received) == 1
