Test responses of engines that stop in a head or before their length

Another operator's callers got a success with an empty or short body after an engine had stopped in the middle of a head. Not found here: a head that is cut, a length that is not reached, chunks without their end and a reset body without length all give 502 at the gateway; a stream is broken off.

--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -149,3 +149,53 @@
     with pytest.raises(httpx.RemoteProtocolError):
         ask(site, '/flow/x')
     assert len(engines.received) == 1
+
+
+@pytest.mark.parametrize(
+    'steps',
+    [
+        [b'HTTP/1.1 20', CLOSE],
+        [OK[:-30], CLOSE],
+        [OK, CLOSE],
+        [OK + b'\r\n', RESET],
+        [OK + b'\r\nshort', RESET],
+        [OK + b'Content-Length: 9\r\n\r\n', CLOSE],
+        [OK + b'Content-Length: 9\r\n\r\nshort', CLOSE],
+        [OK + CHUNKED, CLOSE],
+        [OK + CHUNKED + b'5', CLOSE],
+        [OK + CHUNKED + chunk(b'short'), CLOSE],
+        [OK + CHUNKED + chunk(b'short') + b'0\r\n', CLOSE],
+        [b'HTTP/1.1 103 Hints\r\n' + NAMED + b'\r\n', CLOSE],
+        [b'HTTP/1.1 103 Hints\r\n' + NAMED, CLOSE],
+    ],
+)
+def test_cut_response_is_no_success(site, engines, steps):
+    # Guards against an empty or short body that looks whole, because an engine
+    # stopped in its head, before its length or by a reset.
+    engines.scripts = [steps]
+    assert ask(site, '/one/x').status_code == 502
+    assert len(engines.received) == 1
+
+
+@pytest.mark.parametrize(
+    'steps',
+    [
+        [b'HTTP/1.1 103 Hints\r\n' + NAMED + b'\r\n', ANSWER],
+        [OK + b'\r\nans', b'wer', CLOSE],
+        [OK + CHUNKED + chunk(b'ans'), chunk(b'wer') + END],
+        [OK[:50], OK[50:] + b'Content-Length: 6\r\n\r\nans', b'wer'],
+    ],
+)
+def test_whole_response_in_pieces_is_a_success(site, engines, steps):
+    # Guards against checks that break whole responses.
+    engines.scripts = [steps]
+    response = ask(site, '/one/x')
+    assert (response.status_code, response.text) == (200, 'answer')
+
+
+def test_reset_stream_without_length_does_not_end(site, engines):
+    # Guards against a reset that is taken for the end of a stream.
+    engines.scripts = [[OK + b'\r\n' + EVENTS, RESET], [FAILURE]]
+    with pytest.raises(httpx.RemoteProtocolError):
+        ask(site, '/flow/x')
+    assert len(engines.received) == 2
