Send no request on a connection that has ended or has unread bytes

Callers got 502 for a request whose connection had ended, or had received a repeated response, just before it was written: its outcome was unknown, though it need not have been sent there. A request on a connection that was reset between its opening and the request waited for its deadline, since nothing reported the end to it.

Cause: a kept connection counts as open until the event loop has read from it, and start() did not look whether the connection is open.

Evidence: test_connection_with_unread_bytes_is_not_reused (both cases) and test_request_on_an_ended_connection_is_known_as_not_sent failed before.

Change: the pool polls the socket of a kept connection before it is reused, and start() raises TargetUnreachable on a connection that is not open. The test of an early answer to a long body passed before as well.

--- a/peridotrill/gateway/target_connections.py
+++ b/peridotrill/gateway/target_connections.py
@@ -9,6 +9,7 @@
 import asyncio
 import enum
 import re
+import select
 import socket
 import struct
 from collections import deque
@@ -246,6 +247,7 @@
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the stream."""
+        self.is_open = False
         ends_response = self._is_in_message and self._ends_at_eof
         if ends_response and self._headers_done:
             self._must_close = True
@@ -272,7 +274,7 @@
 
         :param matches: tells whether a response belongs to the request.
         """
-        if self._transport is None:
+        if self._transport is None or not self.is_open:
             raise TargetUnreachable('not connected')
         self._exchange = TargetExchange(self, matches)
         self._skipped = 0
@@ -330,6 +332,15 @@
         if exchange is not None:
             exchange.deliver_error(reason)
 
+    def has_unread_input(self) -> bool:
+        """Tell whether received bytes, or the end, have not been read yet."""
+        if self._transport is None:
+            return False
+        poller = select.poll()
+        peer = self._transport.get_extra_info('socket')
+        poller.register(peer.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
     def pause_reading(self) -> None:
         """Pause reading until the buffered body has been consumed."""
         if self._transport is not None and not self._is_paused:
@@ -547,6 +558,9 @@
                 limit_s = min(limit_s, connection.keep_alive_s / 2)
             if not connection.is_open:
                 continue
+            if connection.has_unread_input():
+                connection.abort('data received without a request in progress')
+                continue
             if now_s - connection.idle_since_s <= limit_s:
                 return connection
             connection.abort('idle for too long')
--- /dev/null
+++ b/tests/test_target_connection_reuse.py
@@ -0,0 +1,115 @@
+"""Connections to targets between two requests."""
+
+import asyncio
+import time
+from contextlib import asynccontextmanager
+
+import pytest
+import uvloop
+
+from peridotrill.exceptions import TargetUnreachable
+from peridotrill.gateway.target_connections import ConnectionPool
+from peridotrill.settings import Address
+
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+TIMEOUT_S = 5
+
+
+class Server:
+    """Answers requests; a test reads and writes the rest by itself."""
+
+    def __init__(self):
+        self.streams = []
+
+    async def handle(self, reader, writer):
+        self.streams.append((reader, writer))
+
+
+@asynccontextmanager
+async def run_pool():
+    running = Server()
+    server = await asyncio.start_server(running.handle, '127.0.0.1', 0)
+    address = Address(*server.sockets[0].getsockname()[:2])
+    async with server:
+        yield ConnectionPool(address, time.monotonic, 1, 4), running
+
+
+async def use(pool, running):
+    """Send a request and read its answer; return the connection."""
+    connection = await pool.acquire(5)
+    exchange = connection.start(b'GET / HTTP/1.1', [], b'')
+    while not running.streams:
+        await asyncio.sleep(0.01)
+    reader, writer = running.streams[-1]
+    await reader.readuntil(b'\r\n\r\n')
+    writer.write(ANSWER)
+    await exchange.read_head()
+    assert await exchange.read_body() == b'ok'
+    await asyncio.sleep(0)
+    return connection
+
+
+def run(test):
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(asyncio.wait_for(test(), TIMEOUT_S))
+
+
+@pytest.mark.parametrize('extra', [ANSWER, b''], ids=['answer', 'end'])
+def test_connection_with_unread_bytes_is_not_reused(extra):
+    # Guards against an extra answer, or the end of the connection, that is
+    # read only after the next request was written.
+    async def test():
+        async with run_pool() as (pool, running):
+            first = await use(pool, running)
+            _, writer = running.streams[-1]
+            peer = writer.get_extra_info('socket').dup()
+            if extra:
+                peer.send(extra)
+            else:
+                peer.shutdown(1)
+            peer.close()
+            time.sleep(0.05)  # Keeps the event loop from reading.
+            assert await pool.acquire(5) is not first
+
+    run(test)
+
+
+def test_request_on_an_ended_connection_is_known_as_not_sent():
+    # Guards against a request that waits for its deadline on a connection that
+    # ended between its opening and the request.
+    async def test():
+        async with run_pool() as (pool, _):
+            connection = await pool.acquire(5)
+            connection.abort('ended')
+            with pytest.raises(TargetUnreachable):
+                connection.start(b'GET / HTTP/1.1', [], b'')
+
+    run(test)
+
+
+def test_rest_of_a_body_comes_before_the_next_request():
+    # Guards against other bytes where an engine that answered early still
+    # expects the rest of a body.
+    body = b'b' * 30_000_000
+
+    async def test():
+        async with run_pool() as (pool, running):
+            connection = await pool.acquire(5)
+            exchange = connection.start(b'POST /1 HTTP/1.1', [], body)
+            while not running.streams:
+                await asyncio.sleep(0.01)
+            reader, writer = running.streams[-1]
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(ANSWER)
+            await exchange.read_head()
+            await exchange.read_body()
+            await asyncio.sleep(0)
+            reused = await pool.acquire(5)
+            reused.start(b'POST /2 HTTP/1.1', [], b'')
+            assert await reader.readexactly(len(body)) == body
+            if reused is connection:
+                assert await reader.readline() == b'POST /2 HTTP/1.1\r\n'
+            else:
+                assert await reader.read() == b''
+
+    run(test)
