Send each request of a caller on its own connection to the target

A caller got the answer to another caller's request: a target wrote an answer once more on a kept connection, and it was read as the answer to the next idempotent request. Every later answer on that connection was then wrong too.

Cause: kept connections for idempotent requests. Targets of this path name no request in their answers, and the HTTP library keeps bytes that follow an answer for the next one.

Evidence: test_repeated_response_is_not_that_of_the_next_request failed for idempotent requests before, both when the repetition came with the answer and when it came after it. For other requests it passed, as they had connections of their own.

Tests: test_only_idempotent_requests_share_connections demanded the kept connection and is replaced by one that demands a connection for each request of either kind. The test of a failed second sending now shows that a target which stops after it has read a request gives an unknown outcome.

The cases of a cut head, a length that is not reached and a reset passed before.

--- a/peridotrill/engine_client.py
+++ b/peridotrill/engine_client.py
@@ -53,8 +53,7 @@
         """Initialize the client.
 
         :param http: client that opens a connection for each request.
-        :param control: client that keeps connections, for control calls and
-            idempotent requests.
+        :param control: client that keeps connections, for control calls.
         """
         self._http = http
         self._control = control
@@ -72,7 +71,7 @@
         }
         if start.resume_position:
             headers['X-Resume-Tokens'] = str(start.resume_position)
-        return open_response(self._http, self._control, start, headers)
+        return open_response(self._http, start, headers)
 
     def create_counter(self, content_type: str) -> TokenCounter:
         """Return a token counter for a response.
--- a/peridotrill/plain_client.py
+++ b/peridotrill/plain_client.py
@@ -26,8 +26,7 @@
         """Initialize the client.
 
         :param http: client that opens a connection for each request.
-        :param control: client that keeps connections, for control calls and
-            idempotent requests.
+        :param control: client that keeps connections, for control calls.
         """
         self._http = http
         self._control = control
@@ -38,7 +37,7 @@
     ) -> AbstractAsyncContextManager[httpx.Response]:
         """Send a request; raises the errors of ``open_response``."""
         headers = {'X-Attempt-Id': start.attempt_id}
-        return open_response(self._http, self._control, start, headers)
+        return open_response(self._http, start, headers)
 
     def create_counter(self, content_type: str) -> NullTokenCounter:
         """Return a counter that counts nothing."""
--- a/peridotrill/target_client.py
+++ b/peridotrill/target_client.py
@@ -2,7 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any, Final, NamedTuple, final
+from typing import Any, Final, NamedTuple
 
 import anyio
 import httpx
@@ -22,12 +22,6 @@
 # Far above any document of a control endpoint.
 _MAX_DOCUMENT_BYTES: Final = 4 * 1024 * 1024
 _MAX_CONNECTIONS: Final = 2048
-_CONNECT_STARTED_EVENT: Final = 'connection.connect_tcp.started'
-_CONNECTION_CLOSED_ERRORS: Final = (
-    httpx.ReadError,
-    httpx.WriteError,
-    httpx.RemoteProtocolError,
-)
 # Headers of a single connection, and headers that the client sets itself.
 # Responses are requested uncompressed, so that tokens can be counted.
 _UNFORWARDED_HEADERS: Final = frozenset(
@@ -73,30 +67,16 @@
         return TokenCount()
 
 
-@final
-class _ConnectTrace:
-    """Trace callback that records whether a request opened a connection."""
-
-    def __init__(self) -> None:
-        self.has_connected = False
-
-    async def __call__(self, name: str, _fields: Any) -> None:
-        """Handle a trace event of the HTTP library."""
-        self.has_connected |= name == _CONNECT_STARTED_EVENT
-
-
 def create_http_client(
     target_url: str, persistent: int = 0
 ) -> httpx.AsyncClient:
     """Create an HTTP client for the target.
 
-    Each non-idempotent request gets a new connection: the target may close
-    an idle one while a request is written to it, and the outcome of a request
-    that never ran would then be unknown.
-
     :param target_url: URL of the target.
-    :param persistent: maximum number of idle connections to keep, for control
-        calls and idempotent requests.
+    :param persistent: maximum number of idle connections to keep. It must be 0
+        for requests of callers: responses name no request, so bytes that a
+        target sends late on a kept connection would become the response to the
+        next request.
     """
     return httpx.AsyncClient(
         base_url=target_url,
@@ -115,7 +95,6 @@
 @asynccontextmanager
 async def open_response(
     http: httpx.AsyncClient,
-    persistent: httpx.AsyncClient,
     start: StartAttempt,
     extra_headers: dict[str, str],
 ) -> AsyncIterator[httpx.Response]:
@@ -125,15 +104,12 @@
     the request was sent, and TargetOutcomeUnknown for any other failure.
 
     :param http: client that opens a connection for each request.
-    :param persistent: client that keeps connections, for idempotent requests.
     :param start: request to send.
     :param extra_headers: headers to add to the request.
     """
     request = _build_request(http, start, extra_headers)
     try:
-        response = await _send(
-            http, persistent if start.idempotent else None, request
-        )
+        response = await http.send(request, stream=True)
     except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as err:
         raise TargetUnreachable(type(err).__name__) from err
     except httpx.HTTPError as error:
@@ -147,29 +123,6 @@
             await response.aclose()
 
 
-async def _send(
-    http: httpx.AsyncClient,
-    persistent: httpx.AsyncClient | None,
-    request: httpx.Request,
-) -> httpx.Response:
-    if persistent is None:
-        return await http.send(request, stream=True)
-    trace = _ConnectTrace()
-    request.extensions['trace'] = trace
-    try:
-        return await persistent.send(request, stream=True)
-    except _CONNECTION_CLOSED_ERRORS:
-        # Only a reused connection can have been closed while idle; a failure
-        # on a new one is not retried.
-        if trace.has_connected:
-            raise
-    try:
-        return await http.send(request, stream=True)
-    except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-        # The request was already written once, so ``not_run`` would be wrong.
-        raise TargetOutcomeUnknown(type(error).__name__) from error
-
-
 def _build_request(
     http: httpx.AsyncClient,
     start: StartAttempt,
