Believe no head of a target that two responses have run into

Callers of the path with agents got 200 with the text of an error: a target stopped in a line of one head and began another, as a handler of errors does.

Cause: h11 takes the second status line for the rest of the reason phrase or of a header value.

Evidence: test_head_of_two_responses_is_no_success failed in both cases before (200 with an empty body).

Change: a status line inside a head makes the outcome unknown, as at the gateway.

--- a/peridotrill/target_client.py
+++ b/peridotrill/target_client.py
@@ -1,5 +1,6 @@
 """HTTP client functions for the target on the same VM."""
 
+import re
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any, Final, NamedTuple
@@ -22,6 +23,8 @@
 # Far above any document of a control endpoint.
 _MAX_DOCUMENT_BYTES: Final = 4 * 1024 * 1024
 _MAX_CONNECTIONS: Final = 2048
+# A head that breaks off in a line is continued by the next head that is sent.
+_STATUS_LINE_PATTERN: Final = re.compile(r'HTTP/\d\.\d \d{3}')
 # Headers of a single connection, and headers that the client sets itself.
 # Responses are requested uncompressed, so that tokens can be counted.
 _UNFORWARDED_HEADERS: Final = frozenset(
@@ -115,6 +118,7 @@
     except httpx.HTTPError as error:
         raise TargetOutcomeUnknown(type(error).__name__) from error
     try:
+        _require_single_head(response)
         yield response
     except (httpx.HTTPError, httpx.StreamError) as broken:
         raise TargetOutcomeUnknown(type(broken).__name__) from broken
@@ -123,6 +127,13 @@
             await response.aclose()
 
 
+def _require_single_head(response: httpx.Response) -> None:
+    """Raise TargetOutcomeUnknown if another head continues a broken one."""
+    texts = (response.reason_phrase, *response.headers.values())
+    if any(_STATUS_LINE_PATTERN.search(text) for text in texts):
+        raise TargetOutcomeUnknown('head inside another head')
+
+
 def _build_request(
     http: httpx.AsyncClient,
     start: StartAttempt,
--- a/tests/test_broken_target_responses.py
+++ b/tests/test_broken_target_responses.py
@@ -10,7 +10,7 @@
 from peridotrill.plain_client import PlainClient
 from peridotrill.target_client import create_http_client
 from tests import builders
-from tests.broken_engines import CHUNKED, LINGER_RESET, RESET, chunk
+from tests.broken_engines import CHUNKED, EMPTY, LINGER_RESET, RESET, chunk
 
 TIMEOUT_S = 5
 OK = b'HTTP/1.1 200 OK\r\n'
@@ -134,3 +134,17 @@
             assert await fetch(client, True) == (200, b'own')
 
     run(test)
+
+
+@pytest.mark.parametrize('cut', [b'HTTP/1.1 200 O', OK + b'X-A: b'])
+def test_head_of_two_responses_is_no_success(cut):
+    # Guards against a success that is read for a failure, because the target
+    # stopped in one head and began another.
+    script = [cut, b'HTTP/1.1 500 Failed\r\n' + EMPTY]
+
+    async def test():
+        async with run_client(BrokenTarget(script)) as client:
+            with pytest.raises(TargetOutcomeUnknown):
+                await fetch(client, False)
+
+    run(test)
