Take a stream of a model engine for whole only with its last event

Callers of the path with agents got the clean end of a stream that had lost its last events: an engine that sent neither a length nor chunks was stopped between two events, and the operating system closed its connection as at a proper end.

Cause: the end of such a body was taken for the end of the stream, though these engines end their streams with `data: [DONE]` (docs/protocols.md).

Evidence: test_stream_without_its_last_event_is_not_complete failed before (no AttemptFailed came within 10 s, as AttemptEnd had been sent).

Change: the agent reports an unknown outcome for a stream without that event, so the entry breaks the caller's stream off. A text that only contains [DONE] no longer counts as the event.

--- a/peridotrill/attempt_runner.py
+++ b/peridotrill/attempt_runner.py
@@ -27,6 +27,10 @@
 class ResponseTokenCounter(Protocol):
     """Counts the tokens of one response."""
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether the response holds what marks its end."""
+
     def feed(self, payload: bytes) -> None:
         """:param payload: the next bytes."""
 
@@ -127,6 +131,8 @@
                 await _relay_body(response, buffered_response, counter)
             finally:
                 buffered_response.tokens = counter.count()
+            if not counter.is_complete:
+                raise TargetOutcomeUnknown('stream without its last event')
 
     def _finish(
         self, buffered_response: BufferedResponse, failure: Failure | None
--- a/peridotrill/target_client.py
+++ b/peridotrill/target_client.py
@@ -62,6 +62,8 @@
 class NullTokenCounter:
     """Token counter for responses without tokens; counts nothing."""
 
+    is_complete = True
+
     def feed(self, payload: bytes) -> None:
         """Ignore the next bytes of the response."""
 
--- a/peridotrill/token_counter.py
+++ b/peridotrill/token_counter.py
@@ -39,6 +39,12 @@
         self._skipping = False
         self._events = 0
         self._usage: _Usage | None = None
+        self._has_last_event = False
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the last event has been read, if it is a stream."""
+        return self._has_last_event or not self._is_stream
 
     def feed(self, payload: bytes) -> None:
         """:param payload: the next bytes of the response."""
@@ -68,7 +74,10 @@
         if self._skipping:
             self._skipping = False
             return
-        if not line.startswith(_EVENT) or _DONE in line:
+        if not line.startswith(_EVENT):
+            return
+        if line.removeprefix(_EVENT).strip() == _DONE:
+            self._has_last_event = True
             return
         if b'"usage"' in line:
             self._read_usage(line.removeprefix(_EVENT))
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -88,6 +88,10 @@
         body = one * 3 + b'data: [DONE]\n\n'
         await self.reply(stream, body, 'text/event-stream')
 
+    async def cut_events(self, stream):
+        head = b'HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\n'
+        await stream.send(head + b'data: {"choices":[{}]}\n\n')
+
     async def reset(self, stream):
         return
 
@@ -227,6 +231,15 @@
         assert harness.target.ran == ['/reset']
 
 
+async def test_stream_without_its_last_event_is_not_complete():
+    # Guards against a stream that ends as if it were complete, because an
+    # engine without a length or chunks was stopped between two events.
+    async with serving() as harness:
+        harness.start(path='/cut_events')
+        failed = await harness.receive(messages.AttemptFailed)
+        assert (failed.code, failed.outcome) == ('target_failed', 'unknown')
+
+
 async def test_expired_cancelled_and_unknown_attempts_do_not_run():
     async with serving() as harness:
         harness.start('late', start_before_s=harness.clock.monotonic_s() - 1)
