--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -1,6 +1,8 @@
 """A real gateway whose engines break their responses."""
 
 import itertools
+import socket
+from contextlib import suppress
 
 import httpx
 import pytest
@@ -199,3 +201,24 @@
     with pytest.raises(httpx.RemoteProtocolError):
         ask(site, '/flow/x')
     assert len(engines.received) == 2
+
+
+def test_no_head_is_written_into_a_broken_stream(site, engines):
+    # Guards against an error response in the middle of a stream; HTTP clients
+    # report its head only as a malformed chunk.
+    engines.scripts = [[OK + CHUNKED, chunk(EVENTS), RESET], [FAILURE]]
+    rows = [b'POST /flow/x HTTP/1.1', b'Content-Length: 0']
+    rows += [
+        f'{name}: {text}'.encode()
+        for name, text in caller_headers('broken-raw').items()
+    ]
+    address = ('127.0.0.1', site.gateway.caller_port)
+    received = b''
+    with socket.create_connection(address, timeout=5) as connection:
+        connection.sendall(b'\r\n'.join(rows) + b'\r\n\r\n')
+        with suppress(ConnectionResetError):
+            while part := connection.recv(65536):
+                received += part
+    assert b'data: b' in received
+    assert not received.endswith(END)
+    assert received.count(b'HTTP/1.1') == 1
