--- a/peridotrill/gateway/target_connections.py
+++ b/peridotrill/gateway/target_connections.py
@@ -7,6 +7,9 @@
 """
 
 import asyncio
+import enum
+import re
+import select
 import socket
 import struct
 from collections import deque
@@ -37,6 +40,8 @@
 _LINGER_RESET: Final = struct.pack('ii', 1, 0)
 _NO_BODY_STATUSES: Final = frozenset((204, 304))
 _MIN_FINAL_STATUS: Final = 200
+# A head that breaks off in a line is continued by the next head that is sent.
+_STATUS_LINE_PATTERN: Final = re.compile(rb'HTTP/\d\.\d \d{3}')
 
 
 class ResponseHead(NamedTuple):
@@ -60,11 +65,23 @@
     body: bytes
 
 
-HeadMatcher = Callable[[ResponseHead], bool]
+class Match(enum.Enum):
+    """Whether a response belongs to the request in progress.
+
+    ``UNNAMED`` is a response that names no request: it may repeat the response
+    to an earlier request on the same connection.
+    """
+
+    OWN = 1
+    OTHER = 2
+    UNNAMED = 3
 
 
-def _match_any(head: ResponseHead) -> bool:
-    return True
+HeadMatcher = Callable[[ResponseHead], Match]
+
+
+def _match_any(head: ResponseHead) -> Match:
+    return Match.OWN
 
 
 @final
@@ -197,6 +214,7 @@
         self.idle_since_s = 0.0
         # Idle timeout that the target declared in Keep-Alive, if any.
         self.keep_alive_s: float | None = None
+        self._is_reused = False
         self._skipped = 0
         self._overhead_bytes = 0
         self._parse_error = ''
@@ -229,6 +247,7 @@
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the stream."""
+        self.is_open = False
         ends_response = self._is_in_message and self._ends_at_eof
         if ends_response and self._headers_done:
             self._must_close = True
@@ -255,7 +274,7 @@
 
         :param matches: tells whether a response belongs to the request.
         """
-        if self._transport is None:
+        if self._transport is None or not self.is_open:
             raise TargetUnreachable('not connected')
         self._exchange = TargetExchange(self, matches)
         self._skipped = 0
@@ -313,6 +332,15 @@
         if exchange is not None:
             exchange.deliver_error(reason)
 
+    def has_unread_input(self) -> bool:
+        """Tell whether received bytes, or the end, have not been read yet."""
+        if self._transport is None:
+            return False
+        poller = select.poll()
+        peer = self._transport.get_extra_info('socket')
+        poller.register(peer.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
     def pause_reading(self) -> None:
         """Pause reading until the buffered body has been consumed."""
         if self._transport is not None and not self._is_paused:
@@ -333,6 +361,10 @@
         self._reset_message()
         self._is_in_message = True
 
+    def on_status(self, phrase: bytes) -> None:
+        """Collect the reason phrase, which may come in several pieces."""
+        self._reason += phrase
+
     def on_header(self, name: bytes, content: bytes) -> None:
         """Collect a header; trailers are ignored."""
         if not self._headers_done:
@@ -340,6 +372,9 @@
 
     def on_headers_complete(self) -> None:
         """Deliver the head if it belongs to the request in progress."""
+        texts = (self._reason, *(content for _, content in self._headers))
+        if any(_STATUS_LINE_PATTERN.search(text) for text in texts):
+            self._abort_parsing('head inside another head')
         head = ResponseHead(self._parser.get_status_code(), self._headers)
         if head.status < _MIN_FINAL_STATUS:
             self._is_interim = True
@@ -355,7 +390,11 @@
         if exchange is None or exchange.has_head:
             self._abort_parsing('response without a request in progress')
             return
-        if exchange.matches(head):
+        match = exchange.matches(head)
+        if match is Match.UNNAMED and (self._is_reused or self._skipped):
+            self._abort_parsing('response names no request')
+            return
+        if match is not Match.OTHER:
             self._parse_keep_alive(head)
             exchange.deliver_head(head)
             return
@@ -398,6 +437,7 @@
                 self.abort('data received without a request in progress')
                 return
             self.resume_reading()
+            self._is_reused = True
             self._on_idle(self)
 
     def _abort_parsing(self, reason: str) -> None:
@@ -415,6 +455,7 @@
                 self.keep_alive_s = float(seconds)
 
     def _reset_message(self) -> None:
+        self._reason = b''
         self._headers: Headers = []
         self._headers_done = False
         self._is_in_message = False
@@ -517,6 +558,9 @@
                 limit_s = min(limit_s, connection.keep_alive_s / 2)
             if not connection.is_open:
                 continue
+            if connection.has_unread_input():
+                connection.abort('data received without a request in progress')
+                continue
             if now_s - connection.idle_since_s <= limit_s:
                 return connection
             connection.abort('idle for too long')
--- a/peridotrill/platform/wire.py
+++ b/peridotrill/platform/wire.py
@@ -15,7 +15,7 @@
     Prompt,
     PromptPart,
 )
-from peridotrill.gateway.target_connections import ResponseHead
+from peridotrill.gateway.target_connections import Match, ResponseHead
 from peridotrill.gateway.target_messages import (
     PrefilledPrompt,
     RequestOptions,
@@ -100,20 +100,24 @@
     return b'%b %b HTTP/1.1' % (request.method, request.target), headers
 
 
-def matches_request(request_id: str, head: ResponseHead) -> bool:
+def matches_request(request_id: str, head: ResponseHead) -> Match:
     """Tell whether a response belongs to a request.
 
-    A response without an id is accepted, because a target that rejects a
-    request may omit it.
+    A target that rejects a request may omit the id.
     """
     found = head.get(names.REQUEST_ID)
-    return found is None or found.decode('latin-1') == request_id
+    if not found:
+        return Match.UNNAMED
+    is_own = found.decode('latin-1') == request_id
+    return Match.OWN if is_own else Match.OTHER
 
 
 def decode_response_head(head: ResponseHead) -> TargetResponse:
     """Decode the head of a target's response."""
     is_misdirected = head.status == HTTPStatus.MISDIRECTED_REQUEST
-    not_run = head.get(names.NOT_RUN) is not None or is_misdirected
+    is_error = head.status >= HTTPStatus.BAD_REQUEST
+    has_not_run = head.get(names.NOT_RUN) is not None
+    not_run = is_misdirected or (is_error and has_not_run)
     has_stamp = head.get(names.ENGINE_STAMP) is not None
     return TargetResponse(
         status=head.status,
@@ -123,7 +127,8 @@
             if row[0] not in _DROPPED_RESPONSE_HEADERS
         ],
         is_verified=has_stamp
-        and (not_run or head.status not in NOT_RUN_STATUSES),
+        and (not_run or head.status not in NOT_RUN_STATUSES)
+        and (is_error or not has_not_run),
         not_run=not_run,
         is_wrong_target=is_misdirected,
         load=_decode_load(head.get(names.ENGINE_LOAD)),
--- a/peridotrill/target_client.py
+++ b/peridotrill/target_client.py
@@ -1,8 +1,9 @@
 """HTTP client functions for the target on the same VM."""
 
+import re
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import Any, Final, NamedTuple, final
+from typing import Any, Final, NamedTuple
 
 import anyio
 import httpx
@@ -22,12 +23,8 @@
 # Far above any document of a control endpoint.
 _MAX_DOCUMENT_BYTES: Final = 4 * 1024 * 1024
 _MAX_CONNECTIONS: Final = 2048
-_CONNECT_STARTED_EVENT: Final = 'connection.connect_tcp.started'
-_CONNECTION_CLOSED_ERRORS: Final = (
-    httpx.ReadError,
-    httpx.WriteError,
-    httpx.RemoteProtocolError,
-)
+# A head that breaks off in a line is continued by the next head that is sent.
+_STATUS_LINE_PATTERN: Final = re.compile(r'HTTP/\d\.\d \d{3}')
 # Headers of a single connection, and headers that the client sets itself.
 # Responses are requested uncompressed, so that tokens can be counted.
 _UNFORWARDED_HEADERS: Final = frozenset(
@@ -65,6 +62,8 @@
 class NullTokenCounter:
     """Token counter for responses without tokens; counts nothing."""
 
+    is_complete = True
+
     def feed(self, payload: bytes) -> None:
         """Ignore the next bytes of the response."""
 
@@ -73,30 +72,16 @@
         return TokenCount()
 
 
-@final
-class _ConnectTrace:
-    """Trace callback that records whether a request opened a connection."""
-
-    def __init__(self) -> None:
-        self.has_connected = False
-
-    async def __call__(self, name: str, _fields: Any) -> None:
-        """Handle a trace event of the HTTP library."""
-        self.has_connected |= name == _CONNECT_STARTED_EVENT
-
-
 def create_http_client(
     target_url: str, persistent: int = 0
 ) -> httpx.AsyncClient:
     """Create an HTTP client for the target.
 
-    Each non-idempotent request gets a new connection: the target may close
-    an idle one while a request is written to it, and the outcome of a request
-    that never ran would then be unknown.
-
     :param target_url: URL of the target.
-    :param persistent: maximum number of idle connections to keep, for control
-        calls and idempotent requests.
+    :param persistent: maximum number of idle connections to keep. It must be 0
+        for requests of callers: responses name no request, so bytes that a
+        target sends late on a kept connection would become the response to the
+        next request.
     """
     return httpx.AsyncClient(
         base_url=target_url,
@@ -115,7 +100,6 @@
 @asynccontextmanager
 async def open_response(
     http: httpx.AsyncClient,
-    persistent: httpx.AsyncClient,
     start: StartAttempt,
     extra_headers: dict[str, str],
 ) -> AsyncIterator[httpx.Response]:
@@ -125,20 +109,18 @@
     the request was sent, and TargetOutcomeUnknown for any other failure.
 
     :param http: client that opens a connection for each request.
-    :param persistent: client that keeps connections, for idempotent requests.
     :param start: request to send.
     :param extra_headers: headers to add to the request.
     """
     request = _build_request(http, start, extra_headers)
     try:
-        response = await _send(
-            http, persistent if start.idempotent else None, request
-        )
+        response = await http.send(request, stream=True)
     except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as err:
         raise TargetUnreachable(type(err).__name__) from err
     except httpx.HTTPError as error:
         raise TargetOutcomeUnknown(type(error).__name__) from error
     try:
+        _require_single_head(response)
         yield response
     except (httpx.HTTPError, httpx.StreamError) as broken:
         raise TargetOutcomeUnknown(type(broken).__name__) from broken
@@ -147,27 +129,11 @@
             await response.aclose()
 
 
-async def _send(
-    http: httpx.AsyncClient,
-    persistent: httpx.AsyncClient | None,
-    request: httpx.Request,
-) -> httpx.Response:
-    if persistent is None:
-        return await http.send(request, stream=True)
-    trace = _ConnectTrace()
-    request.extensions['trace'] = trace
-    try:
-        return await persistent.send(request, stream=True)
-    except _CONNECTION_CLOSED_ERRORS:
-        # Only a reused connection can have been closed while idle; a failure
-        # on a new one is not retried.
-        if trace.has_connected:
-            raise
-    try:
-        return await http.send(request, stream=True)
-    except (httpx.ConnectError, httpx.ConnectTimeout) as error:
-        # The request was already written once, so ``not_run`` would be wrong.
-        raise TargetOutcomeUnknown(type(error).__name__) from error
+def _require_single_head(response: httpx.Response) -> None:
+    """Raise TargetOutcomeUnknown if another head continues a broken one."""
+    texts = (response.reason_phrase, *response.headers.values())
+    if any(_STATUS_LINE_PATTERN.search(text) for text in texts):
+        raise TargetOutcomeUnknown('head inside another head')
 
 
 def _build_request(
