--- a/tests/test_planned_work.py
+++ b/tests/test_planned_work.py
@@ -1,22 +1,40 @@
 """Planned work that overlaps other planned work: no request is lost."""
 
+import asyncio
+import http.client
 import os
 import signal
+import socket
 import sys
 import time
+from contextlib import ExitStack, asynccontextmanager, closing, suppress
+from datetime import timedelta
 from pathlib import Path
 
+import anyio
+import httpx
 import pytest
 
+from peridotrill import caller_server
+from peridotrill.caller_server import serve_callers
+from peridotrill.settings import Address
 from standins.completions import generate_text
-from tests.callers import PROMPT, StreamCall, auth_headers
-from tests.cluster import free_loopback_address, run_cluster
+from tests.callers import PROMPT, StreamCall, auth_headers, run_in_background
+from tests.cluster import free_loopback_address, run_cluster, split
 from tests.processes import flags, run_processes, wait_for
 
 SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
 # A library that both programs import after their first modules.
 IMPORTED_LIBRARY = 'msgspec'
 STREAM_TOKENS = 600
+# More than the server needs to shut down.
+ITERATIONS = 60
+REQUEST = b'GET / HTTP/1.1\r\nHost: e\r\n\r\n'
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
 
 
 @pytest.fixture
@@ -154,3 +172,206 @@
     assert stream.ended, stream
     assert stream.text == generate_text(PROMPT, STREAM_TOKENS)
     assert process.wait() == 0
+
+
+async def answer(scope, receive, send):
+    """Application that answers at once."""
+    await send(
+        {
+            'type': 'http.response.start',
+            'status': 200,
+            'headers': [(b'content-length', b'4')],
+        }
+    )
+    await send({'type': 'http.response.body', 'body': b'done'})
+
+
+@asynccontextmanager
+async def serve(app):
+    """Serve an application; yields its address and the event that stops it."""
+    address = split(free_loopback_address())
+    stopping = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(
+            lambda: serve_callers(app, Address(*address), stopping.wait)
+        )
+        while not can_connect(address):
+            await anyio.sleep(0.01)
+        yield address, stopping
+        stopping.set()
+
+
+def can_connect(address):
+    try:
+        socket.create_connection(address).close()
+    except ConnectionRefusedError:
+        return False
+    return True
+
+
+def is_closed(connection):
+    """Tell whether a caller knows that its connection was closed."""
+    try:
+        return not connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except ConnectionResetError:
+        return True
+
+
+async def read_response(connection):
+    """Return the response; nothing if the connection closes without one."""
+    connection.setblocking(False)
+    received = b''
+    loop = asyncio.get_running_loop()
+    with suppress(ConnectionResetError):
+        while not received.endswith(b'done'):
+            part = await loop.sock_recv(connection, 4096)
+            if not part:
+                break
+            received += part
+    return received
+
+
+@pytest.mark.anyio
+async def test_response_during_the_shutdown_announces_the_close():
+    # Guards against callers that send the next request on a connection that
+    # is about to be closed.
+    is_complete = anyio.Event()
+
+    async def answer_later(scope, receive, send):
+        await is_complete.wait()
+        await answer(scope, receive, send)
+
+    async with serve(answer_later) as (address, stopping):
+        with socket.create_connection(address) as connection:
+            connection.sendall(REQUEST)
+            await anyio.sleep(0.1)
+            stopping.set()
+            await anyio.sleep(0.1)
+            is_complete.set()
+            with anyio.fail_after(5):
+                received = await read_response(connection)
+    assert b'connection: close' in received
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize('idle_s', [0, 1])
+async def test_request_on_an_idle_connection_during_the_shutdown_is_answered(
+    monkeypatch, idle_s
+):
+    # Guards against requests that have arrived when the server closes the
+    # idle connections; each is sent in another iteration of the event loop.
+    monkeypatch.setattr(
+        caller_server,
+        '_IDLE_BEFORE_CLOSE',
+        timedelta(seconds=idle_s),
+        raising=False,
+    )
+    async with serve(answer) as (address, stopping):
+        with ExitStack() as stack:
+            connections = [
+                stack.enter_context(socket.create_connection(address))
+                for _ in range(ITERATIONS)
+            ]
+            for connection in connections:
+                connection.sendall(REQUEST)
+                await read_response(connection)
+            stopping.set()
+            asked = []
+            for connection in connections:
+                await anyio.sleep(0)
+                if not is_closed(connection):
+                    connection.sendall(REQUEST)
+                    asked.append(connection)
+            with anyio.fail_after(5):
+                responses = [await read_response(it) for it in asked]
+    assert [it[-4:] for it in responses] == [b'done'] * len(asked)
+
+
+@pytest.mark.anyio
+async def test_connection_made_during_the_shutdown_is_refused_or_served():
+    # Guards against connections that the kernel has accepted when the server
+    # closes its listening socket.
+    async with serve(answer) as (address, stopping):
+        with ExitStack() as stack:
+            stopping.set()
+            asked = []
+            with suppress(ConnectionRefusedError):
+                for _ in range(ITERATIONS):
+                    connection = socket.create_connection(address)
+                    stack.enter_context(connection)
+                    connection.sendall(REQUEST)
+                    asked.append(connection)
+                    await anyio.sleep(0)
+            with anyio.fail_after(5):
+                responses = [await read_response(it) for it in asked]
+    assert asked
+    assert [it[-4:] for it in responses] == [b'done'] * len(asked)
+
+
+@pytest.mark.anyio
+async def test_request_in_parts_during_the_shutdown_is_answered():
+    # Guards against a connection that is closed between the parts of a head.
+    async with serve(answer) as (address, stopping):
+        with socket.create_connection(address) as connection:
+            connection.sendall(REQUEST[:-2])
+            await anyio.sleep(0.1)
+            stopping.set()
+            await anyio.sleep(1.5)
+            connection.sendall(REQUEST[-2:])
+            with anyio.fail_after(5):
+                received = await read_response(connection)
+    assert received.endswith(b'done')
+
+
+@pytest.mark.anyio
+async def test_http2_stream_opened_during_the_shutdown_is_answered():
+    # Guards against streams that are reset as if their outcome were unknown.
+    async with serve(answer) as (address, stopping):
+        url = f'http://{address[0]}:{address[1]}/'
+        async with httpx.AsyncClient(http1=False, http2=True) as client:
+            await client.get(url)
+            stopping.set()
+            await anyio.sleep(0.1)
+            response = await client.get(url)
+    assert response.text == 'done'
+
+
+def test_kept_connections_are_answered_until_the_entry_is_gone(cluster):
+    # Guards against requests that get neither an answer nor a refusal while
+    # the entry shuts down.
+    entry = cluster.entries['entry-1']
+    address = split(cluster.entry_urls['entry-1'])
+    with run_in_background(lambda _: send_until_closed(address)) as results:
+        time.sleep(0.3)
+        send(entry, signal.SIGTERM)
+        assert entry.wait() == 0
+    statuses = [status for statuses in results for status in statuses]
+    assert len(statuses) > 20
+    assert set(statuses) == {200}
+
+
+def send_until_closed(address):
+    """Send requests on one connection until the entry announces its close.
+
+    Returns the statuses; ``lost`` for a request that got no response.
+    """
+    statuses = []
+    connection = http.client.HTTPConnection(*address, timeout=10)
+    with closing(connection):
+        try:
+            connection.connect()
+        except ConnectionRefusedError:
+            time.sleep(0.01)
+            return []
+        while connection.sock is not None:
+            try:
+                connection.request('GET', '/health')
+                response = connection.getresponse()
+            except (OSError, http.client.HTTPException):
+                return [*statuses, 'lost']
+            response.read()
+            statuses.append(response.status)
+            time.sleep(0.002)
+    return statuses
