Keep the link of a target until its attempts end

Callers saw: requests that ran at a target failed with target_failed or outcome_unknown when other targets were added to its service (more than target_subset of them), or 5 minutes after the target was taken off the VM list.

Cause: each VM list ends the links of targets that have left the subset of the entry, and the table forgets an unlisted target after UNLISTED_RETENTION, whether or not attempts run there; a request may run for an hour.

Change: the link and the row of the table stay while the entry has attempts there.

Evidence: both cases of the new test fail on (the send after the change of the list raises LinkClosed) and pass with the change.

--- a/peridotrill/inboxes.py
+++ b/peridotrill/inboxes.py
@@ -65,6 +65,12 @@
             if inbox.target_id == target_id:
                 self._send(inbox, event)
 
+    def has_attempts(self, target_id: str) -> bool:
+        """Tell whether attempts run at a target."""
+        return any(
+            inbox.target_id == target_id for inbox in self._inboxes.values()
+        )
+
     def __len__(self) -> int:
         """Return the number of open inboxes."""
         return len(self._inboxes)
--- a/peridotrill/target_links.py
+++ b/peridotrill/target_links.py
@@ -129,6 +129,7 @@
         self.subset_size: Callable[[str], int] = lambda _service: 0
         self._hello = hello
         self.inboxes = Inboxes()
+        table.has_attempts = self.inboxes.has_attempts
         self.forwarded_keys = ForwardedKeyTable(clock)
         self.peer_log = PeerLogPosition(clock)
         self.on_change: Callable[[], None] = lambda: None
@@ -207,6 +208,9 @@
             for view in self._wanted_targets()
         }
         for target_id, task in list(self._tasks.items()):
+            # A target that left the list or the subset finishes its attempts.
+            if target_id not in wanted and self.inboxes.has_attempts(target_id):
+                continue
             if wanted.get(target_id) != task.address:
                 task.scope.cancel()
                 self._tasks.pop(target_id)
--- a/peridotrill/targets.py
+++ b/peridotrill/targets.py
@@ -1,6 +1,6 @@
 """State of the targets, from the VM list and the links to their agents."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 from typing import Final, NamedTuple, final
 
@@ -96,6 +96,7 @@
         self._targets: dict[str, _Target] = {}
         self._first_list_at_s: float | None = None
         self.live_entries: frozenset[str] = frozenset()
+        self.has_attempts: Callable[[str], bool] = lambda _target_id: False
 
     @property
     def is_initialized(self) -> bool:
@@ -228,7 +229,8 @@
         if target.unlisted_since_s is None:
             target.unlisted_since_s = now_s
         unlisted_s = now_s - target.unlisted_since_s
-        if unlisted_s >= UNLISTED_RETENTION.total_seconds():
+        is_old = unlisted_s >= UNLISTED_RETENTION.total_seconds()
+        if is_old and not self.has_attempts(target_id):
             self._targets.pop(target_id)
 
 
--- a/tests/test_planned_work.py
+++ b/tests/test_planned_work.py
@@ -17,8 +17,14 @@
 
 from peridotrill import caller_server
 from peridotrill.caller_server import serve_callers
+from peridotrill.clock import ManualClock
+from peridotrill.exceptions import LinkClosed
 from peridotrill.settings import Address
+from peridotrill.target_links import TargetLinks, choose_subset
+from peridotrill.targets import UNLISTED_RETENTION, TargetTable, VmRow
+from peridotrill.timeline import Recorder
 from standins.completions import generate_text
+from tests import builders
 from tests.callers import PROMPT, StreamCall, auth_headers, run_in_background
 from tests.cluster import free_loopback_address, run_cluster, split
 from tests.processes import flags, run_processes, wait_for
@@ -375,3 +381,62 @@
             statuses.append(response.status)
             time.sleep(0.002)
     return statuses
+
+
+class IdleLink:
+    """A link to an agent that sends nothing."""
+
+    def __init__(self, _address):
+        self._sending, self.events = anyio.create_memory_object_stream(1)
+        self.sent = []
+
+    async def run(self):
+        await anyio.sleep_forever()
+
+    def send(self, message):
+        self.sent.append(message)
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize('change', ['subset', 'list'])
+async def test_target_keeps_its_link_until_its_attempts_end(change):
+    # Guards against attempts that are cut because another target was added,
+    # which moves their target out of the subset, or their target withdrawn.
+    clock = ManualClock()
+    table = TargetTable(clock)
+    recorder = Recorder('e1', clock)
+    links = TargetLinks(
+        table, clock, recorder, IdleLink, {}, {}, builders.hello
+    )
+    row = VmRow('v', 'target', 'live', 'z', 's', 't1', 'plain', '127.0.0.1:1')
+    table.apply_vms([row])
+    async with anyio.create_task_group() as tasks:
+        links._update_links(tasks)
+        table.link_up('t1', builders.welcome())
+        inbox = links.inboxes.open('t1', 'a1')
+        if change == 'subset':
+            links.subset_size = lambda _service: 1
+            added = row._replace(vm_id='w', target_id='t2')
+            table.apply_vms([row, added])
+            hello = next(
+                hello
+                for hello in (builders.hello(f'e{it}') for it in range(99))
+                if choose_subset(hello.entry_id, table.views(), 1)
+                != [table.find('t1')]
+            )
+            links._hello = lambda: hello
+        else:
+            table.apply_vms([])
+            clock.advance(UNLISTED_RETENTION)
+            table.apply_vms([])
+        links._update_links(tasks)
+        links.send('t1', 'acknowledgement')
+        with pytest.raises(anyio.WouldBlock):
+            inbox.receive_nowait()
+        links.inboxes.close('a1')
+        inbox.close()
+        table.apply_vms([] if change == 'list' else [row, added])
+        links._update_links(tasks)
+        with pytest.raises(LinkClosed):
+            links.send('t1', 'acknowledgement')
+        tasks.cancel_scope.cancel()
