Wait at an agent's shutdown for the longest deadline of a service

Callers saw: at the planned stop of an agent, a request that ran for more than a minute ended with target_failed or outcome_unknown.

Cause: drain_timeout had the default 60s, while a service may have a deadline of 1 h.

Change: the default is 61m. The shutdown still ends as soon as no attempt runs.

Added as well: a publish that drops a route and shortens a deadline, with the target taken off the VM list, leaves a running stream alone; this was right before.

--- a/peridotrill/agent_program.py
+++ b/peridotrill/agent_program.py
@@ -38,7 +38,9 @@
     Setting('listen', 'address', 'listen address for links from entries'),
     Setting('control_listen', 'address', 'listen address of the control port'),
     Setting('target_url', 'url', 'URL of the target on the same VM'),
-    Setting('drain_timeout', 'duration', 'graceful shutdown timeout', '60s'),
+    # Longer than the longest deadline of a service, so that a shutdown does
+    # not end an attempt before its own time.
+    Setting('drain_timeout', 'duration', 'graceful shutdown timeout', '61m'),
     Setting('log_level', 'log_level', 'minimum log level', 'INFO'),
 )
 
--- a/tests/test_planned_work.py
+++ b/tests/test_planned_work.py
@@ -16,17 +16,19 @@
 import pytest
 
 from peridotrill import caller_server
+from peridotrill.agent_program import SETTINGS as AGENT_SETTINGS
 from peridotrill.caller_server import serve_callers
 from peridotrill.clock import ManualClock
 from peridotrill.exceptions import LinkClosed
-from peridotrill.settings import Address
+from peridotrill.services import DEADLINE_RANGE
+from peridotrill.settings import Address, parse_duration
 from peridotrill.target_links import TargetLinks, choose_subset
 from peridotrill.targets import UNLISTED_RETENTION, TargetTable, VmRow
 from peridotrill.timeline import Recorder
 from standins.completions import generate_text
 from tests import builders
 from tests.callers import PROMPT, StreamCall, auth_headers, run_in_background
-from tests.cluster import free_loopback_address, run_cluster, split
+from tests.cluster import SERVICES, free_loopback_address, run_cluster, split
 from tests.processes import flags, run_processes, wait_for
 
 SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
@@ -440,3 +442,38 @@
         with pytest.raises(LinkClosed):
             links.send('t1', 'acknowledgement')
         tasks.cancel_scope.cancel()
+
+
+def test_shutdown_waits_longer_than_any_request_may_run():
+    # Guards against attempts that a shutdown ends before their deadline.
+    setting = next(it for it in AGENT_SETTINGS if it.name == 'drain_timeout')
+    longest = timedelta(hours=1)
+    assert DEADLINE_RANGE.high == longest
+    assert parse_duration(setting.default) > longest
+    config = caller_server.make_config(Address('127.0.0.1', 1))
+    assert config.graceful_timeout > longest.total_seconds()
+
+
+def test_changes_of_the_configuration_leave_running_requests_alone(cluster):
+    # Guards against a publish, or a changed VM list, that ends requests.
+    url = cluster.entry_urls['entry-1']
+    call = StreamCall(url, cluster.key, PROMPT, STREAM_TOKENS)
+    call.wait_tokens(10)
+    other = SERVICES['till'].replace('/stock/', '/moved/')
+    shorter = SERVICES['assistant'].replace('deadline: 60s', 'deadline: 2s')
+    version = cluster.status('entry-1')['config_version']
+    cluster.publish({'till': other, 'assistant': shorter}, version)
+    cluster.client.delete(
+        f'{cluster._platform_url}/vms/vm-assistant-1'
+    ).raise_for_status()
+    wait_for(
+        lambda: (
+            cluster.status('entry-1')['config_version'] > version
+            and cluster.status('entry-1')['targets']['assistant-1']['draining']
+        )
+    )
+    assert call.result is None
+    assert get_stock(cluster, url).status_code == 404
+    stream = call.wait_end()
+    assert stream.text == generate_text(PROMPT, STREAM_TOKENS)
+    assert stream.ended
