--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,8 @@
 capacity: setup
 	$(BIN)/python -m capacity
 
-# Plays random faults; prints what was broken. SEEDS: numbers, one play each.
+# Plays random faults; prints what was broken. SEEDS: numbers, one play each;
+# after --planned, only planned work that overlaps.
 soak: setup
 	$(BIN)/python -m tests.soak $(SEEDS)
 
