Close no connection before what has arrived on it is read

Callers saw (in tests by the reviewer of the drain): the reset of a connection on which a whole request had waited 0.3 s in the socket, after a stall of the process; a request that was read behind a response with "Connection: close" and dropped; and an HTTP/1.0 stream that was reset without a byte.

Cause: the close of idle connections decided in one step, so that a timer that was due during a stall ran before the socket was read; the end of a connection was decided by the response before, without the requests behind it; a collected response counted as begun.

Change: idle closes and the close of the listener wait for one pass of reading first; while the gateway drains, a request that has been read behind an announced close is answered; a collected response that breaks becomes a 502.

--- a/peridotrill/gateway/caller_server.py
+++ b/peridotrill/gateway/caller_server.py
@@ -33,9 +33,9 @@
 _MAX_BUFFERED_BYTES: Final = 67108864
 _HTTP_1_0: Final = '1.0'
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
-# Before a connection is closed by a timer, the event loop gets this long to
-# read what has already arrived: it runs due timers before it reads.
-_READ_DELAY_S: Final = 0.005
+# Before a due timer closes anything, the event loop gets this long to read: after
+# a stall, timers may run before what has arrived meanwhile has been read.
+READ_DELAY_S: Final = 0.005
 # A caller that has just connected gets this long to send its first request
 # before its connection is closed as idle.
 _FIRST_REQUEST_DELAY_S: Final = 0.25
@@ -292,10 +292,11 @@
 
     def schedule_idle_close(self) -> None:
         """Close soon, unless a request arrives or is in progress."""
-        delay_s = _READ_DELAY_S
+        delay_s = READ_DELAY_S
         if not self._has_received:
             delay_s = _FIRST_REQUEST_DELAY_S
-        asyncio.get_running_loop().call_later(delay_s, self._close_if_idle)
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self._close_after_reading)
 
     def refuse_incomplete(self) -> None:
         """Refuse a request that is still being received."""
@@ -322,7 +323,9 @@
         self._exchange = None
         if self._is_closing:
             return
-        if keep_alive:
+        # A request that was sent before its caller read that the connection
+        # ends gets its response as well.
+        if keep_alive or (self._pipelined and self._server.is_draining):
             self._continue()
         else:
             self._close()
@@ -428,6 +431,10 @@
         idle_s = self._server.now_s() - self._idle_since_s
         return self._server.limits().idle_timeout_ms / 1000 - idle_s
 
+    def _close_after_reading(self) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(READ_DELAY_S, self._close_if_idle)
+
     def _close_if_idle(self) -> None:
         is_busy = self._exchange is not None or self.has_next_request
         if not is_busy and not self._is_closing:
@@ -446,7 +453,7 @@
 
     def _on_timer(self) -> None:
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(_READ_DELAY_S, self._on_timeout)
+        self._timer = loop.call_later(READ_DELAY_S, self._on_timeout)
 
     def _on_timeout(self) -> None:
         self._timer = None
@@ -556,7 +563,11 @@
         self.is_complete = True
 
     def abort(self) -> None:
-        """Reset the connection."""
+        """Reset the connection, or send an error if nothing was written."""
+        if self._buffered_response is not None:
+            self._keep_alive = False
+            self.send(HTTPStatus.BAD_GATEWAY, [], b'')
+            return
         self.is_complete = True
         self._connection.abort()
 
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -22,6 +22,7 @@
 from peridotrill.clock import SuspendAwareClock
 from peridotrill.findings import format_findings
 from peridotrill.gateway.caller_server import (
+    READ_DELAY_S,
     CallerServer,
     RawRequest,
     Responder,
@@ -538,6 +539,7 @@
         stop_s = self._exit_s
         left_s = stop_s - self._clock.monotonic_s()
         await anyio.sleep(min(_ROTATION_DELAY_S, max(0.0, left_s)))
+        await anyio.sleep(READ_DELAY_S)
         if self._caller_server is not None:
             self._caller_server.close()
         handler.announce_stop(stop_s)
