Send the final totals of a gateway that ends

A full report is each third one, so what a gateway counted after its last full report was lost when it ended.

Change: the drain ends with a full report.

Evidence: the new test fails without the change, as make_report has no last report there.

--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -104,13 +104,24 @@
             self._sources.loads.end_report_interval()
             await anyio.sleep(report_interval_s(len(self._peers.members)))
 
-    def make_report(self) -> Report:
-        """Build the next report."""
+    def send_last(self) -> None:
+        """Send the final totals of this process.
+
+        Without them, what was counted since the last full report is lost.
+        """
+        self._peers.send(self.make_report(is_last=True))
+
+    def make_report(self, is_last: bool = False) -> Report:
+        """Build the next report.
+
+        :param is_last: whether the process ends; the report is then a full one.
+        """
         self._sequence += 1
         sources = self._sources
         switching = self.switching()
         self._suspend(switching)
-        is_full_report = self._sequence % _FULL_REPORT_INTERVAL == 0
+        is_due = self._sequence % _FULL_REPORT_INTERVAL == 0
+        is_full_report = is_last or is_due
         return Report(
             self._sender.node,
             self._sender.incarnation,
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -549,6 +549,7 @@
         handler.stop()
         port.refuse_incomplete()
         await self._wait_for_close(port, stop_s + _FLUSH_TIME_S)
+        self._reporting.send_last()
         self._log.write(
             'drained',
             in_progress=unfinished,
--- a/tests/test_gateway_reporting.py
+++ b/tests/test_gateway_reporting.py
@@ -206,6 +206,16 @@
     return sharing, parts, exchange
 
 
+def test_last_report_of_a_process_has_its_usage():
+    # Guards against requests that are missing in usage after a restart.
+    gateway = Gateway(ManualClock(), 'a')
+    gateway.reporting._sources.usage.count('growers')
+    reports = [gateway.reporting.make_report() for _ in range(3)]
+    assert not all(report.usage for report in reports)
+    reports = [gateway.reporting.make_report(is_last=True) for _ in range(3)]
+    assert all(report.usage for report in reports)
+
+
 def test_two_gateways_send_part_listings_to_a_new_process():
     # Guards against a new process that knows no cached parts, so that prompts
     # are prefilled again after each gateway restart (seen in tapbook
