Answer pipelined requests while an entry shuts down

Cause: each response during the shutdown announced the close, whether or not another request had been read behind it.

Change: the close is announced with the last of them.

--- a/peridotrill/caller_protocols.py
+++ b/peridotrill/caller_protocols.py
@@ -39,8 +39,11 @@
 
     async def stream_send(self, event: Any) -> None:
         """Send an event of the response."""
-        if isinstance(event, Response) and _is_shut_down(self.context):
-            event.headers.append((b'connection', b'close'))
+        # A request that was pipelined behind this one is answered as well.
+        is_last = not self.connection.trailing_data[0]
+        if isinstance(event, Response) and is_last:
+            if _is_shut_down(self.context):
+                event.headers.append((b'connection', b'close'))
         await super().stream_send(event)
 
 
--- a/tests/test_planned_work.py
+++ b/tests/test_planned_work.py
@@ -333,6 +333,29 @@
     assert received.endswith(b'done')
 
 
+@pytest.mark.anyio
+async def test_pipelined_requests_during_the_shutdown_are_answered():
+    # Guards against a connection that is closed behind the first of them.
+    is_complete = anyio.Event()
+
+    async def answer_later(scope, receive, send):
+        await is_complete.wait()
+        await answer(scope, receive, send)
+
+    async with serve(answer_later) as (address, stopping):
+        with socket.create_connection(address) as connection:
+            connection.sendall(REQUEST * 2)
+            await anyio.sleep(0.1)
+            stopping.set()
+            await anyio.sleep(0.1)
+            is_complete.set()
+            with anyio.fail_after(5):
+                received = await read_response(connection)
+                received += await read_response(connection)
+    assert received.count(b'HTTP/1.1 200') == 2
+    assert received.count(b'connection: close') == 1
+
+
 @pytest.mark.anyio
 async def test_http2_stream_opened_during_the_shutdown_is_answered():
     # Guards against streams that are reset as if their outcome were unknown.
