Choose ports of gateways in tests as those of other processes are chosen

One function chooses the ports of all processes in tests, which also counts on from its last choice.

--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -1,7 +1,6 @@
 """Gateway processes with a store and engines that run in a thread."""
 
 import os
-import secrets
 import signal
 import socket
 import subprocess
@@ -22,31 +21,16 @@
 from standins.platform_server import serve_http
 from standins.platform_store import PlatformStore
 from tests.gateway_builders import HOST, configuration_record
+from tests.processes import free_port
 from tests.proxy import run_proxies
 
 ROOT = Path(__file__).parent.parent
 START_TIMEOUT_S = 20
 ENGINE_RESTART_S = 0.5
-PORTS = (12000, 32000)
 CONFIG_TOPIC = 'keyed.op'
 SERVERS_TOPIC = 'keyed.servers'
 
 
-def free_port(kind=socket.SOCK_STREAM):
-    """Return a port that no connection gets while a gateway is started again.
-
-    It is below the range of ports that the kernel gives to connections.
-    """
-    while True:
-        port = PORTS[0] + secrets.randbelow(PORTS[1] - PORTS[0])
-        with socket.socket(type=kind) as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-        return port
-
-
 class SentSignal(NamedTuple):
     """A signal, and the CPU time that the process had used by then."""
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -23,11 +23,11 @@
 _ports = count(FIRST_PORT + os.getpid() * 97 % (LAST_PORT - FIRST_PORT))
 
 
-def free_port():
+def free_port(kind=socket.SOCK_STREAM):
     while True:
         span = LAST_PORT - FIRST_PORT
         port = FIRST_PORT + (next(_ports) - FIRST_PORT) % span
-        with socket.socket() as probe:
+        with socket.socket(type=kind) as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
                 probe.bind(('127.0.0.1', port))
