Log the engines of each role, and the queue that a refused request waited in

Each gateway now writes engine_roles when the number of engines of a role changes, request_ended names the last queue (pool), and peridotrill_model_engines shows the engines by service and role.

--- a/peridotrill/gateway/metrics.py
+++ b/peridotrill/gateway/metrics.py
@@ -64,6 +64,11 @@
     'peridotrill_limited_targets',
     'Targets that name a limit on their requests',
 )
+MODEL_ENGINES: Final = Gauge(
+    'peridotrill_model_engines',
+    'Model engines that accept requests, by service and role',
+    ['service', 'role'],
+)
 LEASE_HELD: Final = Gauge(
     'peridotrill_coordinator',
     'Whether this process holds the lease of the coordinator',
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -84,6 +84,8 @@
         self.excluded: set[str] = set()
         # Total time spent in admission queues.
         self.queue_s = 0.0
+        # The last queue that the request has waited in.
+        self.pool: Pool | None = None
         # When the last attempt was sent.
         self.sent_s = request.received_s
         self.first_byte_s: float | None = None
@@ -203,6 +205,7 @@
             # The timer that ends the request at its deadline fires late after
             # the process was paused.
             raise self.build_error('no_place_in_time')
+        self.pool = pool
         queue = shared.placement.queue(self.service, pool)
         queued_s = shared.clock.monotonic_s()
         team = self.team.name if self.team else ''
--- a/peridotrill/gateway/request_handler.py
+++ b/peridotrill/gateway/request_handler.py
@@ -258,6 +258,7 @@
             service=context.service,
             outcome=context.outcome,
             targets=','.join(context.targets_used) or None,
+            pool=context.pool.name.lower() if context.pool else None,
             queue_ms=round(context.queue_s * 1000),
             first_ms=None if first_s is None else round(first_s * 1000),
             total_ms=round(duration_s * 1000),
--- a/peridotrill/gateway/role_controller.py
+++ b/peridotrill/gateway/role_controller.py
@@ -69,6 +69,8 @@
         # Ordered roles that the engines' records do not show yet.
         self._ordered_roles: dict[str, TargetRole] = {}
         self._ordered_at_s: dict[str, float] = {}
+        # Last logged number of engines of each role, by service.
+        self._logged_counts: dict[str, dict[str, int]] = {}
         # Changes that no engine has confirmed yet, with the time of the first
         # order, by service.
         self._unconfirmed: dict[str, tuple[RoleChange, float]] = {}
@@ -107,9 +109,10 @@
         load: Callable[[str], float],
         margin: timedelta,
     ) -> None:
+        engines = self._engines(service, load)
+        self._log_role_counts(service, engines)
         if await self._resend(service, margin):
             return
-        engines = self._engines(service, load)
         demand: Demand | None = self._demand.rate(service)
         if demand == NO_DEMAND:
             if not self._may_set_initial_roles():
@@ -129,6 +132,18 @@
         )
         await self._order(service, change, self._clock.monotonic_s(), margin)
 
+    def _log_role_counts(
+        self, service: str, engines: list[TargetRecord]
+    ) -> None:
+        """Log how many engines have or are about to get each role."""
+        counts = {
+            role.value: sum(row.role is role for row in engines)
+            for role in TargetRole
+        }
+        if self._logged_counts.get(service) != counts:
+            self._logged_counts[service] = counts
+            self._log.write('engine_roles', service=service, **counts)
+
     async def _resend(self, service: str, margin: timedelta) -> bool:
         """Resend an order that may be lost; return whether one was due."""
         change, first_ordered_s = self._unconfirmed.pop(service, (None, 0.0))
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -43,6 +43,7 @@
     LEASE_HELD,
     LIMITED_TARGETS,
     LOST_LOG_LINES,
+    MODEL_ENGINES,
     QUARANTINED_PARTS,
     STORE_CALLS,
     STORE_GENERATION,
@@ -72,7 +73,7 @@
     TargetHttpClient,
 )
 from peridotrill.gateway.target_limits import TargetLimits
-from peridotrill.gateway.targets import TargetRecord
+from peridotrill.gateway.targets import TargetRecord, TargetRole
 from peridotrill.gateway.usage_counts import UsageCounts
 from peridotrill.gateway_coordinator_tasks import (
     CoordinatorTaskDependencies,
@@ -462,9 +463,18 @@
         LIMITED_TARGETS.set(self._limits.limited_targets)
         TARGET_CRASHES.set(self._crashes.crashes)
         QUARANTINED_PARTS.set(len(self._quarantine.quarantined_parts))
+        self._update_engine_gauges()
         held = self._coordinator.held_lease(timedelta(0))
         LEASE_HELD.set(0 if held is None else 1)
 
+    def _update_engine_gauges(self) -> None:
+        current = self._cluster_state.configuration
+        for service in current.services.values() if current else ():
+            for role in TargetRole if service.engine else ():
+                MODEL_ENGINES.labels(service.name, role.value).set(
+                    len(self._cluster_state.usable_targets(service.name, role))
+                )
+
     def _on_cluster_state_changed(self) -> None:
         current = self._cluster_state.configuration
         if current is not None:
