--- a/tests/test_gateway_roles.py
+++ b/tests/test_gateway_roles.py
@@ -4,6 +4,7 @@
 from datetime import timedelta
 
 import anyio
+import pytest
 
 from peridotrill.clock import ManualClock
 from peridotrill.gateway.cluster_state import ClusterState, FreshnessBounds
@@ -173,3 +174,85 @@
         <= len([row for row in harness.client.orders if row[0] == 'i-1'])
         < 20
     )
+
+
+class FewEnginesHarness(RoleControllerHarness):
+    """A controller of a system that has run for a while."""
+
+    def __init__(self, *outcomes, demand=True):
+        super().__init__(*outcomes)
+        self.controller._may_set_initial_roles = lambda: False
+        self.demand = self.controller._demand
+        self.has_demand = demand
+        for name in ('i-1', 'i-2', 'i-3', 'i-4'):
+            self.cluster_state.remove_target(name, 'deleted')
+        advance(self.clock, 2)
+        self.cluster_state.drop_removed_targets()
+
+    def add(self, name, role, **changes):
+        self.cluster_state.update_target(target(name, role, **changes))
+
+    def run(self, duration_s):
+        for _ in range(int(duration_s / 0.25)):
+            if self.has_demand:
+                self.demand.record('llm', 20, 20)
+            self.step()
+
+    @property
+    def ordered(self):
+        return [order[:2] for order in self.client.orders]
+
+
+@pytest.mark.parametrize('has_demand', [True, False])
+@pytest.mark.parametrize('engines', [1, 2, 3, 5])
+def test_last_prefill_engines_replace_the_lost_decode_engines(
+    engines, has_demand
+):
+    # Guards against a service that refuses all streams because its last decode
+    # engine has left (tapbook, RECOVER).
+    harness = FewEnginesHarness(demand=has_demand)
+    for number in range(engines):
+        harness.add(f'i-{number + 5}', _PREFILL)
+    harness.run(3)
+    assert [role for _, role in harness.ordered] == [_DECODE]
+
+
+def test_role_that_was_just_changed_is_replaced_when_its_engine_leaves():
+    # Guards against ten seconds without decode engines after another change.
+    harness = FewEnginesHarness()
+    harness.controller._planner.record_change('llm')
+    for name in ('i-5', 'i-6', 'i-7'):
+        harness.add(name, _PREFILL)
+    harness.run(3)
+    assert [role for _, role in harness.ordered] == [_DECODE]
+
+
+def test_unresponsive_engine_does_not_prevent_the_replacement():
+    # Guards against a service that waits for one engine without a response.
+    harness = FewEnginesHarness(*['timeout'] * 18)
+    harness.add('i-5', _PREFILL)
+    harness.add('i-6', _PREFILL)
+    harness.run(10)
+    assert {name for name, _ in harness.ordered} == {'i-5', 'i-6'}
+
+
+def test_engine_that_restarts_is_ordered_again():
+    # Guards against an order that counts as pending for an engine whose new
+    # process never received it.
+    harness = FewEnginesHarness()
+    harness.add('i-5', _PREFILL, started_ms=1)
+    harness.run(3)
+    harness.add('i-5', _PREFILL, started_ms=2)
+    harness.run(3)
+    assert harness.ordered == [('i-5', _DECODE)] * 2
+
+
+def test_decode_engine_that_registers_again_is_not_replaced():
+    # Guards against a change of roles for records that lapsed while the store
+    # was away: they are back within two seconds.
+    harness = FewEnginesHarness()
+    harness.add('i-5', _PREFILL)
+    harness.run(1.5)
+    harness.add('i-6', _DECODE)
+    harness.run(3)
+    assert not harness.ordered
