Reject a stream at once while its service has no decode engine

Streams were held for up to 1.9 s, and their prompts prefilled, while no engine could respond: any engine counted as a target, also one that only does prefill. Targets of streams are now those with the decode role, for the check at the start, after a failed attempt and before one is given up as silent.

The new test failed before (no_place_in_time after the wait, prompt sent).

--- a/peridotrill/gateway/placement.py
+++ b/peridotrill/gateway/placement.py
@@ -106,11 +106,19 @@
         self._load_tracker.begin(reservation)
         self._limits.charge(reservation.target.target_id)
 
-    def has_target(self, service: str, excluded: set[str]) -> bool:
-        """Return whether a service has a target that is not excluded."""
+    def has_target(
+        self,
+        service: str,
+        excluded: set[str],
+        role: TargetRole | None = None,
+    ) -> bool:
+        """Return whether a service has a target that is not excluded.
+
+        :param role: role that the target must have; None for any.
+        """
         return any(
             row.target_id not in excluded
-            for row in self._cluster_state.usable_targets(service)
+            for row in self._cluster_state.usable_targets(service, role)
         )
 
     def release(self, reservation: Reservation, service: str) -> None:
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -25,7 +25,7 @@
 from peridotrill.gateway.error_responses import GatewayError, send_error
 from peridotrill.gateway.metrics import ATTEMPTS, QUEUE_TIME_S
 from peridotrill.gateway.placement import Pool
-from peridotrill.gateway.requests import CallerRequest
+from peridotrill.gateway.requests import CallerRequest, RequestKind
 from peridotrill.gateway.target_connections import TargetExchange
 from peridotrill.gateway.target_health import Failure
 from peridotrill.gateway.target_messages import RequestOptions, TargetResponse
@@ -169,8 +169,18 @@
         if quarantine.is_needed and quarantine.is_suspected(self.suspects[-1]):
             quarantine.record_proof(self.suspects[-1:], started_s)
 
+    def _has_target(self, excluded: set[str]) -> bool:
+        """Return whether a target that is not excluded can respond.
+
+        Prefill engines do not respond to callers.
+        """
+        role = None
+        if self.route.kind is RequestKind.STREAM:
+            role = TargetRole.DECODE
+        return self.shared.placement.has_target(self.service, excluded, role)
+
     async def require_target(self, excluded: set[str]) -> None:
-        """Raise GatewayError if the service has no target that may be tried.
+        """Raise GatewayError if the service has no target that can respond.
 
         If no such target is known, the target records are first refreshed
         from the store: it may hold records of targets that have just started
@@ -178,12 +188,11 @@
 
         :param excluded: ids of targets that were already tried.
         """
-        placement = self.shared.placement
-        if placement.has_target(self.service, excluded):
+        if self._has_target(excluded):
             return
         await self.shared.refresh_targets()
-        if not placement.has_target(self.service, excluded):
-            raise self.build_error('no_target')
+        if not self._has_target(excluded):
+            raise self.build_error('no_target', self.retry_after_s())
 
     async def reserve_target(
         self,
@@ -276,7 +285,7 @@
         return (
             self.route.is_repeatable
             and len(self.targets_used) < self.route.max_targets
-            and self.shared.placement.has_target(self.service, self.excluded)
+            and self._has_target(self.excluded)
         )
 
     def allow_retry(self) -> bool:
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -363,6 +363,52 @@
     )
 
 
+def test_stream_is_rejected_at_once_without_decode_engines(
+    site, gateway, request_id
+):
+    # Guards against streams that are held until their deadline, and prompts that
+    # are prefilled in vain, while no engine can respond.
+    engines = ('i-dec-1', 'i-dec-2')
+    for name in engines:
+        site.register(name, state='draining')
+    wait_until(
+        lambda: all(
+            f'target={name} service=llm' in line and 'leaving=True' in line
+            for name, line in _last_changes(gateway, engines)
+        ),
+        3,
+    )
+    started_s = time.monotonic()
+    response = call(gateway, '/draft/x', request_id, **prompt_headers())
+    duration_s = time.monotonic() - started_s
+    for name in engines:
+        site.register(name)
+    wait_until(
+        lambda: all(
+            'leaving=False' in line
+            for _, line in _last_changes(gateway, engines)
+        ),
+        3,
+    )
+    assert response.status_code == 503
+    assert response.json() == {'error': 'no_target'}
+    assert float(response.headers['retry-after']) > 0
+    assert duration_s < 1
+    assert not received(site, request_id)
+
+
+def _last_changes(gateway, names):
+    """Return the last logged record of each target."""
+    lines = gateway.read_log().splitlines()
+    for name in names:
+        found = [
+            line
+            for line in lines
+            if 'event=target_changed' in line and f'target={name} ' in line
+        ]
+        yield name, found[-1]
+
+
 def test_unreadable_target_records_are_ignored(site, gateway):
     # Guards against a crash, or the loss of a target, because of an
     # unreadable record in the store.
