Do not count an order as confirmed while the engine carries out another

An engine that was busy with any order confirmed each further one, so an engine on its way to prefill counted as a decode engine for up to 13 s. Such an order is now sent again until the engine has its role, as one without a response. The new test failed before.

--- a/peridotrill/platform/engine_orders.py
+++ b/peridotrill/platform/engine_orders.py
@@ -57,8 +57,11 @@
         if response.head.status != HTTPStatus.OK:
             return f'report {response.head.status}'
         report: Any = decode_json(response.body)
-        if report['stage'] == role.value or report.get('busy') is True:
+        if report['stage'] == role.value:
             return ACCEPTED
+        if report.get('busy') is True:
+            # The order in progress may be an earlier one, to another role.
+            return 'busy'
         order = {
             'op': 'stage',
             'stage': role.value,
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -58,6 +58,8 @@
         self.orders: list[dict] = []
         # Number of role orders to execute without a response.
         self.order_responses_to_drop = 0
+        # Whether an order is in progress.
+        self.is_busy = False
         # Requests per second that the responses name as a limit.
         self.limit_per_s: float | None = None
         # Monotonic times at which requests arrived.
@@ -211,7 +213,11 @@
 
     async def _handle_control_request(self, request, path, responder) -> None:
         if path == '/-/report':
-            report = {'stage': self.role, 'seq': len(self.orders)}
+            report = {
+                'stage': self.role,
+                'seq': len(self.orders),
+                'busy': self.is_busy,
+            }
             responder.send(_OK, [], encode_json(report))
         elif path == '/-/kv-list':
             held = [['', part, tokens, 'm'] for part, tokens in self.parts]
--- a/tests/test_gateway_roles.py
+++ b/tests/test_gateway_roles.py
@@ -67,6 +67,16 @@
     assert len(engine.orders) == 1
 
 
+def test_order_is_not_confirmed_while_another_is_in_progress():
+    # Guards against an engine that counts as decode engine for the lifetime of an
+    # order, while it changes to prefill.
+    engine = ScriptedEngine('i-1', 'llm', 'a', 'prefill')
+    engine.is_busy = True
+    assert order(engine, _DECODE) == ['busy']
+    engine.is_busy = False
+    assert order(engine, _DECODE) == [ACCEPTED]
+
+
 def test_part_listing_omits_small_parts():
     engine = ScriptedEngine('i-1', 'llm', 'a', 'prefill')
     engine.parts = [('a1', 13000), ('b2', 40), ('c3', 900)]
