Log the software version of targets, and streams that continue

Streams of two software versions (ORDER) could not be explained from the logs: neither the version of a target nor the attempts that continue a stream were written. Records are now decoded with their version, which is required, and target_changed, stream_continued and request_ended name the versions, the event and the request that a caller takes up.

--- a/peridotrill/gateway/cluster_state.py
+++ b/peridotrill/gateway/cluster_state.py
@@ -174,6 +174,7 @@
             leaving=record.is_draining,
             role=record.role.value if record.role else None,
             started_ms=record.started_ms,
+            software=record.software_version,
         )
         if current is not None and current.role is not record.role:
             self._suspended_until_s.pop(record.target_id, None)
--- a/peridotrill/gateway/request_handler.py
+++ b/peridotrill/gateway/request_handler.py
@@ -263,4 +263,5 @@
             first_ms=None if first_s is None else round(first_s * 1000),
             total_ms=round(duration_s * 1000),
             version=known.version if known else None,
+            resumes=context.request.resumed_id,
         )
--- a/peridotrill/gateway/requests.py
+++ b/peridotrill/gateway/requests.py
@@ -64,7 +64,8 @@
 
     ``headers`` are the headers to forward. ``wait_ms`` is the time that the
     caller will wait after ``received_s``. ``resume_after`` is the id of the
-    last event that the caller received.
+    last event that the caller received, and ``resumed_id`` the id of the request
+    that brought the first event of the stream that this one takes up.
     """
 
     request_id: str
@@ -79,6 +80,12 @@
     prompt: Prompt | None
     resume_after: bytes | None
     received_s: float
+    resumed_id: str | None = None
+
+    @property
+    def is_resumption(self) -> bool:
+        """Whether the caller has received a part of the stream."""
+        return self.resume_after is not None or self.resumed_id is not None
 
     def digest(self, team: str) -> str:
         """Return what repeats of this request have in common.
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -412,6 +412,16 @@
             context.route.is_repeatable,
         )
         context.record_sent(target)
+        if self._last_id is not None:
+            context.shared.log.write(
+                'stream_continued',
+                request=context.request.request_id,
+                resumes=context.request.resumed_id,
+                target=target.target_id,
+                software=target.software_version,
+                after=self._last_id.decode('latin-1'),
+                events=self._events,
+            )
         return exchange
 
     def _find_fetch_address(self, target: TargetRecord) -> str | None:
--- a/peridotrill/gateway/targets.py
+++ b/peridotrill/gateway/targets.py
@@ -21,7 +21,8 @@
     target as Unix time, 0 if unknown: of two incarnations with the same id,
     the one with the higher value is the newer. ``sequence`` counts the reports
     of a process: of two records of one process, the one with the higher value
-    is the newer.
+    is the newer. ``software_version`` is that of the target's program, not of
+    the model's weights.
     """
 
     target_id: str
@@ -33,6 +34,7 @@
     role: TargetRole | None
     started_ms: int
     sequence: int = 0
+    software_version: str = ''
 
     def is_older_than(self, other: 'TargetRecord') -> bool:
         """Whether the same process, or a later one, wrote the other later."""
--- a/peridotrill/platform/names.py
+++ b/peridotrill/platform/names.py
@@ -31,6 +31,9 @@
 # older copy.
 STORE_GENERATION: Final = b'store-era'
 LAST_EVENT_ID: Final = b'last-event-id'
+# Request id of the attempt that brought the first event of a stream that the
+# caller takes up again.
+RESUMES: Final = b'resumes'
 AUTHORIZATION: Final = b'authorization'
 KEEP_ALIVE: Final = b'keep-alive'
 
--- a/peridotrill/platform/target_records.py
+++ b/peridotrill/platform/target_records.py
@@ -36,6 +36,7 @@
             started_ms=started_ms,
             # Without a start time, a lower number may be that of a new process.
             sequence=sequence if started_ms else 0,
+            software_version=_require(document, 'version', str),
         )
     except ValueError as error:
         raise CodecError(str(error)) from error
--- a/peridotrill/platform/wire.py
+++ b/peridotrill/platform/wire.py
@@ -57,6 +57,7 @@
         wait_ms = _decode_wait(fields.get(names.DEADLINE_MS))
     except ValueError:
         return None
+    resumed = fields.get(names.RESUMES)
     return CallerRequest(
         request_id=fields.get(names.REQUEST_ID, b'').decode('latin-1'),
         method=raw.method,
@@ -70,6 +71,7 @@
         prompt=prompt,
         resume_after=fields.get(names.LAST_EVENT_ID),
         received_s=raw.received_s,
+        resumed_id=None if resumed is None else resumed.decode('latin-1'),
     )
 
 
