--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -44,6 +44,7 @@
         self.zone = zone
         self.role = role
         self.started_ms = 1700000000000
+        self.software_version = 'v1'
         self.plan: list[str] = []
         self.default_fault = ''
         self.processing_s = 0.01
@@ -94,7 +95,7 @@
             'service': self.service,
             'addr': str(address),
             'zone': self.zone,
-            'version': 'v1',
+            'version': self.software_version,
             'slots': 8,
             'state': state,
             'cold-left-ms': 0,
--- /dev/null
+++ b/tests/test_gateway_stream_versions.py
@@ -0,0 +1,234 @@
+"""Streams at a service whose engines run several software versions."""
+
+import itertools
+import time
+
+import httpx
+import pytest
+
+from standins.platform_engine import ScriptedEngine
+from tests.gateway_builders import prompt_headers
+from tests.gateway_site import DECODE, SIGKILL, call, run_site, wait_until
+
+_numbers = itertools.count()
+# Longer than the interval of the reports between gateways.
+_REPORT_DELAY_S = 0.4
+_OLD, _NEW = 'v1', 'v2'
+# Attempts break after two events: the second one ends a stream of four events
+# and breaks a stream of five.
+_ONE_BREAK, _TWO_BREAKS = 4, 5
+
+
+def mixed_engines(**versions):
+    engines = [
+        ScriptedEngine('i-till-1', 'till', 'a'),
+        ScriptedEngine('i-pre', 'llm', 'a', 'prefill'),
+    ]
+    for name, version in versions.items():
+        engine = ScriptedEngine(f'i-{name}', 'llm', 'a', DECODE)
+        engine.software_version = version
+        engines.append(engine)
+    return tuple(engines)
+
+
+@pytest.fixture
+def mixed_site(tmp_path):
+    engines = mixed_engines(d1=_OLD, d2=_NEW, d3=_OLD, d4=_NEW)
+    with run_site(tmp_path, engines) as site:
+        site.start_gateways('front-a-1', 'front-b-1')
+        yield site
+
+
+@pytest.fixture
+def uniform_site(tmp_path):
+    engines = mixed_engines(d1=_OLD, d2=_OLD)
+    with run_site(tmp_path, engines) as site:
+        site.start_gateways('front-a-1', 'front-b-1')
+        yield site
+
+
+def set_faults(site, events, *faults):
+    for engine in site.engines.values():
+        if engine.role == DECODE:
+            engine.event_count = events
+            engine.plan = list(faults)
+
+
+def quick(gateway, request_id, **headers):
+    return call(
+        gateway, '/quick/x', request_id, **prompt_headers(50), **headers
+    )
+
+
+def break_stream(site, gateway):
+    """Begin a stream that breaks after its fourth event; return its id."""
+    request_id = f'broken-{next(_numbers)}'
+    set_faults(site, _TWO_BREAKS, 'cut', 'cut')
+    with pytest.raises(httpx.RemoteProtocolError):
+        quick(gateway, request_id)
+    set_faults(site, _TWO_BREAKS)
+    return request_id
+
+
+def take_up(gateway, begun_id, after='4'):
+    request_id = f'taken-up-{next(_numbers)}'
+    headers = {'Last-Event-Id': after, 'Resumes': begun_id}
+    return request_id, quick(gateway, request_id, **headers)
+
+
+def versions(site, *request_ids):
+    return {
+        site.engines[name].software_version
+        for request_id in request_ids
+        for name in site.runs(request_id)
+    }
+
+
+def is_received(site, request_id):
+    return any(
+        row.get('x-peridotrill-request-id') == request_id
+        for engine in site.engines.values()
+        for row in engine.received
+    )
+
+
+def restart_all(site):
+    """Kill all gateways at the same moment and start them again."""
+    gateways = list(site.gateways.values())
+    for gateway in gateways:
+        gateway.signal(SIGKILL)
+    for gateway in gateways:
+        gateway.start_after(gateway.process)
+    for gateway in gateways:
+        gateway.wait_ready()
+
+
+def test_broken_stream_continues_at_its_version(mixed_site):
+    # Guards against one response with events of two versions (ORDER).
+    gateway = mixed_site.gateways['front-a-1']
+    for _ in range(10):
+        request_id = f'one-{next(_numbers)}'
+        set_faults(mixed_site, _ONE_BREAK, 'cut')
+        response = quick(gateway, request_id)
+        assert response.text.count('data: token') == _ONE_BREAK
+        assert len(mixed_site.runs(request_id)) == 2
+        assert len(versions(mixed_site, request_id)) == 1
+
+
+def test_stream_goes_on_at_its_version_at_another_gateway(mixed_site):
+    # Guards against a gateway that does not know which version began the stream
+    # that a caller takes up.
+    first, second = mixed_site.gateways.values()
+    for gateways in ((first, second), (second, first)) * 4:
+        begun_id = break_stream(mixed_site, gateways[0])
+        time.sleep(_REPORT_DELAY_S)
+        request_id, response = take_up(gateways[1], begun_id)
+        assert response.status_code == 200
+        assert len(versions(mixed_site, begun_id, request_id)) == 1
+
+
+def test_restarted_gateway_learns_which_version_began_a_stream(mixed_site):
+    # Guards against streams that are refused or mixed after the gateway that
+    # served them was killed.
+    gateway = mixed_site.gateways['front-a-1']
+    begun_ids = [break_stream(mixed_site, gateway) for _ in range(6)]
+    time.sleep(_REPORT_DELAY_S)
+    gateway.signal(SIGKILL)
+    gateway.start_after(gateway.process)
+    gateway.wait_ready()
+    for begun_id in begun_ids:
+        request_id, response = take_up(gateway, begun_id)
+        assert response.status_code == 200
+        assert len(versions(mixed_site, begun_id, request_id)) == 1
+
+
+def test_stream_of_unknown_version_is_refused_after_the_loss_of_all_gateways(
+    mixed_site,
+):
+    # Guards against streams that are joined from two versions by gateways that
+    # know nothing of them.
+    gateway = mixed_site.gateways['front-a-1']
+    begun_id = break_stream(mixed_site, gateway)
+    restart_all(mixed_site)
+    request_id, response = take_up(gateway, begun_id)
+    assert response.status_code == 503
+    assert response.json() == {'error': 'stream_version_unknown'}
+    assert not is_received(mixed_site, request_id)
+
+
+def test_version_that_has_just_left_is_remembered_by_the_store(mixed_site):
+    # Guards against gateways that start after a version has left, and take the
+    # remaining one for the only one.
+    gateway = mixed_site.gateways['front-a-1']
+    begun_id = break_stream(mixed_site, gateway)
+    began_at = versions(mixed_site, begun_id).pop()
+    for name, engine in mixed_site.engines.items():
+        if engine.role == DECODE and engine.software_version == began_at:
+            mixed_site.remove(name)
+    restart_all(mixed_site)
+    request_id, response = take_up(gateway, begun_id)
+    assert response.status_code == 503
+    assert not is_received(mixed_site, request_id)
+
+
+def test_stream_of_the_only_version_goes_on_after_the_loss_of_all_gateways(
+    uniform_site,
+):
+    # Guards against refusals where no second version can have written.
+    gateway = uniform_site.gateways['front-a-1']
+    begun_id = break_stream(uniform_site, gateway)
+    restart_all(uniform_site)
+    assert take_up(gateway, begun_id)[1].status_code == 200
+
+
+def test_stream_is_refused_at_once_without_engines_of_its_version(mixed_site):
+    # Guards against streams that wait until their deadline for a version that
+    # has left, or go on at another one.
+    gateway = mixed_site.gateways['front-a-1']
+    begun_id = break_stream(mixed_site, gateway)
+    began_at = versions(mixed_site, begun_id).pop()
+    for name, engine in mixed_site.engines.items():
+        if engine.role == DECODE and engine.software_version == began_at:
+            mixed_site.register(name, state='draining')
+    wait_until(lambda: gateway.read_log().count('leaving=True') == 2, 3)
+    started_s = time.monotonic()
+    request_id, response = take_up(gateway, begun_id)
+    assert time.monotonic() - started_s < 1
+    assert response.status_code == 503
+    assert response.json() == {'error': 'no_target'}
+    assert not mixed_site.runs(request_id)
+
+
+@pytest.mark.parametrize(
+    'headers',
+    [
+        {'Last-Event-Id': '4', 'Resumes': 'never-seen'},
+        {'Last-Event-Id': '4'},
+        {'Resumes': 'never-seen'},
+    ],
+)
+def test_unknown_stream_is_refused_while_two_versions_serve(
+    mixed_site, headers
+):
+    # Guards against a guess where the version cannot be known.
+    request_id = f'unknown-{next(_numbers)}'
+    response = quick(mixed_site.gateways['front-a-1'], request_id, **headers)
+    assert response.status_code == 503
+    assert response.json() == {'error': 'stream_version_unknown'}
+    assert not is_received(mixed_site, request_id)
+
+
+@pytest.mark.parametrize(
+    'headers',
+    [
+        {'Last-Event-Id': '4', 'Resumes': 'x' * 300},
+        {'Last-Event-Id': '4', 'Resumes': 'a b'},
+        {'Last-Event-Id': '9' * 300, 'Resumes': 'known'},
+    ],
+)
+def test_malformed_resumption_is_rejected(mixed_site, headers):
+    # Guards against ids that are not bounded in the memory of all gateways.
+    request_id = f'malformed-{next(_numbers)}'
+    response = quick(mixed_site.gateways['front-a-1'], request_id, **headers)
+    assert response.status_code == 400
+    assert not is_received(mixed_site, request_id)
