Continue streams only at the software version that began them

Cause: no gateway knew the version of a target, and the request that a caller names when it takes a stream up was not read.

The version of the first event is now recorded, sent to all gateways and binding for each further attempt. What is not known goes on only if one version alone can have begun it, for which the versions that serve are kept in the store; otherwise it is refused at once as not run. Malformed ids are rejected with 400. What is known does not depend on the store or on the gateway that served the stream, so sound streams go on as before.

--- a/peridotrill/gateway/cluster_state.py
+++ b/peridotrill/gateway/cluster_state.py
@@ -9,6 +9,7 @@
 from peridotrill.gateway.configuration import Configuration
 from peridotrill.gateway.event_log import EventLog
 from peridotrill.gateway.targets import TargetRecord, TargetRole
+from peridotrill.gateway.version_history import VersionHistory
 
 
 class FreshnessBounds(NamedTuple):
@@ -27,6 +28,9 @@
 # Time after a restore of the store in which targets that are alive have
 # registered again.
 _RELISTING_TIME: Final = timedelta(seconds=2)
+# A target of a software version that is not known can have registered at most
+# this long ago; reads of the records take turns with pauses and waits.
+_MAX_TARGETS_AGE_S: Final = 2.0
 # Longer than the age of a copy from which the store may be restored.
 _GONE_RETENTION: Final = timedelta(minutes=5)
 
@@ -40,8 +44,13 @@
         clock: Clock,
         bounds: FreshnessBounds,
         log: EventLog,
+        is_first_start: bool = False,
     ) -> None:
-        """Start without configuration and targets."""
+        """Start without configuration and targets.
+
+        :param is_first_start: whether the whole system starts for the first time.
+        """
+        self.versions = VersionHistory(clock, is_complete=is_first_start)
         self._clock = clock
         self._log = log
         self.apply_bounds(bounds)
@@ -59,6 +68,7 @@
         self._newest_version = 0
         self._settles_at_s = -math.inf
         self._are_targets_loaded = False
+        self._targets_confirmed_at_s = -math.inf
         self.configuration: Configuration | None = None
         self.on_target_gone: Callable[[TargetRecord], None] = _ignore
         self.on_change: Callable[[], None] = _ignore_change
@@ -163,6 +173,8 @@
         self._deleted.discard(record.target_id)
         self._gone.pop(record.target_id, None)
         self._targets[record.target_id] = record
+        for row in filter(None, (current, record)):
+            self._see_version(row)
         if current and current._replace(sequence=record.sequence) == record:
             return
         self._log.write(
@@ -232,10 +244,36 @@
 
     def retain_targets(self, target_ids: Iterable[str]) -> None:
         """Remove the targets that are missing from a full listing."""
+        if self._are_targets_loaded:
+            self.versions.forget_archive()
         self._are_targets_loaded = True
         for target_id in self._targets.keys() - set(target_ids):
             self._schedule_drop(target_id, 'not listed', self._relisted_at_s)
 
+    def confirm_targets(self, requested_s: float) -> None:
+        """Record that all records written before a given time are known.
+
+        :param requested_s: monotonic time of the request to the store.
+        """
+        self._targets_confirmed_at_s = requested_s
+
+    def see_versions(self) -> None:
+        """Note the software versions of the model engines now."""
+        for row in self._targets.values():
+            self._see_version(row)
+
+    def _see_version(self, target: TargetRecord) -> None:
+        if target.role is not None:
+            self.versions.see(target.service, target.software_version)
+
+    def sole_version(self, service: str) -> str | None:
+        """Return the only version that can have written a stream, if known."""
+        age_s = self._clock.monotonic_s() - self._targets_confirmed_at_s
+        if age_s > _MAX_TARGETS_AGE_S:
+            return None
+        self.see_versions()
+        return self.versions.sole_version(service)
+
     def drop_removed_targets(self) -> None:
         """Drop removed targets whose grace period has ended."""
         now_s = self._clock.monotonic_s()
@@ -285,21 +323,30 @@
         self,
         service: str,
         role: TargetRole | None = None,
+        version: str | None = None,
     ) -> list[TargetRecord]:
         """Return the targets of a service that accept new requests.
 
         :param role: return only targets with this role; None for all.
+
+        :param version: return only targets with this software version, and
+            engines that only do prefill; None for all.
         """
         self.drop_removed_targets()
         return [
             row
             for row in self._targets.values()
             if row.service == service
-            and not row.is_draining
-            and not self._is_suspended(row.target_id)
+            and self._is_usable(row)
             and (role is None or row.role is role)
+            and (version is None or row.can_write(version))
         ]
 
+    def _is_usable(self, target: TargetRecord) -> bool:
+        return not target.is_draining and not self._is_suspended(
+            target.target_id
+        )
+
     def all_targets(self) -> list[TargetRecord]:
         """Return all targets, including draining ones."""
         return list(self._targets.values())
--- a/peridotrill/gateway/components.py
+++ b/peridotrill/gateway/components.py
@@ -12,6 +12,7 @@
 from peridotrill.gateway.quarantine_sharing import QuarantineSharing
 from peridotrill.gateway.retry_budget import RetryBudget
 from peridotrill.gateway.shared_quotas import SharedQuotas
+from peridotrill.gateway.stream_origins import StreamOrigins
 from peridotrill.gateway.target_health import TargetHealth
 from peridotrill.gateway.target_http_client import TargetHttpClient
 from peridotrill.gateway.target_limits import TargetLimits
@@ -31,6 +32,7 @@
     health: TargetHealth
     crashes: CrashDetector
     quarantine: QuarantineSharing
+    origins: StreamOrigins
     loads: LoadTracker
     demand: DemandMeter
     quotas: SharedQuotas
--- a/peridotrill/gateway/part_sharing.py
+++ b/peridotrill/gateway/part_sharing.py
@@ -16,23 +16,20 @@
 from peridotrill.gateway.event_log import EventLog
 from peridotrill.gateway.part_directory import PartDirectory, PartLocation
 from peridotrill.gateway.peers import (
+    ACTIVE_PEER_AGE_S,
     PartListing,
     PeerExchange,
+    is_listing_sender,
     rank_for_key,
 )
 from peridotrill.gateway.targets import TargetRecord
 
-# Gateways that send a listing to a new process: datagrams may be lost, and one
-# gateway may have little data itself.
-_SENDERS_PER_PROCESS: Final = 2
 # Keeps each datagram within 8 KiB.
 _PARTS_PER_MESSAGE: Final = 120
 # Limits the traffic for a restart in a large fleet to 20 datagrams.
 _MAX_LISTED_PARTS: Final = 2400
 # A new process without a listing after this time queries the engines.
 _ENGINE_QUERY_DELAY: Final = timedelta(seconds=0.8)
-# Peers with a report within this time are active; reports are more frequent.
-_ACTIVE_PEER_AGE_S: Final = 1.0
 
 
 class PartsClient(Protocol):
@@ -69,15 +66,11 @@
 
     def send_listing(self, node: str) -> None:
         """Send a listing to a new process if selected as one of its senders."""
-        others = [
-            name
-            for name in (
-                *self._peers.members_heard_within(_ACTIVE_PEER_AGE_S),
-                self._node,
-            )
-            if name != node
-        ]
-        if self._node in rank_for_key(others, node, _SENDERS_PER_PROCESS):
+        if is_listing_sender(
+            self._peers.members_heard_within(ACTIVE_PEER_AGE_S),
+            self._node,
+            node,
+        ):
             self._send(self._parts.listing(_MAX_LISTED_PARTS), node)
 
     def handle_listing(self, listing: PartListing) -> None:
@@ -95,7 +88,7 @@
         if self.has_received_listing:
             return
         active_nodes = (
-            *self._peers.members_heard_within(_ACTIVE_PEER_AGE_S),
+            *self._peers.members_heard_within(ACTIVE_PEER_AGE_S),
             self._node,
         )
         for target in self._cluster_state.all_targets():
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any, Final, NamedTuple, final
 
 import msgspec
@@ -16,6 +16,7 @@
 from peridotrill.gateway.event_log import EventLog
 from peridotrill.gateway.metrics import UNREADABLE
 from peridotrill.gateway.part_directory import PartLocation
+from peridotrill.gateway.stream_origins import BegunStreams
 from peridotrill.settings import Address
 
 # Report interval with few gateways. It grows with their number, which bounds
@@ -23,6 +24,11 @@
 _MIN_INTERVAL_S: Final = 0.1
 # Limits the reports that a gateway receives to 83 per second.
 _INTERVAL_PER_PEER_S: Final = 0.012
+# Members with a report within this time are active; reports are more frequent.
+ACTIVE_PEER_AGE_S: Final = 1.0
+# Gateways that send a listing to a new process: datagrams may be lost, and one
+# gateway may have little data itself.
+_SENDERS_PER_PROCESS: Final = 2
 # Larger datagrams could be fragmented.
 _MAX_DATAGRAM_BYTES: Final = 8192
 
@@ -46,7 +52,8 @@
     ``target_spent`` the requests of this process to limited targets.
     ``config_version`` is the version of the configuration in force, and
     ``committed`` the final usage counts of the last windows, sent by the
-    holder of the lease.
+    holder of the lease. ``begun_streams`` are the streams that have begun at
+    the sender since its last report.
     """
 
     node: str
@@ -68,6 +75,7 @@
     target_spent: dict[str, float] = {}
     config_version: int = 0
     committed: dict[int, dict[str, int]] = {}
+    begun_streams: list[BegunStreams] = []
 
 
 class PartListing(
@@ -82,6 +90,18 @@
     parts: list[PartLocation]
 
 
+class StreamListing(
+    msgspec.Struct,
+    array_like=True,
+    frozen=True,
+    tag='streams',
+):
+    """Streams that have begun, sent to a newly started process."""
+
+    node: str
+    streams: list[BegunStreams]
+
+
 class CrashRow(NamedTuple):
     """A request with these prompt parts that ran at a process as it ended.
 
@@ -114,7 +134,7 @@
     proofs: list[PartProof]
 
 
-Message = Report | PartListing | CrashReport
+Message = Report | PartListing | StreamListing | CrashReport
 
 _encoder: Final = msgspec.msgpack.Encoder()
 _decoder: Final = msgspec.msgpack.Decoder(Message)
@@ -165,6 +185,7 @@
         self.on_new_member: Callable[[str], None] = _ignore
         self.on_parts: Callable[[PartListing], None] = _ignore
         self.on_crashes: Callable[[CrashReport], None] = _ignore
+        self.on_streams: Callable[[StreamListing], None] = _ignore
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the open socket."""
@@ -180,14 +201,17 @@
                 sender=str(addr),
                 size=len(data),
             )
-        elif message.node == self._node:
-            return
-        elif isinstance(message, PartListing):
-            self.on_parts(message)
-        elif isinstance(message, CrashReport):
-            self.on_crashes(message)
-        else:
-            self._handle_report(message)
+        elif message.node != self._node:
+            self._dispatch(message)
+
+    def _dispatch(self, message: Message) -> None:
+        handlers: dict[type[Message], Callable[[Any], None]] = {
+            Report: self._handle_report,
+            PartListing: self.on_parts,
+            StreamListing: self.on_streams,
+            CrashReport: self.on_crashes,
+        }
+        handlers[type(message)](message)
 
     def _handle_report(self, report: Report) -> None:
         self.add_member(report.node, Address(report.host, report.port))
@@ -257,5 +281,14 @@
     )[:count]
 
 
+def is_listing_sender(active: Iterable[str], own: str, node: str) -> bool:
+    """Tell whether a gateway sends listings to a new process of another node.
+
+    :param active: nodes of the gateways that are active besides the own one.
+    """
+    others = [name for name in (*active, own) if name != node]
+    return own in rank_for_key(others, node, _SENDERS_PER_PROCESS)
+
+
 def _ignore(found: Any) -> None:
     """Do nothing; used until a callback is set."""
--- a/peridotrill/gateway/placement.py
+++ b/peridotrill/gateway/placement.py
@@ -111,14 +111,19 @@
         service: str,
         excluded: set[str],
         role: TargetRole | None = None,
+        version: str | None = None,
     ) -> bool:
         """Return whether a service has a target that is not excluded.
 
         :param role: role that the target must have; None for any.
+
+        :param version: software version of the output; None for any.
         """
         return any(
             row.target_id not in excluded
-            for row in self._cluster_state.usable_targets(service, role)
+            for row in self._cluster_state.usable_targets(
+                service, role, version
+            )
         )
 
     def release(self, reservation: Reservation, service: str) -> None:
@@ -158,14 +163,19 @@
         service: str,
         prompt: Prompt | None,
         excluded: set[str],
+        version: str | None = None,
     ) -> ReservationFinder:
-        """Return a finder for the engine that generates the output."""
+        """Return a finder for the engine that generates the output.
+
+        :param version: software version of the engine; None for any.
+        """
 
         def find() -> Reservation | None:  # noqa: WPS430
             targets = self._targets_with_capacity(
                 service,
                 TargetRole.DECODE,
                 excluded,
+                version,
             )
             target = choose_decode(
                 targets,
@@ -182,14 +192,19 @@
         service: str,
         prompt: Prompt,
         excluded: set[str],
+        version: str | None = None,
     ) -> ReservationFinder:
         """Return a finder for the engine that processes a prompt.
 
         A decode engine that processes the prompt also generates the output.
+
+        :param version: software version of the output; None for any.
         """
 
         def find() -> Reservation | None:  # noqa: WPS430
-            targets = self._targets_with_capacity(service, None, excluded)
+            targets = self._targets_with_capacity(
+                service, None, excluded, version
+            )
             found = choose_prefill_engine(
                 prompt,
                 targets,
@@ -266,6 +281,7 @@
         service: str,
         role: TargetRole | None,
         excluded: set[str],
+        version: str | None = None,
     ) -> list[TargetRecord]:
         """Return the targets that can take a request now.
 
@@ -274,7 +290,9 @@
         """
         targets = [
             row
-            for row in self._cluster_state.usable_targets(service, role)
+            for row in self._cluster_state.usable_targets(
+                service, role, version
+            )
             if row.target_id not in excluded
         ]
         healthy = [
--- a/peridotrill/gateway/quarantine_sharing.py
+++ b/peridotrill/gateway/quarantine_sharing.py
@@ -15,6 +15,7 @@
 
 from peridotrill.clock import Clock
 from peridotrill.gateway.peers import (
+    ACTIVE_PEER_AGE_S,
     CrashReport,
     CrashRow,
     PartProof,
@@ -36,8 +37,6 @@
 # be lost; from all of them, the traffic would grow with the size of the fleet.
 _LISTING_INTERVAL: Final = timedelta(seconds=1)
 _LISTING_SENDERS: Final = 2
-# Peers with a report within this time are active; reports are more frequent.
-_ACTIVE_PEER_AGE_S: Final = 1.0
 # Time for which one gateway may try a part. Its callers may not send the part,
 # so the others get a turn later.
 _TRIAL_TURN: Final = timedelta(seconds=10)
@@ -146,7 +145,7 @@
         """Return whether this gateway is among those whose turn it is."""
         turn = int(self._clock.now().timestamp() // duration.total_seconds())
         active = (
-            *self._peers.members_heard_within(_ACTIVE_PEER_AGE_S),
+            *self._peers.members_heard_within(ACTIVE_PEER_AGE_S),
             self._node,
         )
         return self._node in rank_for_key(active, f'{key}/{turn}', count)
--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -21,6 +21,7 @@
     report_interval_s,
 )
 from peridotrill.gateway.shared_quotas import SharedQuotas
+from peridotrill.gateway.stream_origins import StreamOrigins
 from peridotrill.gateway.target_limits import TargetLimits
 from peridotrill.gateway.usage_counts import UsageCounts
 from peridotrill.settings import Address
@@ -55,6 +56,7 @@
     parts: PartDirectory
     cluster_clock: ClusterClock
     limits: TargetLimits
+    origins: StreamOrigins
 
 
 class Sender(NamedTuple):
@@ -142,6 +144,7 @@
             _round_up_nonzero(sources.limits.spent()),
             sources.cluster_state.config_version,
             self._commitments() if is_full_report else {},
+            sources.origins.take_report_entries(),
         )
 
     def handle_report(self, report: Report) -> None:
@@ -158,8 +161,7 @@
             report.incarnation,
             report.spent,
         )
-        sources.cluster_state.observe_peer_version(report.config_version)
-        sources.coordinator.observe_commitments(report.committed)
+        self._apply_facts(report)
         sources.limits.observe_peer(report.target_limits)
         sources.limits.quotas.observe_peer(
             report.node, report.incarnation, report.target_spent
@@ -176,6 +178,13 @@
             now_s = self._clock.monotonic_s()
             self._notice_until_s = now_s + _NOTICE_LIFETIME_S
 
+    def _apply_facts(self, report: Report) -> None:
+        """Apply what a gateway knows that does not change any more."""
+        sources = self._sources
+        sources.cluster_state.observe_peer_version(report.config_version)
+        sources.coordinator.observe_commitments(report.committed)
+        sources.origins.observe_peer(report.begun_streams)
+
     @property
     def can_claim(self) -> bool:
         """Whether this gateway reaches the store and is not shutting down."""
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -90,6 +90,8 @@
         self.sent_s = request.received_s
         self.first_byte_s: float | None = None
         self.is_usage_counted = False
+        # Software version that began the stream; None if any may begin it.
+        self.stream_version: str | None = None
         # Whether the request tries what is suspected after its quarantine.
         self.is_trial = False
         timeout_ms = route.timeout_ms
@@ -104,6 +106,11 @@
             return self.team.priority
         return self.route.priority
 
+    @property
+    def team_name(self) -> str:
+        """Name of the team; empty if the route is public."""
+        return self.team.name if self.team else ''
+
     def is_late(self) -> bool:
         """Tell whether the latency goal for the first byte has been missed."""
         waited_s = self.shared.clock.monotonic_s() - self.request.received_s
@@ -125,8 +132,10 @@
 
         That is the request, which may come again, or a part of its prompt.
         """
-        team = self.team.name if self.team else ''
-        return (*self.shared_part_ids, self.request.digest(team))
+        return (
+            *self.shared_part_ids,
+            self.request.digest(self.team_name),
+        )
 
     def check_quarantine(self) -> None:
         """Raise GatewayError if the request or its prompt is quarantined.
@@ -172,12 +181,15 @@
     def _has_target(self, excluded: set[str]) -> bool:
         """Return whether a target that is not excluded can respond.
 
-        Prefill engines do not respond to callers.
+        Prefill engines do not respond to callers, and a stream that has begun
+        goes on at its software version only.
         """
         role = None
         if self.route.kind is RequestKind.STREAM:
             role = TargetRole.DECODE
-        return self.shared.placement.has_target(self.service, excluded, role)
+        return self.shared.placement.has_target(
+            self.service, excluded, role, self.stream_version
+        )
 
     async def require_target(self, excluded: set[str]) -> None:
         """Raise GatewayError if the service has no target that can respond.
@@ -217,11 +229,10 @@
         self.pool = pool
         queue = shared.placement.queue(self.service, pool)
         queued_s = shared.clock.monotonic_s()
-        team = self.team.name if self.team else ''
         reservation = await queue.acquire(
             ReservationRequest(
                 finder,
-                team,
+                self.team_name,
                 self.priority,
                 cost,
                 self.request.received_s
--- a/peridotrill/gateway/request_handler.py
+++ b/peridotrill/gateway/request_handler.py
@@ -19,6 +19,7 @@
 from peridotrill.gateway.plain_requests import serve_plain_request
 from peridotrill.gateway.request_context import RequestContext
 from peridotrill.gateway.requests import CallerRequest, RequestKind
+from peridotrill.gateway.stream_origins import digest_request
 from peridotrill.gateway.stream_requests import serve_stream_request
 
 # Retry-After of a gateway that cannot serve, for lack of a usable configuration
@@ -155,10 +156,7 @@
         if route is None:
             raise GatewayError(HTTPStatus.NOT_FOUND, 'route_unknown')
         team = self._find_team(request, route, configuration)
-        service = random.choices(
-            [row.service for row in route.services],
-            [row.weight for row in route.services],
-        )[0]
+        service = self._choose_service(request, route, team)
         context = RequestContext(
             request, route, team, service, responder, shared
         )
@@ -170,6 +168,20 @@
         shared.budget.record_request(service)
         return context
 
+    def _choose_service(
+        self, request: CallerRequest, route: Route, team: Team | None
+    ) -> str:
+        """Return the service that began a stream, else one by the weights."""
+        services = [row.service for row in route.services]
+        if request.resumed_id is not None:
+            origin = self._shared.origins.find(
+                digest_request(team.name if team else '', request.resumed_id)
+            )
+            if origin is not None and origin.service in services:
+                return origin.service
+        weights = [row.weight for row in route.services]
+        return random.choices(services, weights)[0]
+
     def _latest_end_s(self, context: RequestContext) -> float:
         """Return when the request should have ended, as a monotonic time.
 
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -21,6 +21,7 @@
     RequestContext,
 )
 from peridotrill.gateway.requests import Prompt
+from peridotrill.gateway.stream_origins import StreamOrigin, digest_request
 from peridotrill.gateway.target_connections import TargetExchange
 from peridotrill.gateway.target_health import Failure
 from peridotrill.gateway.target_messages import TargetResponse
@@ -51,6 +52,10 @@
 _ENGINE_PRIORITY_LATE: Final = 3
 
 
+# Time in which another gateway reports a stream that has just begun there.
+_ORIGIN_TIMEOUT: Final = timedelta(seconds=0.3)
+
+
 class RemotePrompt(NamedTuple):
     """A prompt that was prefilled at ``target``, which keeps its KV cache."""
 
@@ -61,6 +66,8 @@
 async def serve_stream_request(context: RequestContext) -> None:
     """Forward a request and stream the output; raises GatewayError."""
     prefill_result: RemotePrompt | Reservation | None = None
+    if context.request.is_resumption:
+        context.stream_version = await _find_stream_version(context)
     prompt = context.request.prompt
     if prompt is not None:
         context.shared.demand.record(
@@ -83,6 +90,31 @@
             context.shared.start_task(_release, context, prefill_result)
 
 
+async def _find_stream_version(context: RequestContext) -> str:
+    """Return the software version that began a stream.
+
+    Raises GatewayError if it is not known and more than one version may have.
+    """
+    shared = context.shared
+    digest = None
+    origin = None
+    if context.request.resumed_id is not None:
+        digest = digest_request(context.team_name, context.request.resumed_id)
+        origin = shared.origins.find(digest)
+    if origin is None:
+        await shared.refresh_targets()
+        sole_version = shared.cluster_state.sole_version(context.service)
+        if sole_version is not None:
+            return sole_version
+    if origin is None and digest is not None:
+        origin = await shared.origins.wait_for(digest, _ORIGIN_TIMEOUT)
+    if origin is None or origin.service != context.service:
+        raise context.build_error(
+            'stream_version_unknown', context.retry_after_s()
+        )
+    return origin.version
+
+
 async def _release(
     context: RequestContext, remote_prompt: RemotePrompt
 ) -> None:
@@ -137,7 +169,9 @@
     work_ms = placement.prefill_work_ms(prompt)
     return await context.reserve_target(
         pool,
-        placement.prefill_finder(context.service, prompt, excluded),
+        placement.prefill_finder(
+            context.service, prompt, excluded, context.stream_version
+        ),
         work_ms,
         work_ms / 1000 + _PREFILL_LATENCY_S + _DECODE_LATENCY_S,
         context.deadline_s - _MIN_REMAINING_S - _min_output_s(prompt),
@@ -324,6 +358,7 @@
                 context.service,
                 context.request.prompt,
                 context.excluded,
+                context.stream_version,
             ),
             1,
             _DECODE_LATENCY_S,
@@ -462,6 +497,7 @@
     ) -> None:
         context = self._context
         self._require_same_stream(response)
+        self._require_same_version()
         splitter = EventStreamParser()
         events = 0
         while True:
@@ -487,6 +523,36 @@
         if response.status != started.status or not is_same_type:
             raise TargetOutcomeUnknown('response does not continue the stream')
 
+    def _require_same_version(self) -> None:
+        """Raise TargetOutcomeUnknown if another version would continue.
+
+        The target may have started again since it was chosen.
+        """
+        expected = self._context.stream_version
+        found = self._software_version()
+        if expected is not None and found != expected:
+            raise TargetOutcomeUnknown(f'continued by version {found}')
+
+    def _software_version(self) -> str | None:
+        """Return the version of the current target, as known now."""
+        if self._target is None:
+            return None
+        cluster_state = self._context.shared.cluster_state
+        known = cluster_state.find_target(self._target.target_id)
+        return (known or self._target).software_version
+
+    def _record_origin(self) -> None:
+        """Let the stream, and its callers, go on at its version only."""
+        context = self._context
+        version = self._software_version()
+        if version is None:
+            return
+        context.stream_version = version
+        context.shared.origins.record(
+            digest_request(context.team_name, context.request.request_id),
+            StreamOrigin(context.service, version),
+        )
+
     def _forward_new_events(
         self, response: TargetResponse, events: list[StreamEvent]
     ) -> int:
@@ -509,6 +575,7 @@
         if not context.responder.has_started:
             context.first_byte_s = context.shared.clock.monotonic_s()
             context.count_usage()
+            self._record_origin()
             context.responder.start_stream(response.status, response.headers)
             self._started_response = response
             if context.request.prompt is not None and self._target is not None:
--- a/peridotrill/gateway/targets.py
+++ b/peridotrill/gateway/targets.py
@@ -43,6 +43,12 @@
             other.sequence,
         )
 
+    def can_write(self, version: str) -> bool:
+        """Whether no event of another software version can come from here."""
+        return (
+            self.role is TargetRole.PREFILL or self.software_version == version
+        )
+
     @property
     def process(self) -> str:
         """Identifier of this incarnation of the target at its address."""
--- a/peridotrill/gateway_followers.py
+++ b/peridotrill/gateway_followers.py
@@ -108,7 +108,7 @@
         await self._targets.run(
             self._applier.apply_target_snapshot,
             self._applier.apply_target_row,
-            lambda requested_s: None,
+            self._cluster_state.confirm_targets,
         )
 
     async def join_members(self) -> None:
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -50,7 +50,7 @@
     TARGET_CRASHES,
 )
 from peridotrill.gateway.part_sharing import PartSharing
-from peridotrill.gateway.peers import PeerExchange
+from peridotrill.gateway.peers import ACTIVE_PEER_AGE_S, PeerExchange
 from peridotrill.gateway.placement import Placement
 from peridotrill.gateway.quarantine_archive import (
     SAVE_INTERVAL,
@@ -66,6 +66,8 @@
 from peridotrill.gateway.retry_budget import RetryBudget
 from peridotrill.gateway.settings_watcher import SettingsWatcher
 from peridotrill.gateway.shared_quotas import SharedQuotas
+from peridotrill.gateway.stream_origins import StreamOrigins
+from peridotrill.gateway.stream_sharing import StreamSharing
 from peridotrill.gateway.target_connections import ConnectionPool
 from peridotrill.gateway.target_health import TargetHealth
 from peridotrill.gateway.target_http_client import (
@@ -75,6 +77,7 @@
 from peridotrill.gateway.target_limits import TargetLimits
 from peridotrill.gateway.targets import TargetRecord, TargetRole
 from peridotrill.gateway.usage_counts import UsageCounts
+from peridotrill.gateway.version_archive import VersionArchive, keep_versions
 from peridotrill.gateway_coordinator_tasks import (
     CoordinatorTaskDependencies,
     CoordinatorTasks,
@@ -126,8 +129,6 @@
 # Listen backlog; holds a burst of new connections.
 _BACKLOG: Final = 1024
 _METRICS_PATH: Final = b'/metrics'
-# Peers with a report within this time are active; reports are more frequent.
-_ACTIVE_PEER_AGE_S: Final = 1.0
 # Limits the load and the log volume of a task that fails repeatedly.
 _RESTART_DELAY_S: Final = 0.5
 
@@ -159,7 +160,9 @@
             self._clock,
             freshness_bounds(node.bounds),
             self._log,
+            node.is_first_start,
         )
+        self._origins = StreamOrigins(self._clock)
         self._store = StoreClient(
             ConnectionPool(
                 node.store_address,
@@ -192,7 +195,7 @@
         self._crashes.on_crash = self._quarantine_sharing.record_crash
         self._limits = TargetLimits(
             node.node,
-            partial(self._peers.members_heard_within, _ACTIVE_PEER_AGE_S),
+            partial(self._peers.members_heard_within, ACTIVE_PEER_AGE_S),
             self._clock,
             self._log,
         )
@@ -233,6 +236,7 @@
                 self._placement.parts,
                 self._cluster_clock,
                 self._limits,
+                self._origins,
             ),
             self._clock,
         )
@@ -267,7 +271,15 @@
             self._clock,
             self._log,
         )
-        self._reporting.on_new_process = self._part_sharing.send_listing
+        self._stream_sharing = StreamSharing(
+            node.node, self._origins, self._peers
+        )
+        self._version_archive = VersionArchive(
+            self._cluster_state,
+            self._followers.open_topic(names.VERSIONS_TOPIC),
+            self._log,
+        )
+        self._reporting.on_new_process = self._on_new_process
         self._caller_server: asyncio.AbstractServer | None = None
         self._cluster_state.on_change = self._on_cluster_state_changed
         self._cluster_state.on_target_gone = self._on_target_gone
@@ -322,6 +334,7 @@
                 health=self._health,
                 crashes=self._crashes,
                 quarantine=self._quarantine_sharing,
+                origins=self._origins,
                 loads=self._loads,
                 demand=self._demand,
                 quotas=self._quotas,
@@ -385,6 +398,7 @@
             self._reporting.run,
             self._quarantine_sharing.run,
             self._save_quarantine,
+            self._keep_versions,
             self._settings.run,
         ]
         if not self._node.is_first_start:
@@ -402,6 +416,16 @@
                 await self._quarantine_archive.save()
             await anyio.sleep(SAVE_INTERVAL.total_seconds())
 
+    async def _keep_versions(self) -> None:
+        await keep_versions(
+            self._version_archive,
+            lambda: self._coordinator.held_lease(timedelta(0)) is not None,
+        )
+
+    def _on_new_process(self, node: str) -> None:
+        self._part_sharing.send_listing(node)
+        self._stream_sharing.send_listing(node)
+
     def _create_coordinator_tasks(self) -> CoordinatorTasks | None:
         address = self._node.duties_address
         if address is None or 'usage' not in self._node.duties:
--- a/peridotrill/platform/wire.py
+++ b/peridotrill/platform/wire.py
@@ -32,6 +32,8 @@
 # Handles are inserted into request lines and headers, so other characters
 # would allow injection.
 _HANDLE_PATTERN: Final = re.compile(r'[\w.~-]+', re.ASCII)
+# Visible characters; gateways keep the ids, so their length is limited.
+_ID_PATTERN: Final = re.compile(rb'[!-~]{1,128}')
 
 
 def decode_request(raw: RawRequest) -> CallerRequest | None:
@@ -55,9 +57,10 @@
     try:
         prompt = _decode_prompt(fields)
         wait_ms = _decode_wait(fields.get(names.DEADLINE_MS))
+        resume_after = _decode_id(fields.get(names.LAST_EVENT_ID))
+        resumed_id = _decode_id(fields.get(names.RESUMES))
     except ValueError:
         return None
-    resumed = fields.get(names.RESUMES)
     return CallerRequest(
         request_id=fields.get(names.REQUEST_ID, b'').decode('latin-1'),
         method=raw.method,
@@ -69,9 +72,9 @@
         api_key=_decode_key(fields.get(names.AUTHORIZATION)),
         wait_ms=wait_ms,
         prompt=prompt,
-        resume_after=fields.get(names.LAST_EVENT_ID),
+        resume_after=resume_after,
         received_s=raw.received_s,
-        resumed_id=None if resumed is None else resumed.decode('latin-1'),
+        resumed_id=None if resumed_id is None else resumed_id.decode(),
     )
 
 
@@ -169,6 +172,15 @@
     return value[len(_BEARER_PREFIX) :].strip().decode('latin-1')
 
 
+def _decode_id(value: bytes | None) -> bytes | None:
+    """Return the id of an event or a request; None if there is none."""
+    if not value:
+        return None
+    if not _ID_PATTERN.fullmatch(value):
+        raise ValueError('invalid id')
+    return value
+
+
 def _decode_wait(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/tests/test_gateway_reporting.py
+++ b/tests/test_gateway_reporting.py
@@ -21,6 +21,7 @@
 )
 from peridotrill.gateway.reporting import Reporting, ReportSources, Sender
 from peridotrill.gateway.shared_quotas import SharedQuotas
+from peridotrill.gateway.stream_origins import StreamOrigins
 from peridotrill.gateway.target_limits import TargetLimits
 from peridotrill.gateway.targets import TargetRole
 from peridotrill.gateway.usage_counts import UsageCounts
@@ -56,6 +57,7 @@
                 PartDirectory(1000),
                 cluster_clock,
                 TargetLimits(node, list, clock, log),
+                StreamOrigins(clock),
             ),
             clock,
         )
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -6,6 +6,7 @@
 import httpx
 import pytest
 
+from peridotrill.platform.names import VERSIONS_TOPIC
 from standins.platform_engine import ScriptedEngine
 from tests.gateway_builders import prompt_headers
 from tests.gateway_site import DECODE, SIGKILL, call, run_site, wait_until
@@ -176,6 +177,7 @@
 ):
     # Guards against refusals where no second version can have written.
     gateway = uniform_site.gateways['front-a-1']
+    wait_until(lambda: uniform_site.store.topics[VERSIONS_TOPIC])
     begun_id = break_stream(uniform_site, gateway)
     restart_all(uniform_site)
     assert take_up(gateway, begun_id)[1].status_code == 200
