Limit what records of other writers may hold

Reports from other systems: one odd entry among those of the engines ends the processes that read the list, or keeps them from following it. Here no process ended and none stopped following. Nested and cut entries were refused as they should be.

A report with NaN or infinity is malformed, and a member whose address cannot be used no longer ends the reports to all. parse_address, which the path with agents shares, takes ASCII digits only.

--- a/peridotrill/codec.py
+++ b/peridotrill/codec.py
@@ -1,12 +1,16 @@
 """JSON encoding and decoding that raises errors of this package."""
 
-from typing import Any
+from typing import Any, Final
 
 import msgspec
 
 from peridotrill.exceptions import CodecError
 
 encode_json = msgspec.json.encode
+# Integers up to here are exact as floats and fit into all encodings; sums of
+# larger ones would overflow far from the record that they came with.
+MAX_INTEGER: Final = 2**53
+_MAX_TEXT_CHARACTERS: Final = 128
 
 
 def decode_json(payload: bytes | str) -> Any:
@@ -18,3 +22,23 @@
         return msgspec.json.decode(payload)
     except (msgspec.DecodeError, RecursionError) as error:
         raise CodecError(f'invalid JSON: {error}') from error
+
+
+def check_integer(
+    found: Any, minimum: int = 0, maximum: int = MAX_INTEGER
+) -> int:
+    """Return an integer within bounds; raises CodecError for all else."""
+    if isinstance(found, bool) or not isinstance(found, int):
+        raise CodecError('not an integer')
+    if not minimum <= found <= maximum:
+        raise CodecError(f'not within {minimum} and {maximum}')
+    return found
+
+
+def check_text(found: Any) -> str:
+    """Return a name that can be logged and sent; raises CodecError."""
+    if not isinstance(found, str) or not found.isprintable():
+        raise CodecError('not a printable text')
+    if not 0 < len(found) <= _MAX_TEXT_CHARACTERS:
+        raise CodecError(f'not within 1 and {_MAX_TEXT_CHARACTERS} characters')
+    return found
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -6,8 +6,10 @@
 """
 
 import asyncio
+import math
 import zlib
 from collections.abc import Callable, Iterable
+from itertools import chain
 from typing import Any, Final, NamedTuple, final
 
 import msgspec
@@ -148,9 +150,26 @@
 def decode_message(datagram: bytes) -> Message | None:
     """Decode a datagram; return None if it is malformed."""
     try:
-        return _decoder.decode(datagram)
+        message = _decoder.decode(datagram)
     except (msgspec.DecodeError, RecursionError):
         return None
+    if isinstance(message, Report) and not _is_finite(message):
+        return None
+    return message
+
+
+def _is_finite(report: Report) -> bool:
+    """Whether no sum that includes a number of the report becomes infinite."""
+    numbers = chain(
+        (report.unix_s, report.lease.remaining_s if report.lease else 0),
+        report.spent.values(),
+        report.work.values(),
+        chain.from_iterable(report.demand.values()),
+        chain.from_iterable(report.quota_used.values()),
+        chain.from_iterable(report.target_limits.values()),
+        report.target_spent.values(),
+    )
+    return all(map(math.isfinite, numbers))
 
 
 def report_interval_s(peers: int) -> float:
@@ -252,7 +271,21 @@
             return
         for member in self.members.values():
             if node is None or member.node == node:
-                self._transport.sendto(datagram, member.address)
+                self._send_to(self._transport, member, datagram)
+
+    def _send_to(
+        self,
+        transport: asyncio.DatagramTransport,
+        member: Member,
+        datagram: bytes,
+    ) -> None:
+        try:
+            transport.sendto(datagram, member.address)
+        except (OSError, ValueError, ArithmeticError) as error:
+            # The address may come from another writer of the members' topic.
+            self._log.write(
+                'report_not_sent', peer=member.node, error=str(error)
+            )
 
     @property
     def has_heard_all(self) -> bool:
--- a/peridotrill/platform/configuration.py
+++ b/peridotrill/platform/configuration.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
-from peridotrill.codec import decode_json
+from peridotrill.codec import check_integer, decode_json
 from peridotrill.exceptions import CodecError
 from peridotrill.gateway.configuration import (
     CallerLimits,
@@ -31,7 +31,7 @@
     document = decode_json(content)
     try:
         return Configuration(
-            int(document['version']),
+            check_integer(document['version']),
             tuple(_decode_route(row) for row in document['routes']),
             {row['name']: _decode_service(row) for row in document['services']},
             tuple(_decode_team(row) for row in document.get('tenants') or ()),
@@ -70,7 +70,9 @@
     engine = row.get('engine')
     model = None
     if engine:
-        model = EngineModel(kv_tokens=int(engine.get('kv-tokens') or 0))
+        model = EngineModel(
+            kv_tokens=check_integer(engine.get('kv-tokens') or 0)
+        )
     return ServiceSpec(row['name'], model)
 
 
--- a/peridotrill/platform/engine_orders.py
+++ b/peridotrill/platform/engine_orders.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 from typing import Any, Final, final
 
-from peridotrill.codec import decode_json, encode_json
+from peridotrill.codec import check_integer, decode_json, encode_json
 from peridotrill.exceptions import (
     CodecError,
     TargetOutcomeUnknown,
@@ -67,7 +67,7 @@
             'stage': role.value,
             'holder': self._holder,
             'fence': fence,
-            'precondition': int(report['seq']),
+            'precondition': check_integer(report['seq']),
         }
         response = await self._calls.send(
             target,
--- a/peridotrill/platform/engine_parts.py
+++ b/peridotrill/platform/engine_parts.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 from typing import Any, Final, final
 
-from peridotrill.codec import decode_json
+from peridotrill.codec import check_integer, check_text, decode_json
 from peridotrill.exceptions import CodecError, TargetOutcomeUnknown
 from peridotrill.gateway.part_directory import MIN_PART_TOKENS, PartLocation
 from peridotrill.gateway.targets import TargetRecord
@@ -44,7 +44,10 @@
     """
     listing: Any = decode_json(body)
     try:
-        rows = [(str(row[1]), int(row[2])) for row in listing['held']]
+        rows = [
+            (check_text(row[1]), check_integer(row[2]))
+            for row in listing['held']
+        ]
     except _DECODE_ERRORS as error:
         raise CodecError(f'invalid part listing: {error!r}') from error
     return [
--- a/peridotrill/platform/wire.py
+++ b/peridotrill/platform/wire.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 from typing import Any, Final
 
-from peridotrill.codec import decode_json
+from peridotrill.codec import check_integer, decode_json
 from peridotrill.exceptions import CodecError
 from peridotrill.gateway.caller_server import RawRequest
 from peridotrill.gateway.error_responses import NOT_RUN_STATUSES
@@ -27,8 +27,8 @@
 _BEARER_PREFIX: Final = b'bearer '
 # Raised while decoding a malformed document.
 _DECODE_ERRORS: Final = (KeyError, TypeError, ValueError, ArithmeticError)
-# Far above any prompt; small enough that sums of counts are exact.
-_MAX_TOKENS: Final = 10**9
+# Far above any prompt or queue; small enough that sums of counts are exact.
+_MAX_COUNT: Final = 10**9
 # Handles are inserted into request lines and headers, so other characters
 # would allow injection.
 _HANDLE_PATTERN: Final = re.compile(r'[\w.~-]+', re.ASCII)
@@ -152,7 +152,7 @@
     try:
         prompt = PrefilledPrompt(
             str(document['handle']),
-            int(document['tokens']),
+            check_integer(document['tokens']),
         )
     except _DECODE_ERRORS as error:
         raise CodecError(f'invalid prefill response: {error!r}') from error
@@ -194,11 +194,11 @@
     return number
 
 
-def _decode_tokens(value: bytes) -> int:
-    tokens = int(value)
-    if not 0 <= tokens <= _MAX_TOKENS:
-        raise ValueError('token count is out of range')
-    return tokens
+def _decode_count(value: bytes) -> int:
+    count = int(value)
+    if not 0 <= count <= _MAX_COUNT:
+        raise ValueError('count is out of range')
+    return count
 
 
 def _decode_prompt(fields: dict[bytes, bytes]) -> Prompt | None:
@@ -210,12 +210,12 @@
     for row in fields.get(names.PROMPT_PREFIX, b'').split(b','):
         part_id, _, tokens = row.strip().partition(b':')
         if part_id:
-            parts.append(PromptPart(part_id.decode(), _decode_tokens(tokens)))
+            parts.append(PromptPart(part_id.decode(), _decode_count(tokens)))
     hint = fields.get(names.LENGTH_HINT)
     return Prompt(
         model=fields.get(names.MODEL, b'').decode('latin-1'),
-        prompt_tokens=_decode_tokens(prompt_tokens),
-        max_output_tokens=_decode_tokens(output_tokens),
+        prompt_tokens=_decode_count(prompt_tokens),
+        max_output_tokens=_decode_count(output_tokens),
         parts=tuple(parts),
         expected_output_tokens=None if hint is None else _decode_hint(hint),
     )
@@ -234,7 +234,9 @@
     if value is None:
         return None
     try:
-        running, waiting, slots = (int(part) for part in value.split(b','))
+        running, waiting, slots = (
+            _decode_count(part) for part in value.split(b',')
+        )
     except ValueError:
         return None
     return TargetLoad(running, waiting, slots)
--- a/peridotrill/settings.py
+++ b/peridotrill/settings.py
@@ -21,6 +21,7 @@
 ENVIRONMENT_PREFIX: Final = 'PERIDOTRILL_'
 EXIT_USAGE: Final = 2
 _MAX_PORT: Final = 65535
+_PORT: Final = re.compile('[0-9]{1,5}')
 _DURATION: Final = re.compile(r'(\d+(?:\.\d+)?)(ms|s|m|h)')
 _UNITS: Final = {
     'ms': 'milliseconds',
@@ -82,7 +83,7 @@
 def parse_address(text: str) -> Address:
     """:param text: ``IP:port``; raises ValueError."""
     host, separator, port = text.rpartition(':')
-    if not separator or not port.isdecimal() or int(port) > _MAX_PORT:
+    if not separator or not _PORT.fullmatch(port) or int(port) > _MAX_PORT:
         raise ValueError('must be an IP address and a port, IP:port')
     ipaddress.ip_address(host)
     return Address(host, int(port))
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import json
 import time
 
 from peridotrill.codec import decode_json, encode_json
@@ -57,6 +58,8 @@
         # Cached prompt parts with their token counts.
         self.parts: list[tuple[str, int]] = []
         self.orders: list[dict] = []
+        # Reported instead of the number of orders, unless it is 0.
+        self.reported_orders: int | None = 0
         # Number of role orders to execute without a response.
         self.order_responses_to_drop = 0
         # Whether an order is in progress.
@@ -104,7 +107,8 @@
         }
         if self.role is not None:
             content['stage'] = self.role
-        return encode_json({**content, **changes})
+        # Integers of any size, which the product's encoder refuses.
+        return json.dumps({**content, **changes}).encode()
 
     async def handle(self, request, responder) -> None:
         """Handle one request."""
@@ -216,10 +220,14 @@
         if path == '/-/report':
             report = {
                 'stage': self.role,
-                'seq': len(self.orders),
+                'seq': (
+                    len(self.orders)
+                    if self.reported_orders == 0
+                    else self.reported_orders
+                ),
                 'busy': self.is_busy,
             }
-            responder.send(_OK, [], encode_json(report))
+            responder.send(_OK, [], json.dumps(report).encode())
         elif path == '/-/kv-list':
             held = [['', part, tokens, 'm'] for part, tokens in self.parts]
             listing = {'epoch': 1, 'next': 1, 'held': held}
--- a/tests/test_gateway_codecs.py
+++ b/tests/test_gateway_codecs.py
@@ -31,6 +31,7 @@
     encode_message,
 )
 from peridotrill.gateway.requests import RequestKind
+from peridotrill.gateway.role_controller import ACCEPTED
 from peridotrill.gateway.target_connections import (
     ConnectionPool,
     ResponseHead,
@@ -45,6 +46,7 @@
 from peridotrill.gateway.targets import TargetRole
 from peridotrill.platform import wire
 from peridotrill.platform.configuration import decode_configuration
+from peridotrill.platform.engine_orders import EngineOrders
 from peridotrill.platform.engine_parts import decode_parts
 from peridotrill.platform.node_settings import read_node_settings
 from peridotrill.platform.store import (
@@ -137,6 +139,23 @@
         {'born': 1.5},
         {'zone': 7},
         {'service': None},
+        {'version': None},
+        {'version': 1},
+        {'version': 'v' * 300},
+        {'slots': 2**63},
+        {'slots': 10**400},
+        {'seq': -1},
+        {'seq': 10**30},
+        {'born': 2**64},
+        {'born': -1},
+        {'addr': '10.0.0.1:0'},
+        {'addr': '10.0.0.1:65536'},
+        {'addr': '10.0.0.1:\u0668\u0660'},
+        {'addr': '0.0.0.0:80'},
+        {'addr': '224.0.0.1:80'},
+        {'addr': 'fe80::1%eth0:80'},
+        {'zone': 'a\r\nX-Peridotrill-Tenant: other'},
+        {'zone': 'z' * 300},
     ],
 )
 def test_target_record_with_an_invalid_field_is_rejected(changes):
@@ -150,6 +169,53 @@
         decode_target('i-1', engine.record('127.0.0.1:80', **changes))
 
 
+@pytest.mark.parametrize(
+    'target_id', ['', 'i-1\r\nX-Peridotrill-Tenant: other', 'i' * 300, 'i-\xe9']
+)
+def test_target_id_that_cannot_be_sent_is_rejected(target_id):
+    # Guards against headers that another writer of the records makes up.
+    engine = ScriptedEngine('i-1', 'till', 'a')
+    with pytest.raises(CodecError):
+        decode_target(target_id, engine.record('127.0.0.1:80'))
+
+
+@pytest.mark.parametrize(
+    'load', [b'1,2', b'1,-2,3', b'1,2,%d' % 10**400, b'1,%d,3' % 2**64]
+)
+def test_load_out_of_range_is_ignored(load):
+    # Guards against a sum of loads that overflows and fails each placement.
+    head = ResponseHead(200, [(b'x-peridotrill-engine-load', load)])
+    assert wire.decode_response_head(head).load is None
+
+
+@pytest.mark.parametrize('number', [float('nan'), float('inf')])
+def test_report_without_finite_numbers_is_rejected(number):
+    # Guards against clocks and sums that one stray datagram makes unusable.
+    report = Report(
+        'n', 'i', 3, '127.0.0.1', 80, number, False, {}, {},
+        {}, [], {}, [],
+    )  # fmt: skip
+    assert decode_message(encode_message(report)) is None
+
+
+@pytest.mark.parametrize('sequence', [10**30, -1, None])
+def test_order_is_not_sent_on_an_unusable_report(sequence):
+    # Guards against a coordinator that fails at each step because an engine
+    # reports a number that cannot be encoded.
+    engine = ScriptedEngine('i-1', 'llm', 'a', 'decode')
+    engine.reported_orders = sequence
+
+    async def change_role():
+        async with serve_http(engine.handle) as address:
+            record = target('i-1', TargetRole.DECODE, address=address)
+            return await EngineOrders('n', 0.5).change_role(
+                record, TargetRole.PREFILL, 1
+            )
+
+    assert anyio.run(change_role) != ACCEPTED
+    assert not engine.orders
+
+
 @given(_json)
 def test_arbitrary_configuration_decodes_or_raises(content):
     try:
--- a/tests/test_gateway_reporting.py
+++ b/tests/test_gateway_reporting.py
@@ -271,3 +271,30 @@
     sharing.handle_listing(PartListing('g2', []))
     anyio.run(sharing.ask_engines)
     assert lister.asked == []
+
+
+class RefusingTransport:
+    """Transport that refuses the address of one member."""
+
+    def __init__(self):
+        self.sent = []
+
+    def is_closing(self):
+        return False
+
+    def sendto(self, datagram, address):
+        if address.port > 65535:
+            raise OverflowError('port must be 0-65535')
+        self.sent.append(address.port)
+
+
+def test_member_with_an_unusable_address_does_not_stop_the_reports():
+    # Guards against one address of another writer that ends the reports to all
+    # gateways.
+    gateway = Gateway(ManualClock(), 'g1')
+    transport = RefusingTransport()
+    gateway.peers.connection_made(transport)
+    for number, port in enumerate((7500, 99999, 7501)):
+        gateway.peers.add_member(f'm{number}', Address('127.0.0.1', port))
+    gateway.peers.send(gateway.reporting.make_report())
+    assert transport.sent == [7500, 7501]
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -419,6 +419,65 @@
     assert call(gateway, '/pay/x', 'forged-1').status_code == 200
 
 
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'[' * 100_000,
+        b'{"a":' * 100_000 + b'1' + b'}' * 100_000,
+        {'slots': 10**400},
+        {'seq': 10**400},
+        {'born': 10**400},
+        {'addr': '127.0.0.1:99999'},
+        {'addr': '127.0.0.1:0'},
+        {'addr': '0.0.0.0:80'},
+        {'zone': 'a\r\nb'},
+    ],
+    ids=(
+        'nested list',
+        'nested object',
+        'slots',
+        'seq',
+        'born',
+        'high port',
+        'port 0',
+        'unspecified address',
+        'line break',
+    ),
+)
+@pytest.mark.parametrize('engine_id', ['i-till-1', 'i-dec-1'])
+def test_odd_entry_neither_ends_nor_stops_a_gateway(
+    site, gateway, request_id, engine_id, content
+):
+    # Guards against one entry of another writer that ends the processes that
+    # read the list, keeps them from following it, or fails their requests.
+    process = gateway.process
+    start = len(gateway.read_log())
+    if isinstance(content, dict):
+        content = site.engines[engine_id].record(
+            site.addresses[engine_id], **content
+        )
+    site.portal.call(site.store.put, 'keyed.servers', 'i-odd', content)
+    site.register(engine_id, slots=9)
+    wait_until(
+        lambda: (
+            f'target_changed process={gateway.node} target={engine_id} '
+            in gateway.read_log()[start:]
+        ),
+        3,
+    )
+    site.register(engine_id)
+    for path, headers in (('/pay/x', {}), ('/draft/x', prompt_headers())):
+        response = call(gateway, path, f'{request_id}{path}', **headers)
+        assert response.status_code == 200
+    log = gateway.read_log()[start:]
+    assert 'target=i-odd' in log
+    assert 'fault' not in log
+    assert 'target_changed process=front-a-1 target=i-odd' not in log
+    assert gateway.process is process
+    assert process.poll() is None
+    site.remove('i-odd')
+
+
 def test_new_configuration_applies_and_older_one_is_ignored(site, gateway):
     # Guards against removed routes that are still served, and against an
     # older version that replaces a newer one.
