Bound the time for which a held read can hide a target that leaves

Requests reached an engine up to 2.2 s after the store had confirmed that it leaves (DRAIN): a read that the store holds may hear nothing of a change until it ends, after 1.5 s, and a removed target is used for another 0.8 s.

The new test failed before.

--- a/peridotrill/gateway_followers.py
+++ b/peridotrill/gateway_followers.py
@@ -29,11 +29,13 @@
 # How long the store holds a read without new records. In normal operation the
 # configuration is never older than twice this time.
 _CONFIG_WAIT: Final = timedelta(seconds=1.2)
-# Target records change about once per second.
-_TARGETS_WAIT: Final = timedelta(seconds=1.5)
 # Pause between two reads, as a ratio of the time for which a draining target
 # still serves. Targets write often; reading in batches saves calls.
 _TARGETS_PAUSE_RATIO: Final = 0.3
+# Maximum time for which the store holds a read of target records, as a ratio of
+# the same time: a held read may miss a target that leaves. With the pause and the
+# time for which a removed target is still used, it is below 1.
+_TARGETS_WAIT_RATIO: Final = 0.15
 # A configuration must apply soon after it is written.
 _NO_PAUSE: Final = timedelta(0)
 # Delay between attempts to exchange addresses with an unreachable store; the
@@ -72,9 +74,7 @@
         self._log = log
         # Generation of the store that holds the address of this gateway.
         self._joined_generation: int | None = None
-        pause = timedelta(
-            milliseconds=node.bounds.drain_ms * _TARGETS_PAUSE_RATIO,
-        )
+        drain = timedelta(milliseconds=node.bounds.drain_ms)
         self._configuration = self._follower(
             names.CONFIG_TOPIC,
             PollTimings(_CONFIG_WAIT, _NO_PAUSE),
@@ -82,7 +82,9 @@
         )
         self._targets = self._follower(
             names.SERVERS_TOPIC,
-            PollTimings(_TARGETS_WAIT, pause),
+            PollTimings(
+                drain * _TARGETS_WAIT_RATIO, drain * _TARGETS_PAUSE_RATIO
+            ),
             clock,
         )
         self._applier = RecordApplier(
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -30,7 +30,7 @@
     """Keeps partition 0 of each topic in memory.
 
     ``fault`` is empty or one of ``down`` (503 to every request), ``silent``
-    (no responses) and ``lose_appends`` (appends take effect, but their
+    (no responses), ``deaf`` (held reads hear of no change until they end) and ``lose_appends`` (appends take effect, but their
     connections are closed without a response). Each response names the
     ``generation``, which rises when the store is restored from a copy.
     """
@@ -122,6 +122,8 @@
 
     async def _wait_for(self, topic, start, wait_ms) -> None:
         with anyio.move_on_after(wait_ms / 1000):
+            if self.fault == 'deaf' and self._end_offset(topic) <= start:
+                await asyncio.Event().wait()
             async with self._changed:
                 while self._end_offset(topic) <= start:
                     await self._changed.wait()
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -13,6 +13,7 @@
 from tests.gateway_builders import without_key
 from tests.gateway_site import (
     ROOT,
+    SERVERS_TOPIC,
     SIGCONT,
     SIGKILL,
     SIGSTOP,
@@ -37,6 +38,20 @@
     ).status_code
 
 
+def test_target_that_leaves_while_held_reads_hear_nothing_is_not_used(site):
+    # Guards against requests to a target that left more than two seconds ago
+    # (DRAIN): a held read, the pause and the grace period add up.
+    (gateway,) = site.start_gateways('front-a-1')
+    site.store.fault = 'deaf'
+    reads = site.store.calls[SERVERS_TOPIC]
+    wait_until(lambda: site.store.calls[SERVERS_TOPIC] > reads + 1, 5)
+    site.remove('i-till-1')
+    removed_s = time.monotonic()
+    while 'target_gone' not in gateway.read_log():
+        assert status_of(gateway) == 200
+    assert time.monotonic() - removed_s < 2
+
+
 def test_withdrawn_key_is_rejected_while_store_is_unresponsive(site):
     # Guards against withdrawn keys that keep working at a gateway that cannot
     # read the new configuration.
