Pass a payment on during a drain only if its deadline is in the grace period

Report from other systems: requests that came late in the grace period of a planned stop were passed on and cut off at its end. Here a plain request was passed on if its latency goal was left, so that a payment that took longer was given up 0.9 s before the end with 502, and its caller could not know whether it ran. It did get that response; no connection ended without one.

Requests that may not be repeated are now refused as not run (503, gateway_stopping) unless their whole deadline fits, as streams were before. Entries with agents wait for each request to end, without a limit (read only).

--- a/peridotrill/gateway/request_handler.py
+++ b/peridotrill/gateway/request_handler.py
@@ -185,12 +185,12 @@
     def _latest_end_s(self, context: RequestContext) -> float:
         """Return when the request should have ended, as a monotonic time.
 
-        A stream lasts for as long as its output, a plain request much shorter
-        than its deadline.
+        A stream lasts for as long as its output, and a request that may not be
+        repeated must not be given up. Others take much less than their time.
         """
-        if context.route.kind is RequestKind.STREAM:
-            return context.deadline_s
-        return context.request.received_s + context.route.goal_ms / 1000
+        if context.route.kind is RequestKind.IDEMPOTENT:
+            return context.request.received_s + context.route.goal_ms / 1000
+        return context.deadline_s
 
     def _find_team(
         self,
