Send nothing more to a target that says that it leaves

A target names its leaving in all its responses (Server-Leaving), also before its record does or when that never does. Such a target counts as draining until its process has ended. The header is not forwarded.

--- a/peridotrill/gateway/cluster_state.py
+++ b/peridotrill/gateway/cluster_state.py
@@ -59,6 +59,8 @@
         self._drops_at_s: dict[str, float] = {}
         # Targets whose records were deleted and that have not written again.
         self._deleted: set[str] = set()
+        # Processes that say in their responses that they leave.
+        self._leaving: set[str] = set()
         # Last records of targets that are gone, and the times of their end.
         self._gone: dict[str, tuple[TargetRecord, float]] = {}
         self._relisted_at_s = -math.inf
@@ -169,6 +171,8 @@
                 sequence=record.sequence,
             )
             return
+        if record.process in self._leaving:
+            record = record._replace(is_draining=True)
         self._drops_at_s.pop(record.target_id, None)
         self._deleted.discard(record.target_id)
         self._gone.pop(record.target_id, None)
@@ -194,9 +198,25 @@
             current.started_ms != record.started_ms
             or current.address != record.address
         ):
+            self._leaving.discard(current.process)
             self.on_target_gone(current)
         self.on_change()
 
+    def mark_leaving(self, target: TargetRecord) -> None:
+        """Use a target no longer that has said that it leaves.
+
+        Its record may say so later, or never.
+        """
+        current = self._targets.get(target.target_id)
+        if (
+            current is None
+            or current.is_draining
+            or current.process != target.process
+        ):
+            return
+        self._leaving.add(current.process)
+        self.update_target(current)
+
     def _is_outdated(self, record: TargetRecord) -> bool:
         """Whether a record was written before what is known of its target.
 
@@ -281,6 +301,7 @@
             if now_s >= drops_at_s:
                 self._drops_at_s.pop(target_id)
                 gone = self._targets.pop(target_id)
+                self._leaving.discard(gone.process)
                 if target_id in self._deleted or gone.is_draining:
                     self._remember_gone(gone, now_s)
                 self._deleted.discard(target_id)
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -289,6 +289,8 @@
     ) -> TargetResponse:
         response = await self.shared.targets.read_response_head(exchange)
         self.shared.limits.observe(target.target_id, response.limit_per_s)
+        if response.is_leaving:
+            self.shared.cluster_state.mark_leaving(target)
         return response
 
     def can_retry_elsewhere(self) -> bool:
--- a/peridotrill/gateway/target_messages.py
+++ b/peridotrill/gateway/target_messages.py
@@ -42,7 +42,8 @@
     status makes no unproven claim that the request did not run. ``not_run``
     means that the target did not run the request, ``is_wrong_target`` that
     the address now belongs to another target. ``limit_per_s`` is the number of
-    requests per second that the target accepts from all gateways together.
+    requests per second that the target accepts from all gateways together, and
+    ``is_leaving`` means that the target is about to end.
     """
 
     status: int
@@ -52,6 +53,7 @@
     is_wrong_target: bool
     load: TargetLoad | None
     limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
 class PrefilledPrompt(NamedTuple):
--- a/peridotrill/platform/names.py
+++ b/peridotrill/platform/names.py
@@ -25,6 +25,9 @@
 ENGINE_LOAD: Final = b'x-peridotrill-engine-load'
 # Requests per second that a target accepts from all callers together.
 SERVER_LIMIT: Final = b'server-limit'
+# An engine that leaves says so in all its responses.
+SERVER_LEAVING: Final = b'server-leaving'
+RETRY_AFTER: Final = b'retry-after'
 DUTY_HOLDER: Final = b'x-peridotrill-duty-holder'
 FENCE_TOKEN: Final = b'x-peridotrill-fence-token'
 # Generation of the store; it rises each time the store is restored from an
--- a/peridotrill/platform/wire.py
+++ b/peridotrill/platform/wire.py
@@ -138,11 +138,17 @@
         is_wrong_target=is_misdirected,
         load=_decode_load(head.get(names.ENGINE_LOAD)),
         limit_per_s=_decode_limit(head.get(names.SERVER_LIMIT)),
+        is_leaving=head.get(names.SERVER_LEAVING) == b'1',
     )
 
 
 _DROPPED_RESPONSE_HEADERS: Final = names.CONNECTION_HEADERS | frozenset(
-    (names.ENGINE_LOAD, names.NOT_RUN, names.SERVER_LIMIT),
+    (
+        names.ENGINE_LOAD,
+        names.NOT_RUN,
+        names.SERVER_LEAVING,
+        names.SERVER_LIMIT,
+    ),
 )
 
 
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -66,6 +66,8 @@
         self.is_busy = False
         # Requests per second that the responses name as a limit.
         self.limit_per_s: float | None = None
+        # Whether the responses say that the engine leaves.
+        self.is_leaving = False
         # Monotonic times at which requests arrived.
         self.received_s: list[float] = []
         self.deadly_part = ''
@@ -261,6 +263,8 @@
         if self.limit_per_s is not None:
             limit = str(self.limit_per_s).encode()
             headers.append((b'Server-Limit', limit))
+        if self.is_leaving:
+            headers.append((b'Server-Leaving', b'1'))
         return headers
 
 
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -409,6 +409,39 @@
         yield name, found[-1]
 
 
+def test_target_that_says_that_it_leaves_gets_no_new_requests(
+    site, gateway, request_id
+):
+    # Guards against requests to a leaving target whose record does not say so yet
+    # (DRAIN).
+    engine = site.engines['i-till-1']
+    engine.is_leaving = True
+    before = len(engine.received)
+    responses = [
+        call(gateway, '/pay/x', f'{request_id}-{number}')
+        for number in range(10)
+    ]
+    site.register('i-till-1')
+    responses += [
+        call(gateway, '/pay/x', f'{request_id}-later-{number}')
+        for number in range(4)
+    ]
+    engine.is_leaving = False
+    arrived = len(engine.received) - before
+    engine.restart()
+    site.register('i-till-1')
+    wait_until(
+        lambda: all(
+            'leaving=False' in line
+            for _, line in _last_changes(gateway, ['i-till-1'])
+        ),
+        3,
+    )
+    assert [row.status_code for row in responses] == [200] * 14
+    assert arrived == 1
+    assert not any('server-leaving' in row.headers for row in responses)
+
+
 def test_unreadable_target_records_are_ignored(site, gateway):
     # Guards against a crash, or the loss of a target, because of an
     # unreadable record in the store.
