Send nothing to a target for the time that it asks for

A target that turns a request away with 503 may name a time in which it wants nothing from this gateway (Retry-After). It was retried like any other. It is now left out until then; requests wait for it only if the pause ends before their deadline, else they are refused at once. The new test of a live gateway failed before.

--- a/peridotrill/gateway/placement.py
+++ b/peridotrill/gateway/placement.py
@@ -1,6 +1,7 @@
 """Placement of requests: which targets may take a request, and when."""
 
 import enum
+import math
 from typing import Final, final
 
 from peridotrill.clock import Clock
@@ -77,6 +78,7 @@
         self._clock = clock
         self._local_zone = local_zone
         self.parts = PartDirectory(_DEFAULT_MEMORY_TOKENS)
+        self._health = health
         self._loads = Loads(loads.total, health.is_avoided)
         self._engine_loads = EngineLoads(
             self._prefill_ms,
@@ -112,15 +114,19 @@
         excluded: set[str],
         role: TargetRole | None = None,
         version: str | None = None,
+        by_s: float = math.inf,
     ) -> bool:
         """Return whether a service has a target that is not excluded.
 
         :param role: role that the target must have; None for any.
 
         :param version: software version of the output; None for any.
+
+        :param by_s: targets that want no requests until then do not count.
         """
         return any(
             row.target_id not in excluded
+            and self._health.paused_until_s(row.target_id) < by_s
             for row in self._cluster_state.usable_targets(
                 service, role, version
             )
@@ -294,6 +300,7 @@
                 service, role, version
             )
             if row.target_id not in excluded
+            and self._health.paused_until_s(row.target_id) == -math.inf
         ]
         healthy = [
             row for row in targets if not self._loads.is_avoided(row.target_id)
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -188,7 +188,11 @@
         if self.route.kind is RequestKind.STREAM:
             role = TargetRole.DECODE
         return self.shared.placement.has_target(
-            self.service, excluded, role, self.stream_version
+            self.service,
+            excluded,
+            role,
+            self.stream_version,
+            self.deadline_s,
         )
 
     async def require_target(self, excluded: set[str]) -> None:
@@ -291,6 +295,8 @@
         self.shared.limits.observe(target.target_id, response.limit_per_s)
         if response.is_leaving:
             self.shared.cluster_state.mark_leaving(target)
+        if response.pause_s is not None:
+            self.shared.health.pause(target.target_id, response.pause_s)
         return response
 
     def can_retry_elsewhere(self) -> bool:
--- a/peridotrill/gateway/target_health.py
+++ b/peridotrill/gateway/target_health.py
@@ -14,6 +14,8 @@
 _SUCCESS_FACTOR: Final = 0.8
 # Limits the time for which a target is avoided to three seconds.
 _MAX_PENALTY: Final = 6.0
+# Limits what one response of a target can ask for.
+_MAX_PAUSE_S: Final = 600.0
 
 
 class Failure(enum.Enum):
@@ -37,6 +39,22 @@
         """Start without penalties."""
         self._clock = clock
         self._penalties: dict[str, tuple[float, float]] = {}
+        # Until when targets want no requests from this gateway.
+        self._paused_until_s: dict[str, float] = {}
+
+    def pause(self, target_id: str, duration_s: float) -> None:
+        """Record that a target wants no requests for some time."""
+        until_s = self._clock.monotonic_s() + min(duration_s, _MAX_PAUSE_S)
+        known_s = self._paused_until_s.get(target_id, until_s)
+        self._paused_until_s[target_id] = max(until_s, known_s)
+
+    def paused_until_s(self, target_id: str) -> float:
+        """Return when a target wants requests again; negative infinity if now."""
+        until_s = self._paused_until_s.get(target_id, -math.inf)
+        if until_s > self._clock.monotonic_s():
+            return until_s
+        self._paused_until_s.pop(target_id, None)
+        return -math.inf
 
     def record_success(self, target_id: str) -> None:
         """Record a complete response."""
@@ -50,8 +68,9 @@
         self._penalties[target_id] = (penalty, self._clock.monotonic_s())
 
     def forget(self, target_id: str) -> None:
-        """Drop the penalty of a target that was removed or replaced."""
+        """Drop what is known of a target that was removed or replaced."""
         self._penalties.pop(target_id, None)
+        self._paused_until_s.pop(target_id, None)
 
     def penalty(self, target_id: str) -> float:
         """Return the current penalty."""
--- a/peridotrill/gateway/target_messages.py
+++ b/peridotrill/gateway/target_messages.py
@@ -43,7 +43,8 @@
     means that the target did not run the request, ``is_wrong_target`` that
     the address now belongs to another target. ``limit_per_s`` is the number of
     requests per second that the target accepts from all gateways together, and
-    ``is_leaving`` means that the target is about to end.
+    ``is_leaving`` means that the target is about to end. For ``pause_s`` a
+    target that has turned a request away wants no others.
     """
 
     status: int
@@ -54,6 +55,7 @@
     load: TargetLoad | None
     limit_per_s: float | None = None
     is_leaving: bool = False
+    pause_s: float | None = None
 
 
 class PrefilledPrompt(NamedTuple):
--- a/peridotrill/platform/wire.py
+++ b/peridotrill/platform/wire.py
@@ -137,8 +137,13 @@
         not_run=not_run,
         is_wrong_target=is_misdirected,
         load=_decode_load(head.get(names.ENGINE_LOAD)),
-        limit_per_s=_decode_limit(head.get(names.SERVER_LIMIT)),
+        limit_per_s=_decode_nonnegative(head.get(names.SERVER_LIMIT)),
         is_leaving=head.get(names.SERVER_LEAVING) == b'1',
+        pause_s=(
+            _decode_nonnegative(head.get(names.RETRY_AFTER))
+            if head.status == HTTPStatus.SERVICE_UNAVAILABLE
+            else None
+        ),
     )
 
 
@@ -248,12 +253,12 @@
     return TargetLoad(running, waiting, slots)
 
 
-def _decode_limit(value: bytes | None) -> float | None:
-    """Decode a rate limit; return None if it is missing or malformed."""
+def _decode_nonnegative(value: bytes | None) -> float | None:
+    """Decode a number; return None if it is missing or malformed."""
     if value is None:
         return None
     try:
-        limit_per_s = _parse_finite_float(value)
+        number = _parse_finite_float(value)
     except ValueError:
         return None
-    return limit_per_s if limit_per_s >= 0 else None
+    return number if number >= 0 else None
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -66,6 +66,8 @@
         self.is_busy = False
         # Requests per second that the responses name as a limit.
         self.limit_per_s: float | None = None
+        # Time for which a response that turns a request away asks for none.
+        self.retry_after_s: float | None = None
         # Whether the responses say that the engine leaves.
         self.is_leaving = False
         # Monotonic times at which requests arrived.
@@ -146,6 +148,9 @@
                 *self._request_id_headers(request_id),
                 (b'X-Peridotrill-Not-Run', b'1'),
             ]
+            if self.retry_after_s is not None:
+                pause = str(self.retry_after_s).encode()
+                not_run_headers.append((b'Retry-After', pause))
             responder.send(_UNAVAILABLE, not_run_headers, b'')
             return
         if headers.get('x-peridotrill-stage') == 'prefill':
--- a/tests/test_gateway_placement.py
+++ b/tests/test_gateway_placement.py
@@ -626,6 +626,28 @@
     assert not placement.has_target('till', {'i-1'})
 
 
+def test_request_waits_only_for_a_pause_that_ends_before_its_deadline():
+    # Guards against requests that are held until their deadline, and against
+    # those that are refused though their target wants requests again in time.
+    clock = ManualClock()
+    health = TargetHealth(clock)
+    placement = Placement(
+        cluster_state_with(clock, target('i-1')),
+        LoadTracker(clock),
+        health,
+        TargetLimits('n', list, clock, RecordingLog()),
+        clock,
+        'a',
+    )
+    health.pause('i-1', 2)
+    now_s = clock.monotonic_s()
+    assert placement.plain_finder('till', set())() is None
+    assert placement.has_target('till', set(), by_s=now_s + 3)
+    assert not placement.has_target('till', set(), by_s=now_s + 1)
+    advance(clock, 2.1)
+    assert placement.plain_finder('till', set())() is not None
+
+
 def test_limited_target_gets_the_requests_that_its_limit_allows():
     # Guards against placement that chooses a limited target because it looks
     # idle.
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -442,6 +442,31 @@
     assert not any('server-leaving' in row.headers for row in responses)
 
 
+def test_target_that_asks_for_a_pause_gets_no_requests_until_its_end(
+    site, gateway, request_id
+):
+    # Guards against requests to a target that has turned one away for a time
+    # (BUDGET).
+    engine = site.engines['i-till-1']
+    engine.plan = ['shed']
+    engine.retry_after_s = 1.5
+    numbers = itertools.count()
+
+    def send():
+        response = call(gateway, '/pay/x', f'{request_id}-{next(numbers)}')
+        assert response.status_code == 200
+
+    while engine.plan:
+        send()
+    turned_away_s = time.monotonic()
+    arrived = len(engine.received)
+    while time.monotonic() < turned_away_s + 1.3:
+        send()
+    assert len(engine.received) == arrived
+    wait_until(lambda: send() or len(engine.received) > arrived, 3)
+    engine.retry_after_s = None
+
+
 def test_unreadable_target_records_are_ignored(site, gateway):
     # Guards against a crash, or the loss of a target, because of an
     # unreadable record in the store.
