Write the archived versions again after a restore, and by a new coordinator

Versions whose records named an older generation of the store were never written again if all gateways had been down, so that each later start distrusted the archive; a gateway that becomes coordinator now reads it first. A service name with a slash could hide a version: the keys are JSON now. The version of a stream is set once, and only engines that do prefill replace a lost decode engine. The test of the restored archive now covers that too.

--- a/peridotrill/codec.py
+++ b/peridotrill/codec.py
@@ -10,7 +10,8 @@
 # Integers up to here are exact as floats and fit into all encodings; sums of
 # larger ones would overflow far from the record that they came with.
 MAX_INTEGER: Final = 2**53
-_MAX_TEXT_CHARACTERS: Final = 128
+# Two names fit into a key of the store, which has at most 255 bytes.
+_MAX_TEXT_CHARACTERS: Final = 100
 
 
 def decode_json(payload: bytes | str) -> Any:
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -54,8 +54,8 @@
     ``target_spent`` the requests of this process to limited targets.
     ``config_version`` is the version of the configuration in force, and
     ``committed`` the final usage counts of the last windows, sent by the
-    holder of the lease. ``begun_streams`` are the streams that have begun at
-    the sender since its last report.
+    holder of the lease. ``begun_streams`` are streams that have begun at the
+    sender; each is in two consecutive reports.
     """
 
     node: str
--- a/peridotrill/gateway/role_planner.py
+++ b/peridotrill/gateway/role_planner.py
@@ -130,13 +130,14 @@
         :param engines: engines in service, the preferred one first.
         """
         now_s = self._clock.monotonic_s()
-        if not engines or has_decode(engines):
+        prefill = [row for row in engines if row.role is TargetRole.PREFILL]
+        if not prefill or has_decode(engines):
             self._undecoded_since_s.pop(service, None)
             return None
         since_s = self._undecoded_since_s.setdefault(service, now_s)
         if now_s - since_s < _REGISTRATION_TIME_S:
             return None
-        return RoleChange(engines[0], TargetRole.DECODE)
+        return RoleChange(prefill[0], TargetRole.DECODE)
 
     def plan(
         self,
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -544,7 +544,7 @@
     def _record_origin(self) -> None:
         """Let the stream, and its callers, go on at its version only."""
         context = self._context
-        version = self._software_version()
+        version = context.stream_version or self._software_version()
         if version is None:
             return
         context.stream_version = version
--- a/peridotrill/gateway/version_archive.py
+++ b/peridotrill/gateway/version_archive.py
@@ -11,7 +11,12 @@
 
 import anyio
 
-from peridotrill.exceptions import AppendOutcomeUnknown, LogUnavailable
+from peridotrill.codec import check_text, decode_json, encode_json
+from peridotrill.exceptions import (
+    AppendOutcomeUnknown,
+    CodecError,
+    LogUnavailable,
+)
 from peridotrill.gateway.cluster_state import ClusterState
 from peridotrill.gateway.event_log import EventSink
 from peridotrill.gateway.store_follower import Page
@@ -21,7 +26,6 @@
 # A gateway without the lease writes a version that is missing after this many
 # steps; until then the coordinator is expected to.
 _PATIENT_STEPS: Final = 4
-_SEPARATOR: Final = '/'
 # The longest key that the store accepts.
 _MAX_KEY_BYTES: Final = 255
 
@@ -58,10 +62,11 @@
         self._history = cluster_state.versions
         self._topic = topic
         self._log = log
-        # Keys in the store, and the generation of the store that holds them.
-        self._saved: set[str] = set()
-        self._generation = 0
+        # Records in the store, as far as known: each names the generation of the
+        # store in which it was written.
+        self._saved: dict[str, bytes] = {}
         self._missing_steps = 0
+        self._was_coordinator = False
 
     async def step(self, is_coordinator: bool) -> None:
         """Read the archive if it is needed, and write what it lacks.
@@ -75,57 +80,72 @@
             self._log.write('versions_not_archived', error=str(error))
 
     async def _step(self, is_coordinator: bool) -> None:
-        if not self._history.is_complete:
+        # Another coordinator may have deleted what this gateway has saved.
+        is_new = is_coordinator and not self._was_coordinator
+        if is_new or not self._history.is_complete:
             await self._load()
-        if self._generation != self._topic.generation:
-            # The store was restored, perhaps from a copy without some records.
-            self._generation = self._topic.generation
-            self._saved.clear()
+        self._was_coordinator = is_coordinator
         current = self._current_keys()
-        missing = current - self._saved
-        self._missing_steps = self._missing_steps + 1 if missing else 0
+        is_missing = bool(self._missing(current))
+        self._missing_steps = self._missing_steps + 1 if is_missing else 0
+        if not is_coordinator and self._missing_steps > _PATIENT_STEPS:
+            await self._load()
         if is_coordinator or self._missing_steps > _PATIENT_STEPS:
-            if not is_coordinator:
-                await self._load()
-            for key in current - self._saved:
-                await self._write(key)
+            for key in self._missing(current):
+                await self._put(key, self._content)
         if is_coordinator:
-            for key in self._saved - current:
-                await self._topic.put(key, b'')
-                self._saved.discard(key)
+            for key in self._saved.keys() - current:
+                await self._put(key, b'')
+
+    @property
+    def _content(self) -> bytes:
+        return b'%d' % self._topic.generation
+
+    def _missing(self, current: set[str]) -> list[str]:
+        """Return the keys that the store lacks.
 
-    async def _write(self, key: str) -> None:
-        content = b'%d' % self._topic.generation
-        self._generation = await self._topic.put(key, content)
-        self._saved.add(key)
+        A store that was restored from an older copy may lack any of them.
+        """
+        return [key for key in current if self._saved.get(key) != self._content]
+
+    async def _put(self, key: str, content: bytes) -> None:
+        await self._topic.put(key, content)
+        if content:
+            self._saved[key] = content
+        else:
+            self._saved.pop(key, None)
 
     async def _load(self) -> None:
         """Add the archived versions to the history."""
         page = await self._topic.newest()
-        generation = self._topic.generation
         rows = {key: content for key, content in page.rows if content}
-        self._saved, self._generation = set(rows), generation
+        self._saved = rows
         for key in rows:
-            service, _, version = key.partition(_SEPARATOR)
-            self._history.see(service, version)
+            self._see(key)
         if not self._history.is_complete:
-            is_current = all(
-                content == b'%d' % generation for content in rows.values()
-            )
-            if not rows or not is_current:
-                # Versions may be missing from the copy that was restored.
+            # Versions may be missing from the copy that was restored.
+            is_trusted = set(rows.values()) == {self._content}
+            if not is_trusted:
                 self._history.distrust()
             self._history.is_complete = True
             self._log.write(
-                'versions_loaded', versions=','.join(rows), trusted=is_current
+                'versions_loaded', versions=','.join(rows), trusted=is_trusted
             )
 
+    def _see(self, key: str) -> None:
+        try:
+            service, version = map(check_text, decode_json(key))
+        except (CodecError, TypeError, ValueError) as error:
+            self._log.write('version_unreadable', key=key, error=str(error))
+            return
+        self._history.see(service, version)
+
     def _current_keys(self) -> set[str]:
         return {
-            key
+            key.decode()
             for service in self._history.services()
             for version in self._history.recent(service)
-            if len(key := f'{service}{_SEPARATOR}{version}') <= _MAX_KEY_BYTES
+            if len(key := encode_json((service, version))) <= _MAX_KEY_BYTES
         }
 
 
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -22,6 +22,7 @@
 
 _OLD = StreamOrigin('llm', 'v1')
 _NEW = StreamOrigin('llm', 'v2')
+_KEY_V1, _KEY_V2 = '["llm","v1"]', '["llm","v2"]'
 _MAX_DATAGRAM_BYTES = 8192
 
 
@@ -194,7 +195,7 @@
     assert started.sole_version is None
     started.step(is_coordinator=True, steps=125)
     assert started.sole_version == 'v2'
-    assert topic.versions == {'llm/v2'}
+    assert topic.versions == {_KEY_V2}
 
 
 def test_versions_are_unknown_until_the_archive_is_read(topic):
@@ -216,8 +217,9 @@
     started.add('i-v1', 'v1')
     started.step()
     assert started.sole_version is None
-    started.step(steps=125)
+    started.step(is_coordinator=True, steps=125)
     assert started.sole_version == 'v1'
+    assert topic.rows == {_KEY_V1: b'2'}
 
 
 def test_restore_makes_a_gateway_write_the_versions_again(topic):
@@ -226,7 +228,7 @@
     topic.rows.clear()
     topic.generation = 2
     gateway.step(is_coordinator=True)
-    assert topic.rows == {'llm/v1': b'2'}
+    assert topic.rows == {_KEY_V1: b'2'}
 
 
 def test_full_read_of_the_targets_requires_the_archive_again(topic):
@@ -235,7 +237,7 @@
     gateway = running_gateway(topic, 'v1')
     gateway.list_targets('i-v1')
     assert gateway.sole_version == 'v1'
-    topic.rows['llm/v2'] = b'1'
+    topic.rows[_KEY_V2] = b'1'
     gateway.list_targets('i-v1')
     gateway.step()
     assert gateway.sole_version is None
@@ -255,5 +257,27 @@
     gateway = VersionHarness(topic, is_first_start=True)
     gateway.add('i-v1', 'v1')
     gateway.step(steps=8)
-    assert topic.versions == {'llm/v1'}
+    assert topic.versions == {_KEY_V1}
     assert topic.writes == 1
+
+
+def test_new_coordinator_writes_what_another_one_has_deleted(topic):
+    # Guards against a version that returns and is never archived, since this
+    # gateway remembers that it once wrote it.
+    gateway = running_gateway(topic, 'v1')
+    gateway.step()
+    topic.rows[_KEY_V1] = b''
+    gateway.step(is_coordinator=True)
+    assert topic.versions == {_KEY_V1}
+
+
+@pytest.mark.parametrize('key', ['', '[]', '["llm"]', '7', '[1,2]', '\x00'])
+def test_unreadable_key_of_the_archive_is_skipped(topic, key):
+    # Guards against an entry of another writer that hides the other versions.
+    running_gateway(topic, 'v1', 'v2')
+    topic.rows[key] = b'1'
+    started = VersionHarness(topic)
+    started.add('i-v2', 'v2')
+    started.step()
+    assert started.state.versions.is_complete
+    assert started.sole_version is None
