Count a stream as usage from its first event on

Usage was too high where engines fail before they begin: an attempt that broke without an event was counted as started, but a request begins to run with its first token.

--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -381,9 +381,6 @@
         except TargetTimeout:
             self._require_retry()
         except TargetOutcomeUnknown as error:
-            # An engine whose response broke off has most likely started the
-            # request.
-            context.count_usage()
             context.record_broken_response(
                 target, error, self._sent_s, self._attempt_events
             )
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -12,6 +12,7 @@
 
 from tests.gateway_builders import without_key
 from tests.gateway_site import (
+    DECODE,
     ROOT,
     SERVERS_TOPIC,
     SIGCONT,
@@ -192,6 +193,28 @@
     assert sum(row['growers'] for row in figures.values()) == 16
 
 
+def test_stream_that_broke_before_its_first_event_is_not_usage(site):
+    # Guards against usage that is too high where engines fail before they begin:
+    # a request begins to run with its first token (154 of 817 requests were too
+    # many in one case).
+    (gateway,) = site.start_gateways('front-a-1', **{'window-s': 2})
+    numbers = itertools.count()
+    for fault in ('reset', '', 'reset', 'cut', '', 'reset'):
+        site.plan('llm', fault, role=DECODE)
+        try:
+            call(gateway, '/draft/x', f'usage-{next(numbers)}')
+        except httpx.RemoteProtocolError:
+            assert fault == 'cut'
+    wait_until(lambda: 'lease_taken' in gateway.read_log(), 10)
+
+    def count():
+        rows = _usage_by_window(site)
+        return sum(counts.get('growers', 0) for counts in rows)
+
+    wait_until(lambda: count() >= 3, 12, lambda: str(site.duties.usage))
+    assert count() == 3
+
+
 def test_requests_with_lost_responses_count_as_usage(site):
     # Guards against usage that is too low because targets run requests whose
     # responses are lost (48 of 549 requests were missing in one case).
