--- a/peridotrill/gateway/store_follower.py
+++ b/peridotrill/gateway/store_follower.py
@@ -163,10 +163,16 @@
             self._refreshed = None
 
     async def _read(self, start: int | None) -> Page:
-        """Read from an offset, or read a full snapshot if it is None."""
+        """Read from an offset, or read a full snapshot if it is None.
+
+        After a failure, a read that the store holds would confirm nothing until
+        it ends.
+        """
         if start is None:
             return await self._reader.newest()
-        wait_s = self._timings.wait.total_seconds()
+        wait_s = 0.0
+        if self._is_connected:
+            wait_s = self._timings.wait.total_seconds()
         return await self._reader.read(start, wait_s)
 
     async def _back_off(self, error: Exception) -> None:
