Replace engines by other versions in the soak, and take broken streams up

The soak had engines of one version and callers that dropped a broken stream. A decode engine is now replaced at times by a process with another id and perhaps another version, events name the version that wrote them, and callers resume broken streams at any gateway. A stream with events of two versions is a violation.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -46,6 +46,10 @@
         self.role = role
         self.started_ms = 1700000000000
         self.software_version = 'v1'
+        # Whether each event names the software version in a comment.
+        self.names_version = False
+        # Id and software version of the process that starts after the next crash.
+        self.successor: tuple[str, str] | None = None
         self.plan: list[str] = []
         self.default_fault = ''
         self.processing_s = 0.01
@@ -81,10 +85,18 @@
         self._next_report = itertools.count(1).__next__
 
     def restart(self) -> None:
-        """Start again after a crash, under the same id."""
+        """Start again after a crash, as the successor if there is one."""
         self.started_ms += 1
+        if self.successor is not None:
+            self.target_id, self.software_version = self.successor
+            self.successor = None
         self.crashed.clear()
 
+    def replace(self, target_id, software_version) -> None:
+        """End this process; another one starts at its address."""
+        self.successor = (target_id, software_version)
+        self._crash()
+
     def _is_deadly(self, path, headers) -> bool:
         if self.deadly_path and path == self.deadly_path:
             return True
@@ -210,7 +222,10 @@
         first = int(headers.get('last-event-id', '0')) + 1
         responder.start_stream(_OK, response_headers)
         for number in range(first, self.event_count + 1):
-            event = f'id: {number}\ndata: token {number}\n\n'.encode()
+            event = f'id: {number}\ndata: token {number}\n'.encode()
+            if self.names_version:
+                event += f': {self.software_version}\n'.encode()
+            event += b'\n'
             if fault in {'cut', 'half'} and number == first + 2:
                 responder.send_chunk(event[:7])
                 await asyncio.sleep(self.event_interval_s)
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -236,7 +236,8 @@
 
     def register(self, name, **changes):
         record = self.engines[name].record(self.addresses[name], **changes)
-        self.portal.call(self.store.put, SERVERS_TOPIC, name, record)
+        target_id = self.engines[name].target_id
+        self.portal.call(self.store.put, SERVERS_TOPIC, target_id, record)
 
     def remove(self, name):
         self.portal.call(self.store.put, SERVERS_TOPIC, name, b'')
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -6,11 +6,13 @@
 """
 
 import random
+import re
 import sys
 import tempfile
 import threading
 import time
 from collections import Counter
+from http import HTTPStatus
 from pathlib import Path
 
 import httpx
@@ -41,6 +43,8 @@
 # A part of each twentieth prompt, under which engines may crash.
 DEADLY_PART = 'dead'
 DEADLY_INTERVAL = 20
+# The comment with which an event names the version that wrote it.
+_VERSION = re.compile(r'^: (v\d)\n', re.MULTILINE)
 ENGINE_FAULTS = ('shed', 'reset', 'silent', 'late', 'cut', 'half', 'error')
 
 
@@ -50,8 +54,10 @@
     def __init__(self, site, seed):
         self.site = site
         self.random = random.Random(seed)
-        # A sequence of its own, so that the other faults of a seed stay.
+        # Sequences of their own, so that the other faults of a seed stay.
         self._engine_random = random.Random(f'engines {seed}')
+        self._release_random = random.Random(f'releases {seed}')
+        self.releases = 0
         self.stopping = threading.Event()
         self.outcomes = {}
         self.violations = []
@@ -60,6 +66,8 @@
 
     def run(self):
         self.site.start_gateways(*NODES, **{'window-s': 2, 'grace-s': 4})
+        for engine in self.site.engines.values():
+            engine.names_version = True
         callers = [
             threading.Thread(target=self._call_until_stopped, args=(number,))
             for number in range(CALLERS)
@@ -70,6 +78,7 @@
         while time.monotonic() < end_s:
             self._inject()
             self._change_engine()
+            self._replace_engine()
             time.sleep(self.random.uniform(0.05, 0.5))
         self.stopping.set()
         for caller in callers:
@@ -98,23 +107,57 @@
             kind = chooser.choice(('pay', 'read', 'draft', 'quick'))
             gateway = self.site.gateways[chooser.choice(NODES)]
             name = f'{kind}-{number}-{count}'
-            try:
-                response = client.post(
-                    f'{gateway.url}/{kind}/x',
-                    headers=_headers(name, kind, count),
-                    content=b'body',
-                )
-            except httpx.HTTPError as error:
-                self.outcomes[name] = type(error).__name__
-                client.close()
-                client = httpx.Client(timeout=4)
+            text = self._call(
+                client, gateway, name, _headers(name, kind, count)
+            )
+            if isinstance(self.outcomes[name], int):
+                if self.outcomes[name] == HTTPStatus.OK:
+                    self._check_answer(name, kind, text)
                 continue
-            self.outcomes[name] = response.status_code
-            if response.status_code == 200:
-                self._check_answer(name, kind, response.text)
+            client.close()
+            client = httpx.Client(timeout=4)
+            if kind == 'quick' and text:
+                gateway = self.site.gateways[chooser.choice(NODES)]
+                self._resume(client, gateway, name, text)
         client.close()
 
+    def _call(self, client, gateway, name, headers):
+        """Send a request; return what was received of its response."""
+        kind = name.partition('-')[0]
+        parts = []
+        try:
+            with client.stream(
+                'POST',
+                f'{gateway.url}/{kind}/x',
+                headers=headers,
+                content=b'body',
+            ) as response:
+                for part in response.iter_text():
+                    parts.append(part)
+        except httpx.HTTPError as error:
+            self.outcomes[name] = type(error).__name__
+        else:
+            self.outcomes[name] = response.status_code
+        return ''.join(parts)
+
+    def _resume(self, client, gateway, begun_id, text):
+        """Take a broken stream up, after the last event that is complete."""
+        text = text[: text.rfind('\n\n') + 2]
+        after = re.findall(r'^id: (\d+)$', text, re.MULTILINE)
+        if not after:
+            return
+        name = f'{begun_id}-resumed'
+        resumption = {'Last-Event-Id': after[-1], 'Resumes': begun_id}
+        headers = {**_headers(name, 'quick', 1), **resumption}
+        rest = self._call(client, gateway, name, headers)
+        if self.outcomes[name] == HTTPStatus.OK:
+            self._check_answer(name, 'quick', text + rest)
+
     def _check_answer(self, name, kind, text):
+        versions = set(_VERSION.findall(text))
+        if len(versions) > 1:
+            self.violations.append(f'{name}: events of versions {versions}')
+        text = _VERSION.sub('', text)
         expected = f'answer to {name}'
         if kind in {'draft', 'quick'}:
             expected = ''.join(
@@ -164,6 +207,20 @@
         elif chance < 0.4:
             engine.deadly_part = DEADLY_PART
 
+    def _replace_engine(self):
+        """Let another process, with another version, follow a decode engine."""
+        name = self._release_random.choice(('i-dec-1', 'i-dec-2'))
+        engine = self.site.engines[name]
+        if self._release_random.random() > 0.1 or engine.crashed.is_set():
+            return
+        self.releases += 1
+        former_id = engine.target_id
+        version = self._release_random.choice(('v1', 'v2'))
+        self.site.portal.call(
+            engine.replace, f'{name}-{self.releases}', version
+        )
+        self.site.remove(former_id)
+
     def _pause_gateway(self):
         gateway = self._gateway()
         if gateway.process.poll() is None:
@@ -237,6 +294,8 @@
         summary = Counter(str(outcome) for outcome in soak.outcomes.values())
         return violations, {
             **summary,
+            'resumed': sum(name.endswith('-resumed') for name in soak.outcomes),
+            'releases': soak.releases,
             'faults': sum(soak.faults.values()),
             'crashes': sum(row.crashes for row in site.engines.values()),
         }
