Keep the origins of streams in the store while several versions serve

Cause: which software version began a stream was known to the memory of the gateways only.

Ruled out: the archive of versions was read and trusted; the refused streams had begun 0.2 to 3.3 s before the loss, so reports were not late either.

Change: StreamArchive. The coordinator writes the origins of the streams of all gateways in batches, at most five a second and only while several versions serve; a gateway that does not know a stream reads them.

Tests: the site test of the loss of all gateways failed before (503). The test of a stream of unknown version now removes the records from the store after the gateways are killed, since the store would otherwise know it; as strict.

--- a/peridotrill/gateway/components.py
+++ b/peridotrill/gateway/components.py
@@ -43,3 +43,5 @@
     start_task: Callable[..., Any]
     # Reads the target records from the store ahead of schedule.
     refresh_targets: Callable[[], Awaitable[None]]
+    # Reads the origins of streams from the store.
+    load_streams: Callable[[], Awaitable[None]]
--- a/peridotrill/gateway/stream_origins.py
+++ b/peridotrill/gateway/stream_origins.py
@@ -6,9 +6,9 @@
 
 import hashlib
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from datetime import timedelta
-from itertools import islice
+from itertools import islice, takewhile
 from typing import Final, NamedTuple, final
 
 import anyio
@@ -55,8 +55,11 @@
     return int.from_bytes(found.digest())
 
 
-class _Entry(NamedTuple):
-    """An origin; None if streams with two origins have the same digest."""
+class StreamEntry(NamedTuple):
+    """An origin; None if streams with two origins have the same digest.
+
+    ``recorded_s`` is the monotonic time at which this gateway learned of it.
+    """
 
     origin: StreamOrigin | None
     recorded_s: float
@@ -70,7 +73,7 @@
         """Start without streams."""
         self._clock = clock
         # The oldest entry first.
-        self._entries: OrderedDict[int, _Entry] = OrderedDict()
+        self._entries: OrderedDict[int, StreamEntry] = OrderedDict()
         # Streams of this gateway that have not been reported yet, and those of
         # the last report, which are repeated: datagrams may be lost.
         self._unreported: dict[int, StreamOrigin] = {}
@@ -108,7 +111,16 @@
         for digest, _ in taken:
             self._unreported.pop(digest)
         repeated, self._reported = self._reported, taken
-        return _group([*repeated, *taken])
+        return group_by_origin([*repeated, *taken])
+
+    def recorded_since(
+        self, since_s: float
+    ) -> Iterator[tuple[int, StreamEntry]]:
+        """Return the streams that were recorded since a time, newest first."""
+        return takewhile(
+            lambda row: row[1].recorded_s >= since_s,
+            reversed(self._entries.items()),
+        )
 
     def listing(self) -> list[list[BegunStreams]]:
         """Return the newest streams, in parts for one message each."""
@@ -120,7 +132,7 @@
             if entry.origin is not None
         ]
         return [
-            _group(newest[start : start + _STREAMS_PER_MESSAGE])
+            group_by_origin(newest[start : start + _STREAMS_PER_MESSAGE])
             for start in range(0, len(newest), _STREAMS_PER_MESSAGE)
         ]
 
@@ -129,7 +141,7 @@
         self._drop_expired(now_s)
         known = self._entries.get(digest)
         if known is None:
-            self._entries[digest] = _Entry(origin, now_s)
+            self._entries[digest] = StreamEntry(origin, now_s)
         elif known.origin != origin:
             self._entries[digest] = known._replace(origin=None)
 
@@ -143,7 +155,10 @@
             self._entries.popitem(last=False)
 
 
-def _group(rows: Iterable[tuple[int, StreamOrigin]]) -> list[BegunStreams]:
+def group_by_origin(
+    rows: Iterable[tuple[int, StreamOrigin]],
+) -> list[BegunStreams]:
+    """Return streams, each with the digest of its request, by their origin."""
     digests: dict[StreamOrigin, list[int]] = {}
     for digest, origin in rows:
         digests.setdefault(origin, []).append(digest)
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -52,7 +52,8 @@
 _ENGINE_PRIORITY_LATE: Final = 3
 
 
-# Time in which another gateway reports a stream that has just begun there.
+# Time in which another gateway reports a stream that has just begun there, or
+# the store lists it.
 _ORIGIN_TIMEOUT: Final = timedelta(seconds=0.3)
 
 
@@ -107,6 +108,7 @@
         if sole_version is not None:
             return sole_version
     if origin is None and digest is not None:
+        shared.start_task(shared.load_streams)
         origin = await shared.origins.wait_for(digest, _ORIGIN_TIMEOUT)
     if origin is None or origin.service != context.service:
         raise context.build_error(
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -66,6 +66,10 @@
 from peridotrill.gateway.retry_budget import RetryBudget
 from peridotrill.gateway.settings_watcher import SettingsWatcher
 from peridotrill.gateway.shared_quotas import SharedQuotas
+from peridotrill.gateway.stream_archive import (
+    SAVE_INTERVAL as STREAM_SAVE_INTERVAL,
+)
+from peridotrill.gateway.stream_archive import StreamArchive
 from peridotrill.gateway.stream_origins import StreamOrigins
 from peridotrill.gateway.stream_sharing import StreamSharing
 from peridotrill.gateway.target_connections import ConnectionPool
@@ -279,6 +283,14 @@
             self._followers.open_topic(names.VERSIONS_TOPIC),
             self._log,
         )
+        self._stream_archive = StreamArchive(
+            self._origins,
+            self._cluster_state.versions,
+            self._followers.open_topic(names.STREAMS_TOPIC),
+            self._cluster_clock,
+            self._clock,
+            self._log,
+        )
         self._reporting.on_new_process = self._on_new_process
         self._caller_server: asyncio.AbstractServer | None = None
         self._cluster_state.on_change = self._on_cluster_state_changed
@@ -344,6 +356,7 @@
                 log=self._log,
                 start_task=partial(_start_guarded, tasks, self._log),
                 refresh_targets=self._followers.refresh_targets,
+                load_streams=self._stream_archive.load,
             ),
         )
 
@@ -399,6 +412,7 @@
             self._quarantine_sharing.run,
             self._save_quarantine,
             self._keep_versions,
+            self._save_streams,
             self._settings.run,
         ]
         if not self._node.is_first_start:
@@ -422,6 +436,14 @@
             lambda: self._coordinator.held_lease(timedelta(0)) is not None,
         )
 
+    async def _save_streams(self) -> None:
+        """Save the origins of streams while this gateway is coordinator."""
+        while True:
+            await self._stream_archive.save(
+                self._coordinator.held_lease(timedelta(0)) is not None
+            )
+            await anyio.sleep(STREAM_SAVE_INTERVAL.total_seconds())
+
     def _on_new_process(self, node: str) -> None:
         self._part_sharing.send_listing(node)
         self._stream_sharing.send_listing(node)
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -4,9 +4,11 @@
 
 from peridotrill.clock import ManualClock
 from peridotrill.codec import encode_json
+from peridotrill.exceptions import LogUnavailable
 from peridotrill.gateway.configuration import Team
 from peridotrill.gateway.requests import CallerRequest, Prompt, PromptPart
 from peridotrill.gateway.targets import TargetRecord
+from peridotrill.platform.topics import KeyedPage
 from peridotrill.settings import Address
 
 HOST = 'api.example'
@@ -147,6 +149,34 @@
         self.events.append((event, {'error': error, **fields}))
 
 
+class FakeTopic:
+    """Keyed topic in memory."""
+
+    def __init__(self):
+        self.rows = {}
+        self.generation = 1
+        self.is_down = False
+        self.writes = 0
+
+    async def newest(self):
+        self._require_up()
+        return KeyedPage(list(self.rows.items()), 0)
+
+    async def put(self, key, content):
+        self._require_up()
+        self.writes += 1
+        self.rows[key] = content
+        return self.generation
+
+    def _require_up(self):
+        if self.is_down:
+            raise LogUnavailable('down')
+
+    @property
+    def versions(self):
+        return {key for key, content in self.rows.items() if content}
+
+
 def prompt_headers(shared=2000, unshared=500, output=50, part_id='a1'):
     return {
         'X-Peridotrill-Model': 'm',
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -6,7 +6,7 @@
 import httpx
 import pytest
 
-from peridotrill.platform.names import VERSIONS_TOPIC
+from peridotrill.platform.names import STREAMS_TOPIC, VERSIONS_TOPIC
 from standins.platform_engine import ScriptedEngine
 from tests.gateway_builders import prompt_headers
 from tests.gateway_site import DECODE, SIGKILL, call, run_site, wait_until
@@ -14,6 +14,8 @@
 _numbers = itertools.count()
 # Longer than the interval of the reports between gateways.
 _REPORT_DELAY_S = 0.4
+# Longer than that and the interval in which the coordinator archives streams.
+_ARCHIVE_DELAY_S = 1.0
 _OLD, _NEW = 'v1', 'v2'
 # Attempts break after two events: the second one ends a stream of four events
 # and breaks a stream of five.
@@ -93,6 +95,10 @@
     )
 
 
+def read_logs(site):
+    return ''.join(gateway.read_log() for gateway in site.gateways.values())
+
+
 def restart_all(site):
     """Kill all gateways at the same moment and start them again."""
     gateways = list(site.gateways.values())
@@ -143,13 +149,32 @@
         assert len(versions(mixed_site, begun_id, request_id)) == 1
 
 
+def test_stream_goes_on_at_its_version_after_the_loss_of_all_gateways(
+    mixed_site,
+):
+    # Guards against sound streams that are refused because nothing but the
+    # gateways knew which version began them (LOST).
+    gateway = mixed_site.gateways['front-a-1']
+    wait_until(lambda: 'lease_taken' in read_logs(mixed_site))
+    begun_ids = [break_stream(mixed_site, gateway) for _ in range(6)]
+    time.sleep(_ARCHIVE_DELAY_S)
+    restart_all(mixed_site)
+    for begun_id in begun_ids:
+        request_id, response = take_up(gateway, begun_id)
+        assert response.status_code == 200
+        assert len(versions(mixed_site, begun_id, request_id)) == 1
+
+
 def test_stream_of_unknown_version_is_refused_after_the_loss_of_all_gateways(
     mixed_site,
 ):
     # Guards against streams that are joined from two versions by gateways that
-    # know nothing of them.
+    # know nothing of them, because the store has lost what they wrote.
     gateway = mixed_site.gateways['front-a-1']
     begun_id = break_stream(mixed_site, gateway)
+    for running in mixed_site.gateways.values():
+        running.stop()
+    mixed_site.store.topics.pop(STREAMS_TOPIC, None)
     restart_all(mixed_site)
     request_id, response = take_up(gateway, begun_id)
     assert response.status_code == 503
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -6,7 +6,6 @@
 import pytest
 
 from peridotrill.clock import ManualClock
-from peridotrill.exceptions import LogUnavailable
 from peridotrill.gateway.cluster_state import ClusterState, FreshnessBounds
 from peridotrill.gateway.peers import StreamListing, encode_message
 from peridotrill.gateway.stream_origins import (
@@ -17,8 +16,7 @@
 )
 from peridotrill.gateway.targets import TargetRole
 from peridotrill.gateway.version_archive import VersionArchive
-from peridotrill.platform.topics import KeyedPage
-from tests.gateway_builders import RecordingLog, advance, target
+from tests.gateway_builders import FakeTopic, RecordingLog, advance, target
 
 _OLD = StreamOrigin('llm', 'v1')
 _NEW = StreamOrigin('llm', 'v2')
@@ -98,34 +96,6 @@
     assert origins.find(2) == _OLD
 
 
-class FakeTopic:
-    """Keyed topic in memory."""
-
-    def __init__(self):
-        self.rows = {}
-        self.generation = 1
-        self.is_down = False
-        self.writes = 0
-
-    async def newest(self):
-        self._require_up()
-        return KeyedPage(list(self.rows.items()), 0)
-
-    async def put(self, key, content):
-        self._require_up()
-        self.writes += 1
-        self.rows[key] = content
-        return self.generation
-
-    def _require_up(self):
-        if self.is_down:
-            raise LogUnavailable('down')
-
-    @property
-    def versions(self):
-        return {key for key, content in self.rows.items() if content}
-
-
 class VersionHarness:
     """A gateway's knowledge of the versions of its targets."""
 
