Learn how fast the engines of a service read prompts

Cause: estimates of prefill work used the engine model of the first sites (112 tokens a ms). The configuration does not name a speed.

--- a/peridotrill/gateway/admission_queue.py
+++ b/peridotrill/gateway/admission_queue.py
@@ -41,12 +41,16 @@
 
     The request adds ``running`` to the number of running requests at the
     target, and ``prefill_ms`` to the prefill work there. ``running`` is 0 if
-    the target only processes the prompt.
+    the target only processes the prompt. ``ahead_ms`` is the prefill work that
+    was known there before, and ``slowdown`` the factor by which the engines were
+    taken to be slower than their model.
     """
 
     target: TargetRecord
     running: float = 0
     prefill_ms: float = 0
+    ahead_ms: float = 0
+    slowdown: float = 1
 
 
 # Finds capacity for a request, but does not allocate it; returns None while
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -55,7 +55,8 @@
     ``config_version`` is the version of the configuration in force, and
     ``committed`` the final usage counts of the last windows, sent by the
     holder of the lease. ``begun_streams`` are streams that have begun at the
-    sender; each is in two consecutive reports.
+    sender; each is in two consecutive reports. ``slowdowns`` are the factors by
+    which model engines read prompts more slowly than by their model, by service.
     """
 
     node: str
@@ -78,6 +79,7 @@
     config_version: int = 0
     committed: dict[int, dict[str, int]] = {}
     begun_streams: list[BegunStreams] = []
+    slowdowns: dict[str, float] = {}
 
 
 class PartListing(
@@ -168,6 +170,7 @@
         chain.from_iterable(report.quota_used.values()),
         chain.from_iterable(report.target_limits.values()),
         report.target_spent.values(),
+        report.slowdowns.values(),
     )
     return all(map(math.isfinite, numbers))
 
--- a/peridotrill/gateway/placement.py
+++ b/peridotrill/gateway/placement.py
@@ -14,6 +14,7 @@
 from peridotrill.gateway.cluster_state import ClusterState
 from peridotrill.gateway.load_tracker import LoadTracker, prefill_key
 from peridotrill.gateway.part_directory import PartDirectory, PartLocation
+from peridotrill.gateway.prefill_speed import PrefillSpeed
 from peridotrill.gateway.prompt_placement import (
     MIN_SPLIT_TOKENS,
     EngineLoads,
@@ -78,6 +79,7 @@
         self._clock = clock
         self._local_zone = local_zone
         self.parts = PartDirectory(_DEFAULT_MEMORY_TOKENS)
+        self.speed = PrefillSpeed()
         self._health = health
         self._loads = Loads(loads.total, health.is_avoided)
         self._engine_loads = EngineLoads(
@@ -214,18 +216,26 @@
             found = choose_prefill_engine(
                 prompt,
                 targets,
-                self._engine_loads,
+                self._engine_loads._replace(
+                    slowdown=self.speed.slowdown(service)
+                ),
                 PREFILL_LIMITS,
                 self.find_part_holder(prompt) is not None,
             )
             if found is None:
                 return None
             running = 0 if found.target.role is TargetRole.PREFILL else 1
-            return Reservation(found.target, running, found.work_ms)
+            return Reservation(
+                found.target,
+                running,
+                found.work_ms,
+                self._prefill_ms(found.target.target_id),
+                self.speed.slowdown(service),
+            )
 
         return find
 
-    def prefill_work_ms(self, prompt: Prompt) -> float:
+    def prefill_work_ms(self, service: str, prompt: Prompt) -> float:
         """Estimate the prefill work of a prompt, independent of the engine."""
         holder = self.find_part_holder(prompt)
         return estimate_prefill_work_ms(
@@ -233,6 +243,7 @@
             '' if holder is None else holder.target_id,
             self.parts.has,
             holder is not None,
+            self.speed.slowdown(service),
         )
 
     def find_part_holder(
@@ -260,6 +271,15 @@
             default=None,
         )
 
+    def record_prefill_time(
+        self, reservation: Reservation, took_ms: float
+    ) -> None:
+        """Learn from the time that a prefill engine took for a prompt."""
+        work_ms = reservation.prefill_ms + reservation.ahead_ms
+        self.speed.record(
+            reservation.target.service, work_ms / reservation.slowdown, took_ms
+        )
+
     def record_prefill(self, prompt: Prompt, target: TargetRecord) -> None:
         """Record that an engine has computed or received a prompt."""
         main = prompt.main_part
@@ -276,9 +296,7 @@
         self, reservation: Reservation, service: str
     ) -> Reservation:
         """Release the prefill work of a reservation; return the rest."""
-        self._load_tracker.end(
-            Reservation(reservation.target, 0, reservation.prefill_ms)
-        )
+        self._load_tracker.end(reservation._replace(running=0))
         self._dispatch_service(service)
         return Reservation(reservation.target, reservation.running)
 
--- a/peridotrill/gateway/prompt_placement.py
+++ b/peridotrill/gateway/prompt_placement.py
@@ -18,7 +18,8 @@
 # engine they delay the tokens of all running requests.
 MIN_SPLIT_TOKENS: Final = 1500
 # Linear and quadratic cost of prefill: tokens per millisecond, and milliseconds
-# per million pairs of tokens, from the published model of the engines.
+# per million pairs of tokens, from the published model of the first engines
+# served. ``PrefillSpeed`` learns how much slower or faster others are.
 _TOKENS_PER_MS: Final = 112.0
 _MS_PER_MILLION_PAIRS: Final = 0.218
 SETUP_MS: Final = 8.0
@@ -50,7 +51,7 @@
 
 
 def estimate_prefill_ms(prompt: Prompt, cached_tokens: int) -> float:
-    """Return the time for the prefill of a prompt on a prefill engine.
+    """Return the time for the prefill of a prompt by the engine model.
 
     :param cached_tokens: number of tokens that are cached already.
     """
@@ -135,12 +136,16 @@
 
 
 class EngineLoads(NamedTuple):
-    """Lookups by target: prefill in ms, running requests, health, parts."""
+    """Lookups by target: prefill in ms, running requests, health, parts.
+
+    ``slowdown`` is the factor by which the engines are slower than the model.
+    """
 
     prefill_ms: Callable[[str], float]
     running: Callable[[str], float]
     is_avoided: Callable[[str], bool]
     has_part: Callable[[str, str], bool]
+    slowdown: float = 1
 
 
 def estimate_prefill_work_ms(
@@ -148,16 +153,22 @@
     target_id: str,
     has_part: Callable[[str, str], bool],
     is_cached_anywhere: bool,
+    slowdown: float = 1,
 ) -> float:
-    """Return the prefill time at a prefill engine, with any part fetch."""
+    """Return the prefill time at a prefill engine, with any part fetch.
+
+    :param slowdown: factor by which the engines are slower than the model.
+    """
     main = prompt.main_part
-    if main is None or main.tokens < MIN_PART_TOKENS:
-        return estimate_prefill_ms(prompt, prompt.shared_tokens)
-    if has_part(target_id, main.part_id):
-        return estimate_prefill_ms(prompt, prompt.shared_tokens)
-    if is_cached_anywhere:
-        return _FETCH_MS + estimate_prefill_ms(prompt, prompt.shared_tokens)
-    return estimate_prefill_ms(prompt, prompt.shared_tokens - main.tokens)
+    cached_tokens = prompt.shared_tokens
+    fetch_ms = 0.0
+    if main is not None and main.tokens >= MIN_PART_TOKENS:
+        is_cached = has_part(target_id, main.part_id)
+        if is_cached_anywhere and not is_cached:
+            fetch_ms = _FETCH_MS
+        elif not is_cached:
+            cached_tokens -= main.tokens
+    return fetch_ms + slowdown * estimate_prefill_ms(prompt, cached_tokens)
 
 
 def choose_prefill_engine(
@@ -193,9 +204,7 @@
         for target in targets
         if _has_capacity(target, prompt, loads, limits)
         for work_ms in (
-            _prefill_work_at_ms(
-                prompt, target, loads.has_part, is_cached_anywhere
-            ),
+            _prefill_work_at_ms(prompt, target, loads, is_cached_anywhere),
         )
     ]
     return min(candidates)[-1] if candidates else None
@@ -247,14 +256,15 @@
 def _prefill_work_at_ms(
     prompt: Prompt,
     target: TargetRecord,
-    has_part: Callable[[str, str], bool],
+    loads: EngineLoads,
     is_cached_anywhere: bool,
 ) -> float:
     work_ms = estimate_prefill_work_ms(
         prompt,
         target.target_id,
-        has_part,
+        loads.has_part,
         is_cached_anywhere,
+        loads.slowdown,
     )
     if target.role is TargetRole.PREFILL:
         return work_ms
--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -20,6 +20,7 @@
     Report,
     report_interval_s,
 )
+from peridotrill.gateway.prefill_speed import PrefillSpeed
 from peridotrill.gateway.shared_quotas import SharedQuotas
 from peridotrill.gateway.stream_origins import StreamOrigins
 from peridotrill.gateway.target_limits import TargetLimits
@@ -57,6 +58,7 @@
     cluster_clock: ClusterClock
     limits: TargetLimits
     origins: StreamOrigins
+    speed: PrefillSpeed
 
 
 class Sender(NamedTuple):
@@ -145,6 +147,7 @@
             sources.cluster_state.config_version,
             self._commitments() if is_full_report else {},
             sources.origins.take_report_entries(),
+            sources.speed.local_slowdowns() if is_full_report else {},
         )
 
     def handle_report(self, report: Report) -> None:
@@ -168,6 +171,8 @@
         )
         sources.loads.observe_peer(report.node, report.work)
         sources.usage.observe_peer(process, report.usage)
+        if report.slowdowns:
+            sources.speed.observe_peer(report.node, report.slowdowns)
         if report.demand:
             sources.demand.observe_peer(process, report.demand)
         sources.cluster_clock.observe_peer(report.node, report.unix_s)
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -73,7 +73,7 @@
     if prompt is not None:
         context.shared.demand.record(
             context.service,
-            context.shared.placement.prefill_work_ms(prompt),
+            context.shared.placement.prefill_work_ms(context.service, prompt),
             _expected_tokens(prompt),
         )
         prefill_result = await _prefill_prompt(context, prompt)
@@ -168,7 +168,7 @@
     pool = Pool.SHORT_READING
     if placement.is_long(prompt):
         pool = Pool.LONG_READING
-    work_ms = placement.prefill_work_ms(prompt)
+    work_ms = placement.prefill_work_ms(context.service, prompt)
     return await context.reserve_target(
         pool,
         placement.prefill_finder(
@@ -242,6 +242,8 @@
         return None
     prefilled = shared.wire.decode_prefilled(body)
     shared.placement.record_prefill(prompt, target)
+    took_ms = (shared.clock.monotonic_s() - started_s) * 1000
+    shared.placement.record_prefill_time(reservation, took_ms)
     shared.log.write(
         'prompt_read',
         request=context.request.request_id,
@@ -250,7 +252,9 @@
         shared=prompt.shared_tokens,
         part=None if prompt.main_part is None else prompt.main_part.part_id,
         estimate_ms=round(reservation.prefill_ms),
-        took_ms=round((shared.clock.monotonic_s() - started_s) * 1000),
+        ahead_ms=round(reservation.ahead_ms),
+        took_ms=round(took_ms),
+        slowdown=round(reservation.slowdown, 2),
         fetch=None if source is None else source.target_id,
     )
     return prefilled.handle
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -241,6 +241,7 @@
                 self._cluster_clock,
                 self._limits,
                 self._origins,
+                self._placement.speed,
             ),
             self._clock,
         )
--- a/tests/test_gateway_reporting.py
+++ b/tests/test_gateway_reporting.py
@@ -19,6 +19,7 @@
     decode_message,
     encode_message,
 )
+from peridotrill.gateway.prefill_speed import PrefillSpeed
 from peridotrill.gateway.reporting import Reporting, ReportSources, Sender
 from peridotrill.gateway.shared_quotas import SharedQuotas
 from peridotrill.gateway.stream_origins import StreamOrigins
@@ -58,6 +59,7 @@
                 cluster_clock,
                 TargetLimits(node, list, clock, log),
                 StreamOrigins(clock),
+                PrefillSpeed(),
             ),
             clock,
         )
