Derive the ages by which gateways judge each other from the report interval

Cause: reports between gateways come every 12 ms for each of them, 0.82 s at 68, while the ages that judge them were constants for ten gateways. Above 50 gateways each one counted as silent, and as spending its full share of every limit, for a part of each interval, with nothing failing; load of others was dropped after 1 s, one lost report made a gateway inactive, the lease holder unknown, and a starting gateway stopped importing before its peers' usage came.

Change: report_timing.py holds the interval and the age that follows from it, 3.5 intervals, but no less than before; quotas, loads, active members, lease notices, imports, notices of role changes and Retry-After use it.

--- a/peridotrill/gateway/load_tracker.py
+++ b/peridotrill/gateway/load_tracker.py
@@ -1,13 +1,15 @@
 """Work in progress at each target: of this gateway and of its peers."""
 
+from collections import OrderedDict
 from collections.abc import Mapping
 from typing import Final, final
 
 from peridotrill.clock import Clock
 from peridotrill.gateway.admission_queue import Reservation
+from peridotrill.gateway.report_timing import silence_s
 
-# Reports of a peer are dropped after this time, as it may have stopped.
-_PEER_REPORT_LIFETIME_S: Final = 1.0
+# Least time after which the report of a peer is dropped, as it may have stopped.
+_MIN_REPORT_LIFETIME_S: Final = 1.0
 # Floating-point sums do not return to exactly zero.
 _EPSILON: Final = 1e-6
 _NO_WORK: Final = 0.0
@@ -37,7 +39,10 @@
         """Start without work in progress."""
         self._clock = clock
         self._local: dict[str, float] = {}
-        self._peers: dict[str, tuple[float, Mapping[str, float]]] = {}
+        # Last reports, the oldest first, and their sums.
+        self._peers: OrderedDict[str, tuple[float, Mapping[str, float]]] = (
+            OrderedDict()
+        )
         self._peer_sums: dict[str, float] = {}
         self._reported: dict[str, tuple[float, float]] = {}
         # Work started since the last report of this gateway.
@@ -105,30 +110,38 @@
 
     def observe_peer(self, peer: str, work: Mapping[str, float]) -> None:
         """Apply a report of another gateway."""
-        now_s = self._clock.monotonic_s()
-        self._peers[peer] = (now_s, work)
-        sums: dict[str, float] = {}
-        for name, (last_report_s, rows) in list(self._peers.items()):
-            if now_s - last_report_s > _PEER_REPORT_LIFETIME_S:
-                self._peers.pop(name)
-                continue
-            for key, amount in rows.items():
-                sums[key] = sums.get(key, 0) + amount
-        self._peer_sums = sums
+        if peer in self._peers:
+            self._drop_peer(peer)
+        self._peers[peer] = (self._clock.monotonic_s(), work)
+        for key, amount in work.items():
+            self._peer_sums[key] = self._peer_sums.get(key, 0) + amount
+        self.drop_stale_peers()
 
     def observe_target(self, target_id: str, requests: float) -> None:
         """Record the number of requests that a target reports."""
         self._reported[target_id] = (self._clock.monotonic_s(), requests)
 
+    @property
+    def _report_lifetime_s(self) -> float:
+        return silence_s(len(self._peers), _MIN_REPORT_LIFETIME_S)
+
     def drop_stale_peers(self) -> None:
-        """Drop all peer reports once every one of them is stale."""
-        oldest_s = self._clock.monotonic_s() - _PEER_REPORT_LIFETIME_S
-        if all(
-            last_report_s < oldest_s
-            for last_report_s, _ in self._peers.values()
-        ):
-            self._peers.clear()
-            self._peer_sums = {}
+        """Drop the reports of peers that may have stopped."""
+        since_s = self._clock.monotonic_s() - self._report_lifetime_s
+        while self._peers:
+            oldest = next(iter(self._peers))
+            if self._peers[oldest][0] >= since_s:
+                return
+            self._drop_peer(oldest)
+
+    def _drop_peer(self, peer: str) -> None:
+        _, work = self._peers.pop(peer)
+        for key, amount in work.items():
+            left = self._peer_sums[key] - amount
+            if left < _EPSILON:
+                self._peer_sums.pop(key)
+            else:
+                self._peer_sums[key] = left
 
     def total(self, key: str) -> float:
         """Return the work of all gateways at a target.
--- a/peridotrill/gateway/part_sharing.py
+++ b/peridotrill/gateway/part_sharing.py
@@ -16,7 +16,6 @@
 from peridotrill.gateway.event_log import EventLog
 from peridotrill.gateway.part_directory import PartDirectory, PartLocation
 from peridotrill.gateway.peers import (
-    ACTIVE_PEER_AGE_S,
     PartListing,
     PeerExchange,
     is_listing_sender,
@@ -67,7 +66,7 @@
     def send_listing(self, node: str) -> None:
         """Send a listing to a new process if selected as one of its senders."""
         if is_listing_sender(
-            self._peers.members_heard_within(ACTIVE_PEER_AGE_S),
+            self._peers.active_members(),
             self._node,
             node,
         ):
@@ -88,7 +87,7 @@
         if self.has_received_listing:
             return
         active_nodes = (
-            *self._peers.members_heard_within(ACTIVE_PEER_AGE_S),
+            *self._peers.active_members(),
             self._node,
         )
         for target in self._cluster_state.all_targets():
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -18,16 +18,12 @@
 from peridotrill.gateway.event_log import EventLog
 from peridotrill.gateway.metrics import UNREADABLE
 from peridotrill.gateway.part_directory import PartLocation
+from peridotrill.gateway.report_timing import silence_s
 from peridotrill.gateway.stream_origins import BegunStreams
 from peridotrill.settings import Address
 
-# Report interval with few gateways. It grows with their number, which bounds
-# the traffic at each gateway.
-_MIN_INTERVAL_S: Final = 0.1
-# Limits the reports that a gateway receives to 83 per second.
-_INTERVAL_PER_PEER_S: Final = 0.012
-# Members with a report within this time are active; reports are more frequent.
-ACTIVE_PEER_AGE_S: Final = 1.0
+# Members with a report within this time are active, however often they report.
+_ACTIVE_AGE_S: Final = 1.0
 # Gateways that send a listing to a new process: datagrams may be lost, and one
 # gateway may have little data itself.
 _SENDERS_PER_PROCESS: Final = 2
@@ -175,11 +171,6 @@
     return all(map(math.isfinite, numbers))
 
 
-def report_interval_s(peers: int) -> float:
-    """Return the report interval for a number of peers."""
-    return max(_MIN_INTERVAL_S, _INTERVAL_PER_PEER_S * peers)
-
-
 class Member:
     """Another gateway and the time and sequence of its latest report."""
 
@@ -297,9 +288,14 @@
             member.heard_s is not None for member in self.members.values()
         )
 
-    def members_heard_within(self, age_s: float) -> list[str]:
-        """Return the members that sent a report in the last ``age_s``."""
-        since_s = self._clock.monotonic_s() - age_s
+    @property
+    def active_age_s(self) -> float:
+        """Age of its last report up to which a member counts as active."""
+        return silence_s(len(self.members), _ACTIVE_AGE_S)
+
+    def active_members(self) -> list[str]:
+        """Return the members that have not missed several reports."""
+        since_s = self._clock.monotonic_s() - self.active_age_s
         return [
             member.node
             for member in self.members.values()
--- a/peridotrill/gateway/quarantine_sharing.py
+++ b/peridotrill/gateway/quarantine_sharing.py
@@ -15,14 +15,13 @@
 
 from peridotrill.clock import Clock
 from peridotrill.gateway.peers import (
-    ACTIVE_PEER_AGE_S,
     CrashReport,
     CrashRow,
     PartProof,
     PeerExchange,
     rank_for_key,
-    report_interval_s,
 )
+from peridotrill.gateway.report_timing import report_interval_s
 from peridotrill.prompt_quarantine import PromptQuarantine, Quarantine
 from peridotrill.target_crashes import Exposure, TargetCrash
 
@@ -145,7 +144,7 @@
         """Return whether this gateway is among those whose turn it is."""
         turn = int(self._clock.now().timestamp() // duration.total_seconds())
         active = (
-            *self._peers.members_heard_within(ACTIVE_PEER_AGE_S),
+            *self._peers.active_members(),
             self._node,
         )
         return self._node in rank_for_key(active, f'{key}/{turn}', count)
--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -18,21 +18,19 @@
     LeaseNotice,
     PeerExchange,
     Report,
-    report_interval_s,
 )
 from peridotrill.gateway.prefill_speed import PrefillSpeed
+from peridotrill.gateway.report_timing import report_interval_s, silence_s
 from peridotrill.gateway.shared_quotas import SharedQuotas
 from peridotrill.gateway.stream_origins import StreamOrigins
 from peridotrill.gateway.target_limits import TargetLimits
 from peridotrill.gateway.usage_counts import UsageCounts
 from peridotrill.settings import Address
 
-# Time for which a lease notice of a peer is valid unless it is repeated.
-_NOTICE_LIFETIME_S: Final = 1.0
-# Time for which a report suspends an engine that is changing its role, unless
-# its record shows the new role earlier. The coordinator may fail before the
-# engine has changed.
-_SWITCH_NOTICE: Final = timedelta(seconds=3)
+# Least time for which a report suspends an engine that is changing its role,
+# unless its record shows the new role earlier. The coordinator may fail before
+# the engine has changed.
+_SWITCH_NOTICE_S: Final = 3.0
 # A gateway with an older configuration has lost the store and must not claim
 # the lease. The store holds a read for less than half of this time.
 _MAX_CONFIG_AGE_S: Final = 3.0
@@ -181,7 +179,8 @@
         self._suspend(report.switching)
         if report.lease is not None:
             now_s = self._clock.monotonic_s()
-            self._notice_until_s = now_s + _NOTICE_LIFETIME_S
+            # Valid unless several reports of the holder are lost in a row.
+            self._notice_until_s = now_s + self._peers.active_age_s
 
     def _apply_facts(self, report: Report) -> None:
         """Apply what a gateway knows that does not change any more."""
@@ -209,7 +208,7 @@
             return False
         return all(
             self._sender.node < peer
-            for peer in self._peers.members_heard_within(_NOTICE_LIFETIME_S)
+            for peer in self._peers.active_members()
             if self._candidates.get(peer)
         )
 
@@ -245,9 +244,10 @@
 
     def _suspend(self, target_ids: list[str]) -> None:
         """Suspend engines that are changing their roles."""
+        duration_s = silence_s(len(self._peers.members), _SWITCH_NOTICE_S)
         for target_id in target_ids:
             self._sources.cluster_state.suspend_target(
-                target_id, _SWITCH_NOTICE
+                target_id, timedelta(seconds=duration_s)
             )
 
 
--- a/peridotrill/gateway/shared_quotas.py
+++ b/peridotrill/gateway/shared_quotas.py
@@ -9,19 +9,21 @@
 """
 
 import math
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Mapping, Sequence
 from datetime import timedelta
 from typing import Final, NamedTuple, Protocol, final
 
 from peridotrill.clock import Clock
+from peridotrill.gateway.report_timing import report_interval_s, silence_s
 
-# A peer without a report for longer than this is assumed to use its full share.
-PEER_STALE_S: Final = 0.6
+# Least time without a report after which a peer is assumed to use its full share.
+_MIN_SILENCE_S: Final = 0.6
 # Callers wait for at most a third of their remaining time.
 _MAX_RETRY_AFTER_S: Final = 5.0
-# A retry is useful only after the next reports of the peers have arrived.
-_MIN_RETRY_AFTER_S: Final = 0.15
+# A retry is useful only after the next reports of the peers have arrived, in
+# intervals between reports.
+_MIN_RETRY_INTERVALS: Final = 1.5
 # Fraction of the tolerated excess that is used in addition to the burst. The
 # rest covers requests that gateways admit before the next reports.
 _USED_EXCESS_RATIO: Final = 0.4
@@ -33,8 +35,9 @@
 # Prior for the recent use, spread evenly over gateways, as a fraction of the
 # burst.
 _PRIOR_USE_RATIO: Final = 0.1
-# Usage is imported from peers only for this time after the start.
-_IMPORT_PERIOD_S: Final = 2.0
+# Least time after the start for which usage is imported from peers; three of
+# their reports carry it.
+_MIN_IMPORT_PERIOD_S: Final = 2.0
 # Time constant of the exponential decay of recent use.
 _USE_DECAY_S: Final = 1.5
 
@@ -77,6 +80,8 @@
         self._size = math.ceil(size_s / _SLOT_S)
         self.spent = 0.0
         self.updated_s: float | None = None
+        # Value of the sum over silent peers at that time.
+        self.silent_peer_s = 0.0
         self.spent_since_report = 0.0
         # Recent use at this gateway and at all gateways, with exponential decay.
         self.local_use = 0.0
@@ -151,7 +156,12 @@
         self._spent: dict[str, float] = {}
         self._peer_spent: dict[str, dict[str, float]] = {}
         self._incarnations: dict[str, str] = {}
-        self._peer_last_report_s: dict[str, float] = {}
+        # When each peer last reported, the earliest first.
+        self._peer_last_report_s: OrderedDict[str, float] = OrderedDict()
+        # Sum over the silent peers of the time for which they were silent, and
+        # when it was brought up to date.
+        self._silent_peer_s = 0.0
+        self._silence_updated_s = self._started_s
 
     def apply_excess(self, tolerated_excess: float) -> None:
         """Set the tolerated excess, in the unit of the limits."""
@@ -166,10 +176,14 @@
 
     def add_peer(self, peer: str) -> None:
         """Add a gateway that shares the limits, even without reports."""
-        self._peer_last_report_s.setdefault(peer, float('-inf'))
+        if peer not in self._peer_last_report_s:
+            self._update_silence(self._clock.monotonic_s())
+            self._peer_last_report_s[peer] = float('-inf')
+            self._peer_last_report_s.move_to_end(peer, last=False)
 
     def remove_peer(self, peer: str) -> None:
         """Remove a gateway that has left permanently."""
+        self._update_silence(self._clock.monotonic_s())
         self._peer_last_report_s.pop(peer, None)
 
     @property
@@ -206,7 +220,9 @@
         :param usage: result of ``usage`` at another gateway.
         """
         now_s = self._clock.monotonic_s()
-        if self._is_first_start or now_s - self._started_s > _IMPORT_PERIOD_S:
+        age_s = now_s - self._started_s
+        period_s = silence_s(self.gateways - 1, _MIN_IMPORT_PERIOD_S)
+        if self._is_first_start or age_s > period_s:
             return
         for name, amounts in usage.items():
             known = self._imported_usage.get(name)
@@ -227,24 +243,30 @@
         :param spent: totals since the start of that process, by quota.
         """
         now_s = self._clock.monotonic_s()
-        self._update_all(now_s)
+        self._update_silence(now_s)
         self._peer_last_report_s[peer] = now_s
+        self._peer_last_report_s.move_to_end(peer)
         if self._incarnations.get(peer) != incarnation:
             self._incarnations[peer] = incarnation
             self._peer_spent[peer] = dict(spent)
             return
         known = self._peer_spent[peer]
         for name, total in spent.items():
-            before = known.get(name, 0)
-            known[name] = max(total, before)
-            window = self._windows.get(name)
-            if window is not None:
-                usage = max(0, total - before)
-                window.add(now_s, usage)
-                window.total_use += usage
+            usage = total - known.get(name, 0)
+            if usage > 0:
+                known[name] = total
+                self._add_usage(name, usage, now_s)
+
+    def _add_usage(self, name: str, usage: float, now_s: float) -> None:
+        quota = self._quotas.get(name)
+        if quota is not None and quota.rate_per_s > 0:
+            window = self._update(quota, now_s)
+            window.add(now_s, usage)
+            window.total_use += usage
 
     def end_report_interval(self) -> None:
         """Start a new interval after reporting the local totals."""
+        self._update_all(self._clock.monotonic_s())
         for name, window in self._windows.items():
             window.spent_since_report = 0
             quota = self._quotas.get(name)
@@ -266,7 +288,7 @@
             wait_s = _SLOT_S + lacking / self._mean_rate(quota)
             return QuotaDecision(
                 False,
-                min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s)),
+                min(_MAX_RETRY_AFTER_S, max(self._min_retry_after_s, wait_s)),
                 left,
                 available,
             )
@@ -319,6 +341,10 @@
         share = left_at_report * (window.local_share or 1 / self.gateways)
         return share - window.spent_since_report
 
+    @property
+    def _min_retry_after_s(self) -> float:
+        return _MIN_RETRY_INTERVALS * report_interval_s(self.gateways - 1)
+
     def _limit(self, quota: Quota) -> float:
         """Return the quota of all gateways together in one window."""
         return quota.rate_per_s * self._window_s + quota.burst + self._excess
@@ -341,17 +367,34 @@
             self._windows[quota.name] = window
         known_s = now_s if window.updated_s is None else window.updated_s
         elapsed_s = max(0, now_s - known_s)
+        if not elapsed_s and window.updated_s is not None:
+            return window
+        self._update_silence(now_s)
+        silent_s = self._silent_peer_s
+        if window.updated_s is not None:
+            share_s = (silent_s - window.silent_peer_s) / self.gateways
+            window.add(now_s, share_s * self._mean_rate(quota))
+        window.silent_peer_s = silent_s
         window.updated_s = max(known_s, now_s)
-        silent = sum(
-            now_s - last_report_s > PEER_STALE_S
-            for last_report_s in self._peer_last_report_s.values()
-        )
-        share = silent / self.gateways
-        window.add(now_s, elapsed_s * self._mean_rate(quota) * share)
         window.expire(now_s)
         window.decay(elapsed_s)
         return window
 
+    def _update_silence(self, now_s: float) -> None:
+        """Add the time since the last call for each peer that is silent."""
+        elapsed_s = now_s - self._silence_updated_s
+        if elapsed_s <= 0:
+            return
+        self._silence_updated_s = now_s
+        peers = self._peer_last_report_s
+        since_s = now_s - silence_s(len(peers), _MIN_SILENCE_S)
+        silent = 0
+        for last_report_s in peers.values():
+            if last_report_s >= since_s:
+                break
+            silent += 1
+        self._silent_peer_s += elapsed_s * silent
+
     def _create_window(self, quota: Quota) -> _Window:
         """Return a window with the usage before the start."""
         window = _Window(self._window_s)
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -20,6 +20,7 @@
     HARMLESS_EVENTS,
     RequestContext,
 )
+from peridotrill.gateway.report_timing import report_interval_s
 from peridotrill.gateway.requests import Prompt
 from peridotrill.gateway.stream_origins import StreamOrigin, digest_request
 from peridotrill.gateway.target_connections import TargetExchange
@@ -52,9 +53,9 @@
 _ENGINE_PRIORITY_LATE: Final = 3
 
 
-# Time in which another gateway reports a stream that has just begun there, or
-# the store lists it.
-_ORIGIN_TIMEOUT: Final = timedelta(seconds=0.3)
+# Least time in which another gateway reports a stream that has just begun there,
+# or the store lists it.
+_MIN_ORIGIN_TIMEOUT_S: Final = 0.3
 
 
 class RemotePrompt(NamedTuple):
@@ -109,7 +110,11 @@
             return sole_version
     if origin is None and digest is not None:
         shared.start_task(shared.load_streams)
-        origin = await shared.origins.wait_for(digest, _ORIGIN_TIMEOUT)
+        interval_s = report_interval_s(shared.quotas.gateways - 1)
+        timeout_s = max(_MIN_ORIGIN_TIMEOUT_S, interval_s)
+        origin = await shared.origins.wait_for(
+            digest, timedelta(seconds=timeout_s)
+        )
     if origin is None or origin.service != context.service:
         raise context.build_error(
             'stream_version_unknown', context.retry_after_s()
--- a/peridotrill/gateway/stream_sharing.py
+++ b/peridotrill/gateway/stream_sharing.py
@@ -7,7 +7,6 @@
 from typing import final
 
 from peridotrill.gateway.peers import (
-    ACTIVE_PEER_AGE_S,
     PeerExchange,
     StreamListing,
     is_listing_sender,
@@ -31,7 +30,7 @@
     def send_listing(self, node: str) -> None:
         """Send a listing to a new process if selected as one of its senders."""
         if is_listing_sender(
-            self._peers.members_heard_within(ACTIVE_PEER_AGE_S),
+            self._peers.active_members(),
             self._node,
             node,
         ):
--- a/peridotrill/gateway_followers.py
+++ b/peridotrill/gateway_followers.py
@@ -11,7 +11,8 @@
 from peridotrill.gateway.cluster_state import ClusterState
 from peridotrill.gateway.event_log import EventLog
 from peridotrill.gateway.metrics import UNREADABLE
-from peridotrill.gateway.peers import PeerExchange, report_interval_s
+from peridotrill.gateway.peers import PeerExchange
+from peridotrill.gateway.report_timing import report_interval_s
 from peridotrill.gateway.store_follower import (
     Decoders,
     PollTimings,
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -50,7 +50,7 @@
     TARGET_CRASHES,
 )
 from peridotrill.gateway.part_sharing import PartSharing
-from peridotrill.gateway.peers import ACTIVE_PEER_AGE_S, PeerExchange
+from peridotrill.gateway.peers import PeerExchange
 from peridotrill.gateway.placement import Placement
 from peridotrill.gateway.quarantine_archive import (
     SAVE_INTERVAL,
@@ -199,7 +199,7 @@
         self._crashes.on_crash = self._quarantine_sharing.record_crash
         self._limits = TargetLimits(
             node.node,
-            partial(self._peers.members_heard_within, ACTIVE_PEER_AGE_S),
+            self._peers.active_members,
             self._clock,
             self._log,
         )
--- a/tests/test_gateway_reporting.py
+++ b/tests/test_gateway_reporting.py
@@ -172,7 +172,7 @@
         self.sent = []
         self.on_parts = None
 
-    def members_heard_within(self, age_s):
+    def active_members(self):
         return [name for name in self.others if name != self.node]
 
     def send(self, message, node=None):
