Report twice as often in a large fleet, since handling a report is cheap now

Change: 6 ms for each gateway instead of 12, 0.41 s at 68 gateways: 167 reports a second, 0.9% of a core at 52 us each. The state machine of the quotas also loses the reports of one gateway one way.

Tried and not kept: reports with only the limits charged lately. A gateway that starts takes its baseline later and misses what was spent meanwhile; the state machine found 10,708 against a bound of 10,700, also with such a gateway counted as silent until its baseline. Complete reports pass 1,500 examples of it.

--- a/peridotrill/gateway/report_timing.py
+++ b/peridotrill/gateway/report_timing.py
@@ -10,8 +10,9 @@
 
 # Report interval with few gateways.
 _MIN_INTERVAL_S: Final = 0.1
-# Limits the reports that a gateway receives to 83 per second.
-_INTERVAL_PER_PEER_S: Final = 0.012
+# Limits the reports that a gateway receives to 167 per second, which take 0.9% of
+# a core at 52 us a report.
+_INTERVAL_PER_PEER_S: Final = 0.006
 # Reports in a row that a gateway may miss before it counts as silent. Datagrams
 # are lost at 2.5% at most, so that three lost ones are 16 in a million.
 _MISSED_REPORTS: Final = 3.5
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -66,14 +66,15 @@
         for name in _NODES:
             self.admit(name, cost)
 
-    @rule(steps=st.integers(1, 20))
-    def report(self, steps):
+    @rule(steps=st.integers(1, 20), lost=st.sampled_from((None, None, *_NODES)))
+    def report(self, steps, lost):
         for _ in range(steps):
             advance(self.clock, 0.1)
             for sender, quotas in self.nodes.items():
                 for receiver, other in self.nodes.items():
                     pair = {sender, receiver}
-                    if sender != receiver and not pair & self.partitioned:
+                    is_cut = pair & self.partitioned or sender == lost
+                    if sender != receiver and not is_cut:
                         other.observe_peer(
                             sender,
                             str(self.incarnations[sender]),
