Revert "Blame no request that was sent to a process as it ended with another one"

A sound rule needs evidence that the second process lived after the first crash, such as a connection that was opened, or bytes that arrived, since then.

--- a/peridotrill/prompt_quarantine.py
+++ b/peridotrill/prompt_quarantine.py
@@ -27,10 +27,6 @@
 # Quarantine after the first of these crashes; each further crash multiplies it.
 _FIRST_HOLD: Final = timedelta(seconds=30)
 _HOLD_FACTOR: Final = 4
-# Processes that end together are seen to end within this time, by the delays of
-# the network and of reports. It is shorter than a request runs before its first
-# output.
-_SAME_END: Final = timedelta(milliseconds=5)
 # Time after which the outcome of a trial request is known.
 _TRIAL_TIME: Final = timedelta(seconds=10)
 _MIN_RETRY_AFTER_S: Final = 1.0
@@ -59,17 +55,6 @@
     ended_s: float
     companions: frozenset[str]
 
-    def is_after(self, crash_s: float) -> bool:
-        """Whether the request ran at its process after an earlier crash.
-
-        A request that is sent again at once may reach a process that has ended
-        with the first one, on a connection whose end has not arrived yet.
-        """
-        same_end_s = _SAME_END.total_seconds()
-        if self.ended_s - self.sent_s > same_end_s:
-            return self.sent_s > crash_s
-        return self.sent_s > crash_s + same_end_s
-
 
 class _Suspect:
     """The crashes of one part since the last proof that it is harmless."""
@@ -133,7 +118,7 @@
         self.crashes = 0
         self.last_crash_s = float('-inf')
         for row in sorted(self.exposures.values(), key=lambda row: row.ended_s):
-            if row.is_after(self.last_crash_s):
+            if row.sent_s > self.last_crash_s:
                 self.crashes += 1
                 self.last_crash_s = row.ended_s
 
