Ignore loads below zero in reports, and survive loads that cannot be summed

A report of another writer with a negative or a huge load removed a sum that was still needed, and each further report, and each placed request, raised KeyError.

Found by reading the change.

--- a/peridotrill/gateway/load_tracker.py
+++ b/peridotrill/gateway/load_tracker.py
@@ -112,8 +112,10 @@
         """Apply a report of another gateway."""
         if peer in self._peers:
             self._drop_peer(peer)
-        self._peers[peer] = (self._clock.monotonic_s(), work)
-        for key, amount in work.items():
+        # A load below zero can only come from another writer.
+        loads = {key: row for key, row in work.items() if row > _NO_WORK}
+        self._peers[peer] = (self._clock.monotonic_s(), loads)
+        for key, amount in loads.items():
             self._peer_sums[key] = self._peer_sums.get(key, 0) + amount
         self.drop_stale_peers()
 
@@ -137,9 +139,9 @@
     def _drop_peer(self, peer: str) -> None:
         _, work = self._peers.pop(peer)
         for key, amount in work.items():
-            left = self._peer_sums[key] - amount
+            left = self._peer_sums.get(key, 0) - amount
             if left < _EPSILON:
-                self._peer_sums.pop(key)
+                self._peer_sums.pop(key, None)
             else:
                 self._peer_sums[key] = left
 
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -441,8 +441,8 @@
         """Save the origins of streams at one gateway.
 
         Without a coordinator, as for some seconds after a loss of all gateways,
-        the one that would claim the lease writes; two that write at the same
-        time only repeat each other.
+        the one that would claim the lease writes. Two that write at the same
+        time may overwrite each other's last records, but have mostly the same.
         """
         while True:
             holds_lease = self._coordinator.held_lease(timedelta(0)) is not None
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -429,3 +429,18 @@
     advance(clock, 1)
     assert load_tracker.total('i-1') == 0
     assert math.isclose(load_tracker.total('i-2'), 0)
+
+
+@pytest.mark.parametrize('amount', [0, -5, 1e300])
+def test_unusual_load_of_a_peer_does_not_stop_the_others(amount):
+    # Guards against a report of another writer after which each further report,
+    # and each request that is placed, fails.
+    clock = ManualClock()
+    loads = LoadTracker(clock)
+    for peer in ('a', 'b', 'a', 'b'):
+        loads.observe_peer(peer, {'i-1': amount})
+        loads.observe_peer('c', {'i-1': 2})
+    advance(clock, 5)
+    loads.drop_stale_peers()
+    loads.observe_peer('c', {'i-1': 2})
+    assert loads.total('i-1') == 2
