--- a/review/2/case.py
+++ b/review/2/case.py
@@ -31,10 +31,12 @@
 EVENT_GAP_S = 0.008
 DEADLINE_S = 3.0
 # The gateways are killed by turns, one at a time.
-KILLS = 9
+KILLS = 11
 FIRST_S = 5.0
-STEP_S = 8.0
+STEP_S = 7.5
 DOWN_S = 2.0
+# A kill comes up to so much later, at any point between two reports.
+KILL_SPREAD_S = 0.5
 CONTACT_S = 3.0
 # LOST: of so many streams that are taken up, the share that goes on has to be
 # half of the share of new streams that begin.
@@ -155,6 +157,7 @@
         ]
         for number in range(KILLS):
             due_s = start_s + number * STEP_S
+            due_s += random.uniform(0, KILL_SPREAD_S)
             await asyncio.sleep(due_s - time.monotonic())
             if has_trouble():
                 gateway = site.gateways[number % len(site.gateways)]
