--- a/peridotrill/gateway/components.py
+++ b/peridotrill/gateway/components.py
@@ -13,6 +13,7 @@
 from peridotrill.gateway.retry_budget import RetryBudget
 from peridotrill.gateway.shared_quotas import SharedQuotas
 from peridotrill.gateway.stream_origins import StreamOrigins
+from peridotrill.gateway.stream_sharing import StreamSharing
 from peridotrill.gateway.target_health import TargetHealth
 from peridotrill.gateway.target_http_client import TargetHttpClient
 from peridotrill.gateway.target_limits import TargetLimits
@@ -33,6 +34,7 @@
     crashes: CrashDetector
     quarantine: QuarantineSharing
     origins: StreamOrigins
+    streams: StreamSharing
     loads: LoadTracker
     demand: DemandMeter
     quotas: SharedQuotas
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -96,12 +96,28 @@
     frozen=True,
     tag='streams',
 ):
-    """Streams that have begun, sent to a newly started process."""
+    """Streams that have begun.
+
+    Sent to a newly started process, to the holders of a stream and as the answer
+    to a query.
+    """
 
     node: str
     streams: list[BegunStreams]
 
 
+class StreamQuery(
+    msgspec.Struct,
+    array_like=True,
+    frozen=True,
+    tag='stream_query',
+):
+    """Asks for the origin of a stream that a caller takes up at ``node``."""
+
+    node: str
+    digest: int
+
+
 class CrashRow(NamedTuple):
     """A request with these prompt parts that ran at a process as it ended.
 
@@ -134,7 +150,7 @@
     proofs: list[PartProof]
 
 
-Message = Report | PartListing | StreamListing | CrashReport
+Message = Report | PartListing | StreamListing | StreamQuery | CrashReport
 
 _encoder: Final = msgspec.msgpack.Encoder()
 _decoder: Final = msgspec.msgpack.Decoder(Message)
@@ -199,6 +215,7 @@
         self.on_parts: Callable[[PartListing], None] = _ignore
         self.on_crashes: Callable[[CrashReport], None] = _ignore
         self.on_streams: Callable[[StreamListing], None] = _ignore
+        self.on_stream_query: Callable[[StreamQuery], None] = _ignore
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport of the open socket."""
@@ -222,6 +239,7 @@
             Report: self._handle_report,
             PartListing: self.on_parts,
             StreamListing: self.on_streams,
+            StreamQuery: self.on_stream_query,
             CrashReport: self.on_crashes,
         }
         handlers[type(message)](message)
@@ -257,14 +275,22 @@
 
         :param node: the only recipient; None for all members.
         """
+        self.send_each(message, self.members if node is None else (node,))
+
+    def send_each(self, message: Message, nodes: Iterable[str]) -> None:
+        """Send a message to some of the members.
+
+        :param nodes: the recipients; those that are no members are left out.
+        """
         if self._transport is None or self._transport.is_closing():
             return
         datagram = encode_message(message)
         if len(datagram) > _MAX_DATAGRAM_BYTES:
             self._log.write('report_too_large', size=len(datagram))
             return
-        for member in self.members.values():
-            if node is None or member.node == node:
+        for node in nodes:
+            member = self.members.get(node)
+            if member is not None:
                 self._send_to(self._transport, member, datagram)
 
     def _send_to(
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -103,25 +103,53 @@
     if context.request.resumed_id is not None:
         digest = digest_request(context.team_name, context.request.resumed_id)
         origin = shared.origins.find(digest)
+    is_split = len(context.route.services) > 1
+    version = None
+    source = 'known'
     if origin is None:
+        source = 'only version'
         await shared.refresh_targets()
-        sole_version = shared.cluster_state.sole_version(context.service)
-        if sole_version is not None:
-            return sole_version
-    if origin is None and digest is not None:
-        shared.start_task(shared.load_streams)
-        interval_s = report_interval_s(shared.quotas.gateways - 1)
-        timeout_s = max(_MIN_ORIGIN_TIMEOUT_S, interval_s)
-        origin = await shared.origins.wait_for(
-            digest, timedelta(seconds=timeout_s)
-        )
-    if origin is None or origin.service != context.service:
+        version = shared.cluster_state.sole_version(context.service)
+    # Of several services, only the origin tells which one began the stream.
+    if origin is None and digest is not None and (is_split or version is None):
+        origin = await _ask_for_origin(context, digest)
+        source = source if origin is None else 'asked'
+    if origin is not None:
+        version = _use_origin(context, origin)
+    shared.log.write(
+        'stream_taken_up',
+        request=context.request.request_id,
+        resumes=context.request.resumed_id,
+        service=context.service,
+        software=version,
+        source=source,
+    )
+    if version is None:
         raise context.build_error(
             'stream_version_unknown', context.retry_after_s()
         )
+    return version
+
+
+def _use_origin(context: RequestContext, origin: StreamOrigin) -> str | None:
+    """Go on at the service of a stream; return None if the route has another."""
+    if origin.service not in {row.service for row in context.route.services}:
+        return None
+    context.service = origin.service
     return origin.version
 
 
+async def _ask_for_origin(
+    context: RequestContext, digest: int
+) -> StreamOrigin | None:
+    """Return the origin of a stream from another gateway or from the store."""
+    shared = context.shared
+    shared.start_task(shared.load_streams)
+    interval_s = report_interval_s(shared.quotas.gateways - 1)
+    timeout_s = max(_MIN_ORIGIN_TIMEOUT_S, interval_s)
+    return await shared.streams.find(digest, timedelta(seconds=timeout_s))
+
+
 async def _release(
     context: RequestContext, remote_prompt: RemotePrompt
 ) -> None:
@@ -556,9 +584,10 @@
         if version is None:
             return
         context.stream_version = version
-        context.shared.origins.record(
+        context.shared.streams.record(
             digest_request(context.team_name, context.request.request_id),
             StreamOrigin(context.service, version),
+            is_split=len(context.route.services) > 1,
         )
 
     def _forward_new_events(
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -277,7 +277,10 @@
             self._log,
         )
         self._stream_sharing = StreamSharing(
-            node.node, self._origins, self._peers
+            node.node,
+            self._origins,
+            self._cluster_state.versions,
+            self._peers,
         )
         self._version_archive = VersionArchive(
             self._cluster_state,
@@ -348,6 +351,7 @@
                 crashes=self._crashes,
                 quarantine=self._quarantine_sharing,
                 origins=self._origins,
+                streams=self._stream_sharing,
                 loads=self._loads,
                 demand=self._demand,
                 quotas=self._quotas,
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -8,8 +8,20 @@
 
 from peridotrill.platform.names import STREAMS_TOPIC, VERSIONS_TOPIC
 from standins.platform_engine import ScriptedEngine
-from tests.gateway_builders import prompt_headers
-from tests.gateway_site import DECODE, SIGKILL, call, run_site, wait_until
+from tests.gateway_builders import (
+    configuration_document,
+    prompt_headers,
+    route_row,
+)
+from tests.gateway_site import (
+    DECODE,
+    SIGCONT,
+    SIGKILL,
+    SIGSTOP,
+    call,
+    run_site,
+    wait_until,
+)
 
 _numbers = itertools.count()
 # Longer than the interval of the reports between gateways.
@@ -149,6 +161,44 @@
         assert len(versions(mixed_site, begun_id, request_id)) == 1
 
 
+def test_stream_goes_on_after_its_gateway_was_killed_at_once(mixed_site):
+    # Guards against short streams that only the killed gateway knew of (LOST).
+    gateways = list(mixed_site.gateways.values())
+    for number in range(8):
+        killed, other = gateways[number % 2], gateways[1 - number % 2]
+        begun_id = break_stream(mixed_site, killed)
+        killed.signal(SIGKILL)
+        request_id, response = take_up(other, begun_id)
+        assert response.status_code == 200
+        assert len(versions(mixed_site, begun_id, request_id)) == 1
+        killed.start_after(killed.process)
+        killed.wait_ready()
+
+
+def test_stream_goes_on_after_its_gateway_froze_at_once(mixed_site):
+    # Guards against short streams that only a frozen gateway knows of (LOST).
+    frozen, other = mixed_site.gateways.values()
+    for _ in range(8):
+        begun_id = break_stream(mixed_site, frozen)
+        frozen.signal(SIGSTOP)
+        request_id, response = take_up(other, begun_id)
+        frozen.signal(SIGCONT)
+        assert response.status_code == 200
+        assert len(versions(mixed_site, begun_id, request_id)) == 1
+
+
+def test_stream_goes_on_while_the_store_is_down(mixed_site):
+    # Guards against take-ups that only the store can answer (LOST).
+    killed, other = mixed_site.gateways.values()
+    for gateway in (killed, other):
+        gateway.store_proxy.cut()
+    begun_id = break_stream(mixed_site, killed)
+    killed.signal(SIGKILL)
+    request_id, response = take_up(other, begun_id)
+    assert response.status_code == 200
+    assert len(versions(mixed_site, begun_id, request_id)) == 1
+
+
 def test_stream_goes_on_at_its_version_after_the_loss_of_all_gateways(
     mixed_site,
 ):
@@ -229,6 +279,41 @@
     assert not mixed_site.runs(request_id)
 
 
+def test_stream_of_a_split_route_goes_on_at_its_service(tmp_path):
+    # Guards against a stream that goes on at another service of its route.
+    engines = mixed_engines(d1=_OLD, d2=_OLD)
+    others = [
+        ScriptedEngine(f'i-other-{number}', 'other', 'a', DECODE)
+        for number in range(2)
+    ]
+    with run_site(tmp_path, (*engines, *others)) as site:
+        gateways = site.start_gateways('front-a-1', 'front-b-1')
+        document = configuration_document()
+        split = [{'service': name, 'weight': 50} for name in ('llm', 'other')]
+        row = route_row('quick', 'stream', 'llm', **{'can-resume': True})
+        row.pop('service')
+        model, plain = document['services']
+        site.publish(
+            2,
+            routes=[{**row, 'split': split}],
+            services=[model, {**model, 'name': 'other'}, plain],
+        )
+        wait_until(lambda: read_logs(site).count('version=2') >= 2)
+        for number in range(8):
+            killed, other = gateways[number % 2], gateways[1 - number % 2]
+            begun_id = break_stream(site, killed)
+            killed.signal(SIGKILL)
+            request_id, response = take_up(other, begun_id)
+            assert response.status_code == 200
+            services = {
+                site.engines[name].service
+                for name in (*site.runs(begun_id), *site.runs(request_id))
+            }
+            assert len(services) == 1
+            killed.start_after(killed.process)
+            killed.wait_ready()
+
+
 @pytest.mark.parametrize(
     'headers',
     [
