--- a/peridotrill/exceptions.py
+++ b/peridotrill/exceptions.py
@@ -91,5 +91,9 @@
     """The call may have run at the target; its response was lost."""
 
 
+class ResponseExcessive(TargetOutcomeUnknown):
+    """The target sends more than a response may need."""
+
+
 class TargetTimeout(TargetOutcomeUnknown):
     """The target did not respond within the expected time."""
--- /dev/null
+++ b/peridotrill/gateway/receive_limits.py
@@ -0,0 +1,145 @@
+"""Bounds the memory and the work that targets may cause by their responses.
+
+A faulty target may send bytes without end until its connection is closed: few
+large pieces that fill the memory, or many small ones that take the processor.
+"""
+
+from collections.abc import Callable
+from typing import Final, NamedTuple, final
+
+from peridotrill.exceptions import ResponseExcessive
+
+_MIB: Final = 1024 * 1024
+# Limit for a body that is read as a whole.
+_MAX_BODY_BYTES: Final = 16 * _MIB
+# Bytes of a response that are kept even if others have exhausted the budget.
+_FREE_BYTES: Final = 64 * 1024
+# Share of the memory of a process for responses. A body is held twice while its
+# parts are joined.
+_MEMORY_SHARE: Final = 0.125
+
+
+class WorkRate(NamedTuple):
+    """Limit for callbacks of the parser, each of which takes some microseconds."""
+
+    per_s: float
+    burst: float
+
+
+# A stream of a fast engine has about 300 events per second.
+CONNECTION_RATE: Final = WorkRate(per_s=2000, burst=4000)
+# Takes about 2% of a core for each target.
+TARGET_RATE: Final = WorkRate(per_s=6000, burst=12000)
+
+
+@final
+class ReceiveBudget:
+    """Bounds the memory for responses on many connections."""
+
+    def __init__(self, max_bytes: int, max_body_bytes: int | None = None):
+        """:param max_bytes: limit for the sum of all responses.
+
+        :param max_body_bytes: limit for a body that is read as a whole.
+        """
+        self._max_bytes = max_bytes
+        self.max_body_bytes = max_body_bytes or min(
+            _MAX_BODY_BYTES, max_bytes // 2
+        )
+        self.used_bytes = 0
+
+    @classmethod
+    def from_memory_limit(cls, limit_mb: float) -> 'ReceiveBudget':
+        """Return the budget of a process.
+
+        :param limit_mb: memory of the process.
+        """
+        return cls(int(limit_mb * _MEMORY_SHARE * _MIB))
+
+    def try_take(self, size_bytes: int) -> bool:
+        """Use a part of the budget; return False if it is exhausted."""
+        if self.used_bytes + size_bytes > self._max_bytes:
+            return False
+        self.used_bytes += size_bytes
+        return True
+
+    def give_back(self, size_bytes: int) -> None:
+        """Return a part of the budget."""
+        self.used_bytes -= size_bytes
+
+
+@final
+class ReservedBytes:
+    """The part of a budget that one response uses."""
+
+    def __init__(self, budget: ReceiveBudget) -> None:
+        """Start without any."""
+        self._budget = budget
+        self._taken_bytes = 0
+
+    def resize(self, size_bytes: int) -> None:
+        """Use as much as a response of this size needs.
+
+        Raises ResponseExcessive if the budget is exhausted.
+        """
+        lacking = max(0, size_bytes - _FREE_BYTES) - self._taken_bytes
+        if lacking > 0 and not self._budget.try_take(lacking):
+            raise ResponseExcessive('memory for responses is exhausted')
+        if lacking < 0:
+            self._budget.give_back(-lacking)
+        self._taken_bytes += lacking
+
+    def release(self) -> None:
+        """Return what was taken."""
+        self._budget.give_back(self._taken_bytes)
+        self._taken_bytes = 0
+
+
+@final
+class WorkMeter:
+    """Token bucket for the work that a connection, or a target, causes."""
+
+    def __init__(
+        self,
+        rate: WorkRate,
+        now_s: Callable[[], float],
+        parent: 'WorkMeter | None' = None,
+    ) -> None:
+        """:param parent: meter that is charged as well."""
+        self._rate = rate
+        self._now_s = now_s
+        self._parent = parent
+        self._tokens = rate.burst
+        self._refilled_s = now_s()
+
+    def charge(self, units: float) -> None:
+        """Use tokens; raises ResponseExcessive if there are not enough."""
+        if self._parent is not None:
+            self._parent.charge(units)
+        self._tokens -= units
+        if self._tokens < 0:
+            self._refill()
+            if self._tokens < 0:
+                raise ResponseExcessive('too many pieces of a response')
+
+    def _refill(self) -> None:
+        now_s = self._now_s()
+        added = (now_s - self._refilled_s) * self._rate.per_s
+        self._tokens = min(self._rate.burst, self._tokens + added)
+        self._refilled_s = now_s
+
+
+@final
+class ReceiveLimits:
+    """Limits for the connections to one target."""
+
+    def __init__(
+        self, budget: ReceiveBudget, now_s: Callable[[], float]
+    ) -> None:
+        """:param budget: shared with other targets."""
+        self.budget = budget
+        self._now_s = now_s
+        self._meter = WorkMeter(TARGET_RATE, now_s)
+
+    def open_meter(self) -> WorkMeter:
+        """Return the meter of a new connection."""
+        return WorkMeter(CONNECTION_RATE, self._now_s, self._meter)
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -9,6 +9,7 @@
 
 from peridotrill.exceptions import (
     CodecError,
+    ResponseExcessive,
     TargetOutcomeUnknown,
     TargetRefused,
     TargetTimeout,
@@ -414,9 +415,10 @@
         :param events: number of events that a model engine had sent.
         """
         parts = self.shared_part_ids
+        is_excessive = isinstance(error, ResponseExcessive)
         self.record_attempt_failure(
             target,
-            Failure.BROKEN,
+            Failure.EXCESSIVE if is_excessive else Failure.BROKEN,
             str(error),
             events=events,
             parts=','.join(parts) or None,
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -7,6 +7,7 @@
 
 from peridotrill.exceptions import (
     CodecError,
+    ResponseExcessive,
     TargetError,
     TargetOutcomeUnknown,
     TargetTimeout,
@@ -45,6 +46,10 @@
 _DECODE_LATENCY_S: Final = 0.04
 # Time per output token at an engine that is nearly idle.
 _MIN_TOKEN_LATENCY_S: Final = 0.0045
+# A stream may have this many events for each output token, and some more; one
+# that is longer never ends.
+_EVENTS_PER_TOKEN: Final = 2
+_MAX_EXTRA_EVENTS: Final = 64
 # Engine priority of a route with priority 0; the default of engines is 5.
 _ENGINE_PRIORITY_BASE: Final = 3
 _ENGINE_PRIORITY_MAX: Final = 9
@@ -541,8 +546,10 @@
             if part is None:
                 break
             events += self._forward_new_events(response, splitter.feed(part))
+            exchange.keep(splitter.partial_bytes)
+            self._require_expected_length(events)
             await context.responder.drain()
-        if splitter.has_partial_event:
+        if splitter.partial_bytes:
             raise TargetOutcomeUnknown('stream ended inside an event')
         if not events or not context.responder.has_started:
             raise TargetOutcomeUnknown('stream without an event')
@@ -550,6 +557,15 @@
             context.record_harmless(self._sent_s)
         context.responder.end_stream()
 
+    def _require_expected_length(self, events: int) -> None:
+        """Raise ResponseExcessive if a stream is longer than was asked for."""
+        prompt = self._context.request.prompt
+        if prompt is None:
+            return
+        max_events = prompt.max_output_tokens * _EVENTS_PER_TOKEN
+        if events > max_events + _MAX_EXTRA_EVENTS:
+            raise ResponseExcessive('more events than tokens')
+
     def _require_same_stream(self, response: TargetResponse) -> None:
         """Raise TargetOutcomeUnknown if a response cannot continue another."""
         started = self._started_response
--- a/peridotrill/gateway/target_connections.py
+++ b/peridotrill/gateway/target_connections.py
@@ -20,20 +20,33 @@
 import httptools
 
 from peridotrill.exceptions import (
+    ResponseExcessive,
     TargetOutcomeUnknown,
     TargetRefused,
     TargetUnreachable,
 )
-from peridotrill.gateway.body_budget import BodyBudget, ReservedBytes
 from peridotrill.gateway.http_format import format_head
+from peridotrill.gateway.receive_limits import (
+    ReceiveBudget,
+    ReceiveLimits,
+    ReservedBytes,
+)
 from peridotrill.gateway.requests import Headers
 from peridotrill.settings import Address
 
 # Body bytes that are buffered for a slow caller before reading is paused.
-_MAX_BUFFERED_BYTES: Final = 262144
+_MAX_BUFFERED_BYTES: Final = 65536
 # Limit for bytes in a row that belong to no body of the expected response:
 # heads, interim responses, trailers, responses to other requests.
 _MAX_OVERHEAD_BYTES: Final = 256 * 1024
+# Memory for a header field, or a chunk of a body, besides its content.
+_FIELD_BYTES: Final = 160
+_CHUNK_BYTES: Final = 64
+# Work for the start of a message, in units of one callback of the parser.
+_MESSAGE_WORK: Final = 20
+# Reads and chunks of this size are limited by their bytes, smaller ones also by
+# their number.
+_LARGE_PIECE_BYTES: Final = 512
 # Responses to other requests that are skipped before the connection is closed.
 _MAX_SKIPPED_RESPONSES: Final = 4
 # SO_LINGER with a zero timeout: closing resets the connection.
@@ -98,9 +111,14 @@
         self.matches = matches
         self._head: ResponseHead | None = None
         self._chunks: deque[bytes] = deque()
+        # Memory for the head, for chunks that have not been read, and for what
+        # the reader keeps of the others.
+        self._head_bytes = 0
         self._buffered_bytes = 0
+        self._kept_bytes = 0
+        self._reserved = ReservedBytes(connection.limits.budget)
         self._is_complete = False
-        self._error: str | None = None
+        self._error: TargetOutcomeUnknown | None = None
         self._waiter: asyncio.Future[None] | None = None
 
     async def read_head(self) -> ResponseHead:
@@ -123,41 +141,58 @@
             self._raise_if_broken()
             await self._wait()
         part = self._chunks.popleft()
-        self._buffered_bytes -= len(part)
+        self._buffered_bytes -= len(part) + _CHUNK_BYTES
         if self._buffered_bytes < _MAX_BUFFERED_BYTES:
             self._connection.resume_reading()
         return part
 
     async def read_body(self) -> bytes:
         """Wait for the whole body; raises TargetOutcomeUnknown."""
-        body = bytearray()
-        reserved = ReservedBytes(self._connection.budget)
-        try:
+        max_bytes = self._connection.limits.budget.max_body_bytes
+        parts = []
+        size_bytes = 0
+        part = await self.read_chunk()
+        while part is not None:
+            parts.append(part)
+            size_bytes += len(part)
+            if size_bytes > max_bytes:
+                raise ResponseExcessive('response body too large')
+            self.keep(size_bytes + len(parts) * _CHUNK_BYTES)
             part = await self.read_chunk()
-            while part is not None:
-                body += part
-                reserved.grow(len(body))
-                part = await self.read_chunk()
-        finally:
-            reserved.release()
-        return bytes(body)
+        return b''.join(parts)
+
+    def keep(self, size_bytes: int) -> None:
+        """Count what the reader keeps of the body, until the exchange is closed.
+
+        Raises ResponseExcessive if that is too much.
+        """
+        self._kept_bytes = size_bytes
+        self._resize()
 
     def close(self) -> None:
         """Reset the connection unless the response is complete."""
         if not self._is_complete:
             self._connection.abort('cancelled')
+        self._chunks.clear()
+        self._reserved.release()
 
     # Called by the connection.
 
+    def count_head(self, size_bytes: int) -> None:
+        """Count the memory for a head; raises ResponseExcessive."""
+        self._head_bytes = size_bytes
+        self._resize()
+
     def deliver_head(self, head: ResponseHead) -> None:
         """Store the head of the response."""
         self._head = head
         self._notify()
 
     def deliver_chunk(self, part: bytes) -> None:
-        """Add a chunk of the body."""
+        """Add a chunk of the body; raises ResponseExcessive."""
         self._chunks.append(part)
-        self._buffered_bytes += len(part)
+        self._buffered_bytes += len(part) + _CHUNK_BYTES
+        self._resize()
         if self._buffered_bytes > _MAX_BUFFERED_BYTES:
             self._connection.pause_reading()
         self._notify()
@@ -167,10 +202,10 @@
         self._is_complete = True
         self._notify()
 
-    def deliver_error(self, reason: str) -> None:
+    def deliver_error(self, error: TargetOutcomeUnknown) -> None:
         """Mark an incomplete response as broken."""
         if not self._is_complete and self._error is None:
-            self._error = reason
+            self._error = error
             self._notify()
 
     @property
@@ -180,7 +215,11 @@
 
     def _raise_if_broken(self) -> None:
         if self._error is not None:
-            raise TargetOutcomeUnknown(self._error)
+            raise self._error
+
+    def _resize(self) -> None:
+        size_bytes = self._head_bytes + self._buffered_bytes + self._kept_bytes
+        self._reserved.resize(size_bytes)
 
     async def _wait(self) -> None:
         self._waiter = asyncio.get_running_loop().create_future()
@@ -198,14 +237,15 @@
     def __init__(
         self,
         on_idle: Callable[['TargetConnection'], None],
-        budget: BodyBudget | None = None,
+        limits: ReceiveLimits,
     ) -> None:
         """:param on_idle: called when the connection can be reused.
 
-        :param budget: for the bodies that are read as a whole.
+        :param limits: for the responses of the target.
         """
         self._on_idle = on_idle
-        self.budget = budget or BodyBudget()
+        self.limits = limits
+        self._meter = limits.open_meter()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: TargetExchange | None = None
@@ -217,7 +257,7 @@
         self._is_reused = False
         self._skipped = 0
         self._overhead_bytes = 0
-        self._parse_error = ''
+        self._parse_error: TargetOutcomeUnknown | None = None
         self._ends_at_eof = False
         self._reset_message()
 
@@ -231,19 +271,21 @@
         if self._exchange is None:
             self.abort('data received without a request in progress')
             return
-        self._overhead_bytes += len(data)
         try:
+            self._meter.charge(_work_of(data))
+            self._overhead_bytes += len(data)
             self._parser.feed_data(data)
+            self._check_overhead()
         except httptools.HttpParserCallbackError:
-            if not self._parse_error:
+            if self._parse_error is None:
                 # A bug in a parser callback: the event loop logs the exception
                 # and closes the connection.
                 raise
-            self.abort(self._parse_error)
+            self._break(self._parse_error)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.abort('malformed response')
-        if self._overhead_bytes > _MAX_OVERHEAD_BYTES:
-            self.abort('response head too large')
+        except ResponseExcessive as error:
+            self._break(error)
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the stream."""
@@ -261,7 +303,7 @@
         if self._exchange is not None:
             exchange = self._exchange
             self._exchange = None
-            exchange.deliver_error(reason)
+            exchange.deliver_error(TargetOutcomeUnknown(reason))
 
     def start(
         self,
@@ -319,6 +361,9 @@
         A reset discards request bytes that are still buffered, which must
         not reach the target after the request was abandoned.
         """
+        self._break(TargetOutcomeUnknown(reason))
+
+    def _break(self, error: TargetOutcomeUnknown) -> None:
         self.is_open = False
         if self._transport is not None:
             peer = self._transport.get_extra_info('socket')
@@ -330,7 +375,7 @@
         exchange = self._exchange
         self._exchange = None
         if exchange is not None:
-            exchange.deliver_error(reason)
+            exchange.deliver_error(error)
 
     def has_unread_input(self) -> bool:
         """Tell whether received bytes, or the end, have not been read yet."""
@@ -358,6 +403,7 @@
 
     def on_message_begin(self) -> None:
         """Reset the parsing state."""
+        self._charge(_MESSAGE_WORK)
         self._reset_message()
         self._is_in_message = True
 
@@ -367,6 +413,10 @@
 
     def on_header(self, name: bytes, content: bytes) -> None:
         """Collect a header; trailers are ignored."""
+        self._charge(1)
+        self._field_bytes += len(name) + len(content) + _FIELD_BYTES
+        if self._field_bytes > _MAX_OVERHEAD_BYTES:
+            self._fail_parsing(ResponseExcessive('response head too large'))
         if not self._headers_done:
             self._headers.append((name.lower(), content))
 
@@ -390,6 +440,7 @@
         if exchange is None or exchange.has_head:
             self._abort_parsing('response without a request in progress')
             return
+        self._count_head(self._field_bytes)
         match = exchange.matches(head)
         if match is Match.UNNAMED and (self._is_reused or self._skipped):
             self._abort_parsing('response names no request')
@@ -405,9 +456,14 @@
 
     def on_body(self, body: bytes) -> None:
         """Deliver a chunk of the body."""
-        if self._exchange is not None and not self._is_skipped:
-            self._overhead_bytes = 0
+        self._charge(_work_of(body))
+        if self._exchange is None or self._is_skipped:
+            return
+        self._overhead_bytes = 0
+        try:
             self._exchange.deliver_chunk(body)
+        except ResponseExcessive as error:
+            self._fail_parsing(error)
 
     def on_message_complete(self) -> None:
         """Handle the end of a response, as its framing defines it."""
@@ -442,8 +498,33 @@
 
     def _abort_parsing(self, reason: str) -> None:
         """Abort parsing; ``data_received`` resets the connection."""
-        self._parse_error = reason
-        raise ValueError(reason)
+        self._fail_parsing(TargetOutcomeUnknown(reason))
+
+    def _fail_parsing(self, error: TargetOutcomeUnknown) -> None:
+        self._parse_error = error
+        raise error
+
+    def _charge(self, units: float) -> None:
+        """Count work in a callback of the parser."""
+        try:
+            self._meter.charge(units)
+        except ResponseExcessive as error:
+            self._fail_parsing(error)
+
+    def _check_overhead(self) -> None:
+        """Raise ResponseExcessive if too much belongs to no expected body."""
+        if self._overhead_bytes > _MAX_OVERHEAD_BYTES:
+            raise ResponseExcessive('response head too large')
+        if not self._headers_done:
+            self._count_head(self._overhead_bytes + self._field_bytes)
+
+    def _count_head(self, size_bytes: int) -> None:
+        if self._exchange is None:
+            return
+        try:
+            self._exchange.count_head(size_bytes)
+        except ResponseExcessive as error:
+            self._fail_parsing(error)
 
     def _parse_keep_alive(self, head: ResponseHead) -> None:
         row = head.get(b'keep-alive')
@@ -456,6 +537,7 @@
 
     def _reset_message(self) -> None:
         self._reason = b''
+        self._field_bytes = 0
         self._headers: Headers = []
         self._headers_done = False
         self._is_in_message = False
@@ -465,24 +547,28 @@
         self._ends_at_eof = False
 
 
+def _work_of(piece: bytes) -> float:
+    """Return the work for a read or a chunk, in callbacks of the parser."""
+    return max(0.0, 1 - len(piece) / _LARGE_PIECE_BYTES)
+
+
 async def open_connection(
     address: Address,
     timeout_s: float,
     on_idle: Callable[[TargetConnection], None],
-    budget: BodyBudget | None = None,
+    limits: ReceiveLimits,
 ) -> TargetConnection:
     """Connect to a target; raises TargetUnreachable or TargetRefused.
 
     :param timeout_s: timeout for the connection attempt.
     :param on_idle: called when the connection can be reused.
-    :param budget: for the bodies that are read as a whole on this and other
-        connections.
+    :param limits: for the responses of the target on all connections.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: TargetConnection(on_idle, budget),
+                lambda: TargetConnection(on_idle, limits),
                 address.host,
                 address.port,
             )
@@ -505,13 +591,13 @@
         now_s: Callable[[], float],
         connect_timeout_s: float,
         max_idle: int,
-        budget: BodyBudget | None = None,
+        budget: ReceiveBudget,
     ) -> None:
         """:param max_idle: maximum number of idle connections.
 
-        :param budget: for the bodies that are read as a whole.
+        :param budget: for the responses, also of other targets.
         """
-        self._budget = budget or BodyBudget()
+        self._limits = ReceiveLimits(budget, now_s)
         self.address = address
         self._now_s = now_s
         self._connect_timeout_s = connect_timeout_s
@@ -544,7 +630,7 @@
             self.address,
             self._connect_timeout_s,
             self._release,
-            self._budget,
+            self._limits,
         )
 
     def _pop_idle(self, max_idle_s: float) -> TargetConnection | None:
--- a/peridotrill/gateway/target_health.py
+++ b/peridotrill/gateway/target_health.py
@@ -29,6 +29,8 @@
     BROKEN = 0.5
     ERROR = 0.2
     REFUSED = 0.3
+    # The target sends without end: each further response costs as much.
+    EXCESSIVE = _MAX_PENALTY
 
 
 @final
--- a/peridotrill/gateway/target_http_client.py
+++ b/peridotrill/gateway/target_http_client.py
@@ -11,7 +11,7 @@
     TargetTimeout,
     TargetUnreachable,
 )
-from peridotrill.gateway.body_budget import BodyBudget
+from peridotrill.gateway.receive_limits import ReceiveBudget
 from peridotrill.gateway.requests import CallerRequest
 from peridotrill.gateway.target_connections import (
     ConnectionPool,
@@ -51,13 +51,20 @@
     """Sends requests to targets; keeps one connection pool per target."""
 
     def __init__(
-        self, wire: WireCodec, clock: Clock, timeouts: ConnectionTimeouts
+        self,
+        wire: WireCodec,
+        clock: Clock,
+        timeouts: ConnectionTimeouts,
+        budget: ReceiveBudget,
     ) -> None:
-        """:param wire: encodes requests and decodes responses."""
+        """:param wire: encodes requests and decodes responses.
+
+        :param budget: for the responses of all targets.
+        """
         self._wire = wire
         self._clock = clock
         self._timeouts = timeouts
-        self._budget = BodyBudget()
+        self._budget = budget
         self._pools: dict[str, ConnectionPool] = {}
 
     async def send(
--- a/peridotrill/gateway_coordinator_tasks.py
+++ b/peridotrill/gateway_coordinator_tasks.py
@@ -10,6 +10,7 @@
 from peridotrill.gateway.demand import DemandMeter
 from peridotrill.gateway.event_log import EventLog
 from peridotrill.gateway.load_tracker import LoadTracker
+from peridotrill.gateway.receive_limits import ReceiveBudget
 from peridotrill.gateway.reporting import Reporting
 from peridotrill.gateway.role_controller import RoleController
 from peridotrill.gateway.role_planner import RolePlanner
@@ -29,6 +30,8 @@
 # A call, including its connection, takes less than ``LEASE_MARGIN``.
 _DUTY_TIMEOUT_S: Final = 1.0
 _DUTY_CONNECT_TIMEOUT_S: Final = 0.6
+# A duty call is answered by a status.
+_MAX_DUTY_RESPONSE_BYTES: Final = 1024 * 1024
 # An order consists of two calls, which together take less than
 # ``LEASE_MARGIN``.
 _ORDER_TIMEOUT_S: Final = 0.5
@@ -88,7 +91,11 @@
             parts.coordinator,
             DutyClient(
                 ConnectionPool(
-                    address, clock.monotonic_s, _DUTY_CONNECT_TIMEOUT_S, 1
+                    address,
+                    clock.monotonic_s,
+                    _DUTY_CONNECT_TIMEOUT_S,
+                    1,
+                    ReceiveBudget(_MAX_DUTY_RESPONSE_BYTES),
                 ),
                 node.node,
                 _DUTY_TIMEOUT_S,
@@ -101,7 +108,7 @@
             parts.demand,
             RolePlanner(clock),
             parts.coordinator,
-            EngineOrders(node.node, _ORDER_TIMEOUT_S),
+            EngineOrders(node.node, _ORDER_TIMEOUT_S, clock),
             clock,
             self._is_before_load,
             log,
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -57,6 +57,7 @@
     QuarantineArchive,
 )
 from peridotrill.gateway.quarantine_sharing import QuarantineSharing
+from peridotrill.gateway.receive_limits import ReceiveBudget
 from peridotrill.gateway.reporting import (
     Reporting,
     ReportSources,
@@ -116,6 +117,10 @@
 _STORE_TIMEOUT_S: Final = 1.0
 # A lost SYN is only retransmitted after seconds; a new attempt is faster.
 _STORE_CONNECT_TIMEOUT_S: Final = 0.6
+# Limits for responses of the store. A page has 1 MiB; a record that is larger than
+# what is left of a page comes with it.
+_MAX_STORE_RESPONSE_BYTES: Final = 4 * 1024 * 1024
+_STORE_RECEIVE_BYTES: Final = 4 * _MAX_STORE_RESPONSE_BYTES
 # Concurrent calls: two followers, the lease and usage.
 _MAX_IDLE_STORE_CONNECTIONS: Final = 4
 # With a shorter lease, a single slow response of the store would lose it.
@@ -173,6 +178,7 @@
                 self._clock.monotonic_s,
                 _STORE_CONNECT_TIMEOUT_S,
                 _MAX_IDLE_STORE_CONNECTIONS,
+                ReceiveBudget(_STORE_RECEIVE_BYTES, _MAX_STORE_RESPONSE_BYTES),
             ),
             _STORE_TIMEOUT_S,
         )
@@ -204,7 +210,10 @@
             self._log,
         )
         self._targets = TargetHttpClient(
-            wire, self._clock, ConnectionTimeouts()
+            wire,
+            self._clock,
+            ConnectionTimeouts(),
+            ReceiveBudget.from_memory_limit(node.memory_limit_mb),
         )
         self._placement = Placement(
             self._cluster_state,
@@ -272,7 +281,7 @@
             self._placement.parts,
             self._peers,
             self._cluster_state,
-            EngineParts(_LISTING_TIMEOUT_S),
+            EngineParts(_LISTING_TIMEOUT_S, self._clock),
             self._clock,
             self._log,
         )
--- a/peridotrill/platform/engine_orders.py
+++ b/peridotrill/platform/engine_orders.py
@@ -3,6 +3,7 @@
 from http import HTTPStatus
 from typing import Any, Final, final
 
+from peridotrill.clock import Clock
 from peridotrill.codec import check_integer, decode_json, encode_json
 from peridotrill.exceptions import (
     CodecError,
@@ -20,10 +21,10 @@
 class EngineOrders:
     """Sends orders on behalf of one lease holder."""
 
-    def __init__(self, holder: str, timeout_s: float) -> None:
+    def __init__(self, holder: str, timeout_s: float, clock: Clock) -> None:
         """:param timeout_s: timeout of each of the two calls of an order."""
         self._holder = holder
-        self._calls = EngineCalls(timeout_s)
+        self._calls = EngineCalls(timeout_s, clock)
 
     async def change_role(
         self,
--- a/peridotrill/platform/engine_parts.py
+++ b/peridotrill/platform/engine_parts.py
@@ -3,6 +3,7 @@
 from http import HTTPStatus
 from typing import Any, Final, final
 
+from peridotrill.clock import Clock
 from peridotrill.codec import check_integer, check_text, decode_json
 from peridotrill.exceptions import CodecError, TargetOutcomeUnknown
 from peridotrill.gateway.part_directory import MIN_PART_TOKENS, PartLocation
@@ -21,9 +22,9 @@
     once after a start.
     """
 
-    def __init__(self, timeout_s: float) -> None:
+    def __init__(self, timeout_s: float, clock: Clock) -> None:
         """:param timeout_s: timeout of each call."""
-        self._calls = EngineCalls(timeout_s)
+        self._calls = EngineCalls(timeout_s, clock)
 
     async def list_parts(self, target: TargetRecord) -> list[PartLocation]:
         """Return the parts of at least ``MIN_PART_TOKENS`` tokens.
--- a/peridotrill/platform/node_settings.py
+++ b/peridotrill/platform/node_settings.py
@@ -45,8 +45,11 @@
     duties: tuple[str, ...]
     bounds: Bounds
     is_first_start: bool
+    memory_limit_mb: float
 
 
+# Memory of a process whose settings name no limit.
+_DEFAULT_MEMORY_LIMIT_MB: Final = 256
 # Fields of ``Bounds`` and their names in the settings file.
 _BOUND_NAMES: Final = (
     ('drain_ms', 'drain-ms'),
@@ -101,6 +104,9 @@
             duties=tuple(self._get('cloud', 'duties') or ()),
             bounds=self._bounds(),
             is_first_start=self._get('bootstrap') is True,
+            memory_limit_mb=self._number(
+                _DEFAULT_MEMORY_LIMIT_MB, 'limits', 'memory-limit-mb'
+            ),
         )
         return Error(self._findings) if self._findings else Ok(node)
 
--- a/tests/gateway_builders.py
+++ b/tests/gateway_builders.py
@@ -2,10 +2,11 @@
 
 from datetime import timedelta
 
-from peridotrill.clock import ManualClock
+from peridotrill.clock import ManualClock, SystemClock
 from peridotrill.codec import encode_json
 from peridotrill.exceptions import LogUnavailable
 from peridotrill.gateway.configuration import Team
+from peridotrill.gateway.receive_limits import ReceiveBudget, ReceiveLimits
 from peridotrill.gateway.requests import CallerRequest, Prompt, PromptPart
 from peridotrill.gateway.targets import TargetRecord
 from peridotrill.platform.topics import KeyedPage
@@ -132,6 +133,15 @@
     return request._replace(**changes)
 
 
+def receive_budget(memory_limit_mb=300):
+    return ReceiveBudget.from_memory_limit(memory_limit_mb)
+
+
+def receive_limits(budget=None):
+    now_s = SystemClock().monotonic_s
+    return ReceiveLimits(budget or receive_budget(), now_s)
+
+
 def advance(clock: ManualClock, seconds: float) -> None:
     clock.advance(timedelta(seconds=seconds))
 
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -1,17 +1,30 @@
 """Servers that send bytes without end until their client closes."""
 
 import asyncio
+import time
+import tracemalloc
 from contextlib import asynccontextmanager, closing
 
 import httpx
 import pytest
 
-from peridotrill.exceptions import TargetOutcomeUnknown
-from peridotrill.gateway.body_budget import BodyBudget
-from peridotrill.gateway.target_connections import open_connection
+from peridotrill.clock import ManualClock
+from peridotrill.exceptions import ResponseExcessive, TargetOutcomeUnknown
+from peridotrill.gateway.event_stream import EventStreamParser
+from peridotrill.gateway.receive_limits import (
+    CONNECTION_RATE,
+    TARGET_RATE,
+    ReceiveBudget,
+    WorkMeter,
+)
+from peridotrill.gateway.target_connections import (
+    TargetConnection,
+    open_connection,
+)
 from peridotrill.platform.wire import matches_request
 from peridotrill.settings import Address
 from peridotrill.target_client import get_json
+from tests.gateway_builders import advance, receive_limits
 
 MIB = 1024 * 1024
 # A gateway has 200 MB of memory or more for all of its connections.
@@ -55,7 +68,10 @@
 
 async def read_whole(address, budget=None):
     connection = await open_connection(
-        address, 1, lambda _: None, budget or BodyBudget(MAX_BODY_BYTES)
+        address,
+        1,
+        lambda _: None,
+        receive_limits(budget or ReceiveBudget(MAX_BODY_BYTES)),
     )
     exchange = connection.start(
         b'GET / HTTP/1.1',
@@ -100,7 +116,7 @@
 
 def test_endless_bodies_share_a_bound():
     # Guards against many endless responses that are each within their bound.
-    budget = BodyBudget(4 * MIB)
+    budget = ReceiveBudget(4 * MIB)
 
     async def run():
         async with run_server(HEAD + b'\r\n', b'x') as endless:
@@ -108,7 +124,7 @@
                 *(read_whole(endless.address, budget) for _ in range(8)),
                 return_exceptions=True,
             )
-            assert {type(row) for row in outcomes} == {TargetOutcomeUnknown}
+            assert {type(row) for row in outcomes} == {ResponseExcessive}
             assert budget.used_bytes == 0
 
     asyncio.run(asyncio.wait_for(run(), TIMEOUT_S))
@@ -116,7 +132,7 @@
 
 def test_exhausted_budget_does_not_break_ordinary_responses():
     # Guards against one server whose endless responses break all others.
-    budget = BodyBudget(0)
+    budget = ReceiveBudget(0, MIB)
     response = HEAD + b'Content-Length: 1000\r\n\r\n' + b'y' * 1000
 
     async def run():
@@ -126,6 +142,122 @@
     asyncio.run(asyncio.wait_for(run(), TIMEOUT_S))
 
 
+@pytest.mark.parametrize(
+    ('beginning', 'repeated'),
+    [
+        (CHUNKED, b'1\r\nx\r\n'),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+        (HEAD, b'X: 1\r\n'),
+    ],
+)
+def test_many_small_pieces_are_broken_off(beginning, repeated):
+    # Guards against a target that takes the processor time of all callers with
+    # few bytes.
+    async def run():
+        async with run_server(beginning, repeated) as endless:
+            address = endless.address
+            connection = await open_connection(
+                address, 1, lambda _: None, receive_limits()
+            )
+            started_s = time.process_time()
+            with pytest.raises(ResponseExcessive):
+                await connection.call(b'GET', b'/x')
+            # The server of the test uses the same processor.
+            assert time.process_time() - started_s < 1
+            await asyncio.wait_for(endless.closed.wait(), 5)
+
+    asyncio.run(asyncio.wait_for(run(), TIMEOUT_S))
+
+
+class DiscardingTransport:
+    """Transport that keeps nothing."""
+
+    def write(self, data):
+        """Drop the request."""
+
+    def abort(self):
+        """Close nothing."""
+
+    def get_extra_info(self, name):
+        return None
+
+
+def test_small_header_fields_are_counted_by_their_memory():
+    # Guards against heads that take many times the memory of their bytes.
+    budget = ReceiveBudget(MIB)
+    piece = b'X-Field: 1\r\n' * 300
+    exchanges = []
+    tracemalloc.start()
+    for _ in range(60):
+        connection = TargetConnection(lambda _: None, receive_limits(budget))
+        connection.connection_made(DiscardingTransport())
+        exchanges.append(connection.start(b'GET / HTTP/1.1', [], b''))
+        connection.data_received(HEAD)
+        while connection.is_open:
+            connection.data_received(piece)
+    kept_bytes = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    # Each response may take 64 KiB besides the budget.
+    assert kept_bytes < 60 * 2 * 65536 + 2 * MIB
+    for exchange in exchanges:
+        exchange.close()
+    assert budget.used_bytes == 0
+
+
+@pytest.mark.parametrize('rate', [CONNECTION_RATE, TARGET_RATE])
+def test_work_is_limited_over_any_time(rate):
+    # Guards against a target that stays just below the limit of one response.
+    clock = ManualClock()
+    meter = WorkMeter(rate, clock.monotonic_s)
+    spent = 0
+    for _ in range(100):
+        try:
+            while True:
+                meter.charge(1)
+                spent += 1
+        except ResponseExcessive:
+            advance(clock, 0.1)
+    assert spent <= rate.burst + rate.per_s * 10 + 1
+
+
+def test_connections_of_a_target_share_its_limit():
+    # Guards against a target with many connections, each within its limit.
+    limits = receive_limits()
+    charged = 0
+    with pytest.raises(ResponseExcessive):
+        while True:
+            limits.open_meter().charge(1)
+            charged += 1
+    assert charged < TARGET_RATE.burst * 2
+
+
+def test_fast_stream_after_a_pause_of_the_gateway_is_sound():
+    # Guards against streams that are cut because what arrived during a freeze
+    # is read at once.
+    meter = receive_limits().open_meter()
+    for _ in range(300 * 4):
+        meter.charge(2)
+
+
+def test_work_for_an_endless_event_is_linear():
+    # Guards against a search that begins anew with each byte of an event.
+    parser = EventStreamParser()
+    parser.feed(b'x' * 900_000)
+    started_s = time.process_time()
+    for _ in range(20_000):
+        parser.feed(b'x')
+    assert time.process_time() - started_s < 0.5
+
+
+def test_event_end_is_found_across_small_pieces():
+    # Guards against an event whose end is missed because it comes in pieces.
+    parser = EventStreamParser()
+    stream = b'id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n'
+    events = [event for byte in stream for event in parser.feed(bytes([byte]))]
+    assert [event.event_id for event in events] == [b'1', b'2']
+    assert not parser.partial_bytes
+
+
 def test_endless_load_report_is_broken_off():
     # Guards against an agent whose memory grows with a report of its target.
     async def run():
--- a/tests/test_gateway_codecs.py
+++ b/tests/test_gateway_codecs.py
@@ -63,6 +63,8 @@
     RecordingLog,
     configuration_document,
     configuration_record,
+    receive_budget,
+    receive_limits,
     target,
 )
 
@@ -208,7 +210,7 @@
     async def change_role():
         async with serve_http(engine.handle) as address:
             record = target('i-1', TargetRole.DECODE, address=address)
-            return await EngineOrders('n', 0.5).change_role(
+            return await EngineOrders('n', 0.5, ManualClock()).change_role(
                 record, TargetRole.PREFILL, 1
             )
 
@@ -359,9 +361,9 @@
     assert [event.event_id for event in events] == [
         str(n).encode() for n in range(5)
     ]
-    assert not parser.has_partial_event
+    assert not parser.partial_bytes
     parser.feed(b'id: 9\ndata')
-    assert parser.has_partial_event
+    assert parser.partial_bytes
 
 
 class FakeTransport:
@@ -401,7 +403,7 @@
 
     async def run():
         idle = []
-        connection = TargetConnection(idle.append)
+        connection = TargetConnection(idle.append, receive_limits())
         transport = FakeTransport()
         connection.connection_made(transport)
         exchange = connection.start(
@@ -590,7 +592,9 @@
     # effect.
     async def run():
         async with serve_http(make_store_handler(200, body)) as address:
-            pool = ConnectionPool(address, time.monotonic, 1, 1)
+            pool = ConnectionPool(
+                address, time.monotonic, 1, 1, receive_budget()
+            )
             with pytest.raises(AppendOutcomeUnknown):
                 await StoreClient(pool, 1).append('t', [b'x'])
 
@@ -605,7 +609,9 @@
     # Guards against a follower that stops because of one invalid response.
     async def run():
         async with serve_http(make_store_handler(200, body)) as address:
-            pool = ConnectionPool(address, time.monotonic, 1, 1)
+            pool = ConnectionPool(
+                address, time.monotonic, 1, 1, receive_budget()
+            )
             with pytest.raises(LogUnavailable):
                 await StoreClient(pool, 1).newest('t')
 
@@ -622,7 +628,9 @@
 
     async def run():
         async with serve_http(pour) as address:
-            connection = await open_connection(address, 1, lambda idle: None)
+            connection = await open_connection(
+                address, 1, lambda idle: None, receive_limits()
+            )
             with pytest.raises(TargetOutcomeUnknown, match='too large'):
                 await connection.call(b'GET', b'/x')
 
@@ -645,7 +653,9 @@
     async def run():
         async with serve_http(hang) as address:
             times = ConnectionTimeouts(release=timedelta(milliseconds=50))
-            caller = TargetHttpClient(wire, ManualClock(), times)
+            caller = TargetHttpClient(
+                wire, ManualClock(), times, receive_budget()
+            )
             with anyio.fail_after(5), pytest.raises(TargetTimeout):
                 await caller.release_prompt(target(address=address), 'h1')
 
--- a/tests/test_gateway_roles.py
+++ b/tests/test_gateway_roles.py
@@ -35,7 +35,7 @@
     """Send role orders to an engine over a socket; return the outcomes."""
 
     async def run():
-        orders = EngineOrders('front-a-1', timeout_s)
+        orders = EngineOrders('front-a-1', timeout_s, ManualClock())
         async with serve_http(engine.handle) as address:
             record = target(expected or engine.target_id, address=address)
             return [await orders.change_role(record, role, 7) for role in roles]
@@ -84,7 +84,7 @@
     async def run():
         async with serve_http(engine.handle) as address:
             record = target('i-1', _PREFILL, address=address)
-            return await EngineParts(0.5).list_parts(record)
+            return await EngineParts(0.5, ManualClock()).list_parts(record)
 
     assert anyio.run(run) == [
         PartLocation('a1', 'i-1', 13000),
--- a/tests/test_target_connection_reuse.py
+++ b/tests/test_target_connection_reuse.py
@@ -10,6 +10,7 @@
 from peridotrill.exceptions import TargetUnreachable
 from peridotrill.gateway.target_connections import ConnectionPool
 from peridotrill.settings import Address
+from tests.gateway_builders import receive_budget
 
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 TIMEOUT_S = 5
@@ -31,7 +32,10 @@
     server = await asyncio.start_server(running.handle, '127.0.0.1', 0)
     address = Address(*server.sockets[0].getsockname()[:2])
     async with server:
-        yield ConnectionPool(address, time.monotonic, 1, 4), running
+        yield (
+            ConnectionPool(address, time.monotonic, 1, 4, receive_budget()),
+            running,
+        )
 
 
 async def use(pool, running):
