--- a/peridotrill/exceptions.py
+++ b/peridotrill/exceptions.py
@@ -87,6 +87,10 @@
     """The address of the target refuses connections: no process listens."""
 
 
+class TargetReplaced(TargetUnreachable):
+    """Another process than the registered one answers; nothing was sent."""
+
+
 class TargetOutcomeUnknown(TargetError):
     """The call may have run at the target; its response was lost."""
 
--- a/peridotrill/gateway/cluster_state.py
+++ b/peridotrill/gateway/cluster_state.py
@@ -199,6 +199,7 @@
             or current.address != record.address
         ):
             self._leaving.discard(current.process)
+            self._suspended_until_s.pop(record.target_id, None)
             self.on_target_gone(current)
         self.on_change()
 
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -12,6 +12,7 @@
     ResponseExcessive,
     TargetOutcomeUnknown,
     TargetRefused,
+    TargetReplaced,
     TargetTimeout,
     TargetUnreachable,
 )
@@ -401,6 +402,8 @@
         self.record_attempt_failure(target, Failure.UNREACHABLE, str(error))
         if isinstance(error, TargetRefused):
             self.shared.crashes.record_end(target.process, 'connection refused')
+        if isinstance(error, TargetReplaced):
+            self._record_replaced(target)
 
     def record_broken_response(
         self,
@@ -446,17 +449,22 @@
         to this one for a while.
         """
         if response.is_wrong_target:
-            self.shared.cluster_state.suspend_target(
-                target.target_id,
-                _WRONG_TARGET_SUSPENSION,
-            )
-            self.shared.crashes.record_end(
-                target.process, 'another process answers'
-            )
+            self._record_replaced(target)
         self.record_attempt_failure(
             target, Failure.REFUSED, f'status {response.status}'
         )
 
+    def _record_replaced(self, target: TargetRecord) -> None:
+        """Record that another process answers at the address of a target."""
+        self.shared.cluster_state.suspend_target(
+            target.target_id,
+            _WRONG_TARGET_SUSPENSION,
+        )
+        self.shared.crashes.record_end(
+            target.process, 'another process answers'
+        )
+        self.shared.start_task(self.shared.refresh_targets)
+
     def handle_rejection(
         self,
         target: TargetRecord,
--- a/peridotrill/gateway/stream_archive.py
+++ b/peridotrill/gateway/stream_archive.py
@@ -133,7 +133,7 @@
         return {
             service
             for service in self._versions.services()
-            if len(self._versions.recent(service)) > 1
+            if self._versions.is_mixed(service)
         }
 
     def _unsaved(self, services: set[str]) -> list[tuple[int, StreamOrigin]]:
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -360,6 +360,10 @@
         self._sent_s = 0.0
         self._first_event_s = 0.0
         self._attempt_events = 0
+        # Whether the process that responds is known to be the registered one.
+        self._is_identified = False
+        # Software version of the process that responds.
+        self._version = ''
         self._use_handle = remote_prompt is not None
         self.is_prompt_taken = False
 
@@ -486,7 +490,11 @@
                 resume_after=self._last_id,
             ),
             context.route.is_repeatable,
+            must_identify=context.shared.cluster_state.versions.is_mixed(
+                context.service
+            ),
         )
+        self._is_identified = exchange.is_identified
         context.record_sent(target)
         if self._last_id is not None:
             context.shared.log.write(
@@ -576,29 +584,35 @@
             raise TargetOutcomeUnknown('response does not continue the stream')
 
     def _require_same_version(self) -> None:
-        """Raise TargetOutcomeUnknown if another version would continue.
+        """Raise TargetOutcomeUnknown if another version would begin or continue.
 
         The target may have started again since it was chosen.
         """
         expected = self._context.stream_version
         found = self._software_version()
+        if found is None:
+            raise TargetOutcomeUnknown('target has started again')
+        self._version = found
         if expected is not None and found != expected:
             raise TargetOutcomeUnknown(f'continued by version {found}')
 
     def _software_version(self) -> str | None:
-        """Return the version of the current target, as known now."""
+        """Return the version of the process that responds; None if unknown."""
         if self._target is None:
             return None
+        version = self._target.software_version
+        if self._is_identified:
+            return version
         cluster_state = self._context.shared.cluster_state
         known = cluster_state.find_target(self._target.target_id)
-        return (known or self._target).software_version
+        # The connection may lead to either process.
+        is_same = known is None or known.software_version == version
+        return version if is_same else None
 
     def _record_origin(self) -> None:
         """Let the stream, and its callers, go on at its version only."""
         context = self._context
-        version = context.stream_version or self._software_version()
-        if version is None:
-            return
+        version = context.stream_version or self._version
         context.stream_version = version
         context.shared.streams.record(
             digest_request(context.team_name, context.request.request_id),
--- a/peridotrill/gateway/stream_sharing.py
+++ b/peridotrill/gateway/stream_sharing.py
@@ -67,7 +67,7 @@
         :param is_split: whether its route leads to several services.
         """
         self._origins.record(digest, origin)
-        if is_split or len(self._versions.recent(origin.service)) > 1:
+        if is_split or self._versions.is_mixed(origin.service):
             streams = [BegunStreams(*origin, (digest,))]
             listing = StreamListing(self._node, streams)
             self._peers.send_each(listing, self._rank(digest, _HOLDERS))
--- a/peridotrill/gateway/target_connections.py
+++ b/peridotrill/gateway/target_connections.py
@@ -17,6 +17,7 @@
 from contextlib import closing
 from typing import Final, NamedTuple, final
 
+import anyio
 import httptools
 
 from peridotrill.exceptions import (
@@ -97,6 +98,10 @@
     return Match.OWN
 
 
+def _ignore() -> None:
+    """Do nothing when a connection is lost."""
+
+
 @final
 class TargetExchange:
     """One request on a connection, and its response while it arrives."""
@@ -208,6 +213,11 @@
             self._error = error
             self._notify()
 
+    @property
+    def is_identified(self) -> bool:
+        """Whether the responding process is known to be the registered one."""
+        return self._connection.is_identified
+
     @property
     def has_head(self) -> bool:
         """Whether the head has arrived."""
@@ -238,18 +248,25 @@
         self,
         on_idle: Callable[['TargetConnection'], None],
         limits: ReceiveLimits,
+        on_lost: Callable[[], None] = _ignore,
     ) -> None:
         """:param on_idle: called when the connection can be reused.
 
         :param limits: for the responses of the target.
+        :param on_lost: called when the target ends the connection unannounced.
         """
         self._on_idle = on_idle
+        self._on_lost = on_lost
+        # Whether the process at the other end is known to be the registered one.
+        # A connection never outlives its process.
+        self.is_identified = False
         self.limits = limits
         self._meter = limits.open_meter()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: TargetExchange | None = None
         self._is_paused = False
+        self._is_kept = False
         self.is_open = False
         self.idle_since_s = 0.0
         # Idle timeout that the target declared in Keep-Alive, if any.
@@ -289,15 +306,20 @@
 
     def eof_received(self) -> bool:
         """Complete a response that is delimited by the end of the stream."""
+        was_open = self.is_open
         self.is_open = False
         ends_response = self._is_in_message and self._ends_at_eof
         if ends_response and self._headers_done:
             self._must_close = True
             self._complete_message()
+        elif was_open:
+            self._on_lost()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the request in progress, if any."""
+        if self.is_open:
+            self._on_lost()
         self.is_open = False
         reason = 'connection closed' if exc is None else 'connection reset'
         if self._exchange is not None:
@@ -349,6 +371,27 @@
             head = await exchange.read_head()
             return Response(head, await exchange.read_body())
 
+    async def call_and_keep(
+        self, method: bytes, path: bytes, headers: Headers
+    ) -> Response:
+        """Send a request; its sender keeps the connection for the next one.
+
+        Raises TargetOutcomeUnknown if the connection ends with the response.
+        """
+        self._is_kept = True
+        try:
+            response = await self.call(method, path, headers=headers)
+            # What follows the response in the same read ends the connection.
+            await anyio.lowlevel.checkpoint()
+        except BaseException:
+            self.abort('cancelled')
+            raise
+        finally:
+            self._is_kept = False
+        if not self.is_open:
+            raise TargetOutcomeUnknown('connection closed')
+        return response
+
     def _peer_name(self) -> bytes:
         if self._transport is None:
             raise TargetUnreachable('not connected')
@@ -494,7 +537,8 @@
                 return
             self.resume_reading()
             self._is_reused = True
-            self._on_idle(self)
+            if not self._is_kept:
+                self._on_idle(self)
 
     def _abort_parsing(self, reason: str) -> None:
         """Abort parsing; ``data_received`` resets the connection."""
@@ -557,18 +601,20 @@
     timeout_s: float,
     on_idle: Callable[[TargetConnection], None],
     limits: ReceiveLimits,
+    on_lost: Callable[[], None] = _ignore,
 ) -> TargetConnection:
     """Connect to a target; raises TargetUnreachable or TargetRefused.
 
     :param timeout_s: timeout for the connection attempt.
     :param on_idle: called when the connection can be reused.
     :param limits: for the responses of the target on all connections.
+    :param on_lost: called when the target ends the connection unannounced.
     """
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
             _, connection = await loop.create_connection(
-                lambda: TargetConnection(on_idle, limits),
+                lambda: TargetConnection(on_idle, limits, on_lost),
                 address.host,
                 address.port,
             )
@@ -604,6 +650,9 @@
         self._max_idle = max_idle
         self._idle: deque[TargetConnection] = deque()
         self._is_closed = False
+        # Whether the process at the address may have ended since a connection
+        # was last identified.
+        self.is_suspect = False
 
     async def acquire(self, max_idle_s: float) -> TargetConnection:
         """Return an idle or new connection for one request.
@@ -626,12 +675,20 @@
             self._idle.pop().abort('pool closed')
 
     async def _open(self) -> TargetConnection:
-        return await open_connection(
-            self.address,
-            self._connect_timeout_s,
-            self._release,
-            self._limits,
-        )
+        try:
+            return await open_connection(
+                self.address,
+                self._connect_timeout_s,
+                self._release,
+                self._limits,
+                self._suspect,
+            )
+        except TargetRefused:
+            self._suspect()
+            raise
+
+    def _suspect(self) -> None:
+        self.is_suspect = True
 
     def _pop_idle(self, max_idle_s: float) -> TargetConnection | None:
         now_s = self._now_s()
--- a/peridotrill/gateway/target_http_client.py
+++ b/peridotrill/gateway/target_http_client.py
@@ -1,13 +1,18 @@
 """HTTP client for targets, with persistent connections."""
 
+import asyncio
 from datetime import timedelta
+from http import HTTPStatus
 from typing import Final, NamedTuple, final
 
 import anyio
 
 from peridotrill.clock import Clock
 from peridotrill.exceptions import (
+    CodecError,
+    TargetOutcomeUnknown,
     TargetRefused,
+    TargetReplaced,
     TargetTimeout,
     TargetUnreachable,
 )
@@ -15,6 +20,8 @@
 from peridotrill.gateway.requests import CallerRequest
 from peridotrill.gateway.target_connections import (
     ConnectionPool,
+    Response,
+    TargetConnection,
     TargetExchange,
 )
 from peridotrill.gateway.target_messages import (
@@ -22,7 +29,7 @@
     TargetResponse,
     WireCodec,
 )
-from peridotrill.gateway.targets import TargetRecord
+from peridotrill.gateway.targets import TargetRecord, TargetRole
 
 
 class ConnectionTimeouts(NamedTuple):
@@ -37,10 +44,15 @@
     connect_timeout: timedelta = timedelta(milliseconds=350)
     max_idle: timedelta = timedelta(seconds=5)
     non_idempotent_max_idle: timedelta = timedelta(seconds=1.5)
+    # Timeout for the report of an engine, which needs no slot.
+    identify: timedelta = timedelta(milliseconds=350)
     # Timeout for the release of a prompt, which usually takes milliseconds.
     release: timedelta = timedelta(seconds=1)
 
 
+# Connections that are opened to identify a process before its target counts as
+# unreachable: the engine may close one after its report.
+_IDENTIFY_ATTEMPTS: Final = 3
 # Low enough that all gateways together stay below the connection limit of a
 # target.
 _MAX_IDLE_PER_TARGET: Final = 6
@@ -73,10 +85,13 @@
         target: TargetRecord,
         options: RequestOptions,
         allow_retry: bool,
+        must_identify: bool = False,
     ) -> TargetExchange:
         """Send a request; raises TargetUnreachable if nothing was sent.
 
         :param allow_retry: whether the request may run more than once.
+        :param must_identify: whether it matters which process responds.
+            Raises TargetReplaced if it is not the one of the record.
         """
         pool = self._pool(target)
         max_idle = (
@@ -84,7 +99,15 @@
             if allow_retry
             else self._timeouts.non_idempotent_max_idle
         )
-        connection = await pool.acquire(max_idle.total_seconds())
+        max_idle_s = max_idle.total_seconds()
+        if must_identify or (
+            pool.is_suspect and target.role is TargetRole.DECODE
+        ):
+            connection = await self._acquire_identified(
+                pool, target, max_idle_s
+            )
+        else:
+            connection = await pool.acquire(max_idle_s)
         first_line, headers = self._wire.format_target_request(
             request,
             options,
@@ -125,6 +148,53 @@
             return False
         return False
 
+    async def _acquire_identified(
+        self, pool: ConnectionPool, target: TargetRecord, max_idle_s: float
+    ) -> TargetConnection:
+        """Return a connection to the process that wrote the record."""
+        for _ in range(_IDENTIFY_ATTEMPTS):
+            connection = await pool.acquire(max_idle_s)
+            if connection.is_identified or not target.started_ms:
+                return connection
+            try:
+                await self._identify(connection, target)
+            except TargetOutcomeUnknown:
+                # An idle connection may have ended before it was used.
+                continue
+            pool.is_suspect = False
+            return connection
+        raise TargetUnreachable('process not identified')
+
+    async def _identify(
+        self, connection: TargetConnection, target: TargetRecord
+    ) -> None:
+        """Ask the process at the other end which one it is.
+
+        Raises TargetReplaced, TargetUnreachable or TargetOutcomeUnknown.
+        """
+        call = self._wire.format_report_call(target.target_id)
+        try:
+            async with asyncio.timeout(self._timeouts.identify.total_seconds()):
+                response = await connection.call_and_keep(*call)
+            started_ms = self._decode_start_time(response)
+        except (TimeoutError, CodecError) as error:
+            connection.abort('process not identified')
+            raise TargetUnreachable(f'not identified: {error}') from error
+        if not started_ms:
+            return
+        if started_ms != target.started_ms:
+            connection.abort('another process answers')
+            raise TargetReplaced(f'process of {started_ms} answers')
+        connection.is_identified = True
+
+    def _decode_start_time(self, response: Response) -> int:
+        """Return the start time in a report; 0 if the engine names none."""
+        if response.head.status == HTTPStatus.MISDIRECTED_REQUEST:
+            raise TargetReplaced('another target answers')
+        if response.head.status != HTTPStatus.OK:
+            return 0
+        return self._wire.decode_start_time(response.body)
+
     def forget(self, target: TargetRecord) -> None:
         """Close the idle connections of a target that was removed."""
         pool = self._pools.pop(target.process, None)
--- a/peridotrill/gateway/target_messages.py
+++ b/peridotrill/gateway/target_messages.py
@@ -90,6 +90,16 @@
     def decode_prefilled(self) -> Callable[[bytes], PrefilledPrompt]:
         """Decode the response to a prefill; raises CodecError."""
 
+    @property
+    def format_report_call(
+        self,
+    ) -> Callable[[str], tuple[bytes, bytes, Headers]]:
+        """Return method, path and headers of the call for an engine's report."""
+
+    @property
+    def decode_start_time(self) -> Callable[[bytes], int]:
+        """Return the start time that a report names; raises CodecError."""
+
     @property
     def format_release(self) -> Callable[[str], tuple[bytes, bytes]]:
         """Return method and path of the call that releases a prompt."""
--- a/peridotrill/gateway/version_history.py
+++ b/peridotrill/gateway/version_history.py
@@ -38,6 +38,10 @@
         versions = self._seen_s.get(service, {})
         return {name for name, seen_s in versions.items() if seen_s >= since_s}
 
+    def is_mixed(self, service: str) -> bool:
+        """Whether several versions may have written recent streams."""
+        return len(self.recent(service)) > 1
+
     def services(self) -> list[str]:
         """Return the services with at least one version."""
         return list(self._seen_s)
--- a/peridotrill/platform/wire.py
+++ b/peridotrill/platform/wire.py
@@ -177,6 +177,22 @@
     return b'DELETE', b'/-/kv-handle/%b' % handle.encode()
 
 
+def format_report_call(target_id: str) -> tuple[bytes, bytes, Headers]:
+    """Return method, path and headers of the call for an engine's report."""
+    return b'GET', b'/-/report', [(names.EXPECT_INSTANCE, target_id.encode())]
+
+
+def decode_start_time(body: bytes) -> int:
+    """Return when the process of an engine started; raises CodecError.
+
+    The time is in Unix milliseconds, and 0 if the report names none.
+    """
+    report: Any = decode_json(body)
+    if not isinstance(report, dict):
+        raise CodecError('report is not a JSON object')
+    return check_integer(report.get('born', 0))
+
+
 def _decode_key(value: bytes | None) -> str | None:
     if value is None or not value.lower().startswith(_BEARER_PREFIX):
         return None
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -248,6 +248,7 @@
                     else self.reported_orders
                 ),
                 'busy': self.is_busy,
+                'born': self.started_ms,
             }
             responder.send(_OK, [], json.dumps(report).encode())
         elif path == '/-/kv-list':
--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -184,6 +184,8 @@
         self.engines = {engine.target_id: engine for engine in engines}
         self.addresses = {}
         self.gateways = {}
+        # Time from the restart of an engine to its record.
+        self.registration_delay_s = 0
 
     async def open(self, stack):
         store_address = await stack.enter_async_context(
@@ -210,6 +212,7 @@
             await anyio.sleep(ENGINE_RESTART_S)
             engine.restart()
             async with serve_http(engine.handle, port=address.port):
+                await anyio.sleep(self.registration_delay_s)
                 await self.store.put(
                     SERVERS_TOPIC, engine.target_id, engine.record(address)
                 )
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -1,6 +1,7 @@
 """Streams at a service whose engines run several software versions."""
 
 import itertools
+import re
 import time
 
 import httpx
@@ -279,6 +280,48 @@
     assert not mixed_site.runs(request_id)
 
 
+def collect_versions(site, gateway, until_s):
+    """Send streams until then; return the versions of the events of each."""
+    found = []
+    while time.monotonic() < until_s:
+        request_id = f'restarted-{next(_numbers)}'
+        try:
+            response = quick(gateway, request_id)
+        except httpx.RemoteProtocolError:
+            continue
+        found.append(set(re.findall('^: (.+)$', response.text, re.MULTILINE)))
+    return found
+
+
+@pytest.mark.parametrize('before', [(_OLD, _NEW, _OLD, _NEW), (_OLD,) * 4])
+def test_engine_that_starts_again_is_not_taken_for_its_old_version(
+    tmp_path, before
+):
+    # Guards against a stream of a new process that counts as begun by the version
+    # in the record of the process before it (ORDER).
+    named = dict(zip(('d1', 'd2', 'd3', 'd4'), before, strict=True))
+    with run_site(tmp_path, mixed_engines(**named)) as site:
+        (gateway,) = site.start_gateways('front-a-1')
+        for engine in site.engines.values():
+            engine.names_version = True
+        collect_versions(site, gateway, time.monotonic() + 1)
+        set_faults(site, _ONE_BREAK)
+        restarted = site.engines['i-d1']
+        # Each stream that begins at the new process breaks and goes on elsewhere.
+        restarted.default_fault = 'cut'
+        site.registration_delay_s = 3
+        restarted.replace('i-d1', _NEW)
+        found = collect_versions(site, gateway, time.monotonic() + 5)
+        assert len(found) > 20
+        assert all(len(row) == 1 for row in found)
+        # It serves again once its record is known.
+        assert any(
+            row.get('x-peridotrill-request-id') for row in restarted.received
+        )
+        log = gateway.read_log()
+        assert 'target=i-d1 failure=unreachable detail="process of' in log
+
+
 def test_stream_of_a_split_route_goes_on_at_its_service(tmp_path):
     # Guards against a stream that goes on at another service of its route.
     engines = mixed_engines(d1=_OLD, d2=_OLD)
