--- a/peridotrill/gateway/caller_server.py
+++ b/peridotrill/gateway/caller_server.py
@@ -28,9 +28,8 @@
 # Pipelined requests that are queued behind the one in progress before reading
 # from the connection is paused.
 _MAX_PIPELINED_REQUESTS: Final = 2
-# Limit for the bodies of all requests together; sized for the memory of a
-# small VM.
-_MAX_BUFFERED_BYTES: Final = 67108864
+# Limit for the bodies of all requests together, unless another one is set.
+_MAX_BUFFERED_BYTES: Final = 32 * 1024 * 1024
 _HTTP_1_0: Final = '1.0'
 _CONTINUE: Final = b'HTTP/1.1 100 Continue\r\n\r\n'
 # Before a due timer closes anything, the event loop gets this long to read: after
@@ -107,11 +106,14 @@
         limits: Callable[[], CallerLimits],
         now_s: Callable[[], float],
         log: EventSink,
+        max_buffered_bytes: int = _MAX_BUFFERED_BYTES,
     ) -> None:
         """:param limits: returns the current limits.
 
         :param log: receives unreadable requests and unhandled exceptions.
+        :param max_buffered_bytes: limit for the bodies of all requests together.
         """
+        self.max_buffered_bytes = max_buffered_bytes
         self.log = log
         self.handler = handler
         self.task_group = task_group
@@ -164,6 +166,8 @@
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._body_bytes = 0
+        self._headers: Headers = []
+        self._body: list[bytes] = []
         self._reset_message()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -201,6 +205,7 @@
         waiting_bytes = sum(len(row.request.body) for row in self._pipelined)
         self._server.buffered_bytes -= self._body_bytes + waiting_bytes
         self._body_bytes = 0
+        self._body = []
         self._pipelined.clear()
         self._can_write.set()
         if self._exchange is not None:
@@ -254,15 +259,13 @@
         if self._body_bytes > self._server.limits().max_body_bytes:
             self._abort_parsing(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         self._server.buffered_bytes += len(body)
-        if self._server.buffered_bytes > _MAX_BUFFERED_BYTES:
+        if self._server.buffered_bytes > self._server.max_buffered_bytes:
             self._abort_parsing(HTTPStatus.SERVICE_UNAVAILABLE)
         self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Handle the request, or queue it behind the one in progress."""
         self._is_in_message = False
-        # The exchange subtracts these bytes from the buffered total later.
-        self._body_bytes = 0
         self._cancel_timer()
         request = RawRequest(
             self._parser.get_method(),
@@ -271,6 +274,11 @@
             b''.join(self._body),
             self._server.now_s(),
         )
+        # The exchange subtracts its bytes from the buffered total later. The
+        # connection keeps nothing of a request that it has handed on.
+        self._headers = []
+        self._body = []
+        self._body_bytes = 0
         self._pipelined.append(
             _ReceivedRequest(
                 request,
@@ -362,9 +370,9 @@
     def _reset_message(self) -> None:
         self._body_bytes = 0
         self._target = b''
-        self._headers: Headers = []
+        self._headers = []
         self._header_bytes = 0
-        self._body: list[bytes] = []
+        self._body = []
         self._is_in_message = False
         self._is_in_body = False
         self._error_status = 0
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -117,9 +117,13 @@
 _STORE_TIMEOUT_S: Final = 1.0
 # A lost SYN is only retransmitted after seconds; a new attempt is faster.
 _STORE_CONNECT_TIMEOUT_S: Final = 0.6
+_MIB: Final = 1024 * 1024
+# Share of the memory of the process for the bodies of requests. A body is held
+# twice while it is joined, and while it is sent to a target.
+_REQUEST_MEMORY_SHARE: Final = 0.2
 # Limits for responses of the store. A page has 1 MiB; a record that is larger than
 # what is left of a page comes with it.
-_MAX_STORE_RESPONSE_BYTES: Final = 4 * 1024 * 1024
+_MAX_STORE_RESPONSE_BYTES: Final = 4 * _MIB
 _STORE_RECEIVE_BYTES: Final = 4 * _MAX_STORE_RESPONSE_BYTES
 # Concurrent calls: two followers, the lease and usage.
 _MAX_IDLE_STORE_CONNECTIONS: Final = 4
@@ -386,6 +390,7 @@
             self._caller_limits,
             self._clock.monotonic_s,
             self._log,
+            int(self._node.memory_limit_mb * _REQUEST_MEMORY_SHARE * _MIB),
         )
         control = CallerServer(
             self._answer_control,
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+import tracemalloc
 from contextlib import asynccontextmanager
 from http import HTTPStatus
 
@@ -66,6 +67,30 @@
     theirs.close()
 
 
+@pytest.mark.anyio
+async def test_kept_connections_do_not_hold_bodies_of_answered_requests():
+    # Guards against a gateway that exceeds its memory by the bodies of requests
+    # that were answered (Fault).
+    connections, body_bytes = 20, 1_000_000
+    head = b'POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n'
+    request = head % body_bytes + bytes(body_bytes)
+    async with run_server() as (server, client):
+        address = client.getpeername()
+        clients = [
+            socket.create_connection(address, 5) for _ in range(connections)
+        ]
+        tracemalloc.start()
+        for kept in clients:
+            await asyncio.to_thread(kept.sendall, request)
+            assert await asyncio.to_thread(kept.recv, 1000)
+        held_bytes = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        assert len(server.connections) == connections + 1
+        assert held_bytes < body_bytes
+        for kept in clients:
+            kept.close()
+
+
 @pytest.mark.anyio
 @pytest.mark.parametrize('earlier', [0, 1])
 async def test_idle_close_after_a_stall_reads_what_has_arrived(earlier):
