--- a/peridotrill/gateway/caller_server.py
+++ b/peridotrill/gateway/caller_server.py
@@ -194,22 +194,19 @@
 
     def eof_received(self) -> bool:
         """Close the connection; half-closed connections are not served."""
+        self._abandon_requests()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress."""
-        self._log_abandoned_requests()
+        self._abandon_requests()
         self._is_closing = True
         self._server.connections.discard(self)
         self._cancel_timer()
-        waiting_bytes = sum(len(row.request.body) for row in self._pipelined)
-        self._server.buffered_bytes -= self._body_bytes + waiting_bytes
+        self._server.buffered_bytes -= self._body_bytes
         self._body_bytes = 0
         self._body = []
-        self._pipelined.clear()
         self._can_write.set()
-        if self._exchange is not None:
-            self._exchange.on_disconnect()
 
     def pause_writing(self) -> None:
         """Make ``drain`` wait: the caller reads more slowly than we write."""
@@ -338,8 +335,8 @@
         else:
             self._close()
 
-    def _log_abandoned_requests(self) -> None:
-        """Log the requests that were read whole and get no response."""
+    def _abandon_requests(self) -> None:
+        """Cancel the requests that were read whole and get no response."""
         requests = len(self._pipelined)
         if self._exchange is not None and not self._exchange.is_complete:
             requests += 1
@@ -349,6 +346,11 @@
                 requests=requests,
                 closed_by='gateway' if self._is_closing else 'caller',
             )
+        waiting_bytes = sum(len(row.request.body) for row in self._pipelined)
+        self._server.buffered_bytes -= waiting_bytes
+        self._pipelined.clear()
+        if self._exchange is not None:
+            self._exchange.on_disconnect()
 
     def _continue(self) -> None:
         """Go on with the next request, or wait for it."""
@@ -508,9 +510,12 @@
 
     async def run(self) -> None:
         """Call the handler; it is cancelled if the caller disconnects."""
+        # The loop reads once more before the request is handled: an overloaded
+        # process reads requests whose callers have closed right behind them.
+        await asyncio.sleep(0)
         with self._scope:
             try:
-                await self._server.handler(self._request, self)
+                await self._handle()
             except Exception as error:  # noqa: BLE001
                 # A bug that affects one request must not stop the process and
                 # fail all others.
@@ -524,6 +529,13 @@
         self.finished.set()
         self._connection.finish_exchange(self._keep_alive)
 
+    async def _handle(self) -> None:
+        if self.is_disconnected:
+            path = self._request.target.split(b'?', 1)[0]
+            self._server.log.write('request_left', path=path.decode('latin-1'))
+        else:
+            await self._server.handler(self._request, self)
+
     def on_disconnect(self) -> None:
         """Cancel the handler because the caller has disconnected."""
         self.is_disconnected = True
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -57,6 +57,7 @@
         # Sequences of their own, so that the other faults of a seed stay.
         self._engine_random = random.Random(f'engines {seed}')
         self._release_random = random.Random(f'releases {seed}')
+        self._restart_random = random.Random(f'restarts {seed}')
         self.releases = 0
         self.stopping = threading.Event()
         self.outcomes = {}
@@ -79,6 +80,7 @@
             self._inject()
             self._change_engine()
             self._replace_engine()
+            self._restart_engine()
             time.sleep(self.random.uniform(0.05, 0.5))
         self.stopping.set()
         for caller in callers:
@@ -221,6 +223,16 @@
         )
         self.site.remove(former_id)
 
+    def _restart_engine(self):
+        """Let a decode engine start again under its id, registered late."""
+        chooser = self._restart_random
+        engine = self.site.engines[chooser.choice(('i-dec-1', 'i-dec-2'))]
+        if chooser.random() > 0.1 or engine.crashed.is_set():
+            return
+        self.site.registration_delay_s = chooser.uniform(0, 2)
+        version = chooser.choice(('v1', 'v2'))
+        self.site.portal.call(engine.replace, engine.target_id, version)
+
     def _pause_gateway(self):
         gateway = self._gateway()
         if gateway.process.poll() is None:
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -30,14 +30,14 @@
 
 
 @asynccontextmanager
-async def run_server():
+async def run_server(handler=answer):
     """Run a server; yield it and a client that is connected to it."""
     limits = DEFAULT_CALLER_LIMITS._replace(
         header_timeout_ms=HEADER_TIMEOUT_S * 1000
     )
     async with anyio.create_task_group() as tasks:
         server = CallerServer(
-            answer, tasks, lambda: limits, time.monotonic, RecordingLog()
+            handler, tasks, lambda: limits, time.monotonic, RecordingLog()
         )
         loop = asyncio.get_running_loop()
         listener = await loop.create_server(
@@ -67,6 +67,25 @@
     theirs.close()
 
 
+@pytest.mark.anyio
+async def test_request_whose_caller_has_left_is_not_handled():
+    # Guards against requests that are sent on although their callers had closed
+    # before an overloaded gateway read them (GONE).
+    handled = []
+
+    async def record(request, responder):
+        handled.append(request)
+        responder.send(HTTPStatus.OK, [], b'')
+
+    async with run_server(record) as (_, client):
+        address = client.getpeername()
+        for _ in range(20):
+            with socket.create_connection(address) as leaving:
+                leaving.sendall(REQUEST)
+        await asyncio.sleep(0.2)
+        assert not handled
+
+
 @pytest.mark.anyio
 async def test_kept_connections_do_not_hold_bodies_of_answered_requests():
     # Guards against a gateway that exceeds its memory by the bodies of requests
