--- a/peridotrill/gateway/receive_limits.py
+++ b/peridotrill/gateway/receive_limits.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple, final
 
-from peridotrill.exceptions import ResponseExcessive
+from peridotrill.exceptions import ResponseExcessive, TargetOutcomeUnknown
 
 _MIB: Final = 1024 * 1024
 # Limit for a body that is read as a whole.
@@ -17,6 +17,8 @@
 # Share of the memory of a process for responses. A body is held twice while its
 # parts are joined.
 _MEMORY_SHARE: Final = 0.125
+# Share of the budget that one target may use.
+_TARGET_SHARE: Final = 0.5
 
 
 class WorkRate(NamedTuple):
@@ -46,6 +48,8 @@
             _MAX_BODY_BYTES, max_bytes // 2
         )
         self.used_bytes = 0
+        # The budget that this one is part of.
+        self._whole: ReceiveBudget | None = None
 
     @classmethod
     def from_memory_limit(cls, limit_mb: float) -> 'ReceiveBudget':
@@ -55,16 +59,35 @@
         """
         return cls(int(limit_mb * _MEMORY_SHARE * _MIB))
 
-    def try_take(self, size_bytes: int) -> bool:
-        """Use a part of the budget; return False if it is exhausted."""
-        if self.used_bytes + size_bytes > self._max_bytes:
-            return False
+    def open_target_share(self) -> 'ReceiveBudget':
+        """Return the budget of one target, which is part of this one."""
+        share = ReceiveBudget(
+            int(self._max_bytes * _TARGET_SHARE), self.max_body_bytes
+        )
+        share._whole = self
+        return share
+
+    def take(self, size_bytes: int) -> None:
+        """Use a part of the budget.
+
+        Raises ResponseExcessive if the target has used its share up, and
+        TargetOutcomeUnknown if all targets together have.
+        """
+        is_exhausted = self.used_bytes + size_bytes > self._max_bytes
+        if self._whole is None:
+            if is_exhausted:
+                raise TargetOutcomeUnknown('memory for responses is exhausted')
+        elif is_exhausted:
+            raise ResponseExcessive('share of memory for responses exceeded')
+        else:
+            self._whole.take(size_bytes)
         self.used_bytes += size_bytes
-        return True
 
     def give_back(self, size_bytes: int) -> None:
         """Return a part of the budget."""
         self.used_bytes -= size_bytes
+        if self._whole is not None:
+            self._whole.give_back(size_bytes)
 
 
 @final
@@ -79,11 +102,11 @@
     def resize(self, size_bytes: int) -> None:
         """Use as much as a response of this size needs.
 
-        Raises ResponseExcessive if the budget is exhausted.
+        Raises TargetOutcomeUnknown if the budget is exhausted.
         """
         lacking = max(0, size_bytes - _FREE_BYTES) - self._taken_bytes
-        if lacking > 0 and not self._budget.try_take(lacking):
-            raise ResponseExcessive('memory for responses is exhausted')
+        if lacking > 0:
+            self._budget.take(lacking)
         if lacking < 0:
             self._budget.give_back(-lacking)
         self._taken_bytes += lacking
@@ -136,7 +159,7 @@
         self, budget: ReceiveBudget, now_s: Callable[[], float]
     ) -> None:
         """:param budget: shared with other targets."""
-        self.budget = budget
+        self.budget = budget.open_target_share()
         self._now_s = now_s
         self._meter = WorkMeter(TARGET_RATE, now_s)
 
--- a/peridotrill/gateway/target_connections.py
+++ b/peridotrill/gateway/target_connections.py
@@ -169,7 +169,7 @@
     def keep(self, size_bytes: int) -> None:
         """Count what the reader keeps of the body, until the exchange is closed.
 
-        Raises ResponseExcessive if that is too much.
+        Raises TargetOutcomeUnknown if that is too much.
         """
         self._kept_bytes = size_bytes
         self._resize()
@@ -184,7 +184,7 @@
     # Called by the connection.
 
     def count_head(self, size_bytes: int) -> None:
-        """Count the memory for a head; raises ResponseExcessive."""
+        """Count the memory for a head; raises TargetOutcomeUnknown."""
         self._head_bytes = size_bytes
         self._resize()
 
@@ -194,7 +194,7 @@
         self._notify()
 
     def deliver_chunk(self, part: bytes) -> None:
-        """Add a chunk of the body; raises ResponseExcessive."""
+        """Add a chunk of the body; raises TargetOutcomeUnknown."""
         self._chunks.append(part)
         self._buffered_bytes += len(part) + _CHUNK_BYTES
         self._resize()
@@ -225,7 +225,9 @@
 
     def _raise_if_broken(self) -> None:
         if self._error is not None:
-            raise self._error
+            # A new one: the traceback would keep the response until it is
+            # collected.
+            raise type(self._error)(*self._error.args)
 
     def _resize(self) -> None:
         size_bytes = self._head_bytes + self._buffered_bytes + self._kept_bytes
@@ -301,7 +303,7 @@
             self._break(self._parse_error)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.abort('malformed response')
-        except ResponseExcessive as error:
+        except TargetOutcomeUnknown as error:
             self._break(error)
 
     def eof_received(self) -> bool:
@@ -505,7 +507,7 @@
         self._overhead_bytes = 0
         try:
             self._exchange.deliver_chunk(body)
-        except ResponseExcessive as error:
+        except TargetOutcomeUnknown as error:
             self._fail_parsing(error)
 
     def on_message_complete(self) -> None:
@@ -567,7 +569,7 @@
             return
         try:
             self._exchange.count_head(size_bytes)
-        except ResponseExcessive as error:
+        except TargetOutcomeUnknown as error:
             self._fail_parsing(error)
 
     def _parse_keep_alive(self, head: ResponseHead) -> None:
