--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -202,9 +202,7 @@
         While no holder is known, only the eligible gateway whose name sorts
         first claims it, so that candidates do not compete.
         """
-        if not self.can_claim:
-            return False
-        if self._clock.monotonic_s() < self._notice_until_s:
+        if not self.can_claim or self.knows_holder:
             return False
         return all(
             self._sender.node < peer
@@ -212,6 +210,11 @@
             if self._candidates.get(peer)
         )
 
+    @property
+    def knows_holder(self) -> bool:
+        """Whether another gateway has said lately that it holds the lease."""
+        return self._clock.monotonic_s() < self._notice_until_s
+
     def _add_peer(self, node: str) -> None:
         self._sources.quotas.add_peer(node)
         self._sources.limits.quotas.add_peer(node)
--- a/peridotrill/gateway/usage_archive.py
+++ b/peridotrill/gateway/usage_archive.py
@@ -1,7 +1,8 @@
 """Saves the usage counts of all gateways in the store.
 
 A new coordinator loads them, also after all gateways failed at once, and so
-includes the counts of processes that no longer run.
+includes the counts of processes that no longer run. While nobody is coordinator,
+as during a restart of all gateways, a process that ends saves its own counts.
 """
 
 from datetime import timedelta
@@ -24,6 +25,7 @@
 # Below the record limit of the store, which is 256 KiB including the key.
 _MAX_SNAPSHOT_BYTES: Final = 200 * 1024
 SNAPSHOT_KEY: Final = 'counts'
+_LAST_KEY_PREFIX: Final = 'last/'
 
 _decoder: Final = msgspec.msgpack.Decoder(dict[str, Counts])
 
@@ -63,13 +65,19 @@
         self._log = log
         self._saved = b''
         self._saved_generation = 0
+        # Records of ended processes whose counts were merged.
+        self._merged_keys: set[str] = set()
 
     async def load(self) -> bool:
         """Merge the saved counts; return whether they could be read."""
         try:
             page = await self._topic.newest()
-            for _, content in page.rows:
+            for key, content in page.rows:
+                if not content:
+                    continue
                 self._counts.merge(decode_snapshot(content), self._process)
+                if key != SNAPSHOT_KEY:
+                    self._merged_keys.add(key)
         except (LogUnavailable, CodecError) as error:
             self._log.write('usage_not_loaded', error=str(error))
             return False
@@ -93,6 +101,30 @@
             self._log.write('usage_not_saved', error=str(error))
             return
         self._saved, self._saved_generation = content, generation
+        await self._delete_merged()
+
+    async def _delete_merged(self) -> None:
+        """Delete the records of ended processes that the snapshot includes."""
+        try:
+            while self._merged_keys:
+                await self._topic.put(min(self._merged_keys), b'')
+                self._merged_keys.remove(min(self._merged_keys))
+        except (AppendOutcomeUnknown, LogUnavailable) as error:
+            self._log.write('usage_not_deleted', error=str(error))
+
+    async def save_last(self) -> None:
+        """Write the final counts of this process, which ends.
+
+        They have a record of their own until the next coordinator has saved them.
+        """
+        counts = {self._process: self._counts.local_totals()}
+        try:
+            await self._topic.put(
+                f'{_LAST_KEY_PREFIX}{self._process}',
+                msgspec.msgpack.encode(counts),
+            )
+        except (AppendOutcomeUnknown, LogUnavailable) as error:
+            self._log.write('usage_not_saved', error=str(error))
 
 
 def decode_snapshot(content: bytes) -> dict[str, Counts]:
--- a/peridotrill/gateway_coordinator_tasks.py
+++ b/peridotrill/gateway_coordinator_tasks.py
@@ -136,6 +136,16 @@
                 await self._archive.save()
             await anyio.sleep(SAVE_INTERVAL.total_seconds())
 
+    async def save_last_usage(self) -> None:
+        """Save the usage counts of this process, which ends.
+
+        While another gateway is coordinator, the last report is enough.
+        """
+        if self._usage.is_loaded:
+            await self._archive.save()
+        elif not self._parts.reporting.knows_holder:
+            await self._archive.save_last()
+
     def _is_before_load(self) -> bool:
         """Whether the whole system has just started and has no load yet."""
         return (
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -138,6 +138,8 @@
 _EXIT_MARGIN_S: Final = 0.9
 # Time for the responses to requests that were given up to be sent.
 _FLUSH_TIME_S: Final = 0.4
+# Time for the last write to the store before the process ends.
+_LAST_SAVE_TIME_S: Final = 0.3
 _DRAIN_POLL_INTERVAL_S: Final = 0.02
 # Listen backlog; holds a burst of new connections.
 _BACKLOG: Final = 1024
@@ -310,6 +312,7 @@
         )
         self._reporting.on_new_process = self._on_new_process
         self._caller_server: asyncio.AbstractServer | None = None
+        self._duties = self._create_coordinator_tasks()
         self._cluster_state.on_change = self._on_cluster_state_changed
         self._cluster_state.on_target_gone = self._on_target_gone
         self._store.on_restored = self._on_store_restored
@@ -437,9 +440,8 @@
         if not self._node.is_first_start:
             tasks.append(self._part_sharing.ask_engines)
             tasks.append(self._quarantine_archive.load)
-        duties = self._create_coordinator_tasks()
-        if duties is not None:
-            tasks += [duties.coordinate, duties.save_usage]
+        if self._duties is not None:
+            tasks += [self._duties.coordinate, self._duties.save_usage]
         return tasks
 
     async def _save_quarantine(self) -> None:
@@ -631,6 +633,9 @@
         port.refuse_incomplete()
         await self._wait_for_close(port, stop_s + _FLUSH_TIME_S)
         self._reporting.send_last()
+        if self._duties is not None:
+            with anyio.move_on_after(_LAST_SAVE_TIME_S):
+                await self._duties.save_last_usage()
         self._log.write(
             'drained',
             in_progress=unfinished,
--- a/tests/test_gateway_coordinator.py
+++ b/tests/test_gateway_coordinator.py
@@ -391,6 +391,34 @@
     return counts, UsageArchive(process, counts, topic, RecordingLog())
 
 
+def test_counts_survive_a_restart_of_all_gateways_without_a_coordinator():
+    # Guards against windows that are reported without the requests of processes
+    # that ended one after the other while nobody held the lease.
+    clock = ManualClock()
+    topic = FakeTopic()
+    for process in ('n1/1', 'n2/1', 'n1/2'):
+        counts, archive = make_archive(clock, topic, process)
+        counts.count('growers')
+        asyncio.run(archive.save_last())
+    counts, archive = make_archive(clock, topic, 'n2/2')
+    assert asyncio.run(archive.load())
+    assert counts.total(counts.current_window()) == {'growers': 3}
+    # The coordinator takes them into its own record.
+    asyncio.run(archive.save())
+    assert [key for key, content in topic.content.items() if content] == [
+        'counts'
+    ]
+    assert asyncio.run(archive.load())
+
+
+def test_unreachable_store_does_not_keep_a_process_from_ending():
+    # Guards against an error in the last write that ends a process abnormally.
+    topic = FakeTopic()
+    topic.down = True
+    _, archive = make_archive(ManualClock(), topic, 'n/1')
+    asyncio.run(archive.save_last())
+
+
 def test_counts_survive_the_loss_of_all_gateways():
     # Guards against windows that are reported without the requests counted
     # before all gateways were killed; seen in tapbook trouble-3
