--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -220,6 +220,8 @@
         self, fault, headers, response_headers, responder
     ) -> None:
         first = int(headers.get('last-event-id', '0')) + 1
+        loop = asyncio.get_running_loop()
+        due_s = loop.time()
         responder.start_stream(_OK, response_headers)
         for number in range(first, self.event_count + 1):
             event = f'id: {number}\ndata: token {number}\n'.encode()
@@ -235,7 +237,9 @@
                     responder.end_stream()
                 return
             responder.send_chunk(event)
-            await asyncio.sleep(self.event_interval_s)
+            # Late events do not delay those that follow.
+            due_s += self.event_interval_s
+            await asyncio.sleep(max(0, due_s - loop.time()))
         responder.end_stream()
 
     async def _handle_control_request(self, request, path, responder) -> None:
