--- a/standins/platform_server.py
+++ b/standins/platform_server.py
@@ -50,4 +50,6 @@
 
 def _close(server, caller_server):
     server.close()
-    caller_server.close_idle()
+    # Like those of a process that ends.
+    for connection in list(caller_server.connections):
+        connection.abort()
