--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -490,9 +490,7 @@
                 resume_after=self._last_id,
             ),
             context.route.is_repeatable,
-            must_identify=context.shared.cluster_state.versions.is_mixed(
-                context.service
-            ),
+            must_identify=self._must_identify(),
         )
         self._is_identified = exchange.is_identified
         context.record_sent(target)
@@ -508,6 +506,16 @@
             )
         return exchange
 
+    def _must_identify(self) -> bool:
+        """Whether it matters which process of a target responds.
+
+        A stream that goes on needs the version that began it, also while this
+        gateway knows of one only: the record of a target may be out of date.
+        """
+        versions = self._context.shared.cluster_state.versions
+        is_continued = self._last_id is not None
+        return is_continued or versions.is_mixed(self._context.service)
+
     def _find_fetch_address(self, target: TargetRecord) -> str | None:
         """Return the address of an engine that likely caches shared parts."""
         context = self._context
--- a/peridotrill/gateway/target_connections.py
+++ b/peridotrill/gateway/target_connections.py
@@ -653,8 +653,8 @@
         self._idle: deque[TargetConnection] = deque()
         self._is_closed = False
         # Whether the process at the address may have ended since a connection
-        # was last identified.
-        self.is_suspect = False
+        # was last identified. The record may be that of an earlier process.
+        self.is_suspect = True
 
     async def acquire(self, max_idle_s: float) -> TargetConnection:
         """Return an idle or new connection for one request.
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -36,6 +36,7 @@
 # Seeds that have failed, each with the cause.
 REGRESSION_SEEDS = {
     47: 'targets returned between two reads of the target records',
+    512: 'a gateway started with the record of an earlier process of an engine',
 }
 NODES = ('front-a-1', 'front-a-2', 'front-a-3')
 DURATION_S = 8.0
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -322,6 +322,33 @@
         assert 'target=i-d1 failure=unreachable detail="process of' in log
 
 
+def test_gateway_that_starts_with_an_old_record_does_not_mix_versions(
+    tmp_path,
+):
+    # Guards against a gateway that knows one version only, because it has started
+    # before the record of a restarted engine (ORDER; soak seed 512).
+    with run_site(tmp_path, mixed_engines(d1=_OLD, d2=_OLD)) as site:
+        begun_at, other = site.start_gateways('front-a-1', 'front-b-1')
+        for engine in site.engines.values():
+            engine.names_version = True
+        begun_ids = [break_stream(site, begun_at) for _ in range(4)]
+        time.sleep(_REPORT_DELAY_S)
+        site.registration_delay_s = 4
+        site.engines['i-d2'].replace('i-d2', _NEW)
+        other.signal(SIGKILL)
+        other.start_after(other.process)
+        other.wait_ready()
+        # The engine of the old version refuses, so that the new one is tried.
+        site.engines['i-d1'].default_fault = 'shed'
+        for begun_id in begun_ids:
+            _, response = take_up(other, begun_id)
+            assert f': {_NEW}' not in response.text
+        site.engines['i-d1'].default_fault = 'cut'
+        set_faults(site, _ONE_BREAK)
+        found = collect_versions(site, other, time.monotonic() + 1.5)
+        assert all(len(row) == 1 for row in found)
+
+
 def test_stream_of_a_split_route_goes_on_at_its_service(tmp_path):
     # Guards against a stream that goes on at another service of its route.
     engines = mixed_engines(d1=_OLD, d2=_OLD)
