Log the framing of responses and the order of the events of streams

A stream that lacked an event or broke off at the end of an unframed response was logged like a complete one (outcome=answered). request_ended now says how the end was marked, how many events were forwarded, skipped, left out or disordered, and which version wrote them. No other decision changes.

--- a/peridotrill/gateway/plain_requests.py
+++ b/peridotrill/gateway/plain_requests.py
@@ -109,6 +109,7 @@
             context.can_retry_elsewhere(),
         )
         context.record_load(target, response)
+        context.framing = exchange.framing
         return response, await exchange.read_body()
 
 
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -28,7 +28,7 @@
 from peridotrill.gateway.metrics import ATTEMPTS, QUEUE_TIME_S
 from peridotrill.gateway.placement import Pool
 from peridotrill.gateway.requests import CallerRequest, RequestKind
-from peridotrill.gateway.target_connections import TargetExchange
+from peridotrill.gateway.target_connections import Framing, TargetExchange
 from peridotrill.gateway.target_health import Failure
 from peridotrill.gateway.target_messages import RequestOptions, TargetResponse
 from peridotrill.gateway.targets import TargetRecord, TargetRole
@@ -94,6 +94,10 @@
         self.is_usage_counted = False
         # Software version that began the stream; None if any may begin it.
         self.stream_version: str | None = None
+        # How the end of the last response was marked.
+        self.framing: Framing | None = None
+        # Further fields of the log line at the end of the request.
+        self.response_fields: dict[str, str | int | None] = {}
         # Whether the request tries what is suspected after its quarantine.
         self.is_trial = False
         timeout_ms = route.timeout_ms
--- a/peridotrill/gateway/request_handler.py
+++ b/peridotrill/gateway/request_handler.py
@@ -276,4 +276,6 @@
             total_ms=round(duration_s * 1000),
             version=known.version if known else None,
             resumes=context.request.resumed_id,
+            framing=context.framing and context.framing.value,
+            **context.response_fields,
         )
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -14,6 +14,7 @@
     TargetUnreachable,
 )
 from peridotrill.gateway.admission_queue import Reservation
+from peridotrill.gateway.event_sequence import EventSequence
 from peridotrill.gateway.event_stream import EventStreamParser, StreamEvent
 from peridotrill.gateway.metrics import ATTEMPTS
 from peridotrill.gateway.placement import Pool
@@ -323,18 +324,6 @@
     return fields.get(b'content-type', b'').partition(b';')[0].strip().lower()
 
 
-def _is_duplicate(event_id: bytes | None, last_id: bytes | None) -> bool:
-    """Tell whether the caller already has an event.
-
-    Event ids are increasing integers; other ids are never duplicates.
-    """
-    if event_id is None or last_id is None:
-        return False
-    if not event_id.isdigit() or not last_id.isdigit():
-        return False
-    return int(event_id) <= int(last_id)
-
-
 @final
 class _Generation:
     """Output of one request, from one engine or several in succession."""
@@ -350,8 +339,7 @@
         self._remote_prompt = remote_prompt
         self._reservation = reservation
         self._target: TargetRecord | None = None
-        self._last_id = context.request.resume_after
-        self._events = 0
+        self._sequence = EventSequence(context.request.resume_after)
         # The response whose head the caller has received.
         self._started_response: TargetResponse | None = None
         # Whether an engine can be told after which event to go on.
@@ -369,6 +357,12 @@
 
     async def execute(self) -> None:
         """Stream the complete output; raises GatewayError."""
+        try:
+            await self._execute()
+        finally:
+            self._context.response_fields = self._describe_events()
+
+    async def _execute(self) -> None:
         while True:
             if self._reservation is None:
                 self._reservation = await self._reserve_target()
@@ -382,6 +376,21 @@
                 )
                 self._reservation = None
 
+    def _describe_events(self) -> dict[str, str | int | None]:
+        """Return what the log says of the events of a stream."""
+        sequence = self._sequence
+        last_id = sequence.last_id
+        return {
+            'events': sequence.forwarded,
+            'last_event': (
+                None if last_id is None else last_id.decode('latin-1')
+            ),
+            'skipped': sequence.skipped,
+            'gaps': sequence.gaps,
+            'disordered': sequence.disordered,
+            'software': self._version or None,
+        }
+
     def _mark_prefill_done(self) -> None:
         """Record that the engine has finished the prefill."""
         if self._reservation is not None and self._reservation.prefill_ms:
@@ -487,22 +496,22 @@
                 priority=_engine_priority(context),
                 kv_source=source,
                 kv_fetch=fetch,
-                resume_after=self._last_id,
+                resume_after=self._sequence.last_id,
             ),
             context.route.is_repeatable,
             must_identify=self._must_identify(),
         )
         self._is_identified = exchange.is_identified
         context.record_sent(target)
-        if self._last_id is not None:
+        if self._sequence.last_id is not None:
             context.shared.log.write(
                 'stream_continued',
                 request=context.request.request_id,
                 resumes=context.request.resumed_id,
                 target=target.target_id,
                 software=target.software_version,
-                after=self._last_id.decode('latin-1'),
-                events=self._events,
+                after=self._sequence.last_id.decode('latin-1'),
+                events=self._sequence.forwarded,
             )
         return exchange
 
@@ -513,7 +522,7 @@
         gateway knows of one only: the record of a target may be out of date.
         """
         versions = self._context.shared.cluster_state.versions
-        is_continued = self._last_id is not None
+        is_continued = self._sequence.last_id is not None
         return is_continued or versions.is_mixed(self._context.service)
 
     def _find_fetch_address(self, target: TargetRecord) -> str | None:
@@ -538,7 +547,7 @@
         context.record_attempt_failure(
             target, Failure.ERROR, f'status {response.status}'
         )
-        if self._events:
+        if self._sequence.forwarded:
             self._require_retry()
             return False
         if context.allow_retry():
@@ -555,6 +564,8 @@
         context = self._context
         self._require_same_stream(response)
         self._require_same_version()
+        self._context.framing = exchange.framing
+        self._sequence.start_run()
         splitter = EventStreamParser()
         events = 0
         while True:
@@ -633,7 +644,7 @@
     ) -> int:
         """Forward what the caller lacks; return the number of all events."""
         for event in events:
-            if not _is_duplicate(event.event_id, self._last_id):
+            if self._sequence.accept(event.event_id):
                 self._forward_event(response, event.content, event.event_id)
         return len(events)
 
@@ -659,13 +670,10 @@
                     self._target,
                 )
         context.responder.send_chunk(content)
-        self._events += 1
         self._attempt_events += 1
         if self._attempt_events == HARMLESS_EVENTS:
             context.record_harmless(self._first_event_s)
         self._has_resume_id = event_id is not None
-        if event_id is not None:
-            self._last_id = event_id
 
     def _require_retry(self) -> None:
         """Raise GatewayError unless the request may be retried elsewhere."""
--- a/peridotrill/gateway/target_connections.py
+++ b/peridotrill/gateway/target_connections.py
@@ -91,6 +91,14 @@
     UNNAMED = 3
 
 
+class Framing(enum.Enum):
+    """How the end of a response is marked."""
+
+    DELIMITED = 'delimited'
+    # The kernel closes the connections of a killed process in the same way.
+    CONNECTION = 'connection'
+
+
 HeadMatcher = Callable[[ResponseHead], Match]
 
 
@@ -115,6 +123,7 @@
         self._connection = connection
         self.matches = matches
         self._head: ResponseHead | None = None
+        self._framing: Framing | None = None
         self._chunks: deque[bytes] = deque()
         # Memory for the head, for chunks that have not been read, and for what
         # the reader keeps of the others.
@@ -188,9 +197,10 @@
         self._head_bytes = size_bytes
         self._resize()
 
-    def deliver_head(self, head: ResponseHead) -> None:
+    def deliver_head(self, head: ResponseHead, framing: Framing) -> None:
         """Store the head of the response."""
         self._head = head
+        self._framing = framing
         self._notify()
 
     def deliver_chunk(self, part: bytes) -> None:
@@ -213,6 +223,11 @@
             self._error = error
             self._notify()
 
+    @property
+    def framing(self) -> Framing | None:
+        """How the end of the response is marked; None before its head."""
+        return self._framing
+
     @property
     def is_identified(self) -> bool:
         """Whether the responding process is known to be the registered one."""
@@ -492,7 +507,10 @@
             return
         if match is not Match.OTHER:
             self._parse_keep_alive(head)
-            exchange.deliver_head(head)
+            exchange.deliver_head(
+                head,
+                Framing.CONNECTION if self._ends_at_eof else Framing.DELIMITED,
+            )
             return
         self._is_skipped = True
         self._skipped += 1
