Break off runs that leave an event out or send events out of order

Callers got streams with a hole, with status 200 and a regular end: an event whose id was not above the last one was dropped, also within one run, and an id that jumped was forwarded (1, 2, 4, 3, 5 arrived as 1, 2, 4, 5).

An event that does not follow the previous one of its run, or that leaves out what the caller lacks, now breaks the attempt before it is forwarded: a stream that may be resumed goes on at another engine of its version, any other is cut. A run that ends before an event that the caller has is no end. The platform only says that ids increase; 580 of 580 observed streams count 1, 2, 3. A service whose steps are gaps in more than a quarter of all cases is therefore taken to number its events otherwise, so that it is served after three broken streams.

--- a/peridotrill/gateway/components.py
+++ b/peridotrill/gateway/components.py
@@ -7,6 +7,7 @@
 from peridotrill.gateway.cluster_state import ClusterState
 from peridotrill.gateway.demand import DemandMeter
 from peridotrill.gateway.event_log import EventLog
+from peridotrill.gateway.event_sequence import EventNumberings
 from peridotrill.gateway.load_tracker import LoadTracker
 from peridotrill.gateway.placement import Placement
 from peridotrill.gateway.quarantine_sharing import QuarantineSharing
@@ -34,6 +35,7 @@
     crashes: CrashDetector
     quarantine: QuarantineSharing
     origins: StreamOrigins
+    numberings: EventNumberings
     streams: StreamSharing
     loads: LoadTracker
     demand: DemandMeter
--- a/peridotrill/gateway/event_sequence.py
+++ b/peridotrill/gateway/event_sequence.py
@@ -2,8 +2,56 @@
 
 from typing import Final, final
 
+from peridotrill.exceptions import TargetOutcomeUnknown
+
 # Longer ids are not read as numbers.
 _MAX_ID_DIGITS: Final = 18
+# A service numbers its events with gaps if at least this many have been seen,
+# and they are at least this part of all steps from one event to the next.
+_MIN_GAPS: Final = 3
+_GAP_RATIO: Final = 0.25
+# Older steps count half each time that so many have been observed.
+_MAX_STEPS: Final = 10_000
+
+
+@final
+class EventNumbering:
+    """Whether the ids of a service's events are consecutive numbers.
+
+    Ids have to increase, and no more is required of them. Those of a service
+    count as consecutive until too many of its events leave numbers out.
+    """
+
+    def __init__(self) -> None:
+        """Start without observations."""
+        self._steps = 0
+        self._gaps = 0
+
+    @property
+    def is_consecutive(self) -> bool:
+        """Whether an event that leaves numbers out follows a lost one."""
+        return self._gaps < _MIN_GAPS or self._gaps < _GAP_RATIO * self._steps
+
+    def observe(self, is_gap: bool) -> None:
+        """Count the step from one event to the next."""
+        self._steps += 1
+        self._gaps += is_gap
+        if self._steps >= _MAX_STEPS:
+            self._steps //= 2
+            self._gaps //= 2
+
+
+@final
+class EventNumberings:
+    """The numbering of each service, as one gateway has observed it."""
+
+    def __init__(self) -> None:
+        """Start without observations."""
+        self._numberings: dict[str, EventNumbering] = {}
+
+    def find(self, service: str) -> EventNumbering:
+        """Return the numbering of a service."""
+        return self._numberings.setdefault(service, EventNumbering())
 
 
 @final
@@ -14,9 +62,15 @@
     events that the caller has. Ids that are no integers are never compared.
     """
 
-    def __init__(self, resume_after: bytes | None) -> None:
-        """:param resume_after: id of the last event that the caller has."""
+    def __init__(
+        self, resume_after: bytes | None, numbering: EventNumbering
+    ) -> None:
+        """:param resume_after: id of the last event that the caller has.
+
+        :param numbering: of the service that sends the events.
+        """
         self.last_id = resume_after
+        self._numbering = numbering
         self.forwarded = 0
         # Events that the caller had, and events before which ids are left out
         # or that do not follow the previous one of their run.
@@ -30,27 +84,60 @@
         self._run_number = None
 
     def accept(self, event_id: bytes | None) -> bool:
-        """Return whether the next event of the run is to be forwarded."""
+        """Return whether the next event of the run is to be forwarded.
+
+        Raises TargetOutcomeUnknown if it does not follow the previous one, or
+        if one between them is missing.
+        """
         number = _parse_number(event_id)
-        last_number = _parse_number(self.last_id)
-        self._observe(number, last_number)
-        if number is not None and last_number is not None:
-            if number <= last_number:
+        if number is not None:
+            self._require_order(number)
+            if self._is_duplicate(number):
                 self.skipped += 1
                 return False
+            self._require_no_gap(number)
         if event_id is not None:
             self.last_id = event_id
         self.forwarded += 1
         return True
 
-    def _observe(self, number: int | None, last_number: int | None) -> None:
-        previous, self._run_number = self._run_number, number
-        if number is None:
+    def require_end(self) -> None:
+        """Raise TargetOutcomeUnknown if the run ends too early.
+
+        A whole run does not end before an event that the caller has.
+        """
+        last_number = _parse_number(self.last_id)
+        if self._run_number is None or last_number is None:
             return
+        if self._run_number < last_number:
+            raise TargetOutcomeUnknown(
+                f'stream ended at event {self._run_number}, before '
+                f'{last_number}'
+            )
+
+    def _require_order(self, number: int) -> None:
+        previous, self._run_number = self._run_number, number
         if previous is not None and number <= previous:
             self.disordered += 1
-        elif number > (last_number or 0) + 1:
-            self.gaps += 1
+            raise TargetOutcomeUnknown(f'event {number} after {previous}')
+
+    def _is_duplicate(self, number: int) -> bool:
+        last_number = _parse_number(self.last_id)
+        return last_number is not None and number <= last_number
+
+    def _require_no_gap(self, number: int) -> None:
+        last_number = _parse_number(self.last_id)
+        if last_number is None:
+            if self.last_id is not None:
+                return
+            last_number = 0
+        is_gap = number > last_number + 1
+        self._numbering.observe(is_gap)
+        if not is_gap:
+            return
+        self.gaps += 1
+        if self._numbering.is_consecutive:
+            raise TargetOutcomeUnknown(f'event {number} after {last_number}')
 
 
 def _parse_number(event_id: bytes | None) -> int | None:
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -339,7 +339,10 @@
         self._remote_prompt = remote_prompt
         self._reservation = reservation
         self._target: TargetRecord | None = None
-        self._sequence = EventSequence(context.request.resume_after)
+        self._sequence = EventSequence(
+            context.request.resume_after,
+            context.shared.numberings.find(context.service),
+        )
         # The response whose head the caller has received.
         self._started_response: TargetResponse | None = None
         # Whether an engine can be told after which event to go on.
@@ -580,6 +583,7 @@
             raise TargetOutcomeUnknown('stream ended inside an event')
         if not events or not context.responder.has_started:
             raise TargetOutcomeUnknown('stream without an event')
+        self._sequence.require_end()
         if self._attempt_events < HARMLESS_EVENTS:
             context.record_harmless(self._sent_s)
         context.responder.end_stream()
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -37,6 +37,7 @@
 from peridotrill.gateway.coordinator import Coordinator
 from peridotrill.gateway.demand import DemandMeter
 from peridotrill.gateway.event_log import EventLog
+from peridotrill.gateway.event_sequence import EventNumberings
 from peridotrill.gateway.load_tracker import LoadTracker
 from peridotrill.gateway.metrics import (
     CONFIG_AGE_S,
@@ -367,6 +368,7 @@
                 crashes=self._crashes,
                 quarantine=self._quarantine_sharing,
                 origins=self._origins,
+                numberings=EventNumberings(),
                 streams=self._stream_sharing,
                 loads=self._loads,
                 demand=self._demand,
