Do not take the end of a killed process for the end of its response

A response without length and chunks ends with its connection, and the kernel closes the connections of a killed process in the same way. Callers got streams that ended between two events, and halves of bodies, with a success and a regular end.

After such a response the gateway now asks whether the process still responds (a connection alone is accepted until the process is gone). If not, the attempt is broken: a request that may be repeated goes to another target, any other ends without a known outcome. Engines that leave may end at once after their response.

--- a/peridotrill/exceptions.py
+++ b/peridotrill/exceptions.py
@@ -95,6 +95,10 @@
     """The call may have run at the target; its response was lost."""
 
 
+class EndUnconfirmed(TargetOutcomeUnknown):
+    """A stream without length ended; another target may know more of it."""
+
+
 class ResponseExcessive(TargetOutcomeUnknown):
     """The target sends more than a response may need."""
 
--- a/peridotrill/gateway/plain_requests.py
+++ b/peridotrill/gateway/plain_requests.py
@@ -110,7 +110,9 @@
         )
         context.record_load(target, response)
         context.framing = exchange.framing
-        return response, await exchange.read_body()
+        body = await exchange.read_body()
+    await context.require_running(target, response)
+    return response, body
 
 
 def _check_response(
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -305,6 +305,23 @@
             self.shared.health.pause(target.target_id, response.pause_s)
         return response
 
+    async def require_running(
+        self, target: TargetRecord, response: TargetResponse
+    ) -> None:
+        """Raise TargetOutcomeUnknown unless a target outlived its response.
+
+        A response without length ends with its connection, and so does one
+        whose process is killed. A target that leaves ends after its responses.
+        """
+        if self.framing is not Framing.CONNECTION or response.is_leaving:
+            return
+        known = self.shared.cluster_state.find_target(target.target_id)
+        if known is not None and known.process == target.process:
+            if known.is_draining:
+                return
+        if not await self.shared.targets.is_running(target):
+            raise TargetOutcomeUnknown('process not found after its response')
+
     def can_retry_elsewhere(self) -> bool:
         """Tell whether another target may be tried if one may have run it."""
         return (
@@ -313,27 +330,28 @@
             and self._has_target(self.excluded)
         )
 
-    def allow_retry(self) -> bool:
+    def allow_retry(self, share: float = 1) -> bool:
         """Take a retry from the budget for a request that may have run.
 
         Returns False if the request may not be sent to another target, if too
         little time is left or if the budget is exhausted.
+
+        :param share: part of the budget that counts.
         """
         if (
             not self.can_retry_elsewhere()
             or self.remaining_s() <= _MIN_REMAINING_S
         ):
             return False
-        return self.try_consume_retry()
+        return self.try_consume_retry(share)
 
-    def try_consume_retry(self) -> bool:
+    def try_consume_retry(self, share: float = 1) -> bool:
         """Take one retry from the budget; return False if it is exhausted.
 
         Use ``allow_retry`` if a target may have run the request.
         """
         return self.shared.budget.try_take_retry(
-            self.service,
-            self.shared.quotas.gateways,
+            self.service, self.shared.quotas.gateways, share
         )
 
     def options(self, target: TargetRecord) -> RequestOptions:
--- a/peridotrill/gateway/retry_budget.py
+++ b/peridotrill/gateway/retry_budget.py
@@ -64,15 +64,20 @@
             self._clock.monotonic_s()
         )
 
-    def try_take_retry(self, service: str, gateway_count: int) -> bool:
+    def try_take_retry(
+        self, service: str, gateway_count: int, share: float = 1
+    ) -> bool:
         """Consume one retry of the budget; return False if it is exhausted.
 
         :param gateway_count: number of gateways that share the allowance.
+        :param share: part of the budget that counts, for retries that must
+            leave the rest to others.
         """
         window = self._current_window(service)
         earned = len(window.request_times_s) * self._bounds.ratio
-        share = self._bounds.allowance / max(1, gateway_count)
-        if len(window.retry_times_s) + 1 > (earned + share) * _SAFETY_FACTOR:
+        allowance = self._bounds.allowance / max(1, gateway_count)
+        limit = (earned + allowance) * _SAFETY_FACTOR * share
+        if len(window.retry_times_s) + 1 > limit:
             return False
         window.retry_times_s.append(self._clock.monotonic_s())
         return True
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -1,12 +1,16 @@
 """Forwards requests to model engines: prefill, then a stream of events."""
 
+import math
 from contextlib import closing
 from datetime import timedelta
 from http import HTTPStatus
 from typing import Final, NamedTuple, final
 
+import anyio
+
 from peridotrill.exceptions import (
     CodecError,
+    EndUnconfirmed,
     ResponseExcessive,
     TargetError,
     TargetOutcomeUnknown,
@@ -14,6 +18,7 @@
     TargetUnreachable,
 )
 from peridotrill.gateway.admission_queue import Reservation
+from peridotrill.gateway.error_responses import GatewayError
 from peridotrill.gateway.event_sequence import EventSequence
 from peridotrill.gateway.event_stream import EventStreamParser, StreamEvent
 from peridotrill.gateway.metrics import ATTEMPTS
@@ -25,7 +30,7 @@
 from peridotrill.gateway.report_timing import report_interval_s
 from peridotrill.gateway.requests import Prompt
 from peridotrill.gateway.stream_origins import StreamOrigin, digest_request
-from peridotrill.gateway.target_connections import TargetExchange
+from peridotrill.gateway.target_connections import Framing, TargetExchange
 from peridotrill.gateway.target_health import Failure
 from peridotrill.gateway.target_messages import TargetResponse
 from peridotrill.gateway.targets import TargetRecord, TargetRole
@@ -64,6 +69,12 @@
 _MIN_ORIGIN_TIMEOUT_S: Final = 0.3
 
 
+# Time within which another engine has to tell that a stream has ended.
+_CONFIRMATION_TIMEOUT: Final = timedelta(seconds=0.5)
+# Part of the retry budget for asking another engine whether a stream has ended.
+_CONFIRMATION_SHARE: Final = 0.5
+
+
 class RemotePrompt(NamedTuple):
     """A prompt that was prefilled at ``target``, which keeps its KV cache."""
 
@@ -353,6 +364,12 @@
         self._attempt_events = 0
         # Whether the process that responds is known to be the registered one.
         self._is_identified = False
+        # Whether the last run ended without length, so that a run without events
+        # confirms its end; and whether its process was found running after it.
+        self._is_end_open = False
+        self._is_end_likely = False
+        # Limits the time of the run that confirms the end.
+        self._confirmation: anyio.CancelScope | None = None
         # Software version of the process that responds.
         self._version = ''
         self._use_handle = remote_prompt is not None
@@ -362,6 +379,10 @@
         """Stream the complete output; raises GatewayError."""
         try:
             await self._execute()
+        except GatewayError:
+            if not self._is_end_likely:
+                raise
+            self._end_unconfirmed()
         finally:
             self._context.response_fields = self._describe_events()
 
@@ -378,6 +399,18 @@
                     self._context.service,
                 )
                 self._reservation = None
+            if self._is_end_likely and self._confirmation is None:
+                await self._confirm_end()
+                return
+
+    async def _confirm_end(self) -> None:
+        """Ask another engine for more events; end the stream without an answer."""
+        timeout_s = _CONFIRMATION_TIMEOUT.total_seconds()
+        with anyio.move_on_after(timeout_s) as scope:
+            self._confirmation = scope
+            await self._execute()
+            return
+        self._end_unconfirmed()
 
     def _describe_events(self) -> dict[str, str | int | None]:
         """Return what the log says of the events of a stream."""
@@ -441,12 +474,27 @@
         except TargetTimeout:
             self._require_retry()
         except TargetOutcomeUnknown as error:
-            context.record_broken_response(
-                target, error, self._sent_s, self._attempt_events
-            )
-            self._require_retry()
+            self._handle_break(target, error)
         return False
 
+    def _handle_break(
+        self, target: TargetRecord, error: TargetOutcomeUnknown
+    ) -> None:
+        """Record why a run is not complete; raises GatewayError."""
+        context = self._context
+        if isinstance(error, EndUnconfirmed):
+            context.shared.log.write(
+                'stream_end_unconfirmed',
+                request=context.request.request_id,
+                target=target.target_id,
+                reason=str(error),
+            )
+            return
+        context.record_broken_response(
+            target, error, self._sent_s, self._attempt_events
+        )
+        self._require_retry()
+
     async def _generate(self, target: TargetRecord) -> bool:
         """Send the request and forward the output."""
         context = self._context
@@ -581,11 +629,35 @@
             await context.responder.drain()
         if splitter.partial_bytes:
             raise TargetOutcomeUnknown('stream ended inside an event')
+        if events or not self._is_end_open:
+            await self._require_end(events, response)
+        if self._attempt_events < HARMLESS_EVENTS:
+            context.record_harmless(self._sent_s)
+        context.responder.end_stream()
+
+    async def _require_end(self, events: int, response: TargetResponse) -> None:
+        """Raise TargetOutcomeUnknown if a run may lack events at its end."""
+        context = self._context
         if not events or not context.responder.has_started:
             raise TargetOutcomeUnknown('stream without an event')
         self._sequence.require_end()
-        if self._attempt_events < HARMLESS_EVENTS:
-            context.record_harmless(self._sent_s)
+        if self._target is None or context.framing is not Framing.CONNECTION:
+            return
+        self._is_end_open = True
+        await context.require_running(self._target, response)
+        if self._has_resume_id and context.allow_retry(_CONFIRMATION_SHARE):
+            self._is_end_likely = True
+            raise EndUnconfirmed('ended without length')
+
+    def _end_unconfirmed(self) -> None:
+        """End a stream as its engine did, since no other one was asked."""
+        context = self._context
+        context.shared.log.write(
+            'stream_end_unconfirmed',
+            request=context.request.request_id,
+            reason='no other engine responded',
+        )
+        context.outcome = 'answered'
         context.responder.end_stream()
 
     def _require_expected_length(self, events: int) -> None:
@@ -659,6 +731,9 @@
         event_id: bytes | None,
     ) -> None:
         context = self._context
+        self._is_end_likely = False
+        if self._confirmation is not None:
+            self._confirmation.deadline = math.inf
         self._mark_prefill_done()
         if not self._attempt_events:
             self._first_event_s = context.shared.clock.monotonic_s()
--- a/peridotrill/gateway/target_connections.py
+++ b/peridotrill/gateway/target_connections.py
@@ -682,11 +682,11 @@
         connection = self._pop_idle(max_idle_s)
         if connection is not None:
             return connection
-        return await self._open()
+        return await self.open()
 
     async def check(self) -> None:
         """Open another connection; raises TargetUnreachable."""
-        self._release(await self._open())
+        self.release(await self.open())
 
     def close(self) -> None:
         """Close idle connections; those in use are closed after use."""
@@ -694,12 +694,13 @@
         while self._idle:
             self._idle.pop().abort('pool closed')
 
-    async def _open(self) -> TargetConnection:
+    async def open(self) -> TargetConnection:
+        """Open a connection; raises TargetUnreachable or TargetRefused."""
         try:
             return await open_connection(
                 self.address,
                 self._connect_timeout_s,
-                self._release,
+                self.release,
                 self._limits,
                 self._suspect,
             )
@@ -707,6 +708,14 @@
             self._suspect()
             raise
 
+    def release(self, connection: TargetConnection) -> None:
+        """Keep an idle connection for the next request."""
+        connection.idle_since_s = self._now_s()
+        if self._is_closed or len(self._idle) >= self._max_idle:
+            connection.abort('too many idle connections')
+        else:
+            self._idle.append(connection)
+
     def _suspect(self) -> None:
         self.is_suspect = True
 
@@ -728,10 +737,3 @@
                 return connection
             connection.abort('idle for too long')
         return None
-
-    def _release(self, connection: TargetConnection) -> None:
-        connection.idle_since_s = self._now_s()
-        if self._is_closed or len(self._idle) >= self._max_idle:
-            connection.abort('too many idle connections')
-        else:
-            self._idle.append(connection)
--- a/peridotrill/gateway/target_http_client.py
+++ b/peridotrill/gateway/target_http_client.py
@@ -148,6 +148,21 @@
             return False
         return False
 
+    async def is_running(self, target: TargetRecord) -> bool:
+        """Tell whether the process that wrote the record still responds.
+
+        A connection alone proves nothing: the kernel accepts it until the process
+        is gone.
+        """
+        pool = self._pool(target)
+        try:
+            connection = await pool.open()
+            await self._identify(connection, target)
+        except (TargetUnreachable, TargetOutcomeUnknown):
+            return False
+        pool.release(connection)
+        return True
+
     async def _acquire_identified(
         self, pool: ConnectionPool, target: TargetRecord, max_idle_s: float
     ) -> TargetConnection:
@@ -182,7 +197,7 @@
             raise TargetUnreachable(f'not identified: {error}') from error
         if not started_ms:
             return
-        if started_ms != target.started_ms:
+        if target.started_ms and started_ms != target.started_ms:
             connection.abort('another process answers')
             raise TargetReplaced(f'process of {started_ms} answers')
         connection.is_identified = True
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -43,9 +43,9 @@
     - ``late``: responds with the id of another request first (plain engines)
     - ``cut``: closes the connection in the middle of the third event
     - ``half``: ends the body without an error in the middle of the third event
-    - ``unframed``: sends the stream without length and chunks
-    - ``unframed_cut``: like that, and ends it after the second event
-    - ``unframed_crash``: like that, and crashes after the second event
+    - ``unframed``: sends the response without length and chunks
+    - ``unframed_cut``: like ``unframed``, ends a stream after the second event
+    - ``unframed_crash``: like ``unframed``, and crashes after the second event
     - ``swapped``: exchanges the third and the fourth event
     - ``silent``: runs the request and never responds
     - ``unstamped``: omits the engine stamp from the response
@@ -229,12 +229,27 @@
                 responder.send(
                     _OK, self._stamped_headers('another'), b'not yours'
                 )
-            responder.send(
-                _OK, response_headers, f'answer to {request_id}'.encode()
-            )
+            answer = f'answer to {request_id}'.encode()
+            if fault.startswith('unframed'):
+                await self._send_unframed(
+                    fault, response_headers, answer, responder
+                )
+            else:
+                responder.send(_OK, response_headers, answer)
         else:
             await self._stream(fault, headers, response_headers, responder)
 
+    async def _send_unframed(self, fault, headers, answer, responder) -> None:
+        unframed = _UnframedResponse(responder)
+        unframed.start_stream(_OK, headers)
+        unframed.send_chunk(answer[:5])
+        await asyncio.sleep(self.event_interval_s)
+        if fault == 'unframed_crash':
+            self._crash()
+            return
+        unframed.send_chunk(answer[5:])
+        unframed.end_stream()
+
     async def _stream(
         self, fault, headers, response_headers, responder
     ) -> None:
--- a/tests/test_gateway_stream_order.py
+++ b/tests/test_gateway_stream_order.py
@@ -1,4 +1,4 @@
-"""Streams whose engines leave events out or end them early."""
+"""Responses that lack a part, and whose framing does not show it."""
 
 import itertools
 
@@ -18,7 +18,7 @@
 @pytest.fixture(scope='module')
 def site(tmp_path_factory):
     engines = [
-        ScriptedEngine('i-till-1', 'till', 'a'),
+        *(ScriptedEngine(f'i-till-{name}', 'till', 'a') for name in 'abcdef'),
         ScriptedEngine('i-pre', 'llm', 'a', 'prefill'),
         *(ScriptedEngine(f'i-{name}', 'llm', 'a', DECODE) for name in 'abc'),
     ]
@@ -38,7 +38,7 @@
         return pending.pop(0) if pending else ''
 
     for engine in site.engines.values():
-        if engine.role == DECODE:
+        if engine.role == DECODE or engine.service == 'till':
             engine.plan = _SharedPlan(next_fault)
     request_id = f'order-{next(_numbers)}'
     return call(site.gateway, path, request_id, **prompt_headers(50))
@@ -75,3 +75,21 @@
     # Guards against checks that break off whole streams.
     for _ in range(3):
         assert ask(site, path, 'unframed', 'unframed').text == _EVENTS
+
+
+def test_response_of_a_crashed_process_is_asked_for_again(site):
+    # Guards against half a body that looks whole, because its process was killed.
+    response = ask(site, '/read/x', 'unframed_crash')
+    assert (response.status_code, response.text[:9]) == (200, 'answer to')
+
+
+def test_payment_of_a_crashed_process_has_no_known_outcome(site):
+    # Guards against half a body that looks whole, because its process was killed.
+    assert ask(site, '/pay/x', 'unframed_crash').status_code == 502
+
+
+@pytest.mark.parametrize('path', ['/read/x', '/pay/x'])
+def test_whole_response_without_length_is_a_success(site, path):
+    # Guards against checks that break whole responses.
+    response = ask(site, path, 'unframed')
+    assert (response.status_code, response.text[:9]) == (200, 'answer to')
