Grant each response the work that its request may need

Requests to sound engines ended with 502, or their streams were cut, once one gateway got much from one engine: the limit of 6,000 parser callbacks a second for each target is a constant, and 64 slots of a usual engine exceed it.

Each request now grants its response the work that it may need, from the largest number of events that it asks for; only what goes beyond is charged to the limits, which stay as they were. So no load of sound responses is broken off, and a target that sends too much on one connection does not break its responses on others.

--- a/peridotrill/gateway/receive_limits.py
+++ b/peridotrill/gateway/receive_limits.py
@@ -28,10 +28,22 @@
     burst: float
 
 
-# A stream of a fast engine has about 300 events per second.
+# Limits for work beyond what a response was granted.
 CONNECTION_RATE: Final = WorkRate(per_s=2000, burst=4000)
 # Takes about 2% of a core for each target.
 TARGET_RATE: Final = WorkRate(per_s=6000, burst=12000)
+# Work that each response is granted: its head with some fields and a body in a
+# few pieces. An event comes in a chunk and a read of its own.
+_RESPONSE_WORK: Final = 100
+_EVENT_WORK: Final = 2
+
+
+def response_work(max_events: int = 0) -> float:
+    """Return the work that a response is granted.
+
+    :param max_events: largest number of events of the stream that was asked for.
+    """
+    return _RESPONSE_WORK + _EVENT_WORK * max_events
 
 
 @final
@@ -119,7 +131,12 @@
 
 @final
 class WorkMeter:
-    """Token bucket for the work that a connection, or a target, causes."""
+    """Token bucket for the work that a connection, or a target, causes.
+
+    What a response was granted is used up first. So no load of sound responses
+    empties the bucket, and a target that sends too much on one connection does
+    not break its responses on others.
+    """
 
     def __init__(
         self,
@@ -133,9 +150,17 @@
         self._parent = parent
         self._tokens = rate.burst
         self._refilled_s = now_s()
+        self._granted = 0.0
+
+    def grant(self, units: float) -> None:
+        """Grant work to the next response; what the last one left lapses."""
+        self._granted = units
 
     def charge(self, units: float) -> None:
         """Use tokens; raises ResponseExcessive if there are not enough."""
+        if units <= self._granted:
+            self._granted -= units
+            return
         if self._parent is not None:
             self._parent.charge(units)
         self._tokens -= units
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -56,6 +56,8 @@
 # that is longer never ends.
 _EVENTS_PER_TOKEN: Final = 2
 _MAX_EXTRA_EVENTS: Final = 64
+# Length of streams for which no number of tokens is declared.
+_UNDECLARED_EVENTS: Final = 1000
 # Engine priority of a route with priority 0; the default of engines is 5.
 _ENGINE_PRIORITY_BASE: Final = 3
 _ENGINE_PRIORITY_MAX: Final = 9
@@ -322,6 +324,13 @@
     return min(expected, prompt.max_output_tokens)
 
 
+def _max_events(prompt: Prompt | None) -> int:
+    """Return the largest number of events that the output may have."""
+    if prompt is None:
+        return _UNDECLARED_EVENTS
+    return prompt.max_output_tokens * _EVENTS_PER_TOKEN + _MAX_EXTRA_EVENTS
+
+
 def _engine_priority(context: RequestContext) -> int:
     priority = _ENGINE_PRIORITY_BASE + context.priority
     if context.is_late():
@@ -548,6 +557,7 @@
                 kv_source=source,
                 kv_fetch=fetch,
                 resume_after=self._sequence.last_id,
+                max_events=_max_events(context.request.prompt),
             ),
             context.route.is_repeatable,
             must_identify=self._must_identify(),
@@ -663,10 +673,7 @@
     def _require_expected_length(self, events: int) -> None:
         """Raise ResponseExcessive if a stream is longer than was asked for."""
         prompt = self._context.request.prompt
-        if prompt is None:
-            return
-        max_events = prompt.max_output_tokens * _EVENTS_PER_TOKEN
-        if events > max_events + _MAX_EXTRA_EVENTS:
+        if prompt is not None and events > _max_events(prompt):
             raise ResponseExcessive('more events than tokens')
 
     def _require_same_stream(self, response: TargetResponse) -> None:
--- a/peridotrill/gateway/target_connections.py
+++ b/peridotrill/gateway/target_connections.py
@@ -31,6 +31,7 @@
     ReceiveBudget,
     ReceiveLimits,
     ReservedBytes,
+    response_work,
 )
 from peridotrill.gateway.requests import Headers
 from peridotrill.settings import Address
@@ -350,16 +351,19 @@
         headers: Headers,
         body: bytes,
         matches: HeadMatcher = _match_any,
+        max_events: int = 0,
     ) -> TargetExchange:
         """Send a request; raises TargetUnreachable if not connected.
 
         :param matches: tells whether a response belongs to the request.
+        :param max_events: largest number of events of the response.
         """
         if self._transport is None or not self.is_open:
             raise TargetUnreachable('not connected')
         self._exchange = TargetExchange(self, matches)
         self._skipped = 0
         self._overhead_bytes = 0
+        self._meter.grant(response_work(max_events))
         self._transport.write(format_head(first_line, headers) + body)
         return self._exchange
 
--- a/peridotrill/gateway/target_http_client.py
+++ b/peridotrill/gateway/target_http_client.py
@@ -117,6 +117,7 @@
             headers,
             request.body,
             lambda head: self._wire.matches_request(request.request_id, head),
+            options.max_events,
         )
 
     async def read_response_head(
--- a/peridotrill/gateway/target_messages.py
+++ b/peridotrill/gateway/target_messages.py
@@ -14,7 +14,8 @@
 
     ``kv_source`` is ``IP:PORT/HANDLE`` of a prompt that was prefilled at
     another engine, ``kv_fetch`` is ``IP:PORT`` of an engine that may have
-    parts of the prompt in its KV cache.
+    parts of the prompt in its KV cache. ``max_events`` is not sent: no stream
+    that is asked for has more events.
     """
 
     target_id: str
@@ -25,6 +26,7 @@
     kv_source: str | None = None
     kv_fetch: str | None = None
     resume_after: bytes | None = None
+    max_events: int = 0
 
 
 class TargetLoad(NamedTuple):
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -16,6 +16,7 @@
     TARGET_RATE,
     ReceiveBudget,
     WorkMeter,
+    response_work,
 )
 from peridotrill.gateway.target_connections import (
     TargetConnection,
@@ -292,3 +293,31 @@
             assert endless.sent_bytes <= 16 * MIB
 
     asyncio.run(asyncio.wait_for(run(), TIMEOUT_S))
+
+
+def test_responses_are_sound_whatever_other_connections_send():
+    # Guards against a sound response that is broken off because the same target
+    # sends too much on another connection, or has much to do.
+    limits = receive_limits()
+    faulty = limits.open_meter()
+    with pytest.raises(ResponseExcessive):
+        while True:
+            faulty.charge(1)
+    for _ in range(1000):
+        meter = limits.open_meter()
+        meter.grant(response_work(max_events=50))
+        for _ in range(100):
+            meter.charge(1)
+
+
+def test_granted_work_lapses_with_its_response():
+    # Guards against responses that leave to a faulty one what they did not need.
+    meter = receive_limits().open_meter()
+    for _ in range(1000):
+        meter.grant(response_work(max_events=50))
+    charged = 0
+    with pytest.raises(ResponseExcessive):
+        while True:
+            meter.charge(1)
+            charged += 1
+    assert charged < CONNECTION_RATE.burst * 2
