End a stream that its caller takes up after the last event

A caller whose connection broke between the last event and the end of a stream got 502 when it took the stream up: an engine that is asked to go on after the last event sends a complete stream without events, which counted as broken, at one engine after the other, and sound engines were avoided for it.

Such a response now ends the stream (200 without events). The test failed before with 502. Within one response a run without events still is no end, since the connection of the first engine broke.

--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -639,7 +639,9 @@
             await context.responder.drain()
         if splitter.partial_bytes:
             raise TargetOutcomeUnknown('stream ended inside an event')
-        if events or not self._is_end_open:
+        if self._is_end_of_taken_up_stream(events):
+            self._start_response(response)
+        elif events or not self._is_end_open:
             await self._require_end(events, response)
         if self._attempt_events < HARMLESS_EVENTS:
             context.record_harmless(self._sent_s)
@@ -745,22 +747,40 @@
         if not self._attempt_events:
             self._first_event_s = context.shared.clock.monotonic_s()
         if not context.responder.has_started:
-            context.first_byte_s = context.shared.clock.monotonic_s()
-            context.count_usage()
-            self._record_origin()
-            context.responder.start_stream(response.status, response.headers)
-            self._started_response = response
-            if context.request.prompt is not None and self._target is not None:
-                context.shared.placement.record_prefill(
-                    context.request.prompt,
-                    self._target,
-                )
+            self._start_response(response)
         context.responder.send_chunk(content)
         self._attempt_events += 1
         if self._attempt_events == HARMLESS_EVENTS:
             context.record_harmless(self._first_event_s)
         self._has_resume_id = event_id is not None
 
+    def _start_response(self, response: TargetResponse) -> None:
+        """Begin the response to the caller with the head of an engine's."""
+        context = self._context
+        context.first_byte_s = context.shared.clock.monotonic_s()
+        context.count_usage()
+        self._record_origin()
+        context.responder.start_stream(response.status, response.headers)
+        self._started_response = response
+        if context.request.prompt is not None and self._target is not None:
+            context.shared.placement.record_prefill(
+                context.request.prompt,
+                self._target,
+            )
+
+    def _is_end_of_taken_up_stream(self, events: int) -> bool:
+        """Tell whether a caller has taken up a stream after its last event.
+
+        It lacks only the end, which its connection lost.
+        """
+        context = self._context
+        return (
+            not events
+            and context.request.resume_after is not None
+            and not context.responder.has_started
+            and context.framing is Framing.DELIMITED
+        )
+
     def _require_retry(self) -> None:
         """Raise GatewayError unless the request may be retried elsewhere."""
         context = self._context
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -417,3 +417,14 @@
     response = quick(mixed_site.gateways['front-a-1'], request_id, **headers)
     assert response.status_code == 400
     assert not is_received(mixed_site, request_id)
+
+
+def test_stream_that_lacks_only_its_end_can_be_taken_up(uniform_site):
+    # Guards against a caller that has all events and gets an error, and against
+    # sound engines that count as broken for it.
+    gateway = uniform_site.gateways['front-b-1']
+    set_faults(uniform_site, _TWO_BREAKS)
+    assert quick(gateway, 'begun').text.count('data: token') == _TWO_BREAKS
+    _, response = take_up(gateway, 'begun', after=str(_TWO_BREAKS))
+    assert (response.status_code, response.text) == (200, '')
+    assert 'event=attempt_failed' not in gateway.read_log()
