--- /dev/null
+++ b/peridotrill/gateway/connection_pool.py
@@ -0,0 +1,105 @@
+"""Pools of persistent connections to targets and to the store."""
+
+from collections import deque
+from collections.abc import Callable
+from typing import final
+
+from peridotrill.exceptions import TargetRefused
+from peridotrill.gateway.receive_limits import ReceiveBudget, ReceiveLimits
+from peridotrill.gateway.target_connections import (
+    TargetConnection,
+    open_connection,
+)
+from peridotrill.settings import Address
+
+
+@final
+class ConnectionPool:
+    """Pool of connections to one address."""
+
+    def __init__(
+        self,
+        address: Address,
+        now_s: Callable[[], float],
+        connect_timeout_s: float,
+        max_idle: int,
+        budget: ReceiveBudget,
+    ) -> None:
+        """:param max_idle: maximum number of idle connections.
+
+        :param budget: for the responses, also of other targets.
+        """
+        self._limits = ReceiveLimits(budget, now_s)
+        self.address = address
+        self._now_s = now_s
+        self._connect_timeout_s = connect_timeout_s
+        self._max_idle = max_idle
+        self._idle: deque[TargetConnection] = deque()
+        self._is_closed = False
+        # Whether the process at the address may have ended since a connection
+        # was last identified. The record may be that of an earlier process.
+        self.is_suspect = True
+
+    async def acquire(self, max_idle_s: float) -> TargetConnection:
+        """Return an idle or new connection for one request.
+
+        :param max_idle_s: connections idle for longer are not reused.
+        """
+        connection = self._pop_idle(max_idle_s)
+        if connection is not None:
+            return connection
+        return await self.open()
+
+    async def check(self) -> None:
+        """Open another connection; raises TargetUnreachable."""
+        self.release(await self.open())
+
+    def close(self) -> None:
+        """Close idle connections; those in use are closed after use."""
+        self._is_closed = True
+        while self._idle:
+            self._idle.pop().abort('pool closed')
+
+    async def open(self) -> TargetConnection:
+        """Open a connection; raises TargetUnreachable or TargetRefused."""
+        try:
+            return await open_connection(
+                self.address,
+                self._connect_timeout_s,
+                self.release,
+                self._limits,
+                self._suspect,
+            )
+        except TargetRefused:
+            self._suspect()
+            raise
+
+    def release(self, connection: TargetConnection) -> None:
+        """Keep an idle connection for the next request."""
+        connection.idle_since_s = self._now_s()
+        if self._is_closed or len(self._idle) >= self._max_idle:
+            connection.abort('too many idle connections')
+        else:
+            self._idle.append(connection)
+
+    def _suspect(self) -> None:
+        self.is_suspect = True
+
+    def _pop_idle(self, max_idle_s: float) -> TargetConnection | None:
+        now_s = self._now_s()
+        while self._idle:
+            connection = self._idle.pop()
+            limit_s = max_idle_s
+            if connection.keep_alive_s is not None:
+                # Half of the declared timeout, so that a request is not sent
+                # while the target closes the connection.
+                limit_s = min(limit_s, connection.keep_alive_s / 2)
+            if not connection.is_open:
+                continue
+            if connection.has_unread_input():
+                connection.abort('data received without a request in progress')
+                continue
+            if now_s - connection.idle_since_s <= limit_s:
+                return connection
+            connection.abort('idle for too long')
+        return None
--- a/peridotrill/gateway/target_http_client.py
+++ b/peridotrill/gateway/target_http_client.py
@@ -16,10 +16,10 @@
     TargetTimeout,
     TargetUnreachable,
 )
+from peridotrill.gateway.connection_pool import ConnectionPool
 from peridotrill.gateway.receive_limits import ReceiveBudget
 from peridotrill.gateway.requests import CallerRequest
 from peridotrill.gateway.target_connections import (
-    ConnectionPool,
     Response,
     TargetConnection,
     TargetExchange,
--- a/peridotrill/gateway_coordinator_tasks.py
+++ b/peridotrill/gateway_coordinator_tasks.py
@@ -6,6 +6,7 @@
 
 from peridotrill.clock import Clock
 from peridotrill.gateway.cluster_state import ClusterState
+from peridotrill.gateway.connection_pool import ConnectionPool
 from peridotrill.gateway.coordinator import STEP_INTERVAL, Coordinator
 from peridotrill.gateway.demand import DemandMeter
 from peridotrill.gateway.event_log import EventLog
@@ -14,7 +15,6 @@
 from peridotrill.gateway.reporting import Reporting
 from peridotrill.gateway.role_controller import RoleController
 from peridotrill.gateway.role_planner import RolePlanner
-from peridotrill.gateway.target_connections import ConnectionPool
 from peridotrill.gateway.usage_archive import (
     SAVE_INTERVAL,
     UsageArchive,
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -34,6 +34,7 @@
     DEFAULT_CALLER_LIMITS,
     CallerLimits,
 )
+from peridotrill.gateway.connection_pool import ConnectionPool
 from peridotrill.gateway.coordinator import Coordinator
 from peridotrill.gateway.demand import DemandMeter
 from peridotrill.gateway.event_log import EventLog
@@ -74,7 +75,6 @@
 from peridotrill.gateway.stream_archive import StreamArchive
 from peridotrill.gateway.stream_origins import StreamOrigins
 from peridotrill.gateway.stream_sharing import StreamSharing
-from peridotrill.gateway.target_connections import ConnectionPool
 from peridotrill.gateway.target_health import TargetHealth
 from peridotrill.gateway.target_http_client import (
     ConnectionTimeouts,
--- a/peridotrill/platform/duties.py
+++ b/peridotrill/platform/duties.py
@@ -7,7 +7,7 @@
 
 from peridotrill.codec import encode_json
 from peridotrill.exceptions import TargetOutcomeUnknown, TargetUnreachable
-from peridotrill.gateway.target_connections import ConnectionPool
+from peridotrill.gateway.connection_pool import ConnectionPool
 from peridotrill.platform import names
 
 # Calls are seconds apart; a connection that was idle longer may be closed.
--- a/peridotrill/platform/store.py
+++ b/peridotrill/platform/store.py
@@ -19,8 +19,8 @@
     TargetOutcomeUnknown,
     TargetUnreachable,
 )
+from peridotrill.gateway.connection_pool import ConnectionPool
 from peridotrill.gateway.target_connections import (
-    ConnectionPool,
     Response,
     ResponseHead,
 )
--- a/tests/test_target_connection_reuse.py
+++ b/tests/test_target_connection_reuse.py
@@ -8,7 +8,7 @@
 import uvloop
 
 from peridotrill.exceptions import TargetUnreachable
-from peridotrill.gateway.target_connections import ConnectionPool
+from peridotrill.gateway.connection_pool import ConnectionPool
 from peridotrill.settings import Address
 from tests.gateway_builders import receive_budget
 
