Let only an engine that still runs confirm the end of a stream

Found by the review of the fix, each shown by a test of the reviewer that failed on: an engine that is killed before its first event confirmed the end of a stream (200 without the last events); a gateway that was frozen for 0.55 s while it asked ended the stream too; half of the body of a failure looked whole; a payment that was rejected without length by an engine that then ended got 502 instead of another engine.

An unframed run without events confirms an end only if its process did not end; what was known of the end is forgotten with the next event. If an engine that was asked does not respond in time, the stream is cut and its caller can take it up. Failures are checked like answers, rejections are not. A process counts as ended only if its address refuses a connection or another process answers, so that full or slow engines no longer break sound responses (by reading, no run).

--- a/peridotrill/gateway/generation.py
+++ b/peridotrill/gateway/generation.py
@@ -1,5 +1,6 @@
 """Forwards the output of model engines as one stream of events."""
 
+import enum
 import math
 from contextlib import closing
 from datetime import timedelta
@@ -52,6 +53,16 @@
     return fields.get(b'content-type', b'').partition(b';')[0].strip().lower()
 
 
+class _End(enum.Enum):
+    """What is known of the end of a stream."""
+
+    UNSEEN = 1
+    # A run has ended without length, and its process is gone.
+    DOUBTFUL = 2
+    # A run has ended without length, and its process is running.
+    LIKELY = 3
+
+
 @final
 class Generation:
     """Output of one request, from one engine or several in succession."""
@@ -81,12 +92,12 @@
         self._attempt_events = 0
         # Whether the process that responds is known to be the registered one.
         self._is_identified = False
-        # Whether the last run ended without length, so that a run without events
-        # confirms its end; and whether its process was found running after it.
-        self._is_end_open = False
-        self._is_end_likely = False
-        # Limits the time of the run that confirms the end.
+        # What is known of the end of the stream, and the time limit of the run
+        # that confirms it.
+        self._end = _End.UNSEEN
         self._confirmation: anyio.CancelScope | None = None
+        # Whether an engine has been sent the request and has not rejected it.
+        self._is_asked = False
         # Software version of the process that responds.
         self._version = ''
         self._use_handle = remote_prompt is not None
@@ -97,7 +108,7 @@
         try:
             await self._execute()
         except GatewayError:
-            if not self._is_end_likely:
+            if self._end is not _End.LIKELY or self._is_asked:
                 raise
             self._end_unconfirmed()
         finally:
@@ -116,18 +127,23 @@
                     self._context.service,
                 )
                 self._reservation = None
-            if self._is_end_likely and self._confirmation is None:
+            if self._end is _End.LIKELY and self._confirmation is None:
                 await self._confirm_end()
                 return
 
     async def _confirm_end(self) -> None:
-        """Ask another engine for more events; end the stream without an answer."""
+        """Ask another engine for more events; raises GatewayError.
+
+        After a time-out, which a pause of this process may cause as well, an
+        engine that was asked may have more to send.
+        """
+        self._is_asked = False
         timeout_s = _CONFIRMATION_TIMEOUT.total_seconds()
         with anyio.move_on_after(timeout_s) as scope:
             self._confirmation = scope
             await self._execute()
             return
-        self._end_unconfirmed()
+        raise self._context.build_error('target_failed')
 
     def _describe_events(self) -> dict[str, str | int | None]:
         """Return what the log says of the events of a stream."""
@@ -229,6 +245,7 @@
                 # The prefill engine may have dropped the prompt, so the next
                 # engine fetches what it can and prefills the rest itself.
                 self._use_handle = False
+                self._is_asked = False
                 context.handle_rejection(target, response)
                 return False
             self.is_prompt_taken = self._use_handle
@@ -271,6 +288,7 @@
             must_identify=self._must_identify(),
         )
         self._is_identified = exchange.is_identified
+        self._is_asked = True
         context.record_sent(target)
         if self._sequence.last_id is not None:
             context.shared.log.write(
@@ -313,6 +331,7 @@
     ) -> bool:
         context = self._context
         body = await exchange.read_body()
+        await context.require_running(target, response)
         context.record_attempt_failure(
             target, Failure.ERROR, f'status {response.status}'
         )
@@ -333,7 +352,6 @@
         context = self._context
         self._require_same_stream(response)
         self._require_same_version()
-        self._context.framing = exchange.framing
         self._sequence.start_run()
         splitter = EventStreamParser()
         events = 0
@@ -349,7 +367,7 @@
             raise TargetOutcomeUnknown('stream ended inside an event')
         if self._is_end_of_taken_up_stream(events):
             self._start_response(response)
-        elif events or not self._is_end_open:
+        else:
             await self._require_end(events, response)
         if self._attempt_events < HARMLESS_EVENTS:
             context.record_harmless(self._sent_s)
@@ -358,15 +376,20 @@
     async def _require_end(self, events: int, response: TargetResponse) -> None:
         """Raise TargetOutcomeUnknown if a run may lack events at its end."""
         context = self._context
+        if self._target is None:
+            return
+        if not events and self._end is not _End.UNSEEN:
+            await context.require_running(self._target, response)
+            return
         if not events or not context.responder.has_started:
             raise TargetOutcomeUnknown('stream without an event')
         self._sequence.require_end()
-        if self._target is None or context.framing is not Framing.CONNECTION:
+        if context.framing is not Framing.CONNECTION:
             return
-        self._is_end_open = True
+        self._end = _End.DOUBTFUL
         await context.require_running(self._target, response)
         if self._has_resume_id and context.allow_retry(_CONFIRMATION_SHARE):
-            self._is_end_likely = True
+            self._end = _End.LIKELY
             raise EndUnconfirmed('ended without length')
 
     def _end_unconfirmed(self) -> None:
@@ -448,7 +471,7 @@
         event_id: bytes | None,
     ) -> None:
         context = self._context
-        self._is_end_likely = False
+        self._end = _End.UNSEEN
         if self._confirmation is not None:
             self._confirmation.deadline = math.inf
         self._mark_prefill_done()
--- a/peridotrill/gateway/plain_requests.py
+++ b/peridotrill/gateway/plain_requests.py
@@ -109,9 +109,9 @@
             context.can_retry_elsewhere(),
         )
         context.record_load(target, response)
-        context.framing = exchange.framing
         body = await exchange.read_body()
-    await context.require_running(target, response)
+    if not response.not_run:
+        await context.require_running(target, response)
     return response, body
 
 
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -298,6 +298,7 @@
         self, target: TargetRecord, exchange: TargetExchange
     ) -> TargetResponse:
         response = await self.shared.targets.read_response_head(exchange)
+        self.framing = exchange.framing
         self.shared.limits.observe(target.target_id, response.limit_per_s)
         if response.is_leaving:
             self.shared.cluster_state.mark_leaving(target)
@@ -308,7 +309,7 @@
     async def require_running(
         self, target: TargetRecord, response: TargetResponse
     ) -> None:
-        """Raise TargetOutcomeUnknown unless a target outlived its response.
+        """Raise TargetOutcomeUnknown if a target ended with its response.
 
         A response without length ends with its connection, and so does one
         whose process is killed. A target that leaves ends after its responses.
@@ -316,11 +317,10 @@
         if self.framing is not Framing.CONNECTION or response.is_leaving:
             return
         known = self.shared.cluster_state.find_target(target.target_id)
-        if known is not None and known.process == target.process:
-            if known.is_draining:
-                return
-        if not await self.shared.targets.is_running(target):
-            raise TargetOutcomeUnknown('process not found after its response')
+        if known is None or known.is_draining:
+            return
+        if await self.shared.targets.has_ended(target):
+            raise TargetOutcomeUnknown('process ended with its response')
 
     def can_retry_elsewhere(self) -> bool:
         """Tell whether another target may be tried if one may have run it."""
--- a/peridotrill/gateway/target_http_client.py
+++ b/peridotrill/gateway/target_http_client.py
@@ -53,6 +53,8 @@
 # Connections that are opened to identify a process before its target counts as
 # unreachable: the engine may close one after its report.
 _IDENTIFY_ATTEMPTS: Final = 3
+# Longer than a process that was killed still accepts connections.
+_RESET_PAUSE_S: Final = 0.02
 # Low enough that all gateways together stay below the connection limit of a
 # target.
 _MAX_IDLE_PER_TARGET: Final = 6
@@ -149,20 +151,27 @@
             return False
         return False
 
-    async def is_running(self, target: TargetRecord) -> bool:
-        """Tell whether the process that wrote the record still responds.
+    async def has_ended(self, target: TargetRecord) -> bool:
+        """Tell whether the process that wrote the record is known to have ended.
 
         A connection alone proves nothing: the kernel accepts it until the process
-        is gone.
+        is gone, and then resets it. So does a target that has too many.
         """
         pool = self._pool(target)
-        try:
-            connection = await pool.open()
-            await self._identify(connection, target)
-        except (TargetUnreachable, TargetOutcomeUnknown):
+        for _ in range(_IDENTIFY_ATTEMPTS):
+            try:
+                connection = await pool.open()
+                await self._identify(connection, target)
+            except (TargetRefused, TargetReplaced):
+                return True
+            except TargetOutcomeUnknown:
+                await anyio.sleep(_RESET_PAUSE_S)
+                continue
+            except TargetUnreachable:
+                return False
+            pool.release(connection)
             return False
-        pool.release(connection)
-        return True
+        return False
 
     async def _acquire_identified(
         self, pool: ConnectionPool, target: TargetRecord, max_idle_s: float
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -16,6 +16,7 @@
 _MISDIRECTED = 421
 _INTERNAL_SERVER_ERROR = 500
 _UNAVAILABLE = 503
+_SLOW_START_S = 0.3
 # Streams that end after their second event.
 _UNFRAMED_FAULTS = frozenset(('unframed_cut', 'unframed_crash'))
 
@@ -46,6 +47,10 @@
     - ``unframed``: sends the response without length and chunks
     - ``unframed_cut``: like ``unframed``, ends a stream after the second event
     - ``unframed_crash``: like ``unframed``, and crashes after the second event
+    - ``unframed_crash_early``: like that, before the first event
+    - ``unframed_error_crash``: like that, in the body of a failure
+    - ``unframed_refusal_crash``: crashes after a rejection without length
+    - ``slow``: begins a stream after 0.3 s
     - ``swapped``: exchanges the third and the fourth event
     - ``silent``: runs the request and never responds
     - ``unstamped``: omits the engine stamp from the response
@@ -220,7 +225,22 @@
             ),
         }
         response = fault_responses.get(fault)
-        if fault == 'reset':
+        unframed_responses = {
+            'unframed_refusal_crash': (
+                _UNAVAILABLE,
+                [*response_headers, (b'X-Peridotrill-Not-Run', b'1')],
+                b'',
+            ),
+            'unframed_error_crash': (
+                _INTERNAL_SERVER_ERROR,
+                response_headers,
+                b'an error',
+            ),
+        }
+        unframed_response = unframed_responses.get(fault)
+        if unframed_response:
+            await self._send_unframed(fault, *unframed_response, responder)
+        elif fault == 'reset':
             responder.abort()
         elif response:
             responder.send(*response)
@@ -232,19 +252,21 @@
             answer = f'answer to {request_id}'.encode()
             if fault.startswith('unframed'):
                 await self._send_unframed(
-                    fault, response_headers, answer, responder
+                    fault, _OK, response_headers, answer, responder
                 )
             else:
                 responder.send(_OK, response_headers, answer)
         else:
             await self._stream(fault, headers, response_headers, responder)
 
-    async def _send_unframed(self, fault, headers, answer, responder) -> None:
+    async def _send_unframed(
+        self, fault, status, headers, answer, responder
+    ) -> None:
         unframed = _UnframedResponse(responder)
-        unframed.start_stream(_OK, headers)
+        unframed.start_stream(status, headers)
         unframed.send_chunk(answer[:5])
         await asyncio.sleep(self.event_interval_s)
-        if fault == 'unframed_crash':
+        if fault.endswith('crash'):
             self._crash()
             return
         unframed.send_chunk(answer[5:])
@@ -258,7 +280,13 @@
         due_s = loop.time()
         if fault.startswith('unframed'):
             responder = _UnframedResponse(responder)
+        if fault == 'slow':
+            await asyncio.sleep(_SLOW_START_S)
         responder.start_stream(_OK, response_headers)
+        if fault == 'unframed_crash_early':
+            await asyncio.sleep(self.event_interval_s)
+            self._crash()
+            return
         numbers = list(range(first, self.event_count + 1))
         if fault == 'swapped':
             numbers.insert(3, numbers.pop(2))
--- a/tests/test_gateway_stream_order.py
+++ b/tests/test_gateway_stream_order.py
@@ -1,13 +1,16 @@
 """Responses that lack a part, and whose framing does not show it."""
 
 import itertools
+import threading
+import time
+from contextlib import contextmanager
 
 import httpx
 import pytest
 
 from standins.platform_engine import ScriptedEngine
 from tests.gateway_builders import prompt_headers
-from tests.gateway_site import DECODE, call, run_site
+from tests.gateway_site import DECODE, SIGCONT, SIGSTOP, call, run_site
 
 _numbers = itertools.count()
 _EVENTS = ''.join(
@@ -15,18 +18,31 @@
 )
 
 
-@pytest.fixture(scope='module')
-def site(tmp_path_factory):
+@contextmanager
+def run_engines(folder):
     engines = [
         *(ScriptedEngine(f'i-till-{name}', 'till', 'a') for name in 'abcdef'),
         ScriptedEngine('i-pre', 'llm', 'a', 'prefill'),
         *(ScriptedEngine(f'i-{name}', 'llm', 'a', DECODE) for name in 'abc'),
     ]
-    with run_site(tmp_path_factory.mktemp('site'), engines) as running:
+    with run_site(folder, engines) as running:
         (running.gateway,) = running.start_gateways('front-a-1')
         yield running
 
 
+@pytest.fixture(scope='module')
+def site(tmp_path_factory):
+    with run_engines(tmp_path_factory.mktemp('site')) as running:
+        yield running
+
+
+@pytest.fixture
+def crashing_site(tmp_path):
+    """A site of its own, for tests that end several engines."""
+    with run_engines(tmp_path) as running:
+        yield running
+
+
 def ask(site, path, *faults):
     """Begin a stream whose first attempts have these faults."""
     for engine in site.engines.values():
@@ -93,3 +109,51 @@
     # Guards against checks that break whole responses.
     response = ask(site, path, 'unframed')
     assert (response.status_code, response.text[:9]) == (200, 'answer to')
+
+
+def is_whole_or_cut(site, path, *faults):
+    try:
+        text = ask(site, path, *faults).text
+    except httpx.RemoteProtocolError:
+        return True
+    return text == _EVENTS
+
+
+@pytest.mark.parametrize('first', ['unframed_cut', 'unframed_crash'])
+def test_engine_that_crashes_does_not_confirm_an_end(crashing_site, first):
+    # Guards against a crash before the first event that counts as no more events.
+    faults = (first, 'unframed_crash_early')
+    assert is_whole_or_cut(crashing_site, '/quick/x', *faults)
+
+
+def test_frozen_gateway_does_not_end_a_stream(site):
+    # Guards against a time-out that fires although an engine has more events.
+    for engine in site.engines.values():
+        engine.event_interval_s = 0.4
+
+    def freeze():
+        time.sleep(0.95)
+        site.gateway.signal(SIGSTOP)
+        time.sleep(0.55)
+        site.gateway.signal(SIGCONT)
+
+    thread = threading.Thread(target=freeze)
+    thread.start()
+    try:
+        assert is_whole_or_cut(site, '/quick/x', 'unframed_cut', 'slow')
+    finally:
+        thread.join()
+        for engine in site.engines.values():
+            engine.event_interval_s = 0.005
+
+
+def test_half_of_an_error_body_does_not_look_whole(crashing_site):
+    # Guards against the body of a failure that a killed process has begun.
+    response = ask(crashing_site, '/draft/x', 'unframed_error_crash')
+    assert (response.status_code, 'an er' in response.text) == (502, False)
+
+
+def test_rejection_of_an_engine_that_ends_is_sent_elsewhere(crashing_site):
+    # Guards against a rejected payment whose outcome counts as unknown.
+    response = ask(crashing_site, '/pay/x', 'unframed_refusal_crash')
+    assert response.status_code == 200
