--- a/tests/test_gateway_codecs.py
+++ b/tests/test_gateway_codecs.py
@@ -32,8 +32,8 @@
 )
 from peridotrill.gateway.requests import RequestKind
 from peridotrill.gateway.role_controller import ACCEPTED
+from peridotrill.gateway.connection_pool import ConnectionPool
 from peridotrill.gateway.target_connections import (
-    ConnectionPool,
     ResponseHead,
     TargetConnection,
     open_connection,
