Claim the ports of a test run, so that no other run takes them

Each run now claims a block of 500 ports for as long as it lives, by an abstract socket name. tests/builders.py had a second free_port that took ports from the ephemeral range; it is gone.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,6 +1,5 @@
 """Builders of test data with default values."""
 
-import socket
 from typing import Any
 
 import yaml
@@ -59,12 +58,6 @@
     return yaml.safe_dump(document, sort_keys=False)
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
-
-
 def hello(
     entry_id='e1',
     incarnation='i1',
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -19,14 +19,34 @@
 # Below the ephemeral port range of Linux: an outgoing connection could take a
 # port of that range between its choice and its use.
 FIRST_PORT, LAST_PORT = 12000, 32000
+# Each run of the tests uses a block of ports of its own, so that another run on
+# the machine cannot take a port between its choice and its use.
+PORTS_PER_RUN = 500
 _LIBC = ctypes.CDLL(None)
-_ports = count(FIRST_PORT + os.getpid() * 97 % (LAST_PORT - FIRST_PORT))
+
+
+def _claim_block():
+    """Return the first port of a block, and what keeps it for this process."""
+    blocks = (LAST_PORT - FIRST_PORT) // PORTS_PER_RUN
+    for number in range(blocks):
+        block = (os.getpid() + number) % blocks
+        claim = socket.socket(socket.AF_UNIX)
+        try:
+            claim.bind(f'\0peridotrill-test-ports-{block}')
+        except OSError:
+            claim.close()
+            continue
+        return FIRST_PORT + block * PORTS_PER_RUN, claim
+    raise RuntimeError('all blocks of ports are in use')
+
+
+_first_port, _claim = _claim_block()
+_offsets = count()
 
 
 def free_port(kind=socket.SOCK_STREAM):
     while True:
-        span = LAST_PORT - FIRST_PORT
-        port = FIRST_PORT + (next(_ports) - FIRST_PORT) % span
+        port = _first_port + next(_offsets) % PORTS_PER_RUN
         with socket.socket(type=kind) as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -26,6 +26,7 @@
 from peridotrill.target_client import create_http_client
 from peridotrill.timeline import Recorder
 from tests import builders
+from tests.processes import free_port
 
 pytestmark = pytest.mark.anyio
 LOAD = {'ready': True, 'running_requests': 3, 'free_pieces': 5, 'role': 'mixed'}
@@ -108,10 +109,10 @@
         self.tasks = tasks
         self.clock = SystemClock()
         self.target = FakeTarget()
-        self.target_port = builders.free_port()
+        self.target_port = free_port()
         self.http = create_http_client(f'http://127.0.0.1:{self.target_port}')
         self.control = create_http_client(str(self.http.base_url), 1)
-        self.address = Address('127.0.0.1', builders.free_port())
+        self.address = Address('127.0.0.1', free_port())
         config = AgentConfig('t1', 'receipts', 'engine', 'z1', self.address)
         self.agent = Agent.from_config(
             config,
@@ -224,7 +225,7 @@
         harness.start('x2', b'k1', path='/reset')
         refused = await harness.receive(messages.AttemptRefused)
         assert (refused.code, refused.not_run) == ('outcome_unknown', False)
-        harness.http.base_url = f'http://127.0.0.1:{builders.free_port()}'
+        harness.http.base_url = f'http://127.0.0.1:{free_port()}'
         harness.start('x3', b'k2')
         failed = await harness.receive(messages.AttemptFailed)
         assert failed.outcome == 'not_run'
@@ -370,7 +371,7 @@
 
 
 def test_sigterm_exits_with_status_0_and_memory_is_bounded():
-    control, link = builders.free_port(), builders.free_port()
+    control, link = free_port(), free_port()
     options = {
         'target-id': 't1',
         'service': 's',
@@ -378,7 +379,7 @@
         'zone': 'z1',
         'listen': f'127.0.0.1:{link}',
         'control-listen': f'127.0.0.1:{control}',
-        'target-url': f'http://127.0.0.1:{builders.free_port()}',
+        'target-url': f'http://127.0.0.1:{free_port()}',
     }
     flags = [f'--{name}={text}' for name, text in options.items()]
     command = [sys.executable, '-m', 'peridotrill.agent_main', *flags]
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -28,6 +28,7 @@
     failed,
     refused,
 )
+from tests.processes import free_port
 
 pytestmark = pytest.mark.anyio
 CHAT = '/v1/chat/completions'
@@ -108,7 +109,7 @@
     @asynccontextmanager
     async def serve(self):
         """Serve the application on a TCP port; yields the port."""
-        address = Address('127.0.0.1', builders.free_port())
+        address = Address('127.0.0.1', free_port())
         stopping = anyio.Event()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -21,6 +21,7 @@
 from peridotrill.settings import Address
 from peridotrill.timeline import Recorder
 from tests import builders
+from tests.processes import free_port
 
 pytestmark = pytest.mark.anyio
 SECOND = timedelta(seconds=1)
@@ -86,7 +87,7 @@
     entry = Entry.from_config(
         settings, http, clock, Recorder('e1', clock), CollectorRegistry()
     )
-    address = Address('127.0.0.1', builders.free_port())
+    address = Address('127.0.0.1', free_port())
     stopping = anyio.Event()
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(entry.run, tasks)
@@ -108,7 +109,7 @@
 async def test_request_passes_through_the_entry():
     # Guards against components that work only in isolation.
     key = create_key()
-    agent_address = Address('127.0.0.1', builders.free_port())
+    agent_address = Address('127.0.0.1', free_port())
     text = builders.service_text(builders.plain_document())
     log = [
         {
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -17,6 +17,7 @@
 from peridotrill.settings import Address
 from peridotrill.timeline import Recorder
 from tests import builders
+from tests.processes import free_port
 
 pytestmark = pytest.mark.anyio
 
@@ -29,7 +30,7 @@
 class LinkHarness:
     def __init__(self):
         self.clock = SystemClock()
-        self.address = Address('127.0.0.1', builders.free_port())
+        self.address = Address('127.0.0.1', free_port())
         self.listener = self.make_listener()
         self.link = AgentLink.from_config(
             self.address,
--- a/tests/test_operator_log.py
+++ b/tests/test_operator_log.py
@@ -10,7 +10,8 @@
 from peridotrill.operator_command import CommandDependencies
 from peridotrill.operator_log import connect
 from peridotrill.snapshots import encode_snapshot
-from tests.builders import free_port, plain_document, service_text
+from tests.builders import plain_document, service_text
+from tests.processes import free_port
 from tests.test_standins import run_program
 
 
--- a/tests/test_target_client.py
+++ b/tests/test_target_client.py
@@ -7,6 +7,7 @@
 from peridotrill.exceptions import TargetOutcomeUnknown
 from peridotrill.target_client import create_http_client, open_response
 from tests import builders
+from tests.processes import free_port
 
 pytestmark = pytest.mark.anyio
 ANSWER = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
@@ -53,7 +54,7 @@
 @asynccontextmanager
 async def serving(requests_per_connection):
     target = Target(requests_per_connection)
-    port = builders.free_port()
+    port = free_port()
     url = f'http://127.0.0.1:{port}'
     listener = await anyio.create_tcp_listener(
         local_host='127.0.0.1', local_port=port
