List the early end of an unframed stream that nobody confirms

A running engine that ends a stream without length early is not noticed where no second engine can confirm the end, always for streams that may not be resumed.

--- a/tests/test_gateway_stream_order.py
+++ b/tests/test_gateway_stream_order.py
@@ -79,7 +79,7 @@
     assert ask(site, '/quick/x', fault).text == _EVENTS
 
 
-@pytest.mark.parametrize('fault', ['unframed_crash', 'swapped'])
+@pytest.mark.parametrize('fault', ['unframed_cut', 'unframed_crash', 'swapped'])
 def test_stream_that_cannot_continue_does_not_look_complete(site, fault):
     # Guards against a stream that lacks events and looks complete (ORDER).
     with pytest.raises(httpx.RemoteProtocolError):
