Log how old the target records were at a take-up, and if a process was identified

Two hypotheses of the open incident look the same in the logs: a stream that a process wrote whose version was assumed, and a take-up at the only version of records that were too old. `stream_taken_up` now has targets_age_ms, and `request_ended` of a stream has identified. No decision changes.

--- a/peridotrill/gateway/cluster_state.py
+++ b/peridotrill/gateway/cluster_state.py
@@ -278,6 +278,10 @@
         """
         self._targets_confirmed_at_s = requested_s
 
+    def targets_age_s(self) -> float:
+        """Return the time since the targets were last known current."""
+        return self._clock.monotonic_s() - self._targets_confirmed_at_s
+
     def see_versions(self) -> None:
         """Note the software versions of the model engines now."""
         for row in self._targets.values():
@@ -289,8 +293,7 @@
 
     def sole_version(self, service: str) -> str | None:
         """Return the only version that can have written a stream, if known."""
-        age_s = self._clock.monotonic_s() - self._targets_confirmed_at_s
-        if age_s > _MAX_TARGETS_AGE_S:
+        if self.targets_age_s() > _MAX_TARGETS_AGE_S:
             return None
         self.see_versions()
         return self.versions.sole_version(service)
--- a/peridotrill/gateway/generation.py
+++ b/peridotrill/gateway/generation.py
@@ -158,6 +158,7 @@
             'gaps': sequence.gaps,
             'disordered': sequence.disordered,
             'software': self._version or None,
+            'identified': self._is_identified,
         }
 
     def _mark_prefill_done(self) -> None:
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -1,5 +1,6 @@
 """Forwards requests to model engines: prefill, then a stream of events."""
 
+import math
 from datetime import timedelta
 from typing import Final
 
@@ -78,6 +79,7 @@
         service=context.service,
         software=version,
         source=source,
+        targets_age_ms=_log_ms(shared.cluster_state.targets_age_s()),
     )
     if version is None:
         raise context.build_error(
@@ -86,6 +88,10 @@
     return version
 
 
+def _log_ms(duration_s: float) -> int | None:
+    return round(duration_s * 1000) if math.isfinite(duration_s) else None
+
+
 def _use_origin(context: RequestContext, origin: StreamOrigin) -> str | None:
     """Go on at the service of a stream; return None if the route has another."""
     if origin.service not in {row.service for row in context.route.services}:
