Take a stream up at the only version of records that are read after its caller came

Callers saw events of two software versions over two attempts (ORDER). A gateway that did not know who began a stream took the only version in its target records, if these were at most 2 s old. A version that had registered since then, and begun the stream at another gateway, was missed: on a site of six gateways one of the five others holds no copy of a stream's origin.

Evidence: six gateways, one of which does not hear of the store for less than a second while the first engine of v2 registers, begins a stream at another gateway and that one is killed.

Now the records have to be read after the take-up was received. The store is linearizable and a target registers before it serves, so the version that began the stream is among them. Waiting take-ups share one short read; other gateways are asked if the store does not respond within 50 ms. The test of the 2 s is replaced by one that requires a read since the take-up.

--- a/peridotrill/gateway/cluster_state.py
+++ b/peridotrill/gateway/cluster_state.py
@@ -28,9 +28,6 @@
 # Time after a restore of the store in which targets that are alive have
 # registered again.
 _RELISTING_TIME: Final = timedelta(seconds=2)
-# A target of a software version that is not known can have registered at most
-# this long ago; reads of the records take turns with pauses and waits.
-_MAX_TARGETS_AGE_S: Final = 2.0
 # Longer than the age of a copy from which the store may be restored.
 _GONE_RETENTION: Final = timedelta(minutes=5)
 
@@ -276,7 +273,9 @@
 
         :param requested_s: monotonic time of the request to the store.
         """
-        self._targets_confirmed_at_s = requested_s
+        self._targets_confirmed_at_s = max(
+            self._targets_confirmed_at_s, requested_s
+        )
 
     def targets_age_s(self) -> float:
         """Return the time since the targets were last known current."""
@@ -291,9 +290,13 @@
         if target.role is not None:
             self.versions.see(target.service, target.software_version)
 
-    def sole_version(self, service: str) -> str | None:
-        """Return the only version that can have written a stream, if known."""
-        if self.targets_age_s() > _MAX_TARGETS_AGE_S:
+    def sole_version(self, service: str, since_s: float) -> str | None:
+        """Return the only version that can have written a stream, if known.
+
+        :param since_s: monotonic time at which its caller took it up. A target
+            that registered before then may have begun it.
+        """
+        if self._targets_confirmed_at_s < since_s:
             return None
         self.see_versions()
         return self.versions.sole_version(service)
--- a/peridotrill/gateway/components.py
+++ b/peridotrill/gateway/components.py
@@ -47,5 +47,7 @@
     start_task: Callable[..., Any]
     # Reads the target records from the store ahead of schedule.
     refresh_targets: Callable[[], Awaitable[None]]
+    # Waits until the target records are as new as a monotonic time.
+    confirm_targets: Callable[[float], Awaitable[None]]
     # Reads the origins of streams from the store.
     load_streams: Callable[[], Awaitable[None]]
--- a/peridotrill/gateway/store_follower.py
+++ b/peridotrill/gateway/store_follower.py
@@ -1,5 +1,6 @@
 """Follows keyed topics of the store and applies their records."""
 
+import math
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Final, NamedTuple, Protocol, final
@@ -9,6 +10,7 @@
 from peridotrill.clock import Clock
 from peridotrill.exceptions import (
     CodecError,
+    LogError,
     LogUnavailable,
     RecordsExpired,
     StoreRestored,
@@ -84,6 +86,12 @@
         self._log = log
         self._is_connected = True
         self._retry_s = _MIN_RETRY_S
+        # Offset of the next read; None until a full read.
+        self._end: int | None = None
+        # All records that were written before this time are applied.
+        self._confirmed_s = -math.inf
+        # Callers that wait for a read at the same time share it.
+        self._confirming = anyio.Lock()
         # Set to end the current pause early; None outside a pause.
         self._pause_ended: anyio.Event | None = None
         # Set when a read triggered by ``refresh`` is done; None if no such read
@@ -107,6 +115,39 @@
             await refreshed.wait()
         self._refreshed = None
 
+    async def confirm(self, since_s: float) -> None:
+        """Wait until all records written before a given time are applied.
+
+        Waits for as long as the store does not respond.
+
+        :param since_s: a monotonic time that has passed.
+        """
+        while self._confirmed_s < since_s:
+            async with self._confirming:
+                if self._confirmed_s < since_s:
+                    await self._read_newer()
+
+    async def _read_newer(self) -> None:
+        """Ask for newer records; if there are some, let them be read now.
+
+        The read in progress may be held by the store, and began too early.
+        """
+        end = self._end
+        requested_s = self._clock.monotonic_s()
+        try:
+            page = None if end is None else await self._reader.read(end, 0)
+        except (LogError, CodecError) as error:
+            self._log.write(
+                'records_unconfirmed', topic=self._topic, error=str(error)
+            )
+            page = None
+        if page is None:
+            await anyio.sleep(_MIN_RETRY_S)
+        elif page.end == end:
+            self._confirmed_s = max(self._confirmed_s, requested_s)
+        else:
+            await self.refresh()
+
     async def run(
         self,
         on_snapshot: Callable[[list[tuple[str, bytes]]], None],
@@ -120,24 +161,24 @@
         :param on_confirmed: called after each read with the time at which it
             was requested.
         """
-        end: int | None = None
         while True:
             requested_s = self._clock.monotonic_s()
             try:
-                page = await self._read(end)
+                page = await self._read(self._end)
             except (RecordsExpired, StoreRestored) as error:
-                self._log_full_read(error, end)
-                end = None
+                self._log_full_read(error, self._end)
+                self._end = None
                 continue
             except (LogUnavailable, CodecError) as error:
                 await self._back_off(error)
                 continue
-            self._mark_connected(end)
-            if end is None:
+            self._mark_connected(self._end)
+            if self._end is None:
                 on_snapshot(page.rows)
             else:
                 _apply_rows(page.rows, on_row)
-            end = page.end
+            self._end = page.end
+            self._confirmed_s = max(self._confirmed_s, requested_s)
             on_confirmed(requested_s)
             self._end_refresh()
             await self._pause()
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -4,6 +4,8 @@
 from datetime import timedelta
 from typing import Final
 
+import anyio
+
 from peridotrill.gateway.admission_queue import Reservation
 from peridotrill.gateway.engine_requests import expected_tokens
 from peridotrill.gateway.generation import Generation
@@ -20,6 +22,10 @@
 # or the store lists it.
 _MIN_ORIGIN_TIMEOUT_S: Final = 0.3
 
+# Time for reading the target records before other gateways are asked; the store
+# responds within some milliseconds.
+_CONFIRMATION_TIMEOUT_S: Final = 0.05
+
 
 async def serve_stream_request(context: RequestContext) -> None:
     """Forward a request and stream the output; raises GatewayError."""
@@ -64,11 +70,13 @@
     source = 'known'
     if origin is None:
         source = 'only version'
-        await shared.refresh_targets()
-        version = shared.cluster_state.sole_version(context.service)
+        with anyio.move_on_after(_CONFIRMATION_TIMEOUT_S):
+            await _confirm_targets(context)
+        version = _find_sole_version(context)
     # Of several services, only the origin tells which one began the stream.
     if origin is None and digest is not None and (is_split or version is None):
         origin = await _ask_for_origin(context, digest)
+        version = _find_sole_version(context)
         source = source if origin is None else 'asked'
     if origin is not None:
         version = _use_origin(context, origin)
@@ -108,4 +116,29 @@
     shared.start_task(shared.load_streams)
     interval_s = report_interval_s(shared.quotas.gateways - 1)
     timeout_s = max(_MIN_ORIGIN_TIMEOUT_S, interval_s)
-    return await shared.streams.find(digest, timedelta(seconds=timeout_s))
+    origin = None
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_stop_at_sole_version, context, tasks.cancel_scope)
+        origin = await shared.streams.find(digest, timedelta(seconds=timeout_s))
+        tasks.cancel_scope.cancel()
+    return origin
+
+
+async def _stop_at_sole_version(
+    context: RequestContext, scope: anyio.CancelScope
+) -> None:
+    """Cancel a scope once only one version can have written a stream."""
+    await _confirm_targets(context)
+    is_split = len(context.route.services) > 1
+    if not is_split and _find_sole_version(context) is not None:
+        scope.cancel()
+
+
+async def _confirm_targets(context: RequestContext) -> None:
+    await context.shared.confirm_targets(context.request.received_s)
+
+
+def _find_sole_version(context: RequestContext) -> str | None:
+    return context.shared.cluster_state.sole_version(
+        context.service, context.request.received_s
+    )
--- a/peridotrill/gateway_followers.py
+++ b/peridotrill/gateway_followers.py
@@ -98,6 +98,14 @@
         """Read the target records now instead of after the pause."""
         await self._targets.refresh()
 
+    async def confirm_targets(self, since_s: float) -> None:
+        """Wait until all target records written before a time are applied.
+
+        :param since_s: a monotonic time that has passed.
+        """
+        await self._targets.confirm(since_s)
+        self._cluster_state.confirm_targets(since_s)
+
     async def follow_configuration(self) -> None:
         """Follow the configuration until cancelled."""
         await self._configuration.run(
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -379,6 +379,7 @@
                 log=self._log,
                 start_task=partial(_start_guarded, tasks, self._log),
                 refresh_targets=self._followers.refresh_targets,
+                confirm_targets=self._followers.confirm_targets,
                 load_streams=self._stream_archive.load,
             ),
         )
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -7,6 +7,8 @@
 import httpx
 import pytest
 
+from peridotrill.gateway.peers import rank_for_key
+from peridotrill.gateway.stream_origins import digest_request
 from peridotrill.platform.names import STREAMS_TOPIC, VERSIONS_TOPIC
 from standins.platform_engine import ScriptedEngine
 from tests.gateway_builders import (
@@ -428,3 +430,41 @@
     _, response = take_up(gateway, 'begun', after=str(_TWO_BREAKS))
     assert (response.status_code, response.text) == (200, '')
     assert 'event=attempt_failed' not in gateway.read_log()
+
+
+def test_version_that_has_just_registered_may_have_begun_a_stream(tmp_path):
+    # Guards against a gateway whose records are a second old, and that continues
+    # a stream of the version it has not read of at the one it knows (ORDER).
+    nodes = [f'front-{name}-1' for name in 'abcdef']
+    with run_site(tmp_path, mixed_engines(d1=_OLD, d2=_OLD, d3=_NEW)) as site:
+        for engine in site.engines.values():
+            engine.names_version = True
+        site.remove('i-d3')
+        bounds = {'drain-ms': 1000}
+        begun_at, *_, other = site.start_gateways(*nodes, **bounds)
+        wait_until(lambda: site.store.topics[VERSIONS_TOPIC])
+        restart_all(site)
+        other.store_proxy.hold()
+        site.register('i-d3')
+        wait_until(lambda: f'software={_NEW}' in begun_at.read_log())
+        set_faults(site, _TWO_BREAKS, 'shed')
+        site.engines['i-d3'].plan = ['cut']
+        begun_id = next(
+            name
+            for name in map('unheld-{}'.format, itertools.count())
+            if other.node not in _holders(name, [*nodes[1:]])
+        )
+        with pytest.raises(httpx.RemoteProtocolError):
+            quick(begun_at, begun_id)
+        assert versions(site, begun_id) == {_NEW}
+        begun_at.signal(SIGKILL)
+        set_faults(site, _TWO_BREAKS)
+        request_id, response = take_up(other, begun_id, after='2')
+        assert versions(site, request_id) <= {_NEW}
+
+        assert response.status_code in {200, 503}
+
+
+def _holders(request_id, nodes):
+    digest = digest_request('growers', request_id)
+    return rank_for_key(nodes, str(digest), 4)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -125,8 +125,9 @@
 
     @property
     def sole_version(self):
-        self.state.confirm_targets(self.clock.monotonic_s())
-        return self.state.sole_version('llm')
+        now_s = self.clock.monotonic_s()
+        self.state.confirm_targets(now_s)
+        return self.state.sole_version('llm', now_s)
 
 
 @pytest.fixture
@@ -213,13 +214,16 @@
     assert gateway.sole_version is None
 
 
-def test_version_is_unknown_without_recent_records(topic):
-    # Guards against a gateway that is cut off from the store and misses a new
-    # version.
+def test_version_is_unknown_without_records_of_the_take_up(topic):
+    # Guards against a gateway that misses a version which registered between its
+    # last read and the take-up of a stream (ORDER).
     gateway = running_gateway(topic, 'v1')
     assert gateway.sole_version == 'v1'
-    advance(gateway.clock, 2.5)
-    assert gateway.state.sole_version('llm') is None
+    read_s = gateway.clock.monotonic_s()
+    advance(gateway.clock, 0.01)
+    taken_up_s = gateway.clock.monotonic_s()
+    assert gateway.state.sole_version('llm', taken_up_s) is None
+    assert gateway.state.sole_version('llm', read_s) == 'v1'
 
 
 def test_version_is_archived_without_coordinator(topic):
