--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -63,8 +63,10 @@
 class GatewayProcess:
     """A gateway process; its output goes to ``log_path``."""
 
-    def __init__(self, site, node, folder, bounds):
+    def __init__(self, site, node, folder, bounds, is_first_start=False):
         self.node = node
+        # Whether the process is one of the first of the whole system.
+        self._is_first_start = is_first_start
         self.caller_port = free_port()
         self.ready_port = free_port()
         self._peer_port = free_port(socket.SOCK_DGRAM)
@@ -87,6 +89,9 @@
         return f'http://127.0.0.1:{self.caller_port}'
 
     def start(self):
+        if self._is_first_start and self.starts_s:
+            self._is_first_start = False
+            self._write_settings()
         self.starts_s.append(time.monotonic())
         environment = {
             **os.environ,
@@ -162,7 +167,7 @@
                 'ready': f'127.0.0.1:{self.ready_port}',
             },
             'port-range': [self._peer_port, self._peer_port + 15],
-            'bootstrap': False,
+            'bootstrap': self._is_first_start,
             'limits': {'memory-limit-mb': 300, 'max-fds': 1000},
             'bounds': {'revoke-ms': 5000, 'grace-s': 6, **self._bounds},
             'platform': {'addr': '{}:{}'.format(*self._site.store_address)},
@@ -220,14 +225,16 @@
                 )
                 await engine.crashed.wait()
 
-    def start_gateways(self, *nodes, **bounds):
+    def start_gateways(self, *nodes, is_first_start=False, **bounds):
         for node in nodes:
             self.store_proxy = self.proxies.start(
                 tuple(self._real_store_address)
             )
             wait_until(lambda: self.store_proxy.address is not None)
             self.store_address = self.store_proxy.address[:2]
-            gateway = GatewayProcess(self, node, self.folder, bounds)
+            gateway = GatewayProcess(
+                self, node, self.folder, bounds, is_first_start
+            )
             gateway.store_proxy = self.store_proxy
             gateway.start()
             self.gateways[node] = gateway
