Prove which process began a stream by a response to a later request

Callers saw events of two software versions in one response (ORDER). While one version is known, a target counted as possibly restarted only after it had refused a connection or ended one. Connections that the gateway resets itself, as its callers leave or targets are silent behind a cut, tell nothing; the next one led to a process of another version whose record had not come, and the stream it wrote was recorded as begun by the old version and went on there. Class: state of a process that is kept under an identity which outlives it.

Evidence: one gateway, whose only connection to an engine it has reset for a caller that left; the engine starts again under its id as v2 and registers late.

The process of a record existed before a connection that is opened later. If it responds to a request that was sent after that connection was open, on whichever connection, it is at its other end (process_identity.py). Responses to ordinary requests serve as proof; if there is none when a stream that may be resumed begins, the target's report is asked for on another connection before the first event. Without proof the stream goes on as it came, but its version counts as unknown: it goes on at no other target and is not taken up.

--- a/peridotrill/gateway/connection_pool.py
+++ b/peridotrill/gateway/connection_pool.py
@@ -5,6 +5,10 @@
 from typing import final
 
 from peridotrill.exceptions import TargetRefused
+from peridotrill.gateway.process_identity import (
+    ConnectionIdentity,
+    ProcessProof,
+)
 from peridotrill.gateway.receive_limits import ReceiveBudget, ReceiveLimits
 from peridotrill.gateway.target_connections import (
     TargetConnection,
@@ -36,6 +40,7 @@
         self._max_idle = max_idle
         self._idle: deque[TargetConnection] = deque()
         self._is_closed = False
+        self._proof = ProcessProof()
         # Whether the process at the address may have ended since a connection
         # was last identified. The record may be that of an earlier process.
         self.is_suspect = True
@@ -63,16 +68,18 @@
     async def open(self) -> TargetConnection:
         """Open a connection; raises TargetUnreachable or TargetRefused."""
         try:
-            return await open_connection(
+            connection = await open_connection(
                 self.address,
                 self._connect_timeout_s,
                 self.release,
                 self._limits,
-                self._suspect,
+                self.suspect,
             )
         except TargetRefused:
-            self._suspect()
+            self.suspect()
             raise
+        connection.identity = ConnectionIdentity(self._proof, self._now_s())
+        return connection
 
     def release(self, connection: TargetConnection) -> None:
         """Keep an idle connection for the next request."""
@@ -82,7 +89,8 @@
         else:
             self._idle.append(connection)
 
-    def _suspect(self) -> None:
+    def suspect(self) -> None:
+        """Record that the process at the address may have ended."""
         self.is_suspect = True
 
     def _pop_idle(self, max_idle_s: float) -> TargetConnection | None:
--- a/peridotrill/gateway/generation.py
+++ b/peridotrill/gateway/generation.py
@@ -30,7 +30,11 @@
 from peridotrill.gateway.placement import Pool
 from peridotrill.gateway.prefill import RemotePrompt
 from peridotrill.gateway.request_context import HARMLESS_EVENTS, RequestContext
-from peridotrill.gateway.stream_origins import StreamOrigin, digest_request
+from peridotrill.gateway.stream_origins import (
+    UNKNOWN_VERSION,
+    StreamOrigin,
+    digest_request,
+)
 from peridotrill.gateway.target_connections import Framing, TargetExchange
 from peridotrill.gateway.target_health import Failure
 from peridotrill.gateway.target_messages import TargetResponse
@@ -90,8 +94,7 @@
         self._sent_s = 0.0
         self._first_event_s = 0.0
         self._attempt_events = 0
-        # Whether the process that responds is known to be the registered one.
-        self._is_identified = False
+        self._exchange: TargetExchange | None = None
         # What is known of the end of the stream, and the time limit of the run
         # that confirms it.
         self._end = _End.UNSEEN
@@ -158,7 +161,7 @@
             'gaps': sequence.gaps,
             'disordered': sequence.disordered,
             'software': self._version or None,
-            'identified': self._is_identified,
+            'identified': self._is_identified(),
         }
 
     def _mark_prefill_done(self) -> None:
@@ -288,7 +291,7 @@
             context.route.is_repeatable,
             must_identify=self._must_identify(),
         )
-        self._is_identified = exchange.is_identified
+        self._exchange = exchange
         self._is_asked = True
         context.record_sent(target)
         if self._sequence.last_id is not None:
@@ -352,7 +355,7 @@
     ) -> None:
         context = self._context
         self._require_same_stream(response)
-        self._require_same_version()
+        await self._require_same_version()
         self._sequence.start_run()
         splitter = EventStreamParser()
         events = 0
@@ -419,37 +422,64 @@
         if response.status != started.status or not is_same_type:
             raise TargetOutcomeUnknown('response does not continue the stream')
 
-    def _require_same_version(self) -> None:
-        """Raise TargetOutcomeUnknown if another version would begin or continue.
+    async def _require_same_version(self) -> None:
+        """Raise TargetOutcomeUnknown if another version would continue.
 
         The target may have started again since it was chosen.
         """
         expected = self._context.stream_version
-        found = self._software_version()
-        if found is None:
-            raise TargetOutcomeUnknown('target has started again')
-        self._version = found
-        if expected is not None and found != expected:
+        self._version = await self._find_version()
+        if expected is not None and self._version != expected:
+            found = self._version or 'that is not known'
             raise TargetOutcomeUnknown(f'continued by version {found}')
 
-    def _software_version(self) -> str | None:
-        """Return the version of the process that responds; None if unknown."""
-        if self._target is None:
-            return None
-        version = self._target.software_version
-        if self._is_identified:
-            return version
-        cluster_state = self._context.shared.cluster_state
-        known = cluster_state.find_target(self._target.target_id)
-        # The connection may lead to either process.
-        is_same = known is None or known.software_version == version
-        return version if is_same else None
+    async def _find_version(self) -> str:
+        """Return the software version of the process that responds."""
+        target = self._target
+        if target is None:
+            return UNKNOWN_VERSION
+        if target.started_ms:
+            await self._identify_process(target)
+            is_same = self._is_identified()
+        else:
+            # Nothing tells the processes of such a target apart.
+            known = self._context.shared.cluster_state.find_target(
+                target.target_id
+            )
+            is_same = (
+                known is None
+                or known.software_version == target.software_version
+            )
+        return target.software_version if is_same else UNKNOWN_VERSION
+
+    async def _identify_process(self, target: TargetRecord) -> None:
+        """Find out which process responds, if the stream may go on elsewhere."""
+        context = self._context
+        exchange = self._exchange
+        if exchange is None or exchange.identity.is_known:
+            return
+        if not context.route.is_repeatable:
+            return
+        try:
+            await context.shared.targets.identify_process(target, exchange)
+        except (TargetUnreachable, TargetOutcomeUnknown) as error:
+            context.shared.log.write(
+                'process_not_identified',
+                request=context.request.request_id,
+                target=target.target_id,
+                error=str(error),
+            )
+
+    def _is_identified(self) -> bool:
+        """Whether the registered process is known to be the one that responds."""
+        return self._exchange is not None and self._exchange.identity.is_known
 
     def _record_origin(self) -> None:
         """Let the stream, and its callers, go on at its version only."""
         context = self._context
-        version = context.stream_version or self._version
-        context.stream_version = version
+        if context.stream_version is None:
+            context.stream_version = self._version
+        version = context.stream_version
         context.shared.streams.record(
             digest_request(context.team_name, context.request.request_id),
             StreamOrigin(context.service, version),
--- a/peridotrill/gateway/stream_origins.py
+++ b/peridotrill/gateway/stream_origins.py
@@ -30,6 +30,11 @@
 _POLL_INTERVAL_S: Final = 0.02
 
 
+# Version of a stream whose process could not be identified. No target has it, so
+# the stream does not go on at another one.
+UNKNOWN_VERSION: Final = ''
+
+
 class StreamOrigin(NamedTuple):
     """The service and the software version that began a stream."""
 
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -16,7 +16,11 @@
 )
 from peridotrill.gateway.report_timing import report_interval_s
 from peridotrill.gateway.request_context import RequestContext
-from peridotrill.gateway.stream_origins import StreamOrigin, digest_request
+from peridotrill.gateway.stream_origins import (
+    UNKNOWN_VERSION,
+    StreamOrigin,
+    digest_request,
+)
 
 # Least time in which another gateway reports a stream that has just begun there,
 # or the store lists it.
@@ -89,7 +93,7 @@
         source=source,
         targets_age_ms=_log_ms(shared.cluster_state.targets_age_s()),
     )
-    if version is None:
+    if version in {None, UNKNOWN_VERSION}:
         raise context.build_error(
             'stream_version_unknown', context.retry_after_s()
         )
--- a/peridotrill/gateway/target_connections.py
+++ b/peridotrill/gateway/target_connections.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import enum
+import math
 import re
 import select
 import socket
@@ -27,6 +28,10 @@
     TargetUnreachable,
 )
 from peridotrill.gateway.http_format import format_head
+from peridotrill.gateway.process_identity import (
+    ConnectionIdentity,
+    ProcessProof,
+)
 from peridotrill.gateway.receive_limits import (
     ReceiveLimits,
     ReservedBytes,
@@ -122,6 +127,8 @@
         """:param matches: tells whether a response belongs to the request."""
         self._connection = connection
         self.matches = matches
+        # Monotonic time at which the request was sent, if that matters.
+        self.sent_s = -math.inf
         self._head: ResponseHead | None = None
         self._framing: Framing | None = None
         self._chunks: deque[bytes] = deque()
@@ -229,9 +236,9 @@
         return self._framing
 
     @property
-    def is_identified(self) -> bool:
-        """Whether the responding process is known to be the registered one."""
-        return self._connection.is_identified
+    def identity(self) -> ConnectionIdentity:
+        """Tells whether the registered process responds."""
+        return self._connection.identity
 
     @property
     def has_head(self) -> bool:
@@ -274,9 +281,7 @@
         """
         self._on_idle = on_idle
         self._on_lost = on_lost
-        # Whether the process at the other end is known to be the registered one.
-        # A connection never outlives its process.
-        self.is_identified = False
+        self.identity = ConnectionIdentity(ProcessProof(), math.inf)
         self.limits = limits
         self._meter = limits.open_meter()
         self._transport: asyncio.Transport | None = None
--- a/peridotrill/gateway/target_http_client.py
+++ b/peridotrill/gateway/target_http_client.py
@@ -114,19 +114,38 @@
             request,
             options,
         )
-        return connection.start(
+        sent_s = self._clock.monotonic_s()
+        exchange = connection.start(
             first_line,
             headers,
             request.body,
             lambda head: self._wire.matches_request(request.request_id, head),
             options.max_events,
         )
+        exchange.sent_s = sent_s
+        return exchange
 
     async def read_response_head(
         self, exchange: TargetExchange
     ) -> TargetResponse:
         """Wait for the response head; raises TargetOutcomeUnknown."""
-        return self._wire.decode_response_head(await exchange.read_head())
+        head = await exchange.read_head()
+        exchange.identity.observe_response(exchange.sent_s)
+        return self._wire.decode_response_head(head)
+
+    async def identify_process(
+        self, target: TargetRecord, exchange: TargetExchange
+    ) -> None:
+        """Ask on another connection whether the process of a record responds.
+
+        Raises TargetUnreachable or TargetOutcomeUnknown if it may be another.
+        """
+        pool = self._pool(target)
+        try:
+            await self._identify_on_another(pool, target)
+        except (TargetUnreachable, TargetOutcomeUnknown):
+            pool.suspect()
+            raise
 
     async def release_prompt(self, target: TargetRecord, handle: str) -> None:
         """Release an unused prefilled prompt; raises TargetError."""
@@ -169,7 +188,7 @@
                 continue
             except TargetUnreachable:
                 return False
-            pool.release(connection)
+            _keep(pool, connection)
             return False
         return False
 
@@ -179,17 +198,35 @@
         """Return a connection to the process that wrote the record."""
         for _ in range(_IDENTIFY_ATTEMPTS):
             connection = await pool.acquire(max_idle_s)
-            if connection.is_identified or not target.started_ms:
+            if not target.started_ms:
+                return connection
+            if not connection.identity.is_known:
+                await self._try_identify(connection, target)
+            if connection.identity.is_known and connection.is_open:
+                pool.is_suspect = False
                 return connection
-            try:
-                await self._identify(connection, target)
-            except TargetOutcomeUnknown:
-                # An idle connection may have ended before it was used.
-                continue
-            pool.is_suspect = False
-            return connection
         raise TargetUnreachable('process not identified')
 
+    async def _try_identify(
+        self, connection: TargetConnection, target: TargetRecord
+    ) -> None:
+        """Ask which process is at the other end of a connection."""
+        try:
+            await self._identify(connection, target)
+        except TargetOutcomeUnknown:
+            # An idle connection may have ended before it was used.
+            return
+        except TargetUnreachable:
+            connection.abort('process not identified')
+            raise
+
+    async def _identify_on_another(
+        self, pool: ConnectionPool, target: TargetRecord
+    ) -> None:
+        other = await pool.acquire(self._timeouts.max_idle.total_seconds())
+        await self._identify(other, target)
+        _keep(pool, other)
+
     async def _identify(
         self, connection: TargetConnection, target: TargetRecord
     ) -> None:
@@ -198,6 +235,7 @@
         Raises TargetReplaced, TargetUnreachable or TargetOutcomeUnknown.
         """
         call = self._wire.format_report_call(target.target_id)
+        sent_s = self._clock.monotonic_s()
         try:
             async with asyncio.timeout(self._timeouts.identify.total_seconds()):
                 response = await connection.call_and_keep(*call)
@@ -210,7 +248,7 @@
         if target.started_ms and started_ms != target.started_ms:
             connection.abort('another process answers')
             raise TargetReplaced(f'process of {started_ms} answers')
-        connection.is_identified = True
+        connection.identity.confirm(sent_s)
 
     def _decode_start_time(self, response: Response) -> int:
         """Return the start time in a report; 0 if the engine names none."""
@@ -239,3 +277,9 @@
             )
             self._pools[key] = pool
         return pool
+
+
+def _keep(pool: ConnectionPool, connection: TargetConnection) -> None:
+    """Return a connection to its pool unless it has ended."""
+    if connection.is_open:
+        pool.release(connection)
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -12,6 +12,7 @@
 from peridotrill.platform.names import STREAMS_TOPIC, VERSIONS_TOPIC
 from standins.platform_engine import ScriptedEngine
 from tests.gateway_builders import (
+    HOST,
     configuration_document,
     prompt_headers,
     route_row,
@@ -468,3 +469,43 @@
 def _holders(request_id, nodes):
     digest = digest_request('growers', request_id)
     return rank_for_key(nodes, str(digest), 4)
+
+
+def leave_after_first_event(gateway, request_id):
+    """Send a stream whose caller closes its connection; the gateway resets its."""
+    headers = {
+        'Host': HOST,
+        'X-Peridotrill-Request-Id': request_id,
+        'X-Peridotrill-Deadline-Ms': '3000',
+        'Authorization': 'Bearer key-g',
+        **prompt_headers(50),
+    }
+    url = f'{gateway.url}/quick/x'
+    with httpx.stream('POST', url, headers=headers, content=b'body') as found:
+        next(found.iter_bytes())
+
+
+def test_process_that_starts_without_connections_is_not_taken_for_its_former(
+    tmp_path,
+):
+    # Guards against a restart that ends no connection of this gateway, as it had
+    # reset its own, and streams that count as begun by the old version (ORDER).
+    with run_site(tmp_path, mixed_engines(d1=_OLD, d2=_OLD)) as site:
+        (gateway,) = site.start_gateways('front-a-1', is_first_start=True)
+        restarted, other = site.engines['i-d1'], site.engines['i-d2']
+        for engine in site.engines.values():
+            engine.names_version = True
+        restarted.event_interval_s = 0.2
+        other.default_fault = 'shed'
+        leave_after_first_event(gateway, 'left')
+        wait_until(lambda: restarted.cancelled)
+        restarted.event_interval_s = 0.005
+        site.registration_delay_s = 4
+        restarted.replace('i-d1', _NEW)
+        time.sleep(1)
+        other.default_fault = ''
+        restarted.default_fault = 'cut'
+        set_faults(site, _ONE_BREAK)
+        found = collect_versions(site, gateway, time.monotonic() + 2)
+        assert {_OLD} in found
+        assert all(len(row) == 1 for row in found)
