--- a/peridotrill/gateway/connection_pool.py
+++ b/peridotrill/gateway/connection_pool.py
@@ -44,6 +44,8 @@
         # Whether the process at the address may have ended since a connection
         # was last identified. The record may be that of an earlier process.
         self.is_suspect = True
+        # Whether the target ended the last connection with its report.
+        self.is_closed_early = False
 
     async def acquire(self, max_idle_s: float) -> TargetConnection:
         """Return an idle or new connection for one request.
--- a/peridotrill/gateway/target_connections.py
+++ b/peridotrill/gateway/target_connections.py
@@ -401,7 +401,7 @@
     ) -> Response:
         """Send a request; its sender keeps the connection for the next one.
 
-        Raises TargetOutcomeUnknown if the connection ends with the response.
+        The connection may end with the response all the same.
         """
         self._is_kept = True
         try:
@@ -413,8 +413,6 @@
             raise
         finally:
             self._is_kept = False
-        if not self.is_open:
-            raise TargetOutcomeUnknown('connection closed')
         return response
 
     def _peer_name(self) -> bytes:
--- a/peridotrill/gateway/target_http_client.py
+++ b/peridotrill/gateway/target_http_client.py
@@ -180,7 +180,7 @@
         for _ in range(_IDENTIFY_ATTEMPTS):
             try:
                 connection = await pool.open()
-                await self._identify(connection, target)
+                await self._identify(pool, connection, target)
             except (TargetRefused, TargetReplaced):
                 return True
             except TargetOutcomeUnknown:
@@ -200,38 +200,57 @@
             connection = await pool.acquire(max_idle_s)
             if not target.started_ms:
                 return connection
+            is_anonymous = False
             if not connection.identity.is_known:
-                await self._try_identify(connection, target)
-            if connection.identity.is_known and connection.is_open:
+                is_anonymous = await self._is_anonymous(
+                    pool, connection, target
+                )
+            is_sufficient = is_anonymous or connection.identity.is_known
+            if is_sufficient and connection.is_open:
                 pool.is_suspect = False
                 return connection
         raise TargetUnreachable('process not identified')
 
-    async def _try_identify(
-        self, connection: TargetConnection, target: TargetRecord
-    ) -> None:
-        """Ask which process is at the other end of a connection."""
+    async def _is_anonymous(
+        self,
+        pool: ConnectionPool,
+        connection: TargetConnection,
+        target: TargetRecord,
+    ) -> bool:
+        """Ask which process is at the other end; return whether it names none.
+
+        A target that ends its connections with its responses is asked on
+        another one, so that this one remains for a request.
+        """
         try:
-            await self._identify(connection, target)
+            if pool.is_closed_early:
+                return not await self._identify_on_another(pool, target)
+            return not await self._identify(pool, connection, target)
         except TargetOutcomeUnknown:
             # An idle connection may have ended before it was used.
-            return
+            return False
         except TargetUnreachable:
             connection.abort('process not identified')
             raise
 
     async def _identify_on_another(
         self, pool: ConnectionPool, target: TargetRecord
-    ) -> None:
+    ) -> bool:
         other = await pool.acquire(self._timeouts.max_idle.total_seconds())
-        await self._identify(other, target)
+        is_named = await self._identify(pool, other, target)
         _keep(pool, other)
+        return is_named
 
     async def _identify(
-        self, connection: TargetConnection, target: TargetRecord
-    ) -> None:
+        self,
+        pool: ConnectionPool,
+        connection: TargetConnection,
+        target: TargetRecord,
+    ) -> bool:
         """Ask the process at the other end which one it is.
 
+        :return: whether it names its start time, as that of the record.
+
         Raises TargetReplaced, TargetUnreachable or TargetOutcomeUnknown.
         """
         call = self._wire.format_report_call(target.target_id)
@@ -243,12 +262,14 @@
         except (TimeoutError, CodecError) as error:
             connection.abort('process not identified')
             raise TargetUnreachable(f'not identified: {error}') from error
+        pool.is_closed_early = not connection.is_open
         if not started_ms:
-            return
+            return False
         if target.started_ms and started_ms != target.started_ms:
             connection.abort('another process answers')
             raise TargetReplaced(f'process of {started_ms} answers')
         connection.identity.confirm(sent_s)
+        return True
 
     def _decode_start_time(self, response: Response) -> int:
         """Return the start time in a report; 0 if the engine names none."""
