Name targets that are avoided for over a second although they register as ready

Engines that closed their connections were avoided by all gateways, and only single attempt_failed lines told. `target_avoided` names the target, the time and the last failure, and peridotrill_avoided_targets counts them by service and failure. Measured: the line is written within 2.5 s of two services that reset each response (test_target_that_fails_while_it_is_ready_is_named); the tests of closing targets now also end only 30 in 100 connections.

--- a/peridotrill/gateway/metrics.py
+++ b/peridotrill/gateway/metrics.py
@@ -36,6 +36,11 @@
     'Requests sent to targets by outcome',
     ['service', 'outcome'],
 )
+AVOIDED: Final = Counter(
+    'peridotrill_avoided_targets',
+    'Failures of targets that are avoided for over a second although ready',
+    ['service', 'failure'],
+)
 CONFIG_AGE_S: Final = Gauge(
     'peridotrill_configuration_age_seconds',
     'Age of the last proof that no newer configuration exists',
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -25,7 +25,7 @@
 from peridotrill.gateway.components import GatewayComponents
 from peridotrill.gateway.configuration import Route, Team
 from peridotrill.gateway.error_responses import GatewayError, send_error
-from peridotrill.gateway.metrics import ATTEMPTS, QUEUE_TIME_S
+from peridotrill.gateway.metrics import ATTEMPTS, AVOIDED, QUEUE_TIME_S
 from peridotrill.gateway.placement import Pool
 from peridotrill.gateway.requests import CallerRequest, RequestKind
 from peridotrill.gateway.target_connections import Framing, TargetExchange
@@ -48,6 +48,9 @@
 # time, in which its record is expected to be updated.
 _WRONG_TARGET_SUSPENSION: Final = timedelta(seconds=1.5)
 
+# Single failures make a target avoided for less.
+_MIN_AVOIDED_S: Final = 1.0
+
 # A prompt is harmless to an engine that goes on after its first output event.
 HARMLESS_EVENTS: Final = 2
 
@@ -416,6 +419,24 @@
             left_ms=round(self.remaining_s() * 1000),
             **fields,
         )
+        self._report_avoided(target, failure, detail)
+
+    def _report_avoided(
+        self, target: TargetRecord, failure: Failure, detail: str
+    ) -> None:
+        """Name a target that has been avoided long although it is ready."""
+        duration_s = self.shared.health.avoided_for_s(target.target_id)
+        known = self.shared.cluster_state.find_target(target.target_id)
+        if duration_s < _MIN_AVOIDED_S or known is None or known.is_draining:
+            return
+        AVOIDED.labels(self.service, failure.name.lower()).inc()
+        self.shared.log.write(
+            'target_avoided',
+            target=target.target_id,
+            for_ms=round(duration_s * 1000),
+            failure=failure.name.lower(),
+            detail=detail,
+        )
 
     def record_unreachable(
         self, target: TargetRecord, error: TargetUnreachable
--- a/peridotrill/gateway/target_health.py
+++ b/peridotrill/gateway/target_health.py
@@ -41,6 +41,8 @@
         """Start without penalties."""
         self._clock = clock
         self._penalties: dict[str, tuple[float, float]] = {}
+        # Since when targets are avoided; kept until they fail anew after that.
+        self._avoided_since_s: dict[str, float] = {}
         # Until when targets want no requests from this gateway.
         self._paused_until_s: dict[str, float] = {}
 
@@ -66,12 +68,22 @@
 
     def record_failure(self, target_id: str, failure: Failure) -> None:
         """Record a failed request."""
+        now_s = self._clock.monotonic_s()
+        if not self.is_avoided(target_id):
+            self._avoided_since_s[target_id] = now_s
         penalty = min(_MAX_PENALTY, self.penalty(target_id) + failure.value)
-        self._penalties[target_id] = (penalty, self._clock.monotonic_s())
+        self._penalties[target_id] = (penalty, now_s)
+
+    def avoided_for_s(self, target_id: str) -> float:
+        """Return for how long a target has been avoided; 0 if it is not."""
+        if not self.is_avoided(target_id):
+            return 0
+        return self._clock.monotonic_s() - self._avoided_since_s[target_id]
 
     def forget(self, target_id: str) -> None:
         """Drop what is known of a target that was removed or replaced."""
         self._penalties.pop(target_id, None)
+        self._avoided_since_s.pop(target_id, None)
         self._paused_until_s.pop(target_id, None)
 
     def penalty(self, target_id: str) -> float:
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import json
+import random
 import time
 from typing import NamedTuple
 
@@ -98,8 +99,8 @@
         self.retry_after_s: float | None = None
         # Whether the report names the start of the process.
         self.names_start_time = True
-        # Whether each connection ends with its first response.
-        self.closes_connections = False
+        # Part of the responses with which their connections end.
+        self.closing_share = 0.0
         # Whether the responses say that the engine leaves.
         self.is_leaving = False
         # Monotonic times at which requests arrived.
@@ -159,7 +160,7 @@
         if self.crashed.is_set():
             responder.abort()
             return
-        if self.closes_connections:
+        if random.random() < self.closing_share:
             responder._keep_alive = False  # noqa: SLF001, WPS437
         self._responders.add(responder)
         try:
