Share the reads that confirm records between take-ups, and end a lost read

While the store took 0.2 s for a read, 9 of 100 take-ups were confirmed: each caller that gave up after 50 ms cancelled the read that all others waited for. And while the response to the held read was lost, a take-up found the new records, discarded them and asked again at once: 227 calls in 0.35 s.

A task of the follower reads for all callers, every 50 ms while one of them waits and four at a time at most; it ends the read in progress once for each offset at which newer records are found. Now 90 of 100 or more are confirmed, and 10 calls are made at most.

--- a/peridotrill/gateway/store_follower.py
+++ b/peridotrill/gateway/store_follower.py
@@ -6,6 +6,7 @@
 from typing import Final, NamedTuple, Protocol, final
 
 import anyio
+from anyio.abc import TaskGroup
 
 from peridotrill.clock import Clock
 from peridotrill.exceptions import (
@@ -24,6 +25,10 @@
 # Limits both the calls to an unreachable store and the delay until its
 # recovery is noticed.
 _MAX_RETRY_S: Final = 0.5
+# Interval of the reads that are to confirm the records, and how many of them may
+# wait for a slow store at the same time.
+_CONFIRM_INTERVAL_S: Final = 0.05
+_MAX_CONFIRM_READS: Final = 4
 # How long a request waits for a read that it triggered. The store responds
 # within some milliseconds if there are new records.
 _REFRESH_TIMEOUT_S: Final = 0.05
@@ -90,8 +95,15 @@
         self._end: int | None = None
         # All records that were written before this time are applied.
         self._confirmed_s = -math.inf
-        # Callers that wait for a read at the same time share it.
-        self._confirming = anyio.Lock()
+        # Callers of ``confirm``, until when they need records to be applied, and
+        # the events that wake the reader and them.
+        self._callers = 0
+        self._wanted_s = -math.inf
+        self._wanted = anyio.Event()
+        self._confirmed = anyio.Event()
+        # Ends the read in progress, and the offset at which it was last used.
+        self._read_scope: anyio.CancelScope | None = None
+        self._interrupted_at: int | None = None
         # Set to end the current pause early; None outside a pause.
         self._pause_ended: anyio.Event | None = None
         # Set when a read triggered by ``refresh`` is done; None if no such read
@@ -122,16 +134,41 @@
 
         :param since_s: a monotonic time that has passed.
         """
-        while self._confirmed_s < since_s:
-            async with self._confirming:
-                if self._confirmed_s < since_s:
-                    await self._read_newer()
+        self._wanted_s = max(self._wanted_s, since_s)
+        self._wanted.set()
+        self._callers += 1
+        try:
+            while self._confirmed_s < since_s:
+                await self._confirmed.wait()
+        finally:
+            self._callers -= 1
+
+    async def _confirm_when_wanted(self) -> None:
+        """Read for all callers of ``confirm``, as long as one of them waits."""
+        reads = anyio.Semaphore(_MAX_CONFIRM_READS)
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self._wanted.wait()
+                self._wanted = anyio.Event()
+                await self._read_while_wanted(tasks, reads)
+
+    async def _read_while_wanted(
+        self, tasks: TaskGroup, reads: anyio.Semaphore
+    ) -> None:
+        while self._callers and self._confirmed_s < self._wanted_s:
+            if reads.value:
+                tasks.start_soon(self._read_newer, reads)
+            await anyio.sleep(_CONFIRM_INTERVAL_S)
 
-    async def _read_newer(self) -> None:
+    async def _read_newer(self, reads: anyio.Semaphore) -> None:
         """Ask for newer records; if there are some, let them be read now.
 
-        The read in progress may be held by the store, and began too early.
+        :param reads: limits the reads in progress.
         """
+        async with reads:
+            await self._confirm_or_interrupt()
+
+    async def _confirm_or_interrupt(self) -> None:
         end = self._end
         requested_s = self._clock.monotonic_s()
         try:
@@ -141,12 +178,28 @@
                 'records_unconfirmed', topic=self._topic, error=str(error)
             )
             page = None
-        if page is None:
-            await anyio.sleep(_MIN_RETRY_S)
-        elif page.end == end:
-            self._confirmed_s = max(self._confirmed_s, requested_s)
-        else:
-            await self.refresh()
+        if page is not None and page.end == end:
+            self._set_confirmed(requested_s)
+            return
+        if page is not None and end != self._interrupted_at:
+            self._interrupted_at = end
+            self._interrupt()
+
+    def _interrupt(self) -> None:
+        """Let the follower read now, once for each offset.
+
+        The response to the read in progress may be lost.
+        """
+        if self._pause_ended is not None:
+            self._pause_ended.set()
+        elif self._read_scope is not None:
+            self._read_scope.cancel()
+
+    def _set_confirmed(self, requested_s: float) -> None:
+        """Record that all records written before a time are applied."""
+        self._confirmed_s = max(self._confirmed_s, requested_s)
+        self._confirmed.set()
+        self._confirmed = anyio.Event()
 
     async def run(
         self,
@@ -161,10 +214,20 @@
         :param on_confirmed: called after each read with the time at which it
             was requested.
         """
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._confirm_when_wanted)
+            await self._follow(on_snapshot, on_row, on_confirmed)
+
+    async def _follow(
+        self,
+        on_snapshot: Callable[[list[tuple[str, bytes]]], None],
+        on_row: Callable[[str, bytes], None],
+        on_confirmed: Callable[[float], None],
+    ) -> None:
         while True:
             requested_s = self._clock.monotonic_s()
             try:
-                page = await self._read(self._end)
+                page = await self._read_again_if_cancelled()
             except (RecordsExpired, StoreRestored) as error:
                 self._log_full_read(error, self._end)
                 self._end = None
@@ -178,7 +241,7 @@
             else:
                 _apply_rows(page.rows, on_row)
             self._end = page.end
-            self._confirmed_s = max(self._confirmed_s, requested_s)
+            self._set_confirmed(requested_s)
             on_confirmed(requested_s)
             self._end_refresh()
             await self._pause()
@@ -203,6 +266,13 @@
             self._refreshed.set()
             self._refreshed = None
 
+    async def _read_again_if_cancelled(self) -> Page:
+        """Read from the current offset, also after ``_read_scope`` has ended it."""
+        while True:
+            self._read_scope = anyio.CancelScope()
+            with self._read_scope:
+                return await self._read(self._end)
+
     async def _read(self, start: int | None) -> Page:
         """Read from an offset, or read a full snapshot if it is None.
 
