Count the software version of a record that is outdated

A target that starts again after the clock of its machine was set back has an earlier start time, so its record is ignored; its version was ignored too, and the other one counted as the only version that can have begun a stream.

--- a/peridotrill/gateway/cluster_state.py
+++ b/peridotrill/gateway/cluster_state.py
@@ -167,6 +167,8 @@
                 started_ms=record.started_ms,
                 sequence=record.sequence,
             )
+            # Its clock may have been set back before it started again.
+            self._see_version(record)
             return
         if record.process in self._leaving:
             record = record._replace(is_draining=True)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -226,6 +226,18 @@
     assert gateway.state.sole_version('llm', read_s) == 'v1'
 
 
+def test_version_of_a_process_with_an_earlier_start_time_counts(topic):
+    # Guards against an engine that starts again after the clock of its machine was
+    # set back: its record counts as outdated, but it serves (ORDER).
+    gateway = running_gateway(topic, 'v1')
+    gateway.add('i-0', 'v1')
+    record = target('i-0', TargetRole.DECODE, software_version='v2')
+    current = gateway.state.find_target('i-0')
+    gateway.state.update_target(current._replace(started_ms=2000))
+    gateway.state.update_target(record._replace(started_ms=1000))
+    assert gateway.sole_version is None
+
+
 def test_version_is_archived_without_coordinator(topic):
     # Guards against a new version that is not archived while the lease is free.
     gateway = VersionHarness(topic, is_first_start=True)
