Forward no event of a process that is not identified, and leave no connection

Connections stayed open where a target was not identified (10 after callers that left, 30 after resets). The question who responds was asked at the first event, so that it came 286 ms late with reports of 250 ms, and a late report made its target count as restarted.

Now no event of a stream that may be resumed reaches its caller before its process is identified; otherwise the attempt counts as broken and goes on elsewhere, so no other gateway has to know of it. The question is asked as the request is sent, and streams on several connections share the answer. Connections are reset if their target is not identified, and a late report suspects nobody.

Targets whose reports name no start time cannot be told apart; their streams count as those of the version in the record, as before.

--- a/peridotrill/gateway/connection_pool.py
+++ b/peridotrill/gateway/connection_pool.py
@@ -2,7 +2,9 @@
 
 from collections import deque
 from collections.abc import Callable
-from typing import final
+from typing import NamedTuple, final
+
+import anyio
 
 from peridotrill.exceptions import TargetRefused
 from peridotrill.gateway.process_identity import (
@@ -17,6 +19,16 @@
 from peridotrill.settings import Address
 
 
+class ProcessQuestion(NamedTuple):
+    """A call that asks which process responds, and the event of its end.
+
+    It is sent at ``asked_s``, a monotonic time, or later.
+    """
+
+    asked_s: float
+    ended: anyio.Event
+
+
 @final
 class ConnectionPool:
     """Pool of connections to one address."""
@@ -44,6 +56,9 @@
         # Whether the process at the address may have ended since a connection
         # was last identified. The record may be that of an earlier process.
         self.is_suspect = True
+        # The latest question who responds; streams on several connections share
+        # the answer.
+        self.question: ProcessQuestion | None = None
         # Whether the target ended the last connection with its report.
         self.is_closed_early = False
 
--- a/peridotrill/gateway/generation.py
+++ b/peridotrill/gateway/generation.py
@@ -45,6 +45,9 @@
 # Time without a response after which an engine counts as silent; several times
 # the delay of a full queue.
 _DECODE_TIMEOUT: Final = timedelta(seconds=0.9)
+# Time for the report that names the process of a stream. Its events wait for it,
+# so it is as long as that without a response.
+_IDENTIFICATION_TIMEOUT: Final = _DECODE_TIMEOUT
 # Time within which another engine has to tell that a stream has ended.
 _CONFIRMATION_TIMEOUT: Final = timedelta(seconds=0.5)
 # Part of the retry budget for asking another engine whether a stream has ended.
@@ -95,6 +98,9 @@
         self._first_event_s = 0.0
         self._attempt_events = 0
         self._exchange: TargetExchange | None = None
+        # Whether its process can be told from others, once that is known.
+        self._is_named: bool | None = None
+        self._was_asked_who = anyio.Event()
         # What is known of the end of the stream, and the time limit of the run
         # that confirms it.
         self._end = _End.UNSEEN
@@ -293,6 +299,7 @@
         )
         self._exchange = exchange
         self._is_asked = True
+        self._begin_identification(target, exchange)
         context.record_sent(target)
         if self._sequence.last_id is not None:
             context.shared.log.write(
@@ -438,9 +445,10 @@
         target = self._target
         if target is None:
             return UNKNOWN_VERSION
-        if target.started_ms:
-            await self._identify_process(target)
-            is_same = self._is_identified()
+        is_same = await self._is_process_of(target)
+        if target.started_ms and self._is_named is not False:
+            if not is_same and self._context.route.is_repeatable:
+                raise TargetOutcomeUnknown('process not identified')
         else:
             # Nothing tells the processes of such a target apart.
             known = self._context.shared.cluster_state.find_target(
@@ -452,16 +460,41 @@
             )
         return target.software_version if is_same else UNKNOWN_VERSION
 
-    async def _identify_process(self, target: TargetRecord) -> None:
-        """Find out which process responds, if the stream may go on elsewhere."""
+    async def _is_process_of(self, target: TargetRecord) -> bool:
+        """Wait for the answer to who responds, if that matters."""
+        if not self._is_identified():
+            with anyio.move_on_after(_IDENTIFICATION_TIMEOUT.total_seconds()):
+                await self._was_asked_who.wait()
+        return self._is_identified()
+
+    def _begin_identification(
+        self, target: TargetRecord, exchange: TargetExchange
+    ) -> None:
+        """Ask which process responds, if the stream may go on elsewhere.
+
+        The answer is there before the first event of most streams.
+        """
+        self._is_named = None
+        self._was_asked_who = anyio.Event()
+        is_needed = self._context.route.is_repeatable and target.started_ms
+        if is_needed and not exchange.identity.is_known:
+            self._context.shared.start_task(
+                self._identify_process, target, exchange, self._was_asked_who
+            )
+        else:
+            self._was_asked_who.set()
+
+    async def _identify_process(
+        self,
+        target: TargetRecord,
+        exchange: TargetExchange,
+        was_asked: anyio.Event,
+    ) -> None:
         context = self._context
-        exchange = self._exchange
-        if exchange is None or exchange.identity.is_known:
-            return
-        if not context.route.is_repeatable:
-            return
         try:
-            await context.shared.targets.identify_process(target, exchange)
+            is_named = await context.shared.targets.identify_process(
+                target, exchange
+            )
         except (TargetUnreachable, TargetOutcomeUnknown) as error:
             context.shared.log.write(
                 'process_not_identified',
@@ -469,6 +502,11 @@
                 target=target.target_id,
                 error=str(error),
             )
+        else:
+            if exchange is self._exchange:
+                self._is_named = is_named
+        finally:
+            was_asked.set()
 
     def _is_identified(self) -> bool:
         """Whether the registered process is known to be the one that responds."""
--- a/peridotrill/gateway/process_identity.py
+++ b/peridotrill/gateway/process_identity.py
@@ -41,13 +41,13 @@
         :param opened_s: monotonic time at which the connection was open.
         """
         self._proof = proof
-        self._opened_s = opened_s
+        self.opened_s = opened_s
         self._is_known = False
 
     @property
     def is_known(self) -> bool:
         """Whether the process of the record is at the other end."""
-        self._is_known = self._is_known or self._proof.covers(self._opened_s)
+        self._is_known = self._is_known or self._proof.covers(self.opened_s)
         return self._is_known
 
     def confirm(self, sent_s: float) -> None:
--- a/peridotrill/gateway/target_http_client.py
+++ b/peridotrill/gateway/target_http_client.py
@@ -16,7 +16,7 @@
     TargetTimeout,
     TargetUnreachable,
 )
-from peridotrill.gateway.connection_pool import ConnectionPool
+from peridotrill.gateway.connection_pool import ConnectionPool, ProcessQuestion
 from peridotrill.gateway.receive_limits import ReceiveBudget
 from peridotrill.gateway.requests import CallerRequest
 from peridotrill.gateway.target_connections import (
@@ -44,8 +44,10 @@
     connect_timeout: timedelta = timedelta(milliseconds=350)
     max_idle: timedelta = timedelta(seconds=5)
     non_idempotent_max_idle: timedelta = timedelta(seconds=1.5)
-    # Timeout for the report of an engine, which needs no slot.
+    # Timeout for the report of an engine, which needs no slot: before a request
+    # is sent, and beside one that is in progress.
     identify: timedelta = timedelta(milliseconds=350)
+    identify_beside: timedelta = timedelta(milliseconds=900)
     # Timeout for the release of a prompt, which usually takes milliseconds.
     release: timedelta = timedelta(seconds=1)
 
@@ -135,17 +137,30 @@
 
     async def identify_process(
         self, target: TargetRecord, exchange: TargetExchange
-    ) -> None:
+    ) -> bool:
         """Ask on another connection whether the process of a record responds.
 
         Raises TargetUnreachable or TargetOutcomeUnknown if it may be another.
+
+        :return: whether the process can be told from others of its target.
         """
         pool = self._pool(target)
+        pending = pool.question
+        if pending and pending.asked_s >= exchange.identity.opened_s:
+            await pending.ended.wait()
+        if exchange.identity.is_known:
+            return True
+        question = ProcessQuestion(self._clock.monotonic_s(), anyio.Event())
+        pool.question = question
         try:
-            await self._identify_on_another(pool, target)
-        except (TargetUnreachable, TargetOutcomeUnknown):
+            return await self._identify_on_another(
+                pool, target, self._timeouts.identify_beside
+            )
+        except TargetReplaced:
             pool.suspect()
             raise
+        finally:
+            question.ended.set()
 
     async def release_prompt(self, target: TargetRecord, handle: str) -> None:
         """Release an unused prefilled prompt; raises TargetError."""
@@ -180,7 +195,9 @@
         for _ in range(_IDENTIFY_ATTEMPTS):
             try:
                 connection = await pool.open()
-                await self._identify(pool, connection, target)
+                await self._identify(
+                    pool, connection, target, self._timeouts.identify
+                )
             except (TargetRefused, TargetReplaced):
                 return True
             except TargetOutcomeUnknown:
@@ -200,44 +217,53 @@
             connection = await pool.acquire(max_idle_s)
             if not target.started_ms:
                 return connection
-            is_anonymous = False
-            if not connection.identity.is_known:
-                is_anonymous = await self._is_anonymous(
-                    pool, connection, target
-                )
-            is_sufficient = is_anonymous or connection.identity.is_known
-            if is_sufficient and connection.is_open:
+            try:
+                is_usable = await self._is_usable(pool, connection, target)
+            except BaseException:
+                connection.abort('process not identified')
+                raise
+            if is_usable and connection.is_open:
                 pool.is_suspect = False
                 return connection
+            connection.abort('process not identified')
         raise TargetUnreachable('process not identified')
 
-    async def _is_anonymous(
+    async def _is_usable(
         self,
         pool: ConnectionPool,
         connection: TargetConnection,
         target: TargetRecord,
     ) -> bool:
-        """Ask which process is at the other end; return whether it names none.
+        """Tell whether the right process, or one without a name, is at the end.
 
         A target that ends its connections with its responses is asked on
         another one, so that this one remains for a request.
         """
+        if connection.identity.is_known:
+            return True
         try:
             if pool.is_closed_early:
-                return not await self._identify_on_another(pool, target)
-            return not await self._identify(pool, connection, target)
+                is_named = await self._identify_on_another(
+                    pool, target, self._timeouts.identify
+                )
+            else:
+                is_named = await self._identify(
+                    pool, connection, target, self._timeouts.identify
+                )
         except TargetOutcomeUnknown:
             # An idle connection may have ended before it was used.
             return False
-        except TargetUnreachable:
-            connection.abort('process not identified')
-            raise
+        return connection.identity.is_known or not is_named
 
     async def _identify_on_another(
-        self, pool: ConnectionPool, target: TargetRecord
+        self, pool: ConnectionPool, target: TargetRecord, timeout: timedelta
     ) -> bool:
         other = await pool.acquire(self._timeouts.max_idle.total_seconds())
-        is_named = await self._identify(pool, other, target)
+        try:
+            is_named = await self._identify(pool, other, target, timeout)
+        except BaseException:
+            other.abort('process not identified')
+            raise
         _keep(pool, other)
         return is_named
 
@@ -246,6 +272,7 @@
         pool: ConnectionPool,
         connection: TargetConnection,
         target: TargetRecord,
+        timeout: timedelta,
     ) -> bool:
         """Ask the process at the other end which one it is.
 
@@ -256,7 +283,7 @@
         call = self._wire.format_report_call(target.target_id)
         sent_s = self._clock.monotonic_s()
         try:
-            async with asyncio.timeout(self._timeouts.identify.total_seconds()):
+            async with asyncio.timeout(timeout.total_seconds()):
                 response = await connection.call_and_keep(*call)
             started_ms = self._decode_start_time(response)
         except (TimeoutError, CodecError) as error:
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -99,6 +99,8 @@
         self.retry_after_s: float | None = None
         # Whether the report names the start of the process.
         self.names_start_time = True
+        # Time that a report takes, in which the engine serves as usual.
+        self.report_delay_s = 0.0
         # Part of the responses with which their connections end.
         self.closing_share = 0.0
         # Whether the responses say that the engine leaves.
@@ -342,6 +344,7 @@
             }
             if self.names_start_time:
                 report['born'] = self.started_ms
+            await asyncio.sleep(self.report_delay_s)
             responder.send(_OK, [], json.dumps(report).encode())
         elif path == '/-/kv-list':
             held = [['', part, tokens, 'm'] for part, tokens in self.parts]
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -471,7 +471,7 @@
     return rank_for_key(nodes, str(digest), 4)
 
 
-def leave_after_first_event(gateway, request_id):
+def leave_after_first_event(gateway, request_id, act=lambda: None):
     """Send a stream whose caller closes its connection; the gateway resets its."""
     headers = {
         'Host': HOST,
@@ -483,6 +483,7 @@
     url = f'{gateway.url}/quick/x'
     with httpx.stream('POST', url, headers=headers, content=b'body') as found:
         next(found.iter_bytes())
+        act()
 
 
 def test_process_that_starts_without_connections_is_not_taken_for_its_former(
