Take a run whose engine reports more events than it sent for broken

The gateway already fetches the report of such an engine, to learn whether its process is running, but read the start time only. The report lists the running requests with the events that each has made, some hundred milliseconds ago. If it names more events of this request than arrived, the engine has not sent all of them, and the attempt counts as broken. A request that is not listed, or with fewer events, proves nothing, so whole responses pass as before: the stand-in lists a run for another 0.3 s after its end.

Evidence: two new tests of tests/test_gateway_stream_order.py fail on the code before (a stream that may not be resumed, and one whose end no engine confirms) and pass now.

--- a/peridotrill/gateway/event_sequence.py
+++ b/peridotrill/gateway/event_sequence.py
@@ -1,5 +1,6 @@
 """Order of the events of one stream, over all runs that contribute to it."""
 
+import math
 from typing import Final, final
 
 from peridotrill.exceptions import TargetOutcomeUnknown
@@ -78,10 +79,26 @@
         self.gaps = 0
         self.disordered = 0
         self._run_number: int | None = None
+        # Id that the run goes on after.
+        self._run_after = resume_after
 
     def start_run(self) -> None:
         """Begin the output of another attempt."""
         self._run_number = None
+        self._run_after = self.last_id
+
+    def count_received(self, events: int) -> float:
+        """Return the number of events of the stream up to the end of a run.
+
+        That is infinity if it is not known, and may be too high if ids are left
+        out.
+
+        :param events: events of the run, with those that the caller had.
+        """
+        if self._run_after is None:
+            return events
+        before = _parse_number(self._run_after)
+        return math.inf if before is None else before + events
 
     def accept(self, event_id: bytes | None) -> bool:
         """Return whether the next event of the run is to be forwarded.
--- a/peridotrill/gateway/generation.py
+++ b/peridotrill/gateway/generation.py
@@ -380,7 +380,8 @@
         if self._target is None:
             return
         if not events and self._end is not _End.UNSEEN:
-            await context.require_running(self._target, response)
+            received = self._sequence.count_received(events)
+            await context.require_running(self._target, response, received)
             return
         if not events or not context.responder.has_started:
             raise TargetOutcomeUnknown('stream without an event')
@@ -388,7 +389,8 @@
         if context.framing is not Framing.CONNECTION:
             return
         self._end = _End.DOUBTFUL
-        await context.require_running(self._target, response)
+        received = self._sequence.count_received(events)
+        await context.require_running(self._target, response, received)
         if self._has_resume_id and context.allow_retry(_CONFIRMATION_SHARE):
             self._end = _End.LIKELY
             raise EndUnconfirmed('ended without length')
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -1,5 +1,6 @@
 """State of one admitted request, and handling of its failed attempts."""
 
+import math
 from datetime import timedelta
 from functools import cached_property, partial
 from http import HTTPStatus
@@ -307,20 +308,45 @@
         return response
 
     async def require_running(
-        self, target: TargetRecord, response: TargetResponse
+        self,
+        target: TargetRecord,
+        response: TargetResponse,
+        received_events: float = math.inf,
     ) -> None:
         """Raise TargetOutcomeUnknown if a target ended with its response.
 
         A response without length ends with its connection, and so does one
         whose process is killed. A target that leaves ends after its responses.
+
+        :param received_events: number of events of the stream so far. A target
+            that reports more has not sent all of them.
         """
         if self.framing is not Framing.CONNECTION or response.is_leaving:
             return
         known = self.shared.cluster_state.find_target(target.target_id)
         if known is None or known.is_draining:
             return
-        if await self.shared.targets.has_ended(target):
+        report = await self.shared.targets.read_report(target)
+        if report is None:
             raise TargetOutcomeUnknown('process ended with its response')
+        made = self._events_made(report)
+        if made > received_events:
+            raise TargetOutcomeUnknown(
+                f'ended after {received_events} events of {made}'
+            )
+
+    def _events_made(self, report: bytes) -> int:
+        """Return how many events of this request a target reports.
+
+        The report is some hundred milliseconds old, and lists no run that ended
+        before: 0 proves nothing. Nor does a report that cannot be read.
+        """
+        try:
+            return self.shared.wire.decode_events_made(
+                report, self.request.request_id
+            )
+        except CodecError:
+            return 0
 
     def can_retry_elsewhere(self) -> bool:
         """Tell whether another target may be tried if one may have run it."""
--- a/peridotrill/gateway/target_http_client.py
+++ b/peridotrill/gateway/target_http_client.py
@@ -151,27 +151,28 @@
             return False
         return False
 
-    async def has_ended(self, target: TargetRecord) -> bool:
-        """Tell whether the process that wrote the record is known to have ended.
+    async def read_report(self, target: TargetRecord) -> bytes | None:
+        """Ask the process that wrote a record for its report.
 
-        A connection alone proves nothing: the kernel accepts it until the process
+        Returns None if the process is known to have ended, and nothing if that is
+        not known. A connection alone proves nothing: the kernel accepts it until the process
         is gone, and then resets it. So does a target that has too many.
         """
         pool = self._pool(target)
         for _ in range(_IDENTIFY_ATTEMPTS):
             try:
                 connection = await pool.open()
-                await self._identify(connection, target)
+                report = await self._identify(connection, target)
             except (TargetRefused, TargetReplaced):
-                return True
+                return None
             except TargetOutcomeUnknown:
                 await anyio.sleep(_RESET_PAUSE_S)
                 continue
             except TargetUnreachable:
-                return False
+                return b''
             pool.release(connection)
-            return False
-        return False
+            return report
+        return b''
 
     async def _acquire_identified(
         self, pool: ConnectionPool, target: TargetRecord, max_idle_s: float
@@ -192,8 +193,8 @@
 
     async def _identify(
         self, connection: TargetConnection, target: TargetRecord
-    ) -> None:
-        """Ask the process at the other end which one it is.
+    ) -> bytes:
+        """Ask the process at the other end which one it is; return its report.
 
         Raises TargetReplaced, TargetUnreachable or TargetOutcomeUnknown.
         """
@@ -206,11 +207,12 @@
             connection.abort('process not identified')
             raise TargetUnreachable(f'not identified: {error}') from error
         if not started_ms:
-            return
+            return response.body
         if target.started_ms and started_ms != target.started_ms:
             connection.abort('another process answers')
             raise TargetReplaced(f'process of {started_ms} answers')
         connection.is_identified = True
+        return response.body
 
     def _decode_start_time(self, response: Response) -> int:
         """Return the start time in a report; 0 if the engine names none."""
--- a/peridotrill/gateway/target_messages.py
+++ b/peridotrill/gateway/target_messages.py
@@ -102,6 +102,13 @@
     def decode_start_time(self) -> Callable[[bytes], int]:
         """Return the start time that a report names; raises CodecError."""
 
+    @property
+    def decode_events_made(self) -> Callable[[bytes, str], int]:
+        """Return how many events of a request a report names.
+
+        Raises CodecError.
+        """
+
     @property
     def format_release(self) -> Callable[[str], tuple[bytes, bytes]]:
         """Return method and path of the call that releases a prompt."""
--- a/peridotrill/platform/wire.py
+++ b/peridotrill/platform/wire.py
@@ -27,6 +27,7 @@
 _BEARER_PREFIX: Final = b'bearer '
 # Raised while decoding a malformed document.
 _DECODE_ERRORS: Final = (KeyError, TypeError, ValueError, ArithmeticError)
+_REPORT_ERRORS: Final = (AttributeError, TypeError, ValueError)
 # Far above any prompt or queue; small enough that sums of counts are exact.
 _MAX_COUNT: Final = 10**9
 # Handles are inserted into request lines and headers, so other characters
@@ -193,6 +194,24 @@
     return check_integer(report.get('born', 0))
 
 
+def decode_events_made(body: bytes, request_id: str) -> int:
+    """Return how many events an engine's report says that a run has made.
+
+    That is 0 if no such run is listed; raises CodecError. Another attempt of
+    the request may run at the engine as well: the greatest number counts.
+    """
+    report: Any = decode_json(body)
+    try:
+        made = [
+            check_integer(events)
+            for run_id, _, events, *_ in report.get('runs', ())
+            if run_id == request_id
+        ]
+    except _REPORT_ERRORS as error:
+        raise CodecError(f'invalid list of runs: {error!r}') from error
+    return max(made, default=0)
+
+
 def _decode_key(value: bytes | None) -> str | None:
     if value is None or not value.lower().startswith(_BEARER_PREFIX):
         return None
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -18,7 +18,11 @@
 _UNAVAILABLE = 503
 _SLOW_START_S = 0.3
 # Streams that end after their second event.
-_UNFRAMED_FAULTS = frozenset(('unframed_cut', 'unframed_crash'))
+_UNFRAMED_FAULTS = frozenset(
+    ('unframed_cut', 'unframed_crash', 'unframed_ahead')
+)
+# Age of a report: it still lists a run that has ended since.
+_REPORT_AGE_S = 0.3
 
 
 class SentEvent(NamedTuple):
@@ -46,6 +50,7 @@
     - ``half``: ends the body without an error in the middle of the third event
     - ``unframed``: sends the response without length and chunks
     - ``unframed_cut``: like ``unframed``, ends a stream after the second event
+    - ``unframed_ahead``: like ``unframed_cut``, but the run has made all events
     - ``unframed_crash``: like ``unframed``, and crashes after the second event
     - ``unframed_crash_early``: like that, before the first event
     - ``unframed_error_crash``: like that, in the body of a failure
@@ -79,6 +84,8 @@
         self.event_count = 5
         self.event_interval_s = 0.005
         self.runs: list[str] = []
+        # Rows of the report: id, tokens in memory, events made, priority.
+        self.run_rows: list[list] = []
         self.sent_events: list[SentEvent] = []
         self.received: list[dict] = []
         self.cancelled: list[str] = []
@@ -274,6 +281,22 @@
 
     async def _stream(
         self, fault, headers, response_headers, responder
+    ) -> None:
+        row = [headers.get('x-peridotrill-request-id', ''), 0, 0, 5]
+        self.run_rows.append(row)
+        try:
+            await self._send_stream(
+                fault, headers, response_headers, responder, row
+            )
+        finally:
+            if fault == 'unframed_ahead':
+                row[2] = self.event_count
+            asyncio.get_running_loop().call_later(
+                _REPORT_AGE_S, self.run_rows.remove, row
+            )
+
+    async def _send_stream(
+        self, fault, headers, response_headers, responder, row
     ) -> None:
         first = int(headers.get('last-event-id', '0')) + 1
         loop = asyncio.get_running_loop()
@@ -306,6 +329,7 @@
                     responder.end_stream()
                 return
             responder.send_chunk(event)
+            row[2] = number
             self.sent_events.append(
                 SentEvent(
                     time.monotonic(),
@@ -333,6 +357,7 @@
                 ),
                 'busy': self.is_busy,
                 'born': self.started_ms,
+                'runs': self.run_rows,
             }
             responder.send(_OK, [], json.dumps(report).encode())
         elif path == '/-/kv-list':
--- a/tests/test_event_sequence.py
+++ b/tests/test_event_sequence.py
@@ -1,5 +1,7 @@
 """The order of the events of a stream."""
 
+import math
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -50,6 +52,24 @@
         events.require_end()
 
 
+def test_events_before_a_continued_run_count_as_received():
+    # Guards against a whole run that its engine's report makes look short.
+    events = sequence(b'4')
+    events.start_run()
+    assert events.count_received(2) == 6
+    feed(events, 5, 6)
+    events.start_run()
+    assert events.count_received(1) == 7
+    assert sequence().count_received(3) == 3
+
+
+def test_events_after_an_id_that_is_no_number_are_not_counted():
+    # Guards against a whole run that its engine's report makes look short.
+    events = sequence(b'a')
+    events.start_run()
+    assert events.count_received(2) == math.inf
+
+
 @pytest.mark.parametrize('event_id', [b'a', b'9' * 5000, '٣'.encode(), b''])
 def test_ids_that_are_no_numbers_are_forwarded(event_id):
     # Guards against a decoder that fails on the ids of an unusual engine.
--- a/tests/test_gateway_codecs.py
+++ b/tests/test_gateway_codecs.py
@@ -696,6 +696,25 @@
         decode_parts('i-1', encode_json(listing))
 
 
+@given(_json, st.booleans())
+def test_arbitrary_list_of_runs_decodes_or_raises(content, is_list):
+    # Guards against a report of an engine that ends a request of the gateway.
+    report = {'runs': content} if is_list else content
+    try:
+        made = wire.decode_events_made(encode_json(report), 'r-1')
+    except CodecError:
+        return
+    assert made >= 0
+
+
+def test_events_of_the_longest_run_of_a_request_count():
+    # Guards against a comparison with the run of another request.
+    runs = [['r-1', 70, 2, 5], ['r-2', 70, 9, 5], ['r-1', 70, 4, 5, 'more']]
+    report = encode_json({'runs': runs})
+    assert wire.decode_events_made(report, 'r-1') == 4
+    assert wire.decode_events_made(report, 'r-3') == 0
+
+
 def test_settings_are_read_and_defaults_used(tmp_path):
     path = tmp_path / 'local.yaml'
     path.write_text(
--- a/tests/test_gateway_stream_order.py
+++ b/tests/test_gateway_stream_order.py
@@ -86,6 +86,19 @@
         ask(site, '/draft/x', fault)
 
 
+def test_end_before_events_that_the_engine_reports_is_no_end(crashing_site):
+    # Guards against a stream that lacks events that its engine says it has made.
+    with pytest.raises(httpx.RemoteProtocolError):
+        ask(crashing_site, '/draft/x', 'unframed_ahead')
+
+
+def test_stream_of_which_an_engine_reports_more_looks_incomplete(crashing_site):
+    # Guards against a stream whose engine reports more events than it sent, and
+    # that looks complete since the next engines turn the request away.
+    faults = ('unframed_ahead', 'shed', 'shed')
+    assert is_whole_or_cut(crashing_site, '/quick/x', *faults)
+
+
 @pytest.mark.parametrize('path', ['/quick/x', '/draft/x'])
 def test_whole_stream_without_length_is_complete(site, path):
     # Guards against checks that break off whole streams.
