Trust no unframed ends of a process that has ended a stream early

Callers got streams that lack events and look complete (ORDER), again and again from the same engine: a stream without length that may not be resumed, or whose end no other engine confirmed, ended as complete, also after the gateway had seen that the engine ends its streams early. Such an engine even counted as healthy, and no line of the log named it.

Now the first engine is named (stream_ended_early) and its health gets a failure when the engine that is asked to confirm the end sends more events, or its own report names more. From then on an unframed end of that process counts as broken: a stream that may be resumed goes on elsewhere, and another one is broken off. The evidence belongs to the process, start time included, so its successor is trusted. A process without evidence is trusted as before, since the platform allows responses without length.

Tests that give evidence use a site of their own; their checks are unchanged.

--- a/peridotrill/gateway/components.py
+++ b/peridotrill/gateway/components.py
@@ -6,6 +6,7 @@
 from peridotrill.clock import Clock
 from peridotrill.gateway.cluster_state import ClusterState
 from peridotrill.gateway.demand import DemandMeter
+from peridotrill.gateway.early_ends import EarlyEnds
 from peridotrill.gateway.event_log import EventLog
 from peridotrill.gateway.event_sequence import EventNumberings
 from peridotrill.gateway.load_tracker import LoadTracker
@@ -36,6 +37,7 @@
     quarantine: QuarantineSharing
     origins: StreamOrigins
     numberings: EventNumberings
+    early_ends: EarlyEnds
     streams: StreamSharing
     loads: LoadTracker
     demand: DemandMeter
--- a/peridotrill/gateway/generation.py
+++ b/peridotrill/gateway/generation.py
@@ -96,6 +96,8 @@
         # that confirms it.
         self._end = _End.UNSEEN
         self._confirmation: anyio.CancelScope | None = None
+        # Target whose end of the stream is LIKELY.
+        self._ended_target: TargetRecord | None = None
         # Whether an engine has been sent the request and has not rejected it.
         self._is_asked = False
         # Software version of the process that responds.
@@ -393,6 +395,7 @@
         await context.require_running(self._target, response, received)
         if self._has_resume_id and context.allow_retry(_CONFIRMATION_SHARE):
             self._end = _End.LIKELY
+            self._ended_target = self._target
             raise EndUnconfirmed('ended without length')
 
     def _end_unconfirmed(self) -> None:
@@ -474,6 +477,7 @@
         event_id: bytes | None,
     ) -> None:
         context = self._context
+        self._record_early_end()
         self._end = _End.UNSEEN
         if self._confirmation is not None:
             self._confirmation.deadline = math.inf
@@ -488,6 +492,18 @@
             context.record_harmless(self._first_event_s)
         self._has_resume_id = event_id is not None
 
+    def _record_early_end(self) -> None:
+        """Record which target ended the stream although it goes on."""
+        target = self._ended_target
+        if target is None:
+            return
+        self._ended_target = None
+        context = self._context
+        context.record_early_end(target, 'another target sends more events')
+        context.record_attempt_failure(
+            target, Failure.BROKEN, 'stream ended early'
+        )
+
     def _start_response(self, response: TargetResponse) -> None:
         """Begin the response to the caller with the head of an engine's."""
         context = self._context
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -317,11 +317,17 @@
 
         A response without length ends with its connection, and so does one
         whose process is killed. A target that leaves ends after its responses.
+        The end that a process marks in this way proves nothing after it has
+        ended another stream early.
 
         :param received_events: number of events of the stream so far. A target
             that reports more has not sent all of them.
         """
-        if self.framing is not Framing.CONNECTION or response.is_leaving:
+        if self.framing is not Framing.CONNECTION:
+            return
+        if self.shared.early_ends.is_known(target.process):
+            raise TargetOutcomeUnknown('process has ended a stream early')
+        if response.is_leaving:
             return
         known = self.shared.cluster_state.find_target(target.target_id)
         if known is None or known.is_draining:
@@ -331,9 +337,9 @@
             raise TargetOutcomeUnknown('process ended with its response')
         made = self._events_made(report)
         if made > received_events:
-            raise TargetOutcomeUnknown(
-                f'ended after {received_events} events of {made}'
-            )
+            detail = f'ended after {received_events} events of {made}'
+            self.record_early_end(target, detail)
+            raise TargetOutcomeUnknown(detail)
 
     def _events_made(self, report: bytes) -> int:
         """Return how many events of this request a target reports.
@@ -488,6 +494,17 @@
                 partial(self.shared.targets.is_refused, target),
             )
 
+    def record_early_end(self, target: TargetRecord, detail: str) -> None:
+        """Record that a running process ended a stream before its end."""
+        self.shared.early_ends.record(target.process)
+        self.shared.log.write(
+            'stream_ended_early',
+            request=self.request.request_id,
+            target=target.target_id,
+            started_ms=target.started_ms,
+            detail=detail,
+        )
+
     def record_rejection(
         self, target: TargetRecord, response: TargetResponse
     ) -> None:
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -37,6 +37,7 @@
 from peridotrill.gateway.connection_pool import ConnectionPool
 from peridotrill.gateway.coordinator import Coordinator
 from peridotrill.gateway.demand import DemandMeter
+from peridotrill.gateway.early_ends import EarlyEnds
 from peridotrill.gateway.event_log import EventLog
 from peridotrill.gateway.event_sequence import EventNumberings
 from peridotrill.gateway.load_tracker import LoadTracker
@@ -369,6 +370,7 @@
                 quarantine=self._quarantine_sharing,
                 origins=self._origins,
                 numberings=EventNumberings(),
+                early_ends=EarlyEnds(),
                 streams=self._stream_sharing,
                 loads=self._loads,
                 demand=self._demand,
--- a/tests/test_gateway_stream_order.py
+++ b/tests/test_gateway_stream_order.py
@@ -8,6 +8,7 @@
 import httpx
 import pytest
 
+from peridotrill.gateway.early_ends import EarlyEnds
 from standins.platform_engine import ScriptedEngine
 from tests.gateway_builders import prompt_headers
 from tests.gateway_site import DECODE, SIGCONT, SIGSTOP, call, run_site
@@ -38,7 +39,7 @@
 
 @pytest.fixture
 def crashing_site(tmp_path):
-    """A site of its own, for tests that end several engines."""
+    """A site of its own, for tests that end engines or their streams early."""
     with run_engines(tmp_path) as running:
         yield running
 
@@ -74,9 +75,9 @@
 
 
 @pytest.mark.parametrize('fault', ['unframed_cut', 'unframed_crash', 'swapped'])
-def test_stream_with_missing_events_continues_elsewhere(site, fault):
+def test_stream_with_missing_events_continues_elsewhere(crashing_site, fault):
     # Guards against a stream that lacks events and looks complete (ORDER).
-    assert ask(site, '/quick/x', fault).text == _EVENTS
+    assert ask(crashing_site, '/quick/x', fault).text == _EVENTS
 
 
 @pytest.mark.parametrize('fault', ['unframed_cut', 'unframed_crash', 'swapped'])
@@ -99,6 +100,83 @@
     assert is_whole_or_cut(crashing_site, '/quick/x', *faults)
 
 
+def ask_engine(site, name, path, fault, others='shed'):
+    """Begin a stream at one engine; by default the others turn it away."""
+    for engine in site.engines.values():
+        engine.plan = []
+        engine.default_fault = fault if engine.target_id == name else others
+    request_id = f'order-{next(_numbers)}'
+    return call(site.gateway, path, request_id, **prompt_headers(50))
+
+
+@pytest.fixture(params=['unframed_cut', 'unframed_ahead'])
+def early_ender(crashing_site, request):
+    """Engine that has ended a stream early, with proof of it."""
+    response = ask(crashing_site, '/quick/x', request.param)
+    assert response.text == _EVENTS
+    first, _ = crashing_site.runs(f'order-{next(_numbers) - 1}')
+    return first
+
+
+def test_process_that_ends_a_stream_early_is_named(crashing_site, early_ender):
+    # Guards against a faulty engine that looks healthy and is not found.
+    log = crashing_site.gateway.read_log()
+    (line,) = (row for row in log.splitlines() if 'stream_ended_early' in row)
+    assert f'target={early_ender}' in line
+    (line,) = (row for row in log.splitlines() if 'attempt_failed' in row)
+    assert f'target={early_ender}' in line
+
+
+def test_ends_of_a_process_that_ends_streams_early_prove_nothing(
+    crashing_site, early_ender
+):
+    # Guards against further streams that lack events and look complete.
+    with pytest.raises(httpx.RemoteProtocolError):
+        ask_engine(crashing_site, early_ender, '/draft/x', 'unframed_cut')
+
+
+def test_end_that_proves_nothing_needs_another_engine(
+    crashing_site, early_ender
+):
+    # Guards against a stream that looks complete since no other engine responds.
+    with pytest.raises(httpx.RemoteProtocolError):
+        ask_engine(crashing_site, early_ender, '/quick/x', 'unframed_cut')
+
+
+def test_whole_stream_whose_end_proves_nothing_is_complete(
+    crashing_site, early_ender
+):
+    # Guards against a faulty engine whose streams all break off.
+    for _ in range(5):
+        response = ask_engine(
+            crashing_site, early_ender, '/quick/x', 'unframed', others=''
+        )
+        assert response.text == _EVENTS
+
+
+def test_evidence_of_many_processes_is_bounded():
+    # Guards against memory that grows with each engine that starts again.
+    early_ends = EarlyEnds()
+    for number in range(3000):
+        early_ends.record(str(number))
+        early_ends.record('latest')
+    known = [name for name in range(3000) if early_ends.is_known(str(name))]
+    assert (len(known), known[-1]) == (999, 2999)
+    assert early_ends.is_known('latest')
+
+
+def test_other_processes_are_trusted(crashing_site, early_ender):
+    # Guards against one faulty engine that breaks the streams of sound ones.
+    for name, engine in crashing_site.engines.items():
+        if engine.role == DECODE and name != early_ender:
+            response = ask_engine(crashing_site, name, '/draft/x', 'unframed')
+            assert response.text == _EVENTS
+    crashing_site.engines[early_ender].replace(early_ender, 'v1')
+    time.sleep(2)
+    response = ask_engine(crashing_site, early_ender, '/draft/x', 'unframed')
+    assert response.text == _EVENTS
+
+
 @pytest.mark.parametrize('path', ['/quick/x', '/draft/x'])
 def test_whole_stream_without_length_is_complete(site, path):
     # Guards against checks that break off whole streams.
@@ -139,8 +217,9 @@
     assert is_whole_or_cut(crashing_site, '/quick/x', *faults)
 
 
-def test_frozen_gateway_does_not_end_a_stream(site):
+def test_frozen_gateway_does_not_end_a_stream(crashing_site):
     # Guards against a time-out that fires although an engine has more events.
+    site = crashing_site
     for engine in site.engines.values():
         engine.event_interval_s = 0.4
 
@@ -156,8 +235,6 @@
         assert is_whole_or_cut(site, '/quick/x', 'unframed_cut', 'slow')
     finally:
         thread.join()
-        for engine in site.engines.values():
-            engine.event_interval_s = 0.005
 
 
 def test_half_of_an_error_body_does_not_look_whole(crashing_site):
