Log a process whose state is unknown after a response without length

After such a response the gateway asks the process for its report. If that ended in a time-out or in resets, the response counted as whole, and no line of the log said so. Callers of a stream whose engine was killed got a part of it as complete if the next engine ended its response without an event: its end counted as a confirmation, even if that engine could not be asked either.

Now the log names the target (process_state_unknown). The first response still counts as whole: the address of a killed process refuses connections, so the likely cause is a busy process, and another engine confirms the end of a stream that may be resumed. While the first engine is known to have ended, a second one whose state is unknown confirms nothing: a third one is asked, or the stream is broken off and its caller can take it up.

--- a/peridotrill/exceptions.py
+++ b/peridotrill/exceptions.py
@@ -91,6 +91,10 @@
     """Another process than the registered one answers; nothing was sent."""
 
 
+class TargetUnidentified(TargetUnreachable):
+    """The target answers, but does not tell which process it is."""
+
+
 class TargetOutcomeUnknown(TargetError):
     """The call may have run at the target; its response was lost."""
 
--- a/peridotrill/gateway/generation.py
+++ b/peridotrill/gateway/generation.py
@@ -382,8 +382,12 @@
         if self._target is None:
             return
         if not events and self._end is not _End.UNSEEN:
-            received = self._sequence.count_received(events)
-            await context.require_running(self._target, response, received)
+            await context.require_running(
+                self._target,
+                response,
+                self._sequence.count_received(events),
+                must_be_known=self._end is _End.DOUBTFUL,
+            )
             return
         if not events or not context.responder.has_started:
             raise TargetOutcomeUnknown('stream without an event')
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -312,6 +312,7 @@
         target: TargetRecord,
         response: TargetResponse,
         received_events: float = math.inf,
+        must_be_known: bool = False,
     ) -> None:
         """Raise TargetOutcomeUnknown if a target ended with its response.
 
@@ -322,6 +323,10 @@
 
         :param received_events: number of events of the stream so far. A target
             that reports more has not sent all of them.
+
+        :param must_be_known: whether a target whose state is not known counts as
+            ended. A busy one may not respond in time, and has sent a whole
+            response; the address of one that was killed refuses connections.
         """
         if self.framing is not Framing.CONNECTION:
             return
@@ -332,7 +337,22 @@
         known = self.shared.cluster_state.find_target(target.target_id)
         if known is None or known.is_draining:
             return
-        report = await self.shared.targets.read_report(target)
+        try:
+            report = await self.shared.targets.read_report(target)
+        except TargetUnreachable as error:
+            self._record_unknown_state(target, error)
+            if must_be_known:
+                raise TargetOutcomeUnknown('process may have ended') from error
+            return
+        self._check_report(target, report, received_events)
+
+    def _check_report(
+        self, target: TargetRecord, report: bytes | None, received_events: float
+    ) -> None:
+        """Raise TargetOutcomeUnknown if a report shows that a response is cut.
+
+        :param report: None if the process has ended.
+        """
         if report is None:
             raise TargetOutcomeUnknown('process ended with its response')
         made = self._events_made(report)
@@ -341,6 +361,17 @@
             self.record_early_end(target, detail)
             raise TargetOutcomeUnknown(detail)
 
+    def _record_unknown_state(
+        self, target: TargetRecord, error: TargetUnreachable
+    ) -> None:
+        """Log that a process may have ended with its response."""
+        self.shared.log.write(
+            'process_state_unknown',
+            request=self.request.request_id,
+            target=target.target_id,
+            error=str(error),
+        )
+
     def _events_made(self, report: bytes) -> int:
         """Return how many events of this request a target reports.
 
--- a/peridotrill/gateway/target_http_client.py
+++ b/peridotrill/gateway/target_http_client.py
@@ -14,6 +14,7 @@
     TargetRefused,
     TargetReplaced,
     TargetTimeout,
+    TargetUnidentified,
     TargetUnreachable,
 )
 from peridotrill.gateway.connection_pool import ConnectionPool
@@ -154,8 +155,9 @@
     async def read_report(self, target: TargetRecord) -> bytes | None:
         """Ask the process that wrote a record for its report.
 
-        Returns None if the process is known to have ended, and nothing if that is
-        not known. A connection alone proves nothing: the kernel accepts it until the process
+        Returns None if the process is known to have ended, and nothing if its
+        report is none. Raises TargetUnreachable if its state is not known. A
+        connection alone proves nothing: the kernel accepts it until the process
         is gone, and then resets it. So does a target that has too many.
         """
         pool = self._pool(target)
@@ -168,11 +170,11 @@
             except TargetOutcomeUnknown:
                 await anyio.sleep(_RESET_PAUSE_S)
                 continue
-            except TargetUnreachable:
+            except TargetUnidentified:
                 return b''
             pool.release(connection)
             return report
-        return b''
+        raise TargetUnreachable('connections reset')
 
     async def _acquire_identified(
         self, pool: ConnectionPool, target: TargetRecord, max_idle_s: float
@@ -203,9 +205,12 @@
             async with asyncio.timeout(self._timeouts.identify.total_seconds()):
                 response = await connection.call_and_keep(*call)
             started_ms = self._decode_start_time(response)
-        except (TimeoutError, CodecError) as error:
+        except TimeoutError as error:
             connection.abort('process not identified')
-            raise TargetUnreachable(f'not identified: {error}') from error
+            raise TargetUnreachable('no report in time') from error
+        except CodecError as error:
+            connection.abort('process not identified')
+            raise TargetUnidentified(f'not identified: {error}') from error
         if not started_ms:
             return response.body
         if target.started_ms and started_ms != target.started_ms:
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -53,6 +53,7 @@
     - ``unframed_ahead``: like ``unframed_cut``, but the run has made all events
     - ``unframed_crash``: like ``unframed``, and crashes after the second event
     - ``unframed_crash_early``: like that, before the first event
+    - ``unframed_empty``: like ``unframed``, ends a stream before the first event
     - ``unframed_error_crash``: like that, in the body of a failure
     - ``unframed_refusal_crash``: crashes after a rejection without length
     - ``slow``: begins a stream after 0.3 s
@@ -84,6 +85,10 @@
         self.event_count = 5
         self.event_interval_s = 0.005
         self.runs: list[str] = []
+        # What happens to calls for the report after the end of a stream:
+        # ``silent`` or ``reset``.
+        self.report_fault_after_stream = ''
+        self._report_fault = ''
         # Rows of the report: id, tokens in memory, events made, priority.
         self.run_rows: list[list] = []
         self.sent_events: list[SentEvent] = []
@@ -289,11 +294,14 @@
                 fault, headers, response_headers, responder, row
             )
         finally:
-            if fault == 'unframed_ahead':
-                row[2] = self.event_count
-            asyncio.get_running_loop().call_later(
-                _REPORT_AGE_S, self.run_rows.remove, row
-            )
+            self._end_run(fault, row)
+
+    def _end_run(self, fault, row) -> None:
+        self._report_fault = self.report_fault_after_stream
+        if fault == 'unframed_ahead':
+            row[2] = self.event_count
+        loop = asyncio.get_running_loop()
+        loop.call_later(_REPORT_AGE_S, self.run_rows.remove, row)
 
     async def _send_stream(
         self, fault, headers, response_headers, responder, row
@@ -311,6 +319,8 @@
             self._crash()
             return
         numbers = list(range(first, self.event_count + 1))
+        if fault == 'unframed_empty':
+            numbers.clear()
         if fault == 'swapped':
             numbers.insert(3, numbers.pop(2))
         for number in numbers:
@@ -348,6 +358,11 @@
 
     async def _handle_control_request(self, request, path, responder) -> None:
         if path == '/-/report':
+            if self._report_fault == 'silent':
+                await asyncio.Event().wait()
+            if self._report_fault == 'reset':
+                responder.abort()
+                return
             report = {
                 'stage': self.role,
                 'seq': (
--- a/tests/test_gateway_stream_order.py
+++ b/tests/test_gateway_stream_order.py
@@ -177,6 +177,33 @@
     assert response.text == _EVENTS
 
 
+@pytest.fixture(params=['silent', 'reset'])
+def unreported_site(crashing_site, request):
+    """Engines whose reports cannot be read after a stream."""
+    for engine in crashing_site.engines.values():
+        engine.report_fault_after_stream = request.param
+    return crashing_site
+
+
+@pytest.mark.parametrize('path', ['/quick/x', '/draft/x'])
+def test_whole_stream_of_an_engine_without_a_report_is_complete(
+    unreported_site, path
+):
+    # Guards against checks that break off the streams of a busy engine, and
+    # against an end that is not known to be one and is not logged.
+    response = ask(unreported_site, path, 'unframed', 'unframed')
+    assert response.text == _EVENTS
+    log = unreported_site.gateway.read_log()
+    assert 'event=process_state_unknown' in log
+
+
+def test_process_that_may_have_ended_does_not_confirm_an_end(unreported_site):
+    # Guards against the end of a killed engine's stream that is confirmed by one
+    # that may have been killed as well.
+    faults = ('unframed_crash', 'unframed_empty')
+    assert is_whole_or_cut(unreported_site, '/quick/x', *faults)
+
+
 @pytest.mark.parametrize('path', ['/quick/x', '/draft/x'])
 def test_whole_stream_without_length_is_complete(site, path):
     # Guards against checks that break off whole streams.
