Ask targets that leave for their report after a response without length

Callers of a stream without length got part of it as complete if its engine was about to leave: the gateway did not ask such an engine, although its report may list more events than arrived, and let one that had been killed confirm the end of a stream whose first engine had been killed.

Now it is asked as well. That its process has ended is still no evidence, since a target that leaves may end after its last response, except where it was to confirm the end of a stream whose first engine has ended. Connections to a target whose record is gone are closed after the question.

--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -317,34 +317,52 @@
         """Raise TargetOutcomeUnknown if a target ended with its response.
 
         A response without length ends with its connection, and so does one
-        whose process is killed. A target that leaves ends after its responses.
-        The end that a process marks in this way proves nothing after it has
-        ended another stream early.
+        whose process is killed. A target that leaves ends after its responses, so
+        that it has ended is no evidence, but its report may be. The end that a
+        process marks in this way proves nothing after it has ended another
+        stream early.
 
         :param received_events: number of events of the stream so far. A target
             that reports more has not sent all of them.
 
-        :param must_be_known: whether a target whose state is not known counts as
-            ended. A busy one may not respond in time, and has sent a whole
-            response; the address of one that was killed refuses connections.
+        :param must_be_known: whether a target whose state is not known, or that
+            leaves and has ended, counts as killed. A busy one may not respond in
+            time, and has sent a whole response; the address of one that was
+            killed refuses connections.
         """
         if self.framing is not Framing.CONNECTION:
             return
         if self.shared.early_ends.is_known(target.process):
             raise TargetOutcomeUnknown('process has ended a stream early')
-        if response.is_leaving:
-            return
-        known = self.shared.cluster_state.find_target(target.target_id)
-        if known is None or known.is_draining:
-            return
         try:
-            report = await self.shared.targets.read_report(target)
+            report = await self._read_report(target)
         except TargetUnreachable as error:
             self._record_unknown_state(target, error)
             if must_be_known:
                 raise TargetOutcomeUnknown('process may have ended') from error
             return
-        self._check_report(target, report, received_events)
+        is_expected_end = report is None and self._is_leaving(target, response)
+        if must_be_known or not is_expected_end:
+            self._check_report(target, report, received_events)
+
+    async def _read_report(self, target: TargetRecord) -> bytes | None:
+        """Ask a target for its report; raises TargetUnreachable."""
+        try:
+            return await self.shared.targets.read_report(target)
+        finally:
+            if self._find_record(target) is None:
+                # Its connections were closed when it was removed.
+                self.shared.targets.forget(target)
+
+    def _find_record(self, target: TargetRecord) -> TargetRecord | None:
+        return self.shared.cluster_state.find_target(target.target_id)
+
+    def _is_leaving(
+        self, target: TargetRecord, response: TargetResponse
+    ) -> bool:
+        """Tell whether a target may have ended after its response."""
+        known = self._find_record(target)
+        return response.is_leaving or known is None or known.is_draining
 
     def _check_report(
         self, target: TargetRecord, report: bytes | None, received_events: float
--- a/tests/test_gateway_stream_order.py
+++ b/tests/test_gateway_stream_order.py
@@ -204,6 +204,35 @@
     assert is_whole_or_cut(unreported_site, '/quick/x', *faults)
 
 
+@pytest.fixture
+def leaving_site(crashing_site):
+    for engine in crashing_site.engines.values():
+        engine.is_leaving = True
+    return crashing_site
+
+
+def test_report_of_an_engine_that_leaves_shows_an_early_end(leaving_site):
+    # Guards against a stream that lacks events that its engine says it has made.
+    with pytest.raises(httpx.RemoteProtocolError):
+        ask(leaving_site, '/draft/x', 'unframed_ahead')
+
+
+@pytest.mark.parametrize('path', ['/quick/x', '/draft/x'])
+def test_engine_that_leaves_may_end_after_its_response(leaving_site, path):
+    # Guards against checks that break the last stream of an engine.
+    for engine in leaving_site.engines.values():
+        engine.event_count = 2
+    text = ask(leaving_site, path, 'unframed_crash').text
+    assert text == _EVENTS.partition('id: 3')[0]
+
+
+def test_engine_that_leaves_and_has_ended_does_not_confirm_an_end(leaving_site):
+    # Guards against the end of a stream whose engines were both killed.
+    leaving_site.engines['i-a'].is_leaving = False
+    faults = ('unframed_crash', 'unframed_crash_early')
+    assert is_whole_or_cut(leaving_site, '/quick/x', *faults)
+
+
 @pytest.mark.parametrize('path', ['/quick/x', '/draft/x'])
 def test_whole_stream_without_length_is_complete(site, path):
     # Guards against checks that break off whole streams.
