Learn gaps in the numbering of events from several targets only

Steps and gaps are now counted by target. Gaps are the service's numbering only if two targets have left ids out at least twice each, in a quarter of their steps, or the only one that serves has. The totals of the service have to pass the bounds of before too. A target is known by its id, so a faulty engine that starts again does not count twice. At most 100 targets are remembered.

Evidence: test_faulty_engine_does_not_teach_a_new_gateway_to_leave_events_out fails on the code before (an incomplete stream passes within six tries) and passes now. A service whose engines all number with gaps is served on both; the tests of before are unchanged.

--- a/peridotrill/gateway/event_sequence.py
+++ b/peridotrill/gateway/event_sequence.py
@@ -1,7 +1,7 @@
 """Order of the events of one stream, over all runs that contribute to it."""
 
 import math
-from typing import Final, final
+from typing import Final, NamedTuple, final
 
 from peridotrill.exceptions import TargetOutcomeUnknown
 
@@ -11,8 +11,34 @@
 # and they are at least this part of all steps from one event to the next.
 _MIN_GAPS: Final = 3
 _GAP_RATIO: Final = 0.25
-# Older steps count half each time that so many have been observed.
+# Gaps after which a target counts as one that numbers its events with gaps, if
+# they are the same part of its own steps.
+_MIN_TARGET_GAPS: Final = 2
+# So many targets show that it is the numbering of their service: fewer may be
+# faulty.
+_MIN_TARGETS: Final = 2
+# Older steps of a target count half each time that so many have been observed.
 _MAX_STEPS: Final = 10_000
+# Targets of a service that are remembered, those with the latest events.
+_MAX_TARGETS: Final = 100
+
+
+class _Steps(NamedTuple):
+    """Steps from one event to the next, and those that leave ids out."""
+
+    steps: int = 0
+    gaps: int = 0
+
+    def add(self, is_gap: bool) -> '_Steps':
+        """Return the counts with one more step."""
+        steps, gaps = self.steps + 1, self.gaps + is_gap
+        if steps >= _MAX_STEPS:
+            return _Steps(steps // 2, gaps // 2)
+        return _Steps(steps, gaps)
+
+    def has_gaps(self, min_gaps: int) -> bool:
+        """Whether there are too many gaps for an occasional fault."""
+        return self.gaps >= min_gaps and self.gaps >= _GAP_RATIO * self.steps
 
 
 @final
@@ -20,26 +46,40 @@
     """Whether the ids of a service's events are consecutive numbers.
 
     Ids have to increase, and no more is required of them. Those of a service
-    count as consecutive until too many of its events leave numbers out.
+    count as consecutive until too many of its events leave numbers out, at
+    several targets or at the only one.
     """
 
     def __init__(self) -> None:
         """Start without observations."""
-        self._steps = 0
-        self._gaps = 0
+        # By target, those with the latest events last.
+        self._targets: dict[str, _Steps] = {}
 
-    @property
-    def is_consecutive(self) -> bool:
-        """Whether an event that leaves numbers out follows a lost one."""
-        return self._gaps < _MIN_GAPS or self._gaps < _GAP_RATIO * self._steps
+    def is_consecutive(self, target_id: str, is_only_target: bool) -> bool:
+        """Whether an event that leaves numbers out follows a lost one.
 
-    def observe(self, is_gap: bool) -> None:
-        """Count the step from one event to the next."""
-        self._steps += 1
-        self._gaps += is_gap
-        if self._steps >= _MAX_STEPS:
-            self._steps //= 2
-            self._gaps //= 2
+        :param target_id: target that sends the event.
+
+        :param is_only_target: whether no other target serves.
+        """
+        rows = self._targets.values()
+        total = _Steps(
+            sum(row.steps for row in rows), sum(row.gaps for row in rows)
+        )
+        if not total.has_gaps(_MIN_GAPS):
+            return True
+        with_gaps = [row.has_gaps(_MIN_TARGET_GAPS) for row in rows]
+        if sum(with_gaps) >= _MIN_TARGETS:
+            return False
+        own = self._targets.get(target_id, _Steps())
+        return not (is_only_target and own.has_gaps(_MIN_TARGET_GAPS))
+
+    def observe(self, target_id: str, is_gap: bool) -> None:
+        """Count the step from one event of a target to the next."""
+        known = self._targets.pop(target_id, _Steps())
+        self._targets[target_id] = known.add(is_gap)
+        if len(self._targets) > _MAX_TARGETS:
+            self._targets.pop(next(iter(self._targets)))
 
 
 @final
@@ -79,12 +119,22 @@
         self.gaps = 0
         self.disordered = 0
         self._run_number: int | None = None
+        # Target that sends the run, and whether no other one serves.
+        self._target_id = ''
+        self._is_only_target = True
         # Id that the run goes on after.
         self._run_after = resume_after
 
-    def start_run(self) -> None:
-        """Begin the output of another attempt."""
+    def start_run(
+        self, target_id: str = '', is_only_target: bool = True
+    ) -> None:
+        """Begin the output of another attempt.
+
+        :param is_only_target: whether no other target of the service serves.
+        """
         self._run_number = None
+        self._target_id = target_id
+        self._is_only_target = is_only_target
         self._run_after = self.last_id
 
     def count_received(self, events: int) -> float:
@@ -149,11 +199,13 @@
                 return
             last_number = 0
         is_gap = number > last_number + 1
-        self._numbering.observe(is_gap)
+        self._numbering.observe(self._target_id, is_gap)
         if not is_gap:
             return
         self.gaps += 1
-        if self._numbering.is_consecutive:
+        if self._numbering.is_consecutive(
+            self._target_id, self._is_only_target
+        ):
             raise TargetOutcomeUnknown(f'event {number} after {last_number}')
 
 
--- a/peridotrill/gateway/generation.py
+++ b/peridotrill/gateway/generation.py
@@ -34,7 +34,7 @@
 from peridotrill.gateway.target_connections import Framing, TargetExchange
 from peridotrill.gateway.target_health import Failure
 from peridotrill.gateway.target_messages import TargetResponse
-from peridotrill.gateway.targets import TargetRecord
+from peridotrill.gateway.targets import TargetRecord, TargetRole
 
 # Lowest status that is not a success.
 _MIN_ERROR_STATUS: Final = 300
@@ -355,7 +355,7 @@
         context = self._context
         self._require_same_stream(response)
         self._require_same_version()
-        self._sequence.start_run()
+        self._start_run()
         splitter = EventStreamParser()
         events = 0
         while True:
@@ -376,6 +376,20 @@
             context.record_harmless(self._sent_s)
         context.responder.end_stream()
 
+    def _start_run(self) -> None:
+        """Begin the events of the current target."""
+        target = self._target
+        if target is None:
+            return
+        context = self._context
+        serving = context.shared.cluster_state.usable_targets(
+            context.service, TargetRole.DECODE
+        )
+        self._sequence.start_run(
+            target.target_id,
+            all(row.target_id == target.target_id for row in serving),
+        )
+
     async def _require_end(self, events: int, response: TargetResponse) -> None:
         """Raise TargetOutcomeUnknown if a run may lack events at its end."""
         context = self._context
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -58,6 +58,8 @@
     - ``unframed_refusal_crash``: crashes after a rejection without length
     - ``slow``: begins a stream after 0.3 s
     - ``swapped``: exchanges the third and the fourth event
+    - ``gapped``: leaves out the third event
+    - ``sparse``: numbers the events 2, 4, 6 and so on
     - ``silent``: runs the request and never responds
     - ``unstamped``: omits the engine stamp from the response
     - ``false_refusal``: runs the request, then responds 503 as if it
@@ -323,6 +325,10 @@
             numbers.clear()
         if fault == 'swapped':
             numbers.insert(3, numbers.pop(2))
+        if fault == 'gapped':
+            numbers.pop(2)
+        if fault == 'sparse':
+            numbers = [number * 2 for number in numbers]
         for number in numbers:
             if fault in _UNFRAMED_FAULTS and number == first + 2:
                 break
--- a/tests/test_event_sequence.py
+++ b/tests/test_event_sequence.py
@@ -91,6 +91,66 @@
     assert served >= 15
 
 
+def run_of(target_id, numbering, is_only_target=False):
+    events = sequence(numbering=numbering)
+    events.start_run(target_id, is_only_target)
+    return events
+
+
+def test_one_faulty_target_does_not_tell_the_numbering():
+    # Guards against a gateway that has just started and lets missing events of
+    # one faulty engine pass, also after some streams of sound ones.
+    numbering = EventNumbering()
+    for _ in range(50):
+        with pytest.raises(TargetOutcomeUnknown):
+            feed(run_of('faulty', numbering), 1, 3)
+    feed(run_of('sound', numbering), *range(1, 10))
+    with pytest.raises(TargetOutcomeUnknown):
+        feed(run_of('faulty', numbering), 1, 3)
+
+
+def test_faulty_target_does_not_excuse_an_event_of_a_sound_one():
+    # Guards against one faulty engine that ends the check of the others.
+    numbering = EventNumbering()
+    for _ in range(50):
+        with pytest.raises(TargetOutcomeUnknown):
+            feed(run_of('faulty', numbering), 1, 3)
+    for target_id in ('b', 'c', 'd'):
+        with pytest.raises(TargetOutcomeUnknown):
+            feed(run_of(target_id, numbering), 1, 2, 4)
+
+
+def test_service_of_several_targets_that_leave_ids_out_is_served():
+    # Guards against a service whose increasing ids count something else.
+    numbering = EventNumbering()
+    served = 0
+    for number in range(40):
+        try:
+            feed(run_of('abcde'[number % 5], numbering), 1, 3, 6, 8)
+        except TargetOutcomeUnknown:
+            continue
+        served += 1
+    assert served >= 30
+    feed(run_of('new', numbering), 2, 5)
+
+
+def test_only_target_tells_the_numbering():
+    # Guards against a service of one engine that is never served.
+    numbering = EventNumbering()
+    for _ in range(2):
+        with pytest.raises(TargetOutcomeUnknown):
+            feed(run_of('a', numbering, is_only_target=True), 1, 3, 6, 8)
+    feed(run_of('a', numbering, is_only_target=True), 1, 3, 6, 8)
+
+
+def test_numbering_remembers_few_targets():
+    # Guards against memory that grows with each engine that has served.
+    numbering = EventNumbering()
+    for number in range(1000):
+        feed(run_of(str(number), numbering), 1, 2)
+    assert len(numbering._targets) == 100
+
+
 def test_faulty_engines_do_not_end_the_check():
     # Guards against a check that gives up while one engine in five is faulty.
     numbering = EventNumbering()
--- a/tests/test_gateway_stream_order.py
+++ b/tests/test_gateway_stream_order.py
@@ -204,6 +204,28 @@
     assert is_whole_or_cut(unreported_site, '/quick/x', *faults)
 
 
+def test_faulty_engine_does_not_teach_a_new_gateway_to_leave_events_out(
+    crashing_site,
+):
+    # Guards against a gateway that has just started and lets missing events of
+    # one engine pass after three of them.
+    for _ in range(6):
+        with pytest.raises(httpx.RemoteProtocolError):
+            ask_engine(crashing_site, 'i-a', '/draft/x', 'gapped')
+
+
+def test_service_that_numbers_events_with_gaps_is_served(crashing_site):
+    # Guards against a service whose increasing ids count something else.
+    served = 0
+    for _ in range(20):
+        response = ask_engine(
+            crashing_site, 'i-a', '/draft/x', 'sparse', others='sparse'
+        )
+        served += response.status_code == 200
+        assert response.status_code == 502 or 'id: 10\n' in response.text
+    assert served >= 14
+
+
 @pytest.fixture
 def leaving_site(crashing_site):
     for engine in crashing_site.engines.values():
