Blame a request only for the end of an engine that was known to run

Cause: a request that breaks is sent again at once. If its next engine has ended as well, on a connection whose end has not arrived yet, it breaks there too and counted as a second crash in a row.

Change: a crash counts only if its process has responded to something that was sent after the crash before it. Before a request that has broken, or that is suspected, goes to an engine without such a response, the engine is asked for its report on the same connection, as for an identification. One that does not respond gets no request, so the attempt is not spent either. The exposure carries the time at which the process was last known to run; it takes the place of the time of sending in reports and in the archive, whose layout is unchanged. Plain services have no report, so there the time of sending stays the evidence.

Both bounds are unchanged. Not covered: requests with the same part that are sent between the break and the confirmation of a crash, or before the news of it reaches their gateway, count only where their engine has responded since.

--- a/peridotrill/gateway/connection_pool.py
+++ b/peridotrill/gateway/connection_pool.py
@@ -39,6 +39,10 @@
         # Whether the process at the address may have ended since a connection
         # was last identified. The record may be that of an earlier process.
         self.is_suspect = True
+        # When the newest message was sent that the process has responded to.
+        # No process is known to run from the connection alone: the kernel
+        # accepts it, and requests, until the process is gone.
+        self.alive_s = 0.0
 
     async def acquire(self, max_idle_s: float) -> TargetConnection:
         """Return an idle or new connection for one request.
--- a/peridotrill/gateway/generation.py
+++ b/peridotrill/gateway/generation.py
@@ -287,6 +287,7 @@
             ),
             context.route.is_repeatable,
             must_identify=self._must_identify(),
+            alive_after_s=context.alive_after_s(),
         )
         self._is_identified = exchange.is_identified
         self._is_asked = True
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -126,7 +126,7 @@
 
     process: int
     ended_age_ms: int
-    sent_age_ms: int
+    alive_age_ms: int
     parts: tuple[str, ...]
 
 
--- a/peridotrill/gateway/prefill.py
+++ b/peridotrill/gateway/prefill.py
@@ -151,6 +151,7 @@
             kv_fetch=None if source is None else str(source.address),
         ),
         allow_retry=True,
+        alive_after_s=context.alive_after_s(),
     )
     with closing(exchange):
         response = await context.read_response_head(
--- a/peridotrill/gateway/quarantine_archive.py
+++ b/peridotrill/gateway/quarantine_archive.py
@@ -32,7 +32,7 @@
 
     process: str
     ended_unix_s: float
-    sent_unix_s: float
+    alive_unix_s: float
     parts: tuple[str, ...]
 
 
@@ -99,7 +99,7 @@
             _SavedCrash(
                 crash.process,
                 crash.ended_s + offset_s,
-                exposure.sent_s + offset_s,
+                exposure.alive_s + offset_s,
                 exposure.parts,
             )
             for crash in self._quarantine.quarantined_crashes()
@@ -128,7 +128,7 @@
             return
         offset_s = self._offset_s()
         for row in rows:
-            exposure = Exposure(row.parts, row.sent_unix_s - offset_s)
+            exposure = Exposure(row.parts, row.alive_unix_s - offset_s)
             self._quarantine.record_crash(
                 TargetCrash(
                     row.process, row.ended_unix_s - offset_s, (exposure,)
--- a/peridotrill/gateway/quarantine_sharing.py
+++ b/peridotrill/gateway/quarantine_sharing.py
@@ -77,6 +77,10 @@
         """Whether a target crashed under a part since its last response."""
         return self._quarantine.is_suspected(part_id)
 
+    def last_crash_s(self, parts: Iterable[str]) -> float:
+        """Return when a target last crashed under one of the parts."""
+        return self._quarantine.last_crash_s(parts)
+
     def try_start_trial(self, part_id: str) -> bool:
         """Allow one request with a part whose quarantine has ended.
 
@@ -135,7 +139,7 @@
                 (proof.part_id,), now_s - proof.age_ms / _MS_PER_S
             )
         for row in report.crashes:
-            exposure = Exposure(row.parts, now_s - row.sent_age_ms / _MS_PER_S)
+            exposure = Exposure(row.parts, now_s - row.alive_age_ms / _MS_PER_S)
             ended_s = now_s - row.ended_age_ms / _MS_PER_S
             crash = TargetCrash(str(row.process), ended_s, (exposure,))
             self._record_proofs(self._quarantine.record_crash(crash))
@@ -165,12 +169,12 @@
             row = CrashRow(
                 int(crash.process),
                 _age_ms(now_s, crash.ended_s),
-                _age_ms(now_s, exposure.sent_s),
+                _age_ms(now_s, exposure.alive_s),
                 exposure.parts,
             )
             key = (crash.process, exposure.parts)
             known = rows.get(key)
-            if known is None or row.sent_age_ms < known.sent_age_ms:
+            if known is None or row.alive_age_ms < known.alive_age_ms:
                 rows[key] = row
     return list(rows.values())
 
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -1,5 +1,6 @@
 """State of one admitted request, and handling of its failed attempts."""
 
+import math
 from datetime import timedelta
 from functools import cached_property, partial
 from http import HTTPStatus
@@ -98,6 +99,8 @@
         self.framing: Framing | None = None
         # Further fields of the log line at the end of the request.
         self.response_fields: dict[str, str | int | None] = {}
+        # When an attempt at an engine last broke.
+        self._broken_s = -math.inf
         # Whether the request tries what is suspected after its quarantine.
         self.is_trial = False
         timeout_ms = route.timeout_ms
@@ -451,7 +454,9 @@
         )
         exposure = None
         if events < HARMLESS_EVENTS:
-            exposure = Exposure(self.suspects, sent_s)
+            exposure = Exposure(
+                self.suspects, self._find_alive_s(target, sent_s)
+            )
         # A trial is one attempt: another one could cost another engine.
         self.is_trial = False
         crashes = self.shared.crashes
@@ -461,6 +466,23 @@
                 target.process,
                 partial(self.shared.targets.is_refused, target),
             )
+        self._broken_s = self.shared.clock.monotonic_s()
+
+    def alive_after_s(self) -> float:
+        """Return since when a process must have responded to get the request.
+
+        An engine that has ended together with the last one is found out before
+        it is sent the request, which therefore is not blamed for its end.
+        """
+        crash_s = self.shared.quarantine.last_crash_s(self.suspects)
+        return max(crash_s, self._broken_s)
+
+    def _find_alive_s(self, target: TargetRecord, sent_s: float) -> float:
+        """Return when a process was last known to run before a request."""
+        if target.role is None:
+            # Plain services have no report to ask for.
+            return sent_s
+        return min(sent_s, self.shared.targets.alive_s(target))
 
     def record_rejection(
         self, target: TargetRecord, response: TargetResponse
--- a/peridotrill/gateway/target_http_client.py
+++ b/peridotrill/gateway/target_http_client.py
@@ -1,7 +1,9 @@
 """HTTP client for targets, with persistent connections."""
 
 import asyncio
+import math
 from datetime import timedelta
+from functools import partial
 from http import HTTPStatus
 from typing import Final, NamedTuple, final
 
@@ -20,7 +22,9 @@
 from peridotrill.gateway.receive_limits import ReceiveBudget
 from peridotrill.gateway.requests import CallerRequest
 from peridotrill.gateway.target_connections import (
+    Match,
     Response,
+    ResponseHead,
     TargetConnection,
     TargetExchange,
 )
@@ -88,12 +92,15 @@
         options: RequestOptions,
         allow_retry: bool,
         must_identify: bool = False,
+        alive_after_s: float = -math.inf,
     ) -> TargetExchange:
         """Send a request; raises TargetUnreachable if nothing was sent.
 
         :param allow_retry: whether the request may run more than once.
         :param must_identify: whether it matters which process responds.
             Raises TargetReplaced if it is not the one of the record.
+        :param alive_after_s: the process is first asked for its report unless
+            it has responded to something that was sent later.
         """
         pool = self._pool(target)
         max_idle = (
@@ -102,11 +109,10 @@
             else self._timeouts.non_idempotent_max_idle
         )
         max_idle_s = max_idle.total_seconds()
-        if must_identify or (
-            pool.is_suspect and target.role is TargetRole.DECODE
-        ):
+        is_suspect = pool.is_suspect and target.role is TargetRole.DECODE
+        if must_identify or is_suspect or pool.alive_s <= alive_after_s:
             connection = await self._acquire_identified(
-                pool, target, max_idle_s
+                pool, target, max_idle_s, alive_after_s
             )
         else:
             connection = await pool.acquire(max_idle_s)
@@ -114,14 +120,33 @@
             request,
             options,
         )
+        now_s = self._clock.monotonic_s()
+        matches = partial(self._match, pool, now_s, request.request_id)
         return connection.start(
-            first_line,
-            headers,
-            request.body,
-            lambda head: self._wire.matches_request(request.request_id, head),
-            options.max_events,
+            first_line, headers, request.body, matches, options.max_events
         )
 
+    def _match(
+        self,
+        pool: ConnectionPool,
+        sent_s: float,
+        request_id: str,
+        head: ResponseHead,
+    ) -> Match:
+        """Tell whether a response belongs to a request sent at a time."""
+        match = self._wire.matches_request(request_id, head)
+        if match is Match.OWN:
+            pool.alive_s = max(pool.alive_s, sent_s)
+        return match
+
+    def alive_s(self, target: TargetRecord) -> float:
+        """Return when the newest message was sent that a process responded to.
+
+        Infinite if nothing is known because the target was removed.
+        """
+        pool = self._pools.get(target.process)
+        return math.inf if pool is None else pool.alive_s
+
     async def read_response_head(
         self, exchange: TargetExchange
     ) -> TargetResponse:
@@ -174,19 +199,26 @@
         return False
 
     async def _acquire_identified(
-        self, pool: ConnectionPool, target: TargetRecord, max_idle_s: float
+        self,
+        pool: ConnectionPool,
+        target: TargetRecord,
+        max_idle_s: float,
+        alive_after_s: float,
     ) -> TargetConnection:
         """Return a connection to the process that wrote the record."""
         for _ in range(_IDENTIFY_ATTEMPTS):
             connection = await pool.acquire(max_idle_s)
-            if connection.is_identified or not target.started_ms:
+            is_known = connection.is_identified or not target.started_ms
+            if is_known and pool.alive_s > alive_after_s:
                 return connection
+            asked_s = self._clock.monotonic_s()
             try:
                 await self._identify(connection, target)
             except TargetOutcomeUnknown:
                 # An idle connection may have ended before it was used.
                 continue
             pool.is_suspect = False
+            pool.alive_s = max(pool.alive_s, asked_s)
             return connection
         raise TargetUnreachable('process not identified')
 
--- a/peridotrill/prompt_quarantine.py
+++ b/peridotrill/prompt_quarantine.py
@@ -51,7 +51,7 @@
     ``companions`` are the parts of all such requests at the process.
     """
 
-    sent_s: float
+    alive_s: float
     ended_s: float
     companions: frozenset[str]
 
@@ -87,7 +87,7 @@
         if known is not None:
             ended_s = min(known.ended_s, exposure.ended_s)
             exposure = _PartExposure(
-                min(ended_s, max(known.sent_s, exposure.sent_s)),
+                min(ended_s, max(known.alive_s, exposure.alive_s)),
                 ended_s,
                 known.companions | exposure.companions,
             )
@@ -111,14 +111,15 @@
     def _count(self) -> None:
         """Count the crashes in a row.
 
-        A crash counts only if the request was sent after the last one that
-        counts: processes that end together, for another reason, may all have
-        been running requests with the part.
+        A crash counts only if its process was running after the last one that
+        counts, and was sent the request later than that: processes that end
+        together, for another reason, may all have been running requests with
+        the part, and requests are sent to them until their ends are known.
         """
         self.crashes = 0
         self.last_crash_s = float('-inf')
         for row in sorted(self.exposures.values(), key=lambda row: row.ended_s):
-            if row.sent_s > self.last_crash_s:
+            if row.alive_s > self.last_crash_s:
                 self.crashes += 1
                 self.last_crash_s = row.ended_s
 
@@ -164,6 +165,20 @@
         """Whether a process crashed under a part since its last response."""
         return part_id in self._suspects
 
+    def last_crash_s(self, parts: Iterable[str]) -> float:
+        """Return when a process last ended under one of the parts.
+
+        Negative infinity if none of them is suspected.
+        """
+        return max(
+            (
+                suspect.last_crash_s
+                for part_id in parts
+                if (suspect := self._suspects.get(part_id))
+            ),
+            default=float('-inf'),
+        )
+
     def try_start_trial(self, part_id: str) -> bool:
         """Allow one request with a part whose quarantine has ended.
 
@@ -223,7 +238,7 @@
                 blamed = tuple(sorted(self._find_blamed(suspect)))
                 crashes.extend(
                     TargetCrash(
-                        process, row.ended_s, (Exposure(blamed, row.sent_s),)
+                        process, row.ended_s, (Exposure(blamed, row.alive_s),)
                     )
                     for process, row in suspect.exposures.items()
                 )
@@ -255,7 +270,7 @@
         suspect.add(
             crash.process,
             _PartExposure(
-                exposure.sent_s, crash.ended_s, frozenset(exposure.parts)
+                exposure.alive_s, crash.ended_s, frozenset(exposure.parts)
             ),
         )
         if suspect.is_quarantined and suspect.crashes > crashes_before:
--- a/peridotrill/target_crashes.py
+++ b/peridotrill/target_crashes.py
@@ -23,11 +23,12 @@
     """A request that a process was running when it ended.
 
     ``parts`` are the ids of the prompt parts that other requests may share,
-    ``sent_s`` is the monotonic time at which the request was sent.
+    ``alive_s`` is a monotonic time at or after which the process is known to
+    have been running, not later than the request was sent.
     """
 
     parts: tuple[str, ...]
-    sent_s: float
+    alive_s: float
 
 
 class TargetCrash(NamedTuple):
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -17,6 +17,8 @@
 _INTERNAL_SERVER_ERROR = 500
 _UNAVAILABLE = 503
 _SLOW_START_S = 0.3
+# Time until a requester learns that a process has ended.
+_LOST_DELAY_S = 0.005
 # Streams that end after their second event.
 _UNFRAMED_FAULTS = frozenset(('unframed_cut', 'unframed_crash'))
 
@@ -59,6 +61,8 @@
 
     Independent of the plan, the engine crashes when it begins to respond to a
     prompt that contains ``deadly_part``, or to a request for ``deadly_path``.
+    It ends together with its ``neighbours``, whose connections stay open until
+    they are used.
     """
 
     def __init__(self, target_id, service, zone, role=None) -> None:
@@ -104,6 +108,9 @@
         self.deadly_path = ''
         self.crashes = 0
         self.crashed = asyncio.Event()
+        self.neighbours: list[ScriptedEngine] = []
+        # Whether the process has ended, of which no requester knows yet.
+        self.is_lost = False
         self._responders: set = set()
         self._handles = itertools.count(1)
         self._next_report = itertools.count(1).__next__
@@ -111,6 +118,7 @@
     def restart(self) -> None:
         """Start again after a crash, as the successor if there is one."""
         self.started_ms += 1
+        self.is_lost = False
         if self.successor is not None:
             self.target_id, self.software_version = self.successor
             self.successor = None
@@ -129,6 +137,8 @@
     def _crash(self) -> None:
         self.crashes += 1
         self.crashed.set()
+        for neighbour in self.neighbours:
+            neighbour.is_lost = True
         for responder in list(self._responders):
             responder.abort()
 
@@ -155,6 +165,11 @@
         if self.crashed.is_set():
             responder.abort()
             return
+        if self.is_lost:
+            await asyncio.sleep(_LOST_DELAY_S)
+            self._crash()
+            responder.abort()
+            return
         self._responders.add(responder)
         try:
             await self._handle(request, responder)
