Send no request twice on one connection to a target

What callers saw: 503 as not run for a payment that ran. Its caller had sent it again under its id after a refusal, as it may; the target then wrote the refusal once more before its response, and the gateway read it for the response.

Cause: responses are told apart by the id of the request, and both messages bear the same one. The gateway reused the connection of the first message for the second.

Evidence: both new tests failed before (503 instead of 200 in each), one at a real gateway with a repeated payment, one at the client with a prefill and a decode.

Change: a connection knows the ids of its last 16 requests and is not used for them again; the request gets another connection, as a request to another target would. A late copy then arrives on a connection without a request in progress, or is skipped there as the response to another request.

--- a/peridotrill/gateway/connection_pool.py
+++ b/peridotrill/gateway/connection_pool.py
@@ -44,12 +44,19 @@
         # accepts it, and requests, until the process is gone.
         self.alive_s = 0.0
 
-    async def acquire(self, max_idle_s: float) -> TargetConnection:
+    async def acquire(
+        self, max_idle_s: float, request_id: str | None = None
+    ) -> TargetConnection:
         """Return an idle or new connection for one request.
 
         :param max_idle_s: connections idle for longer are not reused.
+        :param request_id: connections that carried this request are not reused.
         """
+        used = [row for row in self._idle if request_id in row.request_ids]
+        for row in used:
+            self._idle.remove(row)
         connection = self._pop_idle(max_idle_s)
+        self._idle.extendleft(used)
         if connection is not None:
             return connection
         return await self.open()
--- a/peridotrill/gateway/target_connections.py
+++ b/peridotrill/gateway/target_connections.py
@@ -50,6 +50,9 @@
 _LARGE_PIECE_BYTES: Final = 512
 # Responses to other requests that are skipped before the connection is closed.
 _MAX_SKIPPED_RESPONSES: Final = 4
+# Requests back to which a late copy of a response is expected; targets repeat a
+# response at once, or with the next one.
+_KNOWN_REQUESTS: Final = 16
 # SO_LINGER with a zero timeout: closing resets the connection.
 _LINGER_RESET: Final = struct.pack('ii', 1, 0)
 _NO_BODY_STATUSES: Final = frozenset((204, 304))
@@ -277,6 +280,9 @@
         # Whether the process at the other end is known to be the registered one.
         # A connection never outlives its process.
         self.is_identified = False
+        # Ids of the last requests. A late copy of a response bears the right id
+        # if the same request is sent again, so that needs another connection.
+        self.request_ids: deque[str] = deque(maxlen=_KNOWN_REQUESTS)
         self.limits = limits
         self._meter = limits.open_meter()
         self._transport: asyncio.Transport | None = None
--- a/peridotrill/gateway/target_http_client.py
+++ b/peridotrill/gateway/target_http_client.py
@@ -112,10 +112,11 @@
         is_suspect = pool.is_suspect and target.role is TargetRole.DECODE
         if must_identify or is_suspect or pool.alive_s <= alive_after_s:
             connection = await self._acquire_identified(
-                pool, target, max_idle_s, alive_after_s
+                pool, target, max_idle_s, alive_after_s, request.request_id
             )
         else:
-            connection = await pool.acquire(max_idle_s)
+            connection = await pool.acquire(max_idle_s, request.request_id)
+        connection.request_ids.append(request.request_id)
         first_line, headers = self._wire.format_target_request(
             request,
             options,
@@ -204,10 +205,11 @@
         target: TargetRecord,
         max_idle_s: float,
         alive_after_s: float,
+        request_id: str,
     ) -> TargetConnection:
         """Return a connection to the process that wrote the record."""
         for _ in range(_IDENTIFY_ATTEMPTS):
-            connection = await pool.acquire(max_idle_s)
+            connection = await pool.acquire(max_idle_s, request_id)
             is_known = connection.is_identified or not target.started_ms
             if is_known and pool.alive_s > alive_after_s:
                 return connection
--- a/tests/broken_engines.py
+++ b/tests/broken_engines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from socket import SO_LINGER, SOL_SOCKET
+from typing import NamedTuple
 
 from peridotrill.settings import Address
 from standins.platform_engine import ScriptedEngine
@@ -26,6 +27,12 @@
 _NOT_FOUND = b'HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n'
 
 
+class LateCopy(NamedTuple):
+    """Bytes that are written only on a connection with an earlier request."""
+
+    content: bytes
+
+
 def chunk(content):
     return b'%x\r\n%b\r\n' % (len(content), content)
 
@@ -42,7 +49,8 @@
     """Engines that answer each request with the next script.
 
     A script lists the bytes to write, with ``%(id)b`` for the id of the
-    request, and may end with CLOSE or RESET.
+    request, and may end with CLOSE or RESET. A LateCopy is skipped on a new
+    connection.
     """
 
     def __init__(self):
@@ -55,6 +63,7 @@
     async def handle(self, reader, writer):
         self._writers.add(writer)
         try:
+            await self._answer(reader, writer, is_first=True)
             while True:
                 await self._answer(reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -68,7 +77,7 @@
         self.scripts = []
         self.received = []
 
-    async def _answer(self, reader, writer):
+    async def _answer(self, reader, writer, is_first=False):
         head = await reader.readuntil(b'\r\n\r\n')
         first, *rows = head.decode().split('\r\n')
         headers = {
@@ -82,6 +91,10 @@
         request_id = headers['x-peridotrill-request-id']
         self.received.append((request_id, headers.get('last-event-id')))
         for step in self.scripts.pop(0):
+            if isinstance(step, LateCopy):
+                if is_first:
+                    continue
+                step = step.content
             if step == RESET:
                 peer = writer.get_extra_info('socket')
                 peer.setsockopt(SOL_SOCKET, SO_LINGER, LINGER_RESET)
--- a/tests/test_broken_responses.py
+++ b/tests/test_broken_responses.py
@@ -21,7 +21,9 @@
     REFUSAL,
     REFUSAL_FIELD,
     RESET,
+    UNSTAMPED,
     BrokenEngines,
+    LateCopy,
     caller_headers,
     chunk,
     publish_routes,
@@ -67,6 +69,17 @@
     assert len(engines.received) == 2
 
 
+def test_late_refusal_is_not_that_of_the_same_request_sent_again(site, engines):
+    # Guards against a payment that ran but is answered as not run: its caller
+    # sent it again after a refusal, which the engine then wrote once more.
+    refusal = REFUSAL + UNSTAMPED + EMPTY
+    engines.scripts = [[refusal], [LateCopy(refusal), ANSWER]]
+    request_id = f'broken-{next(_numbers)}'
+    assert call(site.gateway, '/one/x', request_id).status_code == 503
+    assert call(site.gateway, '/one/x', request_id).status_code == 200
+    assert len(engines.received) == 2
+
+
 def test_refusal_without_id_is_believed_on_a_new_connection(site, engines):
     # Guards against refused payments that are not sent to another engine.
     engines.scripts = [[REFUSAL + EMPTY]]
--- a/tests/test_target_connection_reuse.py
+++ b/tests/test_target_connection_reuse.py
@@ -2,15 +2,24 @@
 
 import asyncio
 import time
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
+from types import SimpleNamespace
 
 import pytest
 import uvloop
 
+from peridotrill.clock import SystemClock
 from peridotrill.exceptions import TargetUnreachable
 from peridotrill.gateway.connection_pool import ConnectionPool
+from peridotrill.gateway.target_http_client import (
+    ConnectionTimeouts,
+    TargetHttpClient,
+)
+from peridotrill.gateway.target_messages import RequestOptions
+from peridotrill.gateway.targets import TargetRole
+from peridotrill.platform import wire
 from peridotrill.settings import Address
-from tests.gateway_builders import receive_budget
+from tests.gateway_builders import caller_request, receive_budget, target
 
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 TIMEOUT_S = 5
@@ -117,3 +126,58 @@
                 assert await reader.read() == b''
 
     run(test)
+
+
+def test_late_refusal_of_a_prefill_is_not_that_of_the_decode():
+    # Guards against a stream that is sent to two engines: one changes its role
+    # after it has refused the prefill, takes the decode of the same request, and
+    # then writes the refusal once more.
+    refusal = (
+        b'HTTP/1.1 503 Full\r\nX-Peridotrill-Request-Id: r\r\n'
+        b'X-Peridotrill-Not-Run: 1\r\nContent-Length: 0\r\n\r\n'
+    )
+    answer = refusal.replace(b'503 Full', b'200 OK').replace(
+        b'Not-Run', b'Other'
+    )
+
+    async def handle(reader, writer):
+        await reader.readuntil(b'body')
+        writer.write(refusal)
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            await reader.readuntil(b'body')
+            writer.write(refusal + answer)
+
+    async def handle_first(reader, writer):
+        server.handle = handle_second
+        await handle(reader, writer)
+
+    async def handle_second(reader, writer):
+        await reader.readuntil(b'body')
+        writer.write(answer)
+
+    server = SimpleNamespace(handle=handle_first)
+
+    async def test():
+        listener = await asyncio.start_server(
+            lambda *streams: server.handle(*streams), '127.0.0.1', 0
+        )
+        address = Address(*listener.sockets[0].getsockname()[:2])
+        client = TargetHttpClient(
+            wire, SystemClock(), ConnectionTimeouts(), receive_budget()
+        )
+        engine = target(address=address, role=TargetRole.PREFILL)
+        statuses = []
+        for role in TargetRole:
+            exchange = await client.send(
+                caller_request(),
+                engine,
+                RequestOptions('i-1', None, 1000, role=role),
+                allow_retry=True,
+            )
+            response = await client.read_response_head(exchange)
+            await exchange.read_body()
+            await asyncio.sleep(0)
+            statuses.append(response.status)
+        assert statuses == [503, 200]
+
+    run(test)
