Release the lease of the coordinator as its process ends

Cause: a candidate has to see no new record for a whole lease duration (4 s), counted from its own start. A process that is asked to stop again soon after its start drains before that time is over, so that only the last generation of processes can claim, several seconds after its start.

Two tests of the coordinator cover the release and a restore after it.

Change: a holder that ends appends that it releases the lease, after it has stopped all that needs the lease; the next candidate may claim at once. The append is conditional as all others, so only one claim succeeds. A release counts only in the generation of the store in which it was written: a restore may have dropped the claim that followed it, while its holder still acts. The state machine of the lease now releases as well. A holder that is killed, or whose last step takes longer than 0.1 s, is waited for as before.

--- a/peridotrill/gateway/coordinator.py
+++ b/peridotrill/gateway/coordinator.py
@@ -6,12 +6,15 @@
 lease only if it has seen no new record for the whole lease duration,
 measured on its own monotonic clock. A holder stops acting one lease duration
 after it sent its last renewal. Leases therefore never overlap, even though
-the clocks are not synchronised.
+the clocks are not synchronised. A holder that ends stops acting and then
+appends that it releases the lease, which the next record may claim at once.
 
 If the store is restored from an older copy, the record of the lease in force
 may be lost and offsets are given out again. Every process then waits for the
 whole lease duration from when it noticed the restore. The holder, whose last
 renewal was earlier, may renew in the restored log while its lease is valid.
+A release counts only in the generation in which it was written: the claim that
+followed it may be lost.
 """
 
 import secrets
@@ -132,6 +135,8 @@
         self._log_changed_s: float | None = None
         self._lease: Lease | None = None
         self._renewed_s = 0.0
+        # Generation in which the last record has released the lease, if it has.
+        self._released_in: int | None = None
         # Usage counts that are final, by window.
         self.committed_usage: dict[int, dict[str, int]] = {}
         # Windows whose counts are in the log.
@@ -165,6 +170,22 @@
             self._events.write('coordination_failed', error=str(error))
         self._drop_expired()
 
+    async def release(self) -> None:
+        """Let another process claim the lease at once.
+
+        The caller must have stopped acting on the lease.
+        """
+        if self._lease is None or self._must_catch_up:
+            return
+        self._end_lease('released')
+        record = {'kind': 'release', 'generation': self._generation}
+        try:
+            await self._append(record)
+        except StoreRestored as error:
+            self._handle_restore(error.generation)
+        except _LOG_ERRORS as error:
+            self._events.write('coordination_failed', error=str(error))
+
     async def commit_usage(self, window: int, counts: dict[str, int]) -> bool:
         """Write the final counts of a window to the log before reporting them.
 
@@ -235,6 +256,7 @@
         )
         self._generation = generation
         self._position = 0
+        self._released_in = None
         self._must_catch_up = True
         self._logged_windows.clear()
         self._log_changed_s = self._clock.monotonic_s()
@@ -244,7 +266,7 @@
             self._log_changed_s = self._clock.monotonic_s()
         unchanged_s = self._clock.monotonic_s() - self._log_changed_s
         max_ttl_s = self._ttl_s * (1 + MAX_CLOCK_DRIFT_RATIO)
-        if unchanged_s < max_ttl_s and not self._is_log_unused:
+        if unchanged_s < max_ttl_s and not self._is_free:
             return
         self._must_catch_up = False
         if await self._append({'kind': 'lease', 'holder': self._node}):
@@ -252,6 +274,14 @@
             self._lease = lease
             self._events.write('lease_taken', fence=lease.fence)
 
+    @property
+    def _is_free(self) -> bool:
+        """Whether no lease is in force, however recent the last record is."""
+        is_released = self._released_in is not None
+        if is_released and self._released_in == self._generation:
+            return True
+        return self._is_log_unused
+
     @property
     def _is_log_unused(self) -> bool:
         """Whether no lease was ever claimed."""
@@ -285,8 +315,11 @@
         return bool(page.records)
 
     def _apply_record(self, record: bytes) -> None:
+        self._released_in = None
         try:
             content: Any = decode_json(record)
+            if content['kind'] == 'release':
+                self._released_in = int(content['generation'])
             if content['kind'] == 'usage':
                 window, counts = int(content['window']), dict(content['counts'])
                 self._store_committed_usage(window, counts)
@@ -324,6 +357,7 @@
                 outcome = await self._append_at_end(record)
             if outcome.appended:
                 self._position = outcome.offset + 1
+                self._released_in = None
                 self._record_renewal(sent_s)
                 return True
             page = await self._log.read(self._position, self._generation)
--- a/peridotrill/gateway_coordinator_tasks.py
+++ b/peridotrill/gateway_coordinator_tasks.py
@@ -114,16 +114,30 @@
             log,
         )
         parts.reporting.switching = self._roles.switching
+        self._leaving = anyio.Event()
+        self._has_left = anyio.Event()
 
     async def coordinate(self) -> None:
-        """Claim or renew the lease and act on it until cancelled."""
+        """Claim or renew the lease and act on it until the process leaves."""
         coordinator = self._parts.coordinator
-        while True:
+        while not self._leaving.is_set():
             await coordinator.step(self._may_claim())
             await self._usage.step()
             if self._uptime_s() > _ROLE_CHANGE_DELAY_S:
                 await self._roles.step(self._parts.loads.total, LEASE_MARGIN)
-            await anyio.sleep(STEP_INTERVAL.total_seconds())
+            with anyio.move_on_after(STEP_INTERVAL.total_seconds()):
+                await self._leaving.wait()
+        await coordinator.release()
+        self._has_left.set()
+
+    async def leave(self) -> None:
+        """Release the lease, if this process holds it, before the process ends.
+
+        Its successor then need not wait until the lease expires. That would take
+        longer than some processes live while all gateways are restarted twice.
+        """
+        self._leaving.set()
+        await self._has_left.wait()
 
     async def save_usage(self) -> None:
         """Save usage counts in the store until cancelled.
@@ -132,7 +146,7 @@
         renewal of the lease.
         """
         while True:
-            if self._usage.is_loaded:
+            if self._usage.is_loaded and not self._leaving.is_set():
                 await self._archive.save()
             await anyio.sleep(SAVE_INTERVAL.total_seconds())
 
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -141,6 +141,9 @@
 _FLUSH_TIME_S: Final = 0.4
 # Time for the last write to the store before the process ends.
 _LAST_SAVE_TIME_S: Final = 0.3
+# Time for the end of the current step of the coordinator and for the release of
+# its lease. With the times above, less than the margin.
+_LEAVE_TIME_S: Final = 0.1
 _DRAIN_POLL_INTERVAL_S: Final = 0.02
 # Listen backlog; holds a burst of new connections.
 _BACKLOG: Final = 1024
@@ -635,16 +638,23 @@
         handler.stop()
         port.refuse_incomplete()
         await self._wait_for_close(port, stop_s + _FLUSH_TIME_S)
-        self._reporting.send_last()
-        if self._duties is not None:
-            with anyio.move_on_after(_LAST_SAVE_TIME_S):
-                await self._duties.save_last_usage()
+        await self._leave_peers()
         self._log.write(
             'drained',
             in_progress=unfinished,
             connections=len(port.connections),
         )
 
+    async def _leave_peers(self) -> None:
+        """Hand over what other gateways need when this process has ended."""
+        self._reporting.send_last()
+        if self._duties is None:
+            return
+        with anyio.move_on_after(_LAST_SAVE_TIME_S):
+            await self._duties.save_last_usage()
+        with anyio.move_on_after(_LEAVE_TIME_S):
+            await self._duties.leave()
+
     async def _wait_for_close(self, port: CallerServer, until_s: float) -> None:
         while port.connections and self._clock.monotonic_s() < until_s:
             await anyio.sleep(_DRAIN_POLL_INTERVAL_S)
--- a/tests/test_gateway_coordinator.py
+++ b/tests/test_gateway_coordinator.py
@@ -143,6 +143,10 @@
     def apply_delayed_appends(self):
         self.log.apply_delayed_appends()
 
+    @rule(name=st.sampled_from('abc'))
+    def release(self, name):
+        asyncio.run(self.nodes[name].release())
+
     @rule(name=st.sampled_from('abc'))
     def restart(self, name):
         self.nodes[name] = self._create(name)
@@ -199,6 +203,36 @@
     assert first.held_lease(_NO_MARGIN) is None
 
 
+def test_lease_of_a_holder_that_ends_is_claimed_at_once():
+    # Guards against a usage window that nobody reports because each candidate
+    # ends before the lease of its predecessor has expired.
+    clock = ManualClock()
+    log = FakeLog()
+    for name in 'abc':
+        node = Coordinator(name, log, _TTL, clock, RecordingLog())
+        run_steps(clock, node, 0.5)
+        assert node.held_lease(_NO_MARGIN)
+        asyncio.run(node.release())
+        assert node.held_lease(_NO_MARGIN) is None
+
+
+def test_release_before_a_restore_does_not_count():
+    # Guards against two holders: the claim that followed the release is lost.
+    clock = ManualClock()
+    log = FakeLog()
+    first, second, third = (
+        Coordinator(name, log, _TTL, clock, RecordingLog()) for name in 'abc'
+    )
+    run_steps(clock, first, 0.5)
+    asyncio.run(first.release())
+    length = len(log.records)
+    run_steps(clock, second, 0.5)
+    log.restore(length)
+    run_steps(clock, third, 0.5)
+    assert second.held_lease(_NO_MARGIN)
+    assert third.held_lease(_NO_MARGIN) is None
+
+
 def test_paused_holder_does_not_renew_after_its_successor():
     # Guards against a paused holder that resumes and renews a lease that
     # another process has claimed.
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -300,3 +300,27 @@
         ]
 
     wait_until(lambda: engines <= set(listed()), 5)
+
+
+def test_lease_is_taken_soon_after_all_gateways_were_restarted_twice(site):
+    # Guards against a usage window that is not reported in time: each candidate
+    # drains, or has just started, before the last lease has expired.
+    gateways = site.start_gateways('front-a-1', 'front-a-2')
+    wait_until(
+        lambda: any('lease_taken' in row.read_log() for row in gateways), 10
+    )
+    for _ in range(2):
+        processes = [row.process for row in gateways]
+        for gateway in gateways:
+            gateway.signal(SIGTERM)
+        for gateway, process in zip(gateways, processes, strict=True):
+            gateway.start_after(process)
+        for gateway in gateways:
+            gateway.wait_ready()
+    before = [row.read_log().count('lease_taken') for row in gateways]
+    wait_until(
+        lambda: (
+            before != [row.read_log().count('lease_taken') for row in gateways]
+        ),
+        2.5,
+    )
