Keep even shares of a limit for gateways that are not heard

What callers saw: nothing reported; a state machine of the limits found more than the tolerated sum admitted in a window (11,006 of 9,000, bound 10,700), replayed step by step.

Cause: the share of the remaining limit that a gateway may use grows with its part of the recent use of all gateways. Without reports it knows only its own use, so four gateways that are cut off from each other took 0.63, 0.47, 0.63 and 0.63 of it.

Change: the part that is shared by use is that of the gateways that were heard in the last 1.5 report intervals; each other one keeps an even share. A lost report lowers the share of a gateway by one even share at most, until the next report.

--- a/peridotrill/gateway/shared_quotas.py
+++ b/peridotrill/gateway/shared_quotas.py
@@ -38,6 +38,9 @@
 # Least time after the start for which usage is imported from peers; three of
 # their reports carry it.
 _MIN_IMPORT_PERIOD_S: Final = 2.0
+# A peer whose last report is older than this number of intervals has not been
+# heard: it, or the last report, may be cut off.
+_MAX_HEARD_INTERVALS: Final = 1.5
 # Time constant of the exponential decay of recent use.
 _USE_DECAY_S: Final = 1.5
 
@@ -266,12 +269,14 @@
 
     def end_report_interval(self) -> None:
         """Start a new interval after reporting the local totals."""
-        self._update_all(self._clock.monotonic_s())
+        now_s = self._clock.monotonic_s()
+        self._update_all(now_s)
+        heard = self._count_heard(now_s)
         for name, window in self._windows.items():
             window.spent_since_report = 0
             quota = self._quotas.get(name)
             if quota is not None:
-                window.local_share = self._local_share(window, quota)
+                window.local_share = self._local_share(window, quota, heard)
 
     def admit(self, quota: Quota, cost: float) -> QuotaDecision:
         """Charge the cost of a request if the quota allows it.
@@ -410,16 +415,29 @@
         window.add(imported_s, self._spent.get(quota.name, 0))
         return window
 
-    def _local_share(self, window: _Window, quota: Quota) -> float:
+    def _count_heard(self, now_s: float) -> int:
+        """Return the number of gateways whose use is known, with this one."""
+        interval_s = report_interval_s(len(self._peer_last_report_s))
+        since_s = now_s - _MAX_HEARD_INTERVALS * interval_s
+        heard = 1
+        for last_report_s in reversed(self._peer_last_report_s.values()):
+            if last_report_s < since_s:
+                break
+            heard += 1
+        return heard
+
+    def _local_share(self, window: _Window, quota: Quota, heard: int) -> float:
         """Return the fraction of the remaining quota for this gateway.
 
-        All gateways derive their shares from the same reports, so these add
-        up to about one.
+        Gateways that hear each other derive their shares from the same reports,
+        so these add up to about one. Each one that is not heard keeps an even
+        share: whether it uses less is not known.
         """
-        even = 1 / self.gateways
         prior = max(1.0, quota.burst * _PRIOR_USE_RATIO)
-        by_use = (window.local_use + prior * even) / (window.total_use + prior)
-        return _EVEN_SHARE_RATIO * even + (1 - _EVEN_SHARE_RATIO) * by_use
+        use = window.local_use + prior / heard
+        by_use = use / (window.total_use + prior) * heard
+        shares = _EVEN_SHARE_RATIO + (1 - _EVEN_SHARE_RATIO) * by_use
+        return shares / self.gateways
 
 
 def _fits(
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -335,6 +335,63 @@
     assert admitted <= _RATE * 10 / 4 + _BURST
 
 
+class CutCluster:
+    """Gateways that hear each other for a window, and then may be cut off."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.team = team(rate_per_s=_RATE, burst=_BURST)
+        self.nodes = {name: self._create(name) for name in _NODES}
+        for _ in range(100):
+            self.report(is_cut=False)
+
+    def report(self, is_cut):
+        advance(self.clock, 0.1)
+        for name, quotas in self.nodes.items():
+            for peer, other in self.nodes.items():
+                if peer != name and not is_cut:
+                    other.observe_peer(name, '1', dict(quotas.spent()))
+            quotas.end_report_interval()
+
+    def spend(self):
+        return sum(
+            spend_until_rejected(quotas, self.team)
+            for quotas in self.nodes.values()
+        )
+
+    def _create(self, name):
+        quotas = SharedQuotas(self.clock, _WINDOW)
+        quotas.configure({self.team.name: self.team})
+        for peer in _NODES:
+            if peer != name:
+                quotas.add_peer(peer)
+        return quotas
+
+
+def test_gateways_that_do_not_hear_each_other_keep_even_shares():
+    # Guards against gateways that each take most of the remaining limit, since
+    # none of them hears of the use of the others.
+    cluster = CutCluster()
+    admitted = 0
+    for quotas in cluster.nodes.values():
+        for _ in range(20):
+            admitted += 10 * quotas.admit(cluster.team, 10).is_admitted
+    for _ in range(2):
+        cluster.report(is_cut=True)
+    assert admitted + cluster.spend() <= (_RATE * _WINDOW_S + _BURST) * 1.1
+
+
+def test_gateways_that_are_cut_off_after_a_burst_stay_within_the_limit():
+    # Guards against gateways that use the limit again in each interval, while
+    # none of them hears of the use of the others.
+    cluster = CutCluster()
+    admitted = cluster.spend()
+    for _ in range(20):
+        cluster.report(is_cut=True)
+        admitted += cluster.spend()
+    assert admitted <= (_RATE * _WINDOW_S + _BURST) * 1.1
+
+
 def test_rejection_has_a_usable_retry_after():
     clock = ManualClock()
     limited = team(rate_per_s=100, burst=100)
