--- a/peridotrill/gateway/connection_pool.py
+++ b/peridotrill/gateway/connection_pool.py
@@ -61,13 +61,24 @@
         self.question: ProcessQuestion | None = None
         # Whether the target ended the last connection with its report.
         self.is_closed_early = False
-
-    async def acquire(self, max_idle_s: float) -> TargetConnection:
+        # When the newest message was sent that the process has responded to.
+        # No process is known to run from the connection alone: the kernel
+        # accepts it, and requests, until the process is gone.
+        self.alive_s = 0.0
+
+    async def acquire(
+        self, max_idle_s: float, request_id: str | None = None
+    ) -> TargetConnection:
         """Return an idle or new connection for one request.
 
         :param max_idle_s: connections idle for longer are not reused.
+        :param request_id: connections that carried this request are not reused.
         """
+        used = [row for row in self._idle if request_id in row.request_ids]
+        for row in used:
+            self._idle.remove(row)
         connection = self._pop_idle(max_idle_s)
+        self._idle.extendleft(used)
         if connection is not None:
             return connection
         return await self.open()
--- a/peridotrill/gateway/generation.py
+++ b/peridotrill/gateway/generation.py
@@ -298,6 +298,7 @@
             ),
             context.route.is_repeatable,
             must_identify=self._must_identify(),
+            alive_after_s=context.alive_after_s(),
         )
         self._exchange = exchange
         self._is_asked = True
--- a/peridotrill/gateway/target_http_client.py
+++ b/peridotrill/gateway/target_http_client.py
@@ -1,7 +1,9 @@
 """HTTP client for targets, with persistent connections."""
 
 import asyncio
+import math
 from datetime import timedelta
+from functools import partial
 from http import HTTPStatus
 from typing import Final, NamedTuple, final
 
@@ -21,7 +23,9 @@
 from peridotrill.gateway.receive_limits import ReceiveBudget
 from peridotrill.gateway.requests import CallerRequest
 from peridotrill.gateway.target_connections import (
+    Match,
     Response,
+    ResponseHead,
     TargetConnection,
     TargetExchange,
 )
@@ -91,12 +95,15 @@
         options: RequestOptions,
         allow_retry: bool,
         must_identify: bool = False,
+        alive_after_s: float = -math.inf,
     ) -> TargetExchange:
         """Send a request; raises TargetUnreachable if nothing was sent.
 
         :param allow_retry: whether the request may run more than once.
         :param must_identify: whether it matters which process responds.
             Raises TargetReplaced if it is not the one of the record.
+        :param alive_after_s: the process is first asked for its report unless
+            it has responded to something that was sent later.
         """
         pool = self._pool(target)
         max_idle = (
@@ -105,14 +112,14 @@
             else self._timeouts.non_idempotent_max_idle
         )
         max_idle_s = max_idle.total_seconds()
-        if must_identify or (
-            pool.is_suspect and target.role is TargetRole.DECODE
-        ):
+        is_suspect = pool.is_suspect and target.role is TargetRole.DECODE
+        if must_identify or is_suspect or pool.alive_s <= alive_after_s:
             connection = await self._acquire_identified(
-                pool, target, max_idle_s
+                pool, target, max_idle_s, alive_after_s, request.request_id
             )
         else:
-            connection = await pool.acquire(max_idle_s)
+            connection = await pool.acquire(max_idle_s, request.request_id)
+        connection.request_ids.append(request.request_id)
         first_line, headers = self._wire.format_target_request(
             request,
             options,
@@ -122,12 +129,33 @@
             first_line,
             headers,
             request.body,
-            lambda head: self._wire.matches_request(request.request_id, head),
+            partial(self._match, pool, sent_s, request.request_id),
             options.max_events,
         )
         exchange.sent_s = sent_s
         return exchange
 
+    def _match(
+        self,
+        pool: ConnectionPool,
+        sent_s: float,
+        request_id: str,
+        head: ResponseHead,
+    ) -> Match:
+        """Tell whether a response belongs to a request sent at a time."""
+        match = self._wire.matches_request(request_id, head)
+        if match is Match.OWN:
+            pool.alive_s = max(pool.alive_s, sent_s)
+        return match
+
+    def alive_s(self, target: TargetRecord) -> float:
+        """Return when the newest message was sent that a process responded to.
+
+        Infinite if nothing is known because the target was removed.
+        """
+        pool = self._pools.get(target.process)
+        return math.inf if pool is None else pool.alive_s
+
     async def read_response_head(
         self, exchange: TargetExchange
     ) -> TargetResponse:
@@ -213,18 +241,20 @@
         raise TargetUnreachable('connections reset')
 
     async def _acquire_identified(
-        self, pool: ConnectionPool, target: TargetRecord, max_idle_s: float
+        self,
+        pool: ConnectionPool,
+        target: TargetRecord,
+        max_idle_s: float,
+        alive_after_s: float,
+        request_id: str,
     ) -> TargetConnection:
         """Return a connection to the process that wrote the record."""
         for _ in range(_IDENTIFY_ATTEMPTS):
-            connection = await pool.acquire(max_idle_s)
-            if not target.started_ms:
+            connection = await pool.acquire(max_idle_s, request_id)
+            is_known = connection.identity.is_known or not target.started_ms
+            if is_known and pool.alive_s > alive_after_s:
                 return connection
-            try:
-                is_usable = await self._is_usable(pool, connection, target)
-            except BaseException:
-                connection.abort('process not identified')
-                raise
+            is_usable = await self._is_usable(pool, connection, target)
             if is_usable and connection.is_open:
                 pool.is_suspect = False
                 return connection
@@ -242,8 +272,6 @@
         A target that ends its connections with its responses is asked on
         another one, so that this one remains for a request.
         """
-        if connection.identity.is_known:
-            return True
         try:
             if pool.is_closed_early:
                 await self._identify_on_another(
@@ -256,6 +284,9 @@
         except TargetOutcomeUnknown:
             # An idle connection may have ended before it was used.
             return False
+        except BaseException:
+            connection.abort('process not identified')
+            raise
         return True
 
     async def _identify_on_another(
@@ -299,12 +330,12 @@
             connection.abort('process not identified')
             raise TargetUnidentified(f'not identified: {error}') from error
         pool.is_closed_early = not connection.is_open
-        if not started_ms:
-            return response.body
-        if target.started_ms and started_ms != target.started_ms:
+        if started_ms and started_ms != (target.started_ms or started_ms):
             connection.abort('another process answers')
             raise TargetReplaced(f'process of {started_ms} answers')
-        connection.identity.confirm(sent_s)
+        pool.alive_s = max(pool.alive_s, sent_s)
+        if started_ms:
+            connection.identity.confirm(sent_s)
         return response.body
 
     def _decode_start_time(self, response: Response) -> int:
