Tell what the load soak exercised, and when it was not played

A run whose stand-ins, callers or faults failed looked like a pass, and nothing told whether a stream met the faults. The soak now plays a list of faults, also one that an earlier run has written, counts take-ups by their source, streams cut by kills, and runs that began before the record of their process, and lists what did not happen. Errors end a run as not played, with exit status 2.

--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -191,15 +191,17 @@
         self.engines = {engine.target_id: engine for engine in engines}
         self.addresses = {}
         self.gateways = {}
+        # Event log for the exceptions of the store; None prints them.
+        self.stand_in_log = None
         # Time from the restart of an engine to its record.
         self.registration_delay_s = 0
 
     async def open(self, stack):
         store_address = await stack.enter_async_context(
-            serve_http(self.store.handle),
+            serve_http(self.store.handle, log=self.stand_in_log),
         )
         self.duties_address = await stack.enter_async_context(
-            serve_http(self.duties.handle),
+            serve_http(self.duties.handle, log=self.stand_in_log),
         )
         self._real_store_address = store_address
         tasks = await stack.enter_async_context(anyio.create_task_group())
@@ -280,9 +282,14 @@
 
 
 @contextmanager
-def run_site(folder, engines=()):
+def run_site(folder, engines=(), stand_in_log=None):
+    """Run a store and engines; gateways are started at the site.
+
+    :param stand_in_log: event log for exceptions of the store.
+    """
     with run_proxies() as proxies, start_blocking_portal() as portal:
         site = Site(portal, proxies, folder, engines or default_engines())
+        site.stand_in_log = stand_in_log
 
         async def serve(*, task_status):
             import asyncio  # noqa: PLC0415
--- a/tests/load_soak.py
+++ b/tests/load_soak.py
@@ -2,27 +2,29 @@
 
 ``python -m tests.load_soak SHAPE SEED...`` runs each seed: gateways, engines and
 callers are processes, and the faults are a list with times, drawn from the seed.
-Prints the streams that break their order, and what was exercised.
+``--replay FILE`` plays the list that an earlier run has written. Prints the
+streams that break their order, what was exercised, and what was not.
+
+The exit status is 1 if a stream is broken or a gateway ends by itself, and 2 if
+a run was not played: a stand-in, the callers or this program failed.
 """
 
 import argparse
 import json
-import random
-import signal
 import subprocess
 import sys
 import tempfile
 import threading
 import time
+import traceback
 from collections import Counter
 from contextlib import ExitStack
 from pathlib import Path
 from typing import NamedTuple
 
-from standins.platform_engine import ScriptedEngine
+from tests.engine_proxies import EngineProxies
 from tests.gateway_site import (
     ROOT,
-    SERVERS_TOPIC,
     SIGCONT,
     SIGHUP,
     SIGKILL,
@@ -31,10 +33,28 @@
     run_site,
 )
 from tests.load_checks import find_disordered
-from tests.processes import free_port
+from tests.load_faults import (
+    ACTIONS,
+    PlanOptions,
+    plan_faults,
+    read_faults,
+    write_faults,
+)
+from tests.load_site import EngineProcess
+from tests.load_summary import (
+    SOURCES,
+    EngineEvents,
+    count_cut_by_gateway,
+    count_sources,
+    find_unexercised,
+    summarize_callers,
+)
 
 EVENTS = 13
-START_YEAR_MS = 1_700_000_000_000
+# Time that the callers may take beyond their duration.
+CALLERS_TIMEOUT_S = 40
+FAULT_SHARES = {'cut': 0.03, 'reset': 0.01, 'shed': 0.01, 'half': 0.01}
+PASSED, BROKEN, NOT_PLAYED = range(3)
 
 
 class Shape(NamedTuple):
@@ -61,99 +81,83 @@
 }
 
 
-class EngineProcess:
-    """Address of an engine, with the process that serves there."""
-
-    def __init__(self, soak, name, service, role):
-        self.soak = soak
-        self.name = name
-        self.service = service
-        self.role = role
-        self.port = free_port()
-        self.target_id = name
-        self.version = 'v1'
-        self.process = None
-        self.sequence = 0
-        self.started_ms = 0
-        self.is_registering = True
-
-    def start(self):
-        self.started_ms = int(time.time() * 1000)
-        settings = {
-            'id': self.target_id,
-            'service': self.service,
-            'zone': 'a',
-            'role': self.role,
-            'port': self.port,
-            'started_ms': self.started_ms,
-            'version': self.version,
-            'events': EVENTS,
-            'interval_s': self.soak.shape.interval_s,
-            'journal': str(self.soak.folder / 'engine-events'),
-            'faults': self.soak.engine_faults if self.role != 'prefill' else {},
-        }
-        with (self.soak.folder / f'{self.name}.log').open('ab') as log:
-            self.process = subprocess.Popen(
-                [
-                    sys.executable,
-                    '-m',
-                    'standins.engine_process',
-                    json.dumps(settings),
-                ],
-                cwd=ROOT,
-                stdout=log,
-                stderr=log,
-            )
-        self.soak.processes.append(self.process)
-
-    def kill(self):
-        self.process.send_signal(signal.SIGCONT)
-        self.process.kill()
-        self.process.wait()
-
-    def register(self, **changes):
-        self.sequence += 1
-        stand_in = ScriptedEngine(self.target_id, self.service, 'a', self.role)
-        stand_in.software_version = self.version
-        stand_in.started_ms = self.started_ms
-        record = stand_in.record(
-            f'127.0.0.1:{self.port}',
-            seq=self.sequence,
-            slots=64,
-            **changes,
-        )
-        self.soak.put(SERVERS_TOPIC, self.target_id, record)
+class Run(NamedTuple):
+    """Settings of one run, which its list of faults is kept with."""
+
+    shape: str
+    seed: int
+    duration_s: float
+    rate: float = 1.0
+    busy: int = 0
+    has_proxies: bool = False
+    engine_faults: dict = FAULT_SHARES
+
+
+class GatewayKill(NamedTuple):
+    """A kill of a gateway process."""
+
+    sent_s: float
+    gateway: str
+
+
+class ExceptionList(list):
+    """Event log of a stand-in that keeps the exceptions only."""
+
+    def write(self, event, **fields):
+        """Ignore an event."""
+
+    def write_exception(self, event, error, **fields):
+        self.append(''.join(traceback.format_exception(error)))
 
 
 class LoadSoak:
-    """One seed."""
+    """Plays one list of faults."""
+
+    event_count = EVENTS
 
-    def __init__(self, shape, seed, folder, options):
-        self.shape = shape
+    def __init__(self, run, faults, folder):
+        self.run = run
+        self.shape = SHAPES[run.shape]
+        self.faults = faults
         self.folder = folder
-        self.options = options
-        self.seed = seed
-        self.random = random.Random(seed)
-        self.engine_faults = options.engine_faults
         self.site = None
+        self.proxies = None
         self.engines = []
+        # Decode engines by their places in the list of faults.
+        self.decoders = []
         self.actions = Counter()
         self.rows = []
         self.threads = []
-        # All that this run has started, besides gateways.
+        # Errors of the stand-ins, the callers and this program.
+        self.errors = ExceptionList()
+        # All that this run has started, besides gateways, and what it has killed.
         self.processes = []
+        self.killed = []
+        self.engine_kills = []
+        self.gateway_kills = []
+        # Time of the first record of each engine process.
+        self.registered_s = {}
+        self.gateways_ended = []
         self.stopping = threading.Event()
-        # Whether all engines run one software version.
-        self.is_uniform = False
 
     def put(self, topic, key, content):
         self.site.portal.call(self.site.store.put, topic, key, content)
 
-    def run(self):
+    def play(self):
+        """Play the faults; errors are collected."""
         with ExitStack() as stack:
-            self.site = stack.enter_context(run_site(self.folder, ()))
+            self.site = stack.enter_context(
+                run_site(self.folder, stand_in_log=self.errors)
+            )
+            stack.callback(self._stop_processes)
             for stand_in in list(self.site.engines.values()):
                 self.site.remove(stand_in.target_id)
+            if self.run.has_proxies:
+                log = stack.enter_context(
+                    (self.folder / 'proxies.log').open('w')
+                )
+                self.proxies = EngineProxies(log)
+                self.processes.append(self.proxies.process)
             self._start_engines()
             nodes = [f'front-{n}' for n in range(self.shape.gateways)]
             self.site.start_gateways(
@@ -162,28 +166,50 @@
                 **{'window-s': 2, 'grace-s': 4, 'drain-ms': 2000},
             )
             callers = self._start_callers()
-            beats = threading.Thread(target=self._beat)
-            beats.start()
-            self.processes += [
-                callers,
-                *(
-                    subprocess.Popen([sys.executable, '-c', 'while True: pass'])
-                    for _ in range(self.options.busy)
-                ),
-            ]
+            self._start_busy()
+            self._start_thread(self._beat)
             try:
                 self._play_faults()
-                callers.wait(60)
+                status = callers.wait(self.run.duration_s + CALLERS_TIMEOUT_S)
             finally:
                 self.stopping.set()
-                for thread in (*self.threads, beats):
+                for thread in self.threads:
                     thread.join()
-                for process in self.processes:
-                    process.kill()
-                    process.wait()
-        if callers.returncode:
-            raise RuntimeError(f'callers ended with {callers.returncode}')
-        return self._check()
+            if status:
+                self.errors.append(f'callers ended with {status}')
+            self._check_processes(callers)
+
+    def _stop_processes(self):
+        for process in self.processes:
+            process.kill()
+            process.wait()
+
+    def _check_processes(self, callers):
+        """Note what has ended by itself."""
+        for process in self.processes:
+            is_expected = process in self.killed or process is callers
+            if process.poll() is not None and not is_expected:
+                self.errors.append(
+                    f'{process.args[2:]} ended with {process.returncode}'
+                )
+        for log in self.folder.glob('*.log'):
+            is_gateway = log.stem in self.site.gateways
+            if not is_gateway and 'Traceback' in log.read_text():
+                self.errors.append(f'exception in {log}')
+        for gateway in self.site.gateways.values():
+            ended = {row.pid: row.status for row in gateway.exits}
+            if gateway.process.poll() is not None:
+                ended[gateway.process.pid] = gateway.process.returncode
+            signalled = {
+                row.pid
+                for row in gateway.signals
+                if row.number in {SIGKILL, SIGTERM}
+            }
+            self.gateways_ended += [
+                f'{gateway.node}: process {pid} ended by itself with {status}'
+                for pid, status in ended.items()
+                if pid not in signalled
+            ]
 
     def _start_engines(self):
         roles = [
@@ -197,231 +223,298 @@
             )
             engine.start()
             self.engines.append(engine)
-        time.sleep(1.5)
+            if role == 'decode':
+                self.decoders.append(engine)
         for engine in self.engines:
+            engine.wait_listening()
             engine.register()
 
     def _start_callers(self):
         settings = {
-            'seed': self.seed,
+            'seed': self.run.seed,
             'gateways': {
                 name: gateway.caller_port
                 for name, gateway in self.site.gateways.items()
             },
             'rates': {
-                kind: rate * self.options.rate
+                kind: rate * self.run.rate
                 for kind, rate in self.shape.rates.items()
             },
-            'duration_s': self.options.duration_s,
+            'duration_s': self.run.duration_s,
             'journal': str(self.folder / 'attempts'),
             'tries': 4,
             'leaving': 0.03,
         }
-        return subprocess.Popen(
+        process = subprocess.Popen(
             [sys.executable, '-m', 'tests.load_callers', json.dumps(settings)],
             cwd=ROOT,
         )
+        self.processes.append(process)
+        return process
+
+    def _start_busy(self):
+        self.processes += (
+            subprocess.Popen([sys.executable, '-c', 'while True: pass'])
+            for _ in range(self.run.busy)
+        )
 
     def _beat(self):
         while not self.stopping.wait(1.2):
-            for engine in self.engines:
+            for engine in list(self.engines):
                 if engine.is_registering and engine.process.poll() is None:
                     engine.register()
 
     def _play_faults(self):
         start_s = time.monotonic()
-        end_s = start_s + self.options.duration_s - 1
-        time.sleep(1)
-        while time.monotonic() < end_s:
-            action = self.random.choices(
-                [*ACTIONS], [weight for weight, _ in ACTIONS.values()]
-            )[0]
-            self.is_uniform = (
-                time.monotonic() < start_s + self.options.uniform_s
-            )
-            if action in self.options.without:
-                continue
-            self.actions[action] += 1
-            self._note(action)
-            ACTIONS[action][1](self)
-            time.sleep(self.random.uniform(0.05, 0.6))
+        for fault in self.faults:
+            time.sleep(max(0, start_s + fault.at_s - time.monotonic()))
+            self.actions[fault.action] += 1
+            self._note(f'{fault.action} {fault.settings}')
+            method = getattr(self, fault.action)
+            self._start_thread(method, fault.settings)
 
     def _note(self, text):
         self.rows.append(f'{time.monotonic():.3f} {text}')
 
-    def _later(self, function, *arguments):
-        thread = threading.Thread(target=function, args=arguments)
+    def _start_thread(self, function, settings=None):
+        def run():
+            try:
+                function(**(settings or {}))
+            except Exception:
+                self.errors.append(traceback.format_exc())
+
+        thread = threading.Thread(target=run)
         self.threads.append(thread)
         thread.start()
 
-    def _gateway(self):
-        return self.random.choice(list(self.site.gateways.values()))
+    def _gateway(self, place):
+        return list(self.site.gateways.values())[place]
 
-    def _decoder(self):
-        return self.random.choice(
-            [row for row in self.engines if row.role == 'decode']
-        )
+    # Faults; their arguments are drawn by tests.load_faults.
 
-    def kill_gateways(self):
-        gateways = list(self.site.gateways.values())
-        count = self.random.choice((1, 1, 1, 2, len(gateways)))
-        for gateway in self.random.sample(gateways, count):
+    def kill_gateways(self, gateways):
+        killed = []
+        for place in gateways:
+            gateway = self._gateway(place)
+            killed.append((gateway, gateway.process))
+            self.gateway_kills.append(
+                GatewayKill(time.monotonic(), gateway.node)
+            )
             gateway.signal(SIGKILL)
-            self._later(gateway.start_after, gateway.process)
-
-    def stop_gateway(self):
-        gateway = self._gateway()
-        gateway.signal(SIGTERM)
-        self._later(gateway.start_after, gateway.process)
+        for gateway, process in killed:
+            gateway.start_after(process)
 
-    def reload_gateway(self):
-        self._gateway().signal(SIGHUP)
+    def stop_gateway(self, gateway):
+        stopped = self._gateway(gateway)
+        process = stopped.process
+        stopped.signal(SIGTERM)
+        stopped.start_after(process)
 
-    def freeze_gateway(self):
-        self._later(self._freeze, self._gateway().process, self._pause_s())
+    def reload_gateway(self, gateway):
+        self._gateway(gateway).signal(SIGHUP)
 
-    def freeze_engine(self):
-        self._later(self._freeze, self._decoder().process, self._pause_s())
-
-    def _pause_s(self):
-        return self.random.choice((0.05, 0.3, 1.0, 2.0, 4.0))
-
-    def _freeze(self, process, duration_s):
-        if process.poll() is not None:
-            return
-        process.send_signal(SIGSTOP)
-        time.sleep(duration_s)
-        if process.poll() is None:
-            process.send_signal(SIGCONT)
+    def freeze_gateway(self, gateway, duration_s):
+        _freeze(self._gateway(gateway).process, duration_s)
 
-    def _version(self, *choices):
-        found = self.random.choice(choices)
-        return 'v1' if self.is_uniform else found
+    def freeze_engine(self, engine, duration_s):
+        _freeze(self.decoders[engine].process, duration_s)
 
-    def restart_engine(self):
+    def restart_engine(self, engine, version, delay_s, late_s):
         """Let an engine start again under its id and address."""
-        engine = self._decoder()
-        version = self._version(engine.version, 'v1', 'v2')
-        delay_s = self.random.choice((0, 0, 0.3, 1.5))
-        late_s = self.random.choice((0, 0, 0.5, 3))
-        self._replace(engine, engine.target_id, version, delay_s, late_s)
-
-    def replace_engine(self):
+        row = self.decoders[engine]
+        row.is_registering = False
+        row.kill()
+        time.sleep(delay_s)
+        row.version = version
+        row.start()
+        row.wait_listening()
+        time.sleep(late_s)
+        row.register()
+        row.is_registering = True
+
+    def replace_engine(self, engine, suffix, version, delay_s):
         """Let an engine with another id take over an address."""
-        engine = self._decoder()
-        former_id = engine.target_id
-        name = f'{engine.name}-{self.random.randrange(10**6)}'
-        version = self._version('v1', 'v2')
-        self._replace(engine, name, version, self.random.choice((0, 1)), 0)
-        self.site.remove(former_id)
-
-    def _replace(self, engine, target_id, version, delay_s, late_s):
-        engine.is_registering = False
-        engine.kill()
+        row = self.decoders[engine]
+        former_id = row.target_id
+        row.is_registering = False
+        row.kill()
         time.sleep(delay_s)
-        engine.target_id = target_id
-        engine.version = version
-        engine.start()
-
-        def register():
-            time.sleep(late_s)
-            engine.register()
-            engine.is_registering = True
-
-        self._later(register)
+        row.target_id = f'{row.name}-{suffix}'
+        row.version = version
+        row.start()
+        row.register()
+        row.is_registering = True
+        self.site.remove(former_id)
+        row.wait_listening()
 
-    def release(self):
+    def release(self, engines, version):
         """Replace some engines; the new one starts first, the old one drains."""
-        engines = [row for row in self.engines if row.role == 'decode']
-        version = self._version('v1', 'v2', 'v3')
-        for engine in self.random.sample(engines, self.shape.release_step):
-            name = f'{engine.name}-r{self.random.randrange(10**6)}'
+        pairs = []
+        for place, suffix in engines:
+            old = self.decoders[place]
+            name = f'i-decode-{place}-r{suffix}'
             new = EngineProcess(self, name, 'llm', 'decode')
             new.version = version
+            new.is_registering = False
             new.start()
+            pairs.append((place, old, new))
+        for place, old, new in pairs:
+            new.wait_listening()
+            new.register()
+            new.is_registering = True
             self.engines.append(new)
-            self.engines.remove(engine)
-            self._later(self._finish_release, engine, new)
-
-    def _finish_release(self, engine, new):
-        time.sleep(0.6)
-        new.register()
+            self.decoders[place] = new
+            old.is_registering = False
         time.sleep(0.4)
-        engine.is_registering = False
-        engine.register(state='draining')
+        for _, old, _ in pairs:
+            old.register(state='draining')
         time.sleep(2.5)
-        self.site.remove(engine.target_id)
-        engine.kill()
+        for _, old, _ in pairs:
+            self.site.remove(old.target_id)
+            old.kill()
+            self.engines.remove(old)
+
+    def cut_engine(self, engine, duration_s, old):
+        """Let an engine and all gateways hear nothing of each other."""
+        row = self.decoders[engine]
+        row.call_proxy('cut_off')
+        time.sleep(duration_s)
+        row.call_proxy('reconnect', old=old)
+
+    def restart_cut_off_engine(self, engine, version, duration_s, late_s, old):
+        """Let an engine start again behind a cut, and register late.
+
+        The cut ends once the new process listens: a refused connection would
+        tell the gateways of the restart.
+        """
+        row = self.decoders[engine]
+        end_s = time.monotonic() + duration_s
+        row.is_registering = False
+        row.call_proxy('cut_off')
+        row.kill(is_seen=False)
+        row.version = version
+        row.start()
+        row.wait_listening()
+        time.sleep(max(0, end_s - time.monotonic()))
+        row.call_proxy('reconnect', old=old)
+        self._note(f'end of the cut of {row.target_id}')
+        time.sleep(late_s)
+        row.register()
+        row.is_registering = True
+
+    def cut_gateway(self, gateway, duration_s, old):
+        """Let one gateway and all engines hear nothing of each other."""
+        pid = self._gateway(gateway).process.pid
+        decoders = list(self.decoders)
+        for row in decoders:
+            row.call_proxy('cut_off', pid=pid)
+        time.sleep(duration_s)
+        for row in decoders:
+            row.call_proxy('reconnect', pid=pid, old=old)
 
-    def cut_store(self):
-        proxy = self._gateway().store_proxy
+    def cut_store(self, gateway, duration_s):
+        proxy = self._gateway(gateway).store_proxy
         proxy.hold()
-        self._later(self._heal_store, proxy, self.random.choice((0.3, 2, 5)))
-
-    def slow_store(self):
-        for gateway in self.site.gateways.values():
-            proxy = gateway.store_proxy
-            proxy.delay_s = self.random.choice((0.05, 0.2))
-            self._later(self._heal_store, proxy, 3)
-
-    def _heal_store(self, proxy, after_s):
-        time.sleep(after_s)
+        time.sleep(duration_s)
         proxy.heal()
 
-    def fault_store(self):
-        self.site.store.fault = self.random.choice(
-            ('down', 'silent', 'lose_appends')
-        )
-
-        def heal():
-            time.sleep(self.random.choice((0.5, 2, 5)))
-            self.site.store.fault = ''
+    def slow_store(self, delays_s, duration_s):
+        proxies = [row.store_proxy for row in self.site.gateways.values()]
+        for proxy, delay_s in zip(proxies, delays_s, strict=True):
+            proxy.delay_s = delay_s
+        time.sleep(duration_s)
+        for proxy in proxies:
+            proxy.heal()
 
-        self._later(heal)
+    def fault_store(self, fault, duration_s):
+        self.site.store.fault = fault
+        time.sleep(duration_s)
+        self.site.store.fault = ''
 
-    # Checks.
+    # Results.
 
-    def _check(self):
+    def check(self):
+        """Return what is broken, a summary, and what was not exercised."""
+        (self.folder / 'faults.log').write_text('\n'.join(self.rows))
         attempts = [
-            json.loads(row)
-            for row in (self.folder / 'attempts').read_text().splitlines()
+            json.loads(row) for row in _read_lines(self.folder / 'attempts')
         ]
-        broken = find_disordered(attempts, EVENTS)
-        summary = Counter(
-            f'{row["name"].partition("-")[0]} '
-            f'{row["status"] if row["is_complete"] else "cut"}'
-            for row in attempts
+        broken = find_disordered(attempts, EVENTS) + self.gateways_ended
+        callers = summarize_callers(attempts)
+        if not callers['streams']:
+            self.errors.append('no stream was played')
+        counts = self._count_exercised(attempts)
+        missing = find_unexercised(
+            {**callers, **counts}, self.actions, self.run.has_proxies
         )
-        (self.folder / 'faults').write_text('\n'.join(self.rows))
-        taken_up = [row for row in attempts if row['after']]
-        return broken, {
-            'streams': len({row['began'] for row in attempts if row['events']}),
-            'taken up': len(taken_up),
-            'went on': sum(bool(row['events']) for row in taken_up),
-            **dict(sorted(summary.items())),
-            **dict(sorted(self.actions.items())),
+        summary = {**callers, **dict(sorted(self.actions.items())), **counts}
+        return broken, summary, missing
+
+    def _count_exercised(self, attempts):
+        events = EngineEvents(
+            _read_lines(self.folder / 'engine-events'), EVENTS
+        )
+        logs = [row.read_text() for row in self.folder.glob('front-*.log')]
+        sources = count_sources(logs)
+        unregistered = events.begun_unregistered(self.registered_s)
+        return {
+            **{f'take-ups by {name}': sources[name] for name in SOURCES},
+            'streams cut by a kill of a gateway': sum(
+                count_cut_by_gateway(attempts, row.gateway, row.sent_s)
+                for row in self.gateway_kills
+            ),
+            'streams cut by a kill of an engine': sum(
+                map(events.count_cut_by, self.engine_kills)
+            ),
+            'runs begun before the record': len(unregistered),
+            'second versions': len(events.versions()) - 1,
         }
 
 
-ACTIONS = {
-    'kill gateways': (3, LoadSoak.kill_gateways),
-    'stop gateway': (1, LoadSoak.stop_gateway),
-    'reload gateway': (1, LoadSoak.reload_gateway),
-    'freeze gateway': (2, LoadSoak.freeze_gateway),
-    'freeze engine': (2, LoadSoak.freeze_engine),
-    'restart engine': (4, LoadSoak.restart_engine),
-    'replace engine': (2, LoadSoak.replace_engine),
-    'release': (1, LoadSoak.release),
-    'cut store': (2, LoadSoak.cut_store),
-    'slow store': (1, LoadSoak.slow_store),
-    'fault store': (1, LoadSoak.fault_store),
-}
+def _freeze(process, duration_s):
+    if process.poll() is not None:
+        return
+    process.send_signal(SIGSTOP)
+    time.sleep(duration_s)
+    if process.poll() is None:
+        process.send_signal(SIGCONT)
+
+
+def _read_lines(path):
+    return path.read_text().splitlines() if path.exists() else []
+
+
+def play_run(run, faults):
+    """Play one list of faults and print the results; returns the status."""
+    folder = Path(tempfile.mkdtemp(prefix=f'load-{run.seed}-'))
+    write_faults(folder / 'faults', run._asdict(), faults)
+    soak = LoadSoak(run, faults, folder)
+    try:
+        soak.play()
+    except Exception:
+        soak.errors.append(traceback.format_exc())
+    broken, summary, missing = soak.check()
+    name = f'{run.shape} {run.seed}'
+    print(f'{name}: {summary}', *broken, sep='\n  ')
+    print(f'  not exercised: {", ".join(missing) or "nothing"}')
+    print(f'  logs: {folder}', flush=True)
+    if soak.errors:
+        # The first error usually causes the others.
+        print(f'{name}: not played, {len(soak.errors)} errors')
+        print(soak.errors[0], flush=True)
+        return NOT_PLAYED
+    return BROKEN if broken else PASSED
 
 
 def parse_arguments():
     parser = argparse.ArgumentParser()
-    parser.add_argument('shape', choices=SHAPES)
-    parser.add_argument('seeds', type=int, nargs='+')
+    parser.add_argument('shape', choices=SHAPES, nargs='?')
+    parser.add_argument('seeds', type=int, nargs='*')
+    parser.add_argument(
+        '--replay',
+        type=Path,
+        help='file named faults in the folder of an earlier run',
+    )
     parser.add_argument('--duration-s', type=float, default=60)
     parser.add_argument(
         '--uniform-s',
@@ -431,26 +524,51 @@
     )
     parser.add_argument('--rate', type=float, default=1.0)
     parser.add_argument('--busy', type=int, default=0)
-    parser.add_argument('--without', nargs='*', default=[])
+    parser.add_argument('--without', nargs='*', default=[], choices=ACTIONS)
+    parser.add_argument(
+        '--proxies',
+        action='store_true',
+        help='put proxies between gateways and engines, and cut connections',
+    )
     parser.add_argument(
-        '--engine-faults',
-        type=json.loads,
-        default={'cut': 0.03, 'reset': 0.01, 'shed': 0.01, 'half': 0.01},
+        '--engine-faults', type=json.loads, default=FAULT_SHARES
+    )
+    options = parser.parse_args()
+    if bool(options.replay) == bool(options.seeds):
+        parser.error('either a shape and seeds or --replay')
+    return options
+
+
+def list_runs(options):
+    """Return each run with its faults."""
+    if options.replay:
+        run, faults = read_faults(options.replay)
+        return [(Run(**run), faults)]
+    plan_options = PlanOptions(
+        options.duration_s,
+        options.uniform_s,
+        options.proxies,
+        tuple(options.without),
     )
-    return parser.parse_args()
+    found = []
+    for seed in options.seeds:
+        run = Run(
+            options.shape,
+            seed,
+            options.duration_s,
+            options.rate,
+            options.busy,
+            options.proxies,
+            options.engine_faults,
+        )
+        faults = plan_faults(SHAPES[run.shape], seed, plan_options)
+        found.append((run, faults))
+    return found
 
 
 def main():
-    options = parse_arguments()
-    failed = 0
-    for seed in options.seeds:
-        folder = Path(tempfile.mkdtemp(prefix=f'load-{seed}-'))
-        soak = LoadSoak(SHAPES[options.shape], seed, folder, options)
-        broken, summary = soak.run()
-        failed += bool(broken)
-        print(f'{options.shape} {seed}: {summary}', *broken, sep='\n  ')
-        print(f'  logs: {folder}', flush=True)
-    return 1 if failed else 0
+    runs = list_runs(parse_arguments())
+    return max(play_run(run, faults) for run, faults in runs)
 
 
 if __name__ == '__main__':
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -56,6 +56,12 @@
             return port
 
 
+def is_listening(port):
+    """Tell whether a process accepts connections at a port."""
+    with socket.socket() as probe:
+        return probe.connect_ex(('127.0.0.1', port)) == 0
+
+
 def wait_for(
     condition, timeout_s=15.0, description='condition', interval_s=0.02
 ):
