Keep the lists of faults that mix versions in the streams of a load

An engine starts again behind a cut under its id with a second version, its record is 3 s late, and it ends again before the record: its streams go on at the first version.

--- a/tests/load_soak.py
+++ b/tests/load_soak.py
@@ -2,8 +2,9 @@
 
 ``python -m tests.load_soak SHAPE SEED...`` runs each seed: gateways, engines and
 callers are processes, and the faults are a list with times, drawn from the seed.
-``--replay FILE`` plays the list that an earlier run has written. Prints the
-streams that break their order, what was exercised, and what was not.
+``--replay FILE`` plays the list that an earlier run has written, or one of
+``tests/load_plans``. Prints the streams that break their order, what was
+exercised, and what was not.
 
 The exit status is 1 if a stream is broken or a gateway ends by itself, and 2 if
 a run was not played: a stand-in, the callers or this program failed.
--- a/tests/test_load_faults.py
+++ b/tests/test_load_faults.py
@@ -3,8 +3,11 @@
 Guards against faults that differ between two plays of the same seed or file.
 """
 
+import inspect
+
 import pytest
 
+from tests.gateway_site import ROOT
 from tests.load_faults import (
     ACTIONS,
     PlanOptions,
@@ -12,10 +15,11 @@
     read_faults,
     write_faults,
 )
-from tests.load_soak import SHAPES
+from tests.load_soak import SHAPES, LoadSoak, Run
 
 OPTIONS = PlanOptions(duration_s=60, has_proxies=True)
 TAPBOOK = SHAPES['tapbook']
+PLANS = sorted((ROOT / 'tests/load_plans').iterdir())
 
 
 def test_seed_draws_the_same_faults_again():
@@ -80,3 +84,24 @@
             fault.settings.get(name, 0) for name in ('duration_s', 'late_s')
         )
         free_s[place] = fault.at_s + sum(lasting)
+
+
+def _require_playable(faults):
+    for fault in faults:
+        method = getattr(LoadSoak, fault.action)
+        inspect.signature(method).bind(None, **fault.settings)
+
+
+def test_drawn_faults_can_be_played():
+    for seed in range(10):
+        _require_playable(plan_faults(TAPBOOK, seed, OPTIONS))
+
+
+@pytest.mark.parametrize('path', PLANS, ids=lambda path: path.name)
+def test_kept_list_can_be_played(path):
+    # A list that no longer fits would end each of its runs as not played.
+    run, faults = read_faults(path)
+    settings = Run(**run)
+    assert settings.shape in SHAPES
+    assert faults[-1].at_s < settings.duration_s
+    _require_playable(faults)
