Log whether the process that began a stream was identified, not the last one

Of 14 streams of a load soak that held events of two versions, 12 said identified=True, which was the run that went on. The field now has the state at the first event. No decision changes.

--- a/peridotrill/gateway/generation.py
+++ b/peridotrill/gateway/generation.py
@@ -98,6 +98,8 @@
         self._first_event_s = 0.0
         self._attempt_events = 0
         self._exchange: TargetExchange | None = None
+        # Whether the process that sent the first event was identified by then.
+        self._began_identified: bool | None = None
         # Whether its process can be told from others, once that is known.
         self._is_named: bool | None = None
         self._was_asked_who = anyio.Event()
@@ -169,7 +171,7 @@
             'gaps': sequence.gaps,
             'disordered': sequence.disordered,
             'software': self._version or None,
-            'identified': self._is_identified(),
+            'identified': self._began_identified,
         }
 
     def _mark_prefill_done(self) -> None:
@@ -595,6 +597,7 @@
         """Begin the response to the caller with the head of an engine's."""
         context = self._context
         context.first_byte_s = context.shared.clock.monotonic_s()
+        self._began_identified = self._is_identified()
         context.count_usage()
         self._record_origin()
         context.responder.start_stream(response.status, response.headers)
