--- a/tests/test_gateway_quarantine.py
+++ b/tests/test_gateway_quarantine.py
@@ -307,6 +307,7 @@
         crashes=CrashDetector(cluster.clock, log),
         quarantine=gateway.sharing,
         targets=SimpleNamespace(is_refused=print, alive_s=lambda _: math.inf),
+        cluster_state=SimpleNamespace(find_target=lambda _: None),
         start_task=lambda *_: None,
     )
     request = caller_request(
