Read all records after an error of a follower, and log an unreadable report

Since a follower that is started again after an unexpected error went on at the offset of the record that had caused it, so that record failed again each time; before, a full read passed over one that a newer record had replaced. The new test fails without the change. A report that names no readable runs after a response without length was passed over without a log line.

--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -402,7 +402,12 @@
             return self.shared.wire.decode_events_made(
                 report, self.request.request_id
             )
-        except CodecError:
+        except CodecError as error:
+            self.shared.log.write(
+                'report_unreadable',
+                request=self.request.request_id,
+                error=str(error),
+            )
             return 0
 
     def can_retry_elsewhere(self) -> bool:
--- a/peridotrill/gateway/store_follower.py
+++ b/peridotrill/gateway/store_follower.py
@@ -214,6 +214,8 @@
         :param on_confirmed: called after each read with the time at which it
             was requested.
         """
+        # After an error, only a full read passes over the record that caused it.
+        self._end = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._confirm_when_wanted)
             await self._follow(on_snapshot, on_row, on_confirmed)
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -204,3 +204,27 @@
 
     anyio.run(run)
     assert len(confirmed) >= 0.9 * callers
+
+
+def test_follower_that_starts_again_reads_all_records():
+    # Guards against a record that fails again after each start of the follower,
+    # although a newer one has replaced it.
+    reader = ScriptedReader()
+    follower = TopicFollower(
+        'keyed.servers',
+        reader,
+        PollTimings(_WAIT, timedelta(0)),
+        SystemClock(),
+        RecordingLog(),
+    )
+    snapshots = []
+
+    async def run():
+        for _ in range(2):
+            with anyio.move_on_after(0.2):
+                await follower.run(
+                    snapshots.append, print, lambda requested_s: None
+                )
+
+    anyio.run(run)
+    assert len(snapshots) == 2
