Send nothing new to evacuated zones, and keep requests in their regions

Routes and teams could not be restricted to regions either. Change: ZoneEvacuations, read with the configuration, and allowed regions of routes and teams; both act in usable_targets, so that all decisions follow. A deployment without such records or lists is served as before.

--- a/peridotrill/gateway/cluster_state.py
+++ b/peridotrill/gateway/cluster_state.py
@@ -1,7 +1,7 @@
 """Configuration and targets as known to a gateway process."""
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 from typing import Final, NamedTuple, final
 
@@ -10,6 +10,7 @@
 from peridotrill.gateway.event_log import EventLog
 from peridotrill.gateway.targets import TargetRecord, TargetRole
 from peridotrill.gateway.version_history import VersionHistory
+from peridotrill.gateway.zone_evacuations import ZoneEvacuations
 
 
 class FreshnessBounds(NamedTuple):
@@ -42,11 +43,16 @@
         bounds: FreshnessBounds,
         log: EventLog,
         is_first_start: bool = False,
+        zone_regions: Mapping[str, str] | None = None,
     ) -> None:
         """Start without configuration and targets.
 
         :param is_first_start: whether the whole system starts for the first time.
+
+        :param zone_regions: region of each availability zone.
         """
+        self.evacuations = ZoneEvacuations(log)
+        self._zone_regions = zone_regions or {}
         self.versions = VersionHistory(clock, is_complete=is_first_start)
         self._clock = clock
         self._log = log
@@ -243,6 +249,7 @@
         self._relisted_at_s = (
             self._clock.monotonic_s() + _RELISTING_TIME.total_seconds()
         )
+        self.evacuations.expect_lost_records()
 
     def remove_target(self, target_id: str, reason: str) -> None:
         """Schedule the removal of a target after the grace period."""
@@ -354,6 +361,7 @@
         service: str,
         role: TargetRole | None = None,
         version: str | None = None,
+        regions: frozenset[str] | None = None,
     ) -> list[TargetRecord]:
         """Return the targets of a service that accept new requests.
 
@@ -361,9 +369,11 @@
 
         :param version: return only targets with this software version, and
             engines that only do prefill; None for all.
+
+        :param regions: return only targets in these regions; None for all.
         """
         self.drop_removed_targets()
-        return [
+        found = [
             row
             for row in self._targets.values()
             if row.service == service
@@ -371,12 +381,33 @@
             and (role is None or row.role is role)
             and (version is None or row.can_write(version))
         ]
+        if regions is None:
+            return found
+        return [row for row in found if self._region(row) in regions]
+
+    def _region(self, target: TargetRecord) -> str | None:
+        return self._zone_regions.get(target.zone)
 
     def _is_usable(self, target: TargetRecord) -> bool:
-        return not target.is_draining and not self._is_suspended(
-            target.target_id
+        return (
+            not target.is_draining
+            and target.zone not in self.evacuations
+            and not self._is_suspended(target.target_id)
         )
 
+    def update_evacuation(self, zone: str, is_evacuated: bool) -> None:
+        """Apply the operator's evacuation of a zone, or its end."""
+        if is_evacuated:
+            self.evacuations.evacuate(zone)
+        else:
+            self.evacuations.take_back(zone)
+        self.on_change()
+
+    def retain_evacuations(self, zones: Iterable[str]) -> None:
+        """Apply a full listing of the evacuated zones."""
+        self.evacuations.apply_listing(zones)
+        self.on_change()
+
     def all_targets(self) -> list[TargetRecord]:
         """Return all targets, including draining ones."""
         return list(self._targets.values())
--- a/peridotrill/gateway/configuration.py
+++ b/peridotrill/gateway/configuration.py
@@ -13,7 +13,11 @@
 
 
 class Route(NamedTuple):
-    """One route; ``max_targets`` limits the targets that run a request."""
+    """One route; ``max_targets`` limits the targets that run a request.
+
+    ``allowed_regions`` are the regions whose targets may run its requests, None
+    for all.
+    """
 
     name: str
     host: str
@@ -26,6 +30,7 @@
     max_targets: int
     is_public: bool
     can_resume: bool
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def is_repeatable(self) -> bool:
@@ -53,6 +58,8 @@
 
     Rate and burst are in tokens if ``counts_tokens`` is set, else in
     requests. A request without a prompt counts as ``plain_tokens`` tokens.
+    ``allowed_regions`` are the regions whose targets may run its requests, None
+    for all.
     """
 
     name: str
@@ -62,6 +69,7 @@
     burst: float
     counts_tokens: bool
     plain_tokens: float
+    allowed_regions: frozenset[str] | None = None
 
 
 class CallerLimits(NamedTuple):
--- a/peridotrill/gateway/generation.py
+++ b/peridotrill/gateway/generation.py
@@ -199,6 +199,7 @@
                 context.request.prompt,
                 context.excluded,
                 context.stream_version,
+                context.allowed_regions,
             ),
             1,
             DECODE_LATENCY_S,
--- a/peridotrill/gateway/metrics.py
+++ b/peridotrill/gateway/metrics.py
@@ -69,6 +69,10 @@
     'peridotrill_limited_targets',
     'Targets that name a limit on their requests',
 )
+EVACUATED_ZONES: Final = Gauge(
+    'peridotrill_evacuated_zones',
+    'Availability zones that the operator has evacuated',
+)
 MODEL_ENGINES: Final = Gauge(
     'peridotrill_model_engines',
     'Model engines that accept requests, by service and role',
--- a/peridotrill/gateway/part_sharing.py
+++ b/peridotrill/gateway/part_sharing.py
@@ -92,8 +92,11 @@
         )
         for target in self._cluster_state.all_targets():
             name = target.target_id
-            if target.role is not None and self._node in rank_for_key(
-                active_nodes, name, 1
+            is_evacuated = target.zone in self._cluster_state.evacuations
+            if (
+                target.role is not None
+                and not is_evacuated
+                and self._node in rank_for_key(active_nodes, name, 1)
             ):
                 await self._query_engine(target)
 
--- a/peridotrill/gateway/placement.py
+++ b/peridotrill/gateway/placement.py
@@ -117,6 +117,7 @@
         role: TargetRole | None = None,
         version: str | None = None,
         by_s: float = math.inf,
+        regions: frozenset[str] | None = None,
     ) -> bool:
         """Return whether a service has a target that is not excluded.
 
@@ -125,12 +126,14 @@
         :param version: software version of the output; None for any.
 
         :param by_s: targets that want no requests until then do not count.
+
+        :param regions: regions in which the target may be; None for all.
         """
         return any(
             row.target_id not in excluded
             and self._health.paused_until_s(row.target_id) < by_s
             for row in self._cluster_state.usable_targets(
-                service, role, version
+                service, role, version, regions
             )
         )
 
@@ -155,12 +158,20 @@
         return prompt is not None and (prompt.prompt_tokens >= MIN_SPLIT_TOKENS)
 
     def plain_finder(
-        self, service: str, excluded: set[str]
+        self,
+        service: str,
+        excluded: set[str],
+        regions: frozenset[str] | None = None,
     ) -> ReservationFinder:
-        """Return a finder for a target of a plain service."""
+        """Return a finder for a target of a plain service.
+
+        :param regions: regions in which the target may be; None for all.
+        """
 
         def find() -> Reservation | None:  # noqa: WPS430
-            targets = self._targets_with_capacity(service, None, excluded)
+            targets = self._targets_with_capacity(
+                service, None, excluded, regions=regions
+            )
             target = choose_least_loaded(targets, self._loads, self._local_zone)
             return None if target is None else Reservation(target, running=1)
 
@@ -172,10 +183,13 @@
         prompt: Prompt | None,
         excluded: set[str],
         version: str | None = None,
+        regions: frozenset[str] | None = None,
     ) -> ReservationFinder:
         """Return a finder for the engine that generates the output.
 
         :param version: software version of the engine; None for any.
+
+        :param regions: regions in which the engine may be; None for all.
         """
 
         def find() -> Reservation | None:  # noqa: WPS430
@@ -184,6 +198,7 @@
                 TargetRole.DECODE,
                 excluded,
                 version,
+                regions,
             )
             target = choose_decode(
                 targets,
@@ -201,17 +216,20 @@
         prompt: Prompt,
         excluded: set[str],
         version: str | None = None,
+        regions: frozenset[str] | None = None,
     ) -> ReservationFinder:
         """Return a finder for the engine that processes a prompt.
 
         A decode engine that processes the prompt also generates the output.
 
         :param version: software version of the output; None for any.
+
+        :param regions: regions in which the engine may be; None for all.
         """
 
         def find() -> Reservation | None:  # noqa: WPS430
             targets = self._targets_with_capacity(
-                service, None, excluded, version
+                service, None, excluded, version, regions
             )
             found = choose_prefill_engine(
                 prompt,
@@ -306,6 +324,7 @@
         role: TargetRole | None,
         excluded: set[str],
         version: str | None = None,
+        regions: frozenset[str] | None = None,
     ) -> list[TargetRecord]:
         """Return the targets that can take a request now.
 
@@ -315,7 +334,7 @@
         targets = [
             row
             for row in self._cluster_state.usable_targets(
-                service, role, version
+                service, role, version, regions
             )
             if row.target_id not in excluded
             and self._health.paused_until_s(row.target_id) == -math.inf
--- a/peridotrill/gateway/plain_requests.py
+++ b/peridotrill/gateway/plain_requests.py
@@ -52,7 +52,7 @@
 async def _reserve_target(context: RequestContext) -> Reservation:
     await context.require_target(context.excluded)
     finder = context.shared.placement.plain_finder(
-        context.service, context.excluded
+        context.service, context.excluded, context.allowed_regions
     )
     return await context.reserve_target(
         Pool.PLAIN,
--- a/peridotrill/gateway/prefill.py
+++ b/peridotrill/gateway/prefill.py
@@ -97,7 +97,11 @@
     return await context.reserve_target(
         pool,
         placement.prefill_finder(
-            context.service, prompt, excluded, context.stream_version
+            context.service,
+            prompt,
+            excluded,
+            context.stream_version,
+            context.allowed_regions,
         ),
         work_ms,
         work_ms / 1000 + _PREFILL_LATENCY_S + DECODE_LATENCY_S,
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -120,6 +120,15 @@
         """Name of the team; empty if the route is public."""
         return self.team.name if self.team else ''
 
+    @cached_property
+    def allowed_regions(self) -> frozenset[str] | None:
+        """Regions whose targets may run the request; None for all."""
+        of_route = self.route.allowed_regions
+        of_team = None if self.team is None else self.team.allowed_regions
+        if of_route is None or of_team is None:
+            return of_team if of_route is None else of_route
+        return of_route & of_team
+
     def is_late(self) -> bool:
         """Tell whether the latency goal for the first byte has been missed."""
         waited_s = self.shared.clock.monotonic_s() - self.request.received_s
@@ -202,6 +211,7 @@
             role,
             self.stream_version,
             self.deadline_s,
+            self.allowed_regions,
         )
 
     async def require_target(self, excluded: set[str]) -> None:
@@ -217,8 +227,21 @@
             return
         await self.shared.refresh_targets()
         if not self._has_target(excluded):
+            self._log_restrictions()
             raise self.build_error('no_target', self.retry_after_s())
 
+    def _log_restrictions(self) -> None:
+        """Log what the operator has set that may leave no target."""
+        evacuated = len(self.shared.cluster_state.evacuations)
+        if evacuated or self.allowed_regions is not None:
+            self.shared.log.write(
+                'targets_restricted',
+                request=self.request.request_id,
+                service=self.service,
+                evacuated_zones=evacuated,
+                regions=','.join(sorted(self.allowed_regions or ())) or None,
+            )
+
     async def reserve_target(
         self,
         pool: Pool,
--- a/peridotrill/gateway/role_controller.py
+++ b/peridotrill/gateway/role_controller.py
@@ -240,7 +240,9 @@
         engines = [
             self._with_ordered_role(row)
             for row in self._cluster_state.all_targets()
-            if row.service == service and not row.is_draining
+            if row.service == service
+            and not row.is_draining
+            and row.zone not in self._cluster_state.evacuations
         ]
         return sorted(
             engines,
--- a/peridotrill/gateway/store_follower.py
+++ b/peridotrill/gateway/store_follower.py
@@ -321,6 +321,8 @@
     configuration_key: str
     configuration: Callable[[bytes], Configuration]
     target: Callable[[str, bytes], TargetRecord]
+    # Returns the zone whose evacuation a key names; None for other keys.
+    evacuated_zone: Callable[[str], str | None]
 
 
 @final
@@ -339,9 +341,18 @@
         self._log = log
 
     def apply_configuration_row(self, key: str, content: bytes) -> None:
-        """Apply a configuration; log one that cannot be decoded."""
-        if key != self._decoders.configuration_key or not content:
-            return
+        """Apply a configuration, or the evacuation of a zone.
+
+        What cannot be decoded is logged.
+        """
+        if key != self._decoders.configuration_key:
+            zone = self._find_evacuated_zone(key)
+            if zone is not None:
+                self._cluster_state.update_evacuation(zone, bool(content))
+        elif content:
+            self._apply_configuration(content)
+
+    def _apply_configuration(self, content: bytes) -> None:
         try:
             found = self._decoders.configuration(content)
         except CodecError as error:
@@ -349,13 +360,28 @@
             return
         self._cluster_state.update_configuration(found)
 
+    def _find_evacuated_zone(self, key: str) -> str | None:
+        try:
+            return self._decoders.evacuated_zone(key)
+        except CodecError as error:
+            self._log.write('evacuation_unreadable', key=key, error=str(error))
+            return None
+
     def apply_configuration_snapshot(
         self,
         rows: list[tuple[str, bytes]],
     ) -> None:
-        """Apply the configuration found by a full read."""
+        """Apply the configuration and the evacuations of a full read.
+
+        The evacuations come first: a configuration makes this gateway ready.
+        """
+        zones = [
+            self._find_evacuated_zone(key) for key, content in rows if content
+        ]
+        self._cluster_state.retain_evacuations(filter(None, zones))
         for key, content in rows:
-            self.apply_configuration_row(key, content)
+            if key == self._decoders.configuration_key and content:
+                self._apply_configuration(content)
 
     def apply_target_row(self, key: str, content: bytes) -> None:
         """Apply a target's record; remove the target if it is unreadable."""
--- a/peridotrill/gateway_followers.py
+++ b/peridotrill/gateway_followers.py
@@ -20,7 +20,10 @@
     TopicFollower,
 )
 from peridotrill.platform import names
-from peridotrill.platform.configuration import decode_configuration
+from peridotrill.platform.configuration import (
+    decode_configuration,
+    decode_evacuated_zone,
+)
 from peridotrill.platform.node_settings import NodeSettings
 from peridotrill.platform.store import StoreClient
 from peridotrill.platform.target_records import decode_target
@@ -90,7 +93,12 @@
         )
         self._applier = RecordApplier(
             cluster_state,
-            Decoders(names.CONFIG_KEY, decode_configuration, decode_target),
+            Decoders(
+                names.CONFIG_KEY,
+                decode_configuration,
+                decode_target,
+                decode_evacuated_zone,
+            ),
             log,
         )
 
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -42,6 +42,7 @@
 from peridotrill.gateway.load_tracker import LoadTracker
 from peridotrill.gateway.metrics import (
     CONFIG_AGE_S,
+    EVACUATED_ZONES,
     LEASE_HELD,
     LIMITED_TARGETS,
     LOST_LOG_LINES,
@@ -180,6 +181,7 @@
             freshness_bounds(node.bounds),
             self._log,
             node.is_first_start,
+            node.zone_regions,
         )
         self._origins = StreamOrigins(self._clock)
         self._store = StoreClient(
@@ -546,6 +548,7 @@
         STORE_GENERATION.set(self._store.generation)
         LOST_LOG_LINES.set(self._log.lost_lines)
         LIMITED_TARGETS.set(self._limits.limited_targets)
+        EVACUATED_ZONES.set(len(self._cluster_state.evacuations))
         TARGET_CRASHES.set(self._crashes.crashes)
         QUARANTINED_PARTS.set(len(self._quarantine.quarantined_parts))
         self._update_engine_gauges()
--- a/peridotrill/platform/configuration.py
+++ b/peridotrill/platform/configuration.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from typing import Any, Final
 
-from peridotrill.codec import check_integer, decode_json
+from peridotrill.codec import check_integer, check_text, decode_json
 from peridotrill.exceptions import CodecError
 from peridotrill.gateway.configuration import (
     CallerLimits,
@@ -15,6 +15,7 @@
     Team,
 )
 from peridotrill.gateway.requests import RequestKind
+from peridotrill.platform import names
 
 # Raised while decoding a malformed document.
 _DECODE_ERRORS: Final = (
@@ -41,6 +42,29 @@
         raise CodecError(f'invalid configuration: {error!r}') from error
 
 
+def decode_evacuated_zone(key: str) -> str | None:
+    """Return the zone whose evacuation a key names; None for other keys.
+
+    Raises CodecError if the key names no zone.
+    """
+    if not key.startswith(names.EVACUATION_PREFIX):
+        return None
+    zone = key.removeprefix(names.EVACUATION_PREFIX)
+    if not zone:
+        raise CodecError('key names no zone')
+    return zone
+
+
+def _decode_regions(row: Mapping[str, Any]) -> frozenset[str] | None:
+    """Return the regions to which a row is restricted; None for no limit."""
+    regions = row.get('allowed-regions')
+    if not regions:
+        return None
+    if not isinstance(regions, list):
+        raise TypeError('allowed-regions is not a list')
+    return frozenset(check_text(name) for name in regions)
+
+
 def _decode_route(row: Mapping[str, Any]) -> Route:
     split = row.get('split')
     services = (
@@ -63,6 +87,7 @@
         max_targets=max(1, int(row.get('attempts') or 1)),
         is_public=bool(row.get('public')),
         can_resume=bool(row.get('can-resume')),
+        allowed_regions=_decode_regions(row),
     )
 
 
@@ -86,6 +111,7 @@
         burst=float(row.get('burst') or 0),
         counts_tokens=row.get('unit') == 'token_stream',
         plain_tokens=float(row.get('plain-tokens') or 1),
+        allowed_regions=_decode_regions(row),
     )
 
 
--- a/peridotrill/platform/names.py
+++ b/peridotrill/platform/names.py
@@ -81,6 +81,8 @@
 READY_PATH: Final = '/-/ready'
 CONFIG_TOPIC: Final = 'keyed.op'
 CONFIG_KEY: Final = 'config'
+# Prefix of the keys of evacuated zones, in the topic of the configuration.
+EVACUATION_PREFIX: Final = 'evacuate/'
 SERVERS_TOPIC: Final = 'keyed.servers'
 MEMBERS_TOPIC: Final = 'keyed.peridotrill-members'
 USAGE_TOPIC: Final = 'keyed.peridotrill-usage'
--- a/peridotrill/platform/node_settings.py
+++ b/peridotrill/platform/node_settings.py
@@ -46,6 +46,7 @@
     bounds: Bounds
     is_first_start: bool
     memory_limit_mb: float
+    zone_regions: dict[str, str]
 
 
 # Memory of a process whose settings name no limit.
@@ -107,6 +108,7 @@
             memory_limit_mb=self._number(
                 _DEFAULT_MEMORY_LIMIT_MB, 'limits', 'memory-limit-mb'
             ),
+            zone_regions=self._zone_regions(),
         )
         return Error(self._findings) if self._findings else Ok(node)
 
@@ -119,6 +121,15 @@
             },
         )
 
+    def _zone_regions(self) -> dict[str, str]:
+        regions = self._get('zones')
+        if regions is None:
+            return {}
+        if not isinstance(regions, dict):
+            self._add_finding(('zones',), 'invalid', 'must be a mapping')
+            return {}
+        return {str(zone): str(region) for zone, region in regions.items()}
+
     def _get(self, *keys: Any) -> Any:
         found: Any = self._document
         for key in keys:
