Break off a stream whose unmarked end is not what its process usually sends

Callers: a stream without length that a running engine ends early looked complete if it could not be resumed, or no second engine had room to confirm its end (ORDER). Cause: nothing in such a response tells a half from the whole, so a process was trusted until there was evidence against it. Evidence: all streams that were seen from engines on the platform end by chunks. Change: FramingHistory; a process that marks the ends of 19 in 20 of its streams, of 20 at least, is not trusted when one has no mark.

--- a/peridotrill/gateway/components.py
+++ b/peridotrill/gateway/components.py
@@ -9,6 +9,7 @@
 from peridotrill.gateway.early_ends import EarlyEnds
 from peridotrill.gateway.event_log import EventLog
 from peridotrill.gateway.event_sequence import EventNumberings
+from peridotrill.gateway.framing_history import FramingHistory
 from peridotrill.gateway.load_tracker import LoadTracker
 from peridotrill.gateway.placement import Placement
 from peridotrill.gateway.quarantine_sharing import QuarantineSharing
@@ -38,6 +39,7 @@
     origins: StreamOrigins
     numberings: EventNumberings
     early_ends: EarlyEnds
+    framing: FramingHistory
     streams: StreamSharing
     loads: LoadTracker
     demand: DemandMeter
--- a/peridotrill/gateway/generation.py
+++ b/peridotrill/gateway/generation.py
@@ -123,6 +123,8 @@
         except GatewayError:
             if self._end is not _End.LIKELY or self._is_asked:
                 raise
+            if self._is_end_unusual(self._ended_target):
+                raise
             self._end_unconfirmed()
         finally:
             self._context.response_fields = self._describe_events()
@@ -420,7 +422,9 @@
         if not events or not context.responder.has_started:
             raise TargetOutcomeUnknown('stream without an event')
         self._sequence.require_end()
-        if context.framing is not Framing.CONNECTION:
+        is_marked = context.framing is not Framing.CONNECTION
+        context.shared.framing.record(self._target.process, is_marked)
+        if is_marked:
             return
         self._end = _End.DOUBTFUL
         received = self._sequence.count_received(events)
@@ -429,6 +433,13 @@
             self._end = _End.LIKELY
             self._ended_target = self._target
             raise EndUnconfirmed('ended without length')
+        if self._is_end_unusual(self._target):
+            raise TargetOutcomeUnknown('end is not marked as usual')
+
+    def _is_end_unusual(self, target: TargetRecord | None) -> bool:
+        """Tell whether a process marks the ends of its streams otherwise."""
+        framing = self._context.shared.framing
+        return target is not None and framing.marks_ends(target.process)
 
     def _end_unconfirmed(self) -> None:
         """End a stream as its engine did, since no other one was asked."""
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -39,6 +39,7 @@
 from peridotrill.gateway.early_ends import EarlyEnds
 from peridotrill.gateway.event_log import EventLog
 from peridotrill.gateway.event_sequence import EventNumberings
+from peridotrill.gateway.framing_history import FramingHistory
 from peridotrill.gateway.isolated_tasks import IsolatedTasks
 from peridotrill.gateway.load_tracker import LoadTracker
 from peridotrill.gateway.metrics import (
@@ -391,6 +392,7 @@
                 origins=self._origins,
                 numberings=EventNumberings(),
                 early_ends=EarlyEnds(),
+                framing=FramingHistory(),
                 streams=self._stream_sharing,
                 loads=self._loads,
                 demand=self._demand,
--- a/tests/test_gateway_stream_order.py
+++ b/tests/test_gateway_stream_order.py
@@ -9,6 +9,7 @@
 import pytest
 
 from peridotrill.gateway.early_ends import EarlyEnds
+from peridotrill.gateway.framing_history import FramingHistory
 from standins.platform_engine import ScriptedEngine
 from tests.gateway_builders import prompt_headers
 from tests.gateway_site import DECODE, SIGCONT, SIGSTOP, call, run_site
@@ -87,6 +88,51 @@
         ask(site, '/draft/x', fault)
 
 
+def teach_framing(site, name):
+    """Let an engine end many streams by chunks, as it usually does."""
+    for _ in range(20):
+        assert ask_engine(site, name, '/draft/x', '').text == _EVENTS
+
+
+def test_unmarked_end_of_an_engine_that_marks_its_ends_is_no_end(crashing_site):
+    # Guards against a stream that lacks events and looks complete: it may not
+    # be resumed, so no second engine can tell.
+    teach_framing(crashing_site, 'i-a')
+    with pytest.raises(httpx.RemoteProtocolError):
+        ask_engine(crashing_site, 'i-a', '/draft/x', 'unframed_cut')
+
+
+def test_unmarked_end_that_no_other_engine_confirms_is_no_end(crashing_site):
+    # Guards against a resumable stream whose end is taken for its last event
+    # since no second engine had room; its caller can take it up instead.
+    teach_framing(crashing_site, 'i-a')
+    with pytest.raises(httpx.RemoteProtocolError):
+        ask_engine(crashing_site, 'i-a', '/quick/x', 'unframed_cut')
+
+
+def test_process_that_seldom_marks_its_ends_is_trusted():
+    # Guards against a service whose responses end with their connections, and
+    # that would be cut off after a few of them have been chunked.
+    framing = FramingHistory()
+    for number in range(100):
+        framing.record('i-1', is_marked=number % 10 > 0)
+        framing.record('i-2', is_marked=number % 50 > 0)
+    framing.record('i-3', is_marked=True)
+    assert not framing.marks_ends('i-1')
+    assert framing.marks_ends('i-2')
+    assert not framing.marks_ends('i-3')
+
+
+def test_framing_of_many_processes_is_bounded():
+    # Guards against memory that grows with each engine that starts again.
+    framing = FramingHistory()
+    for number in range(3000):
+        for _ in range(20):
+            framing.record(str(number), is_marked=True)
+    known = [name for name in range(3000) if framing.marks_ends(str(name))]
+    assert (len(known), known[-1]) == (1000, 2999)
+
+
 def test_end_before_events_that_the_engine_reports_is_no_end(crashing_site):
     # Guards against a stream that lacks events that its engine says it has made.
     with pytest.raises(httpx.RemoteProtocolError):
