Renew shares of a quota only with reports of most peers

Callers: four gateways that are cut off from each other after a burst admitted 34,640 tokens of a limit of 9,000 in a window (QUOTA), by the listed test. Cause: a gateway might spend its share again after each of its own reports, also if it had heard of none of the others, and a peer that fell silent was charged with the mean rate but not with the share that it may have spent before. Change: a share is renewed when three quarters of the active peers have reported; what this gateway has spent since the renewal before counts against the new share, and a larger share applies one renewal later, when the others know; overdue reports reserve their senders' shares; a peer that falls silent is charged with its share.

--- a/peridotrill/gateway/shared_quotas.py
+++ b/peridotrill/gateway/shared_quotas.py
@@ -4,8 +4,9 @@
 gateway tracks the usage of the whole system in the last window: its own
 admissions and those that its peers report a few times per second. Between two
 reports, a gateway spends at most its share of the remaining quota, so that the
-sum stays within the limit without coordination. A gateway without recent
-reports is assumed to use its full share.
+sum stays within the limit without coordination. It gets a new share only when it
+knows what the others have spent of theirs. A gateway without recent reports is
+assumed to have spent its share, and to go on at the mean rate.
 """
 
 import math
@@ -41,6 +42,9 @@
 # A peer whose last report is older than this number of intervals has not been
 # heard: it, or the last report, may be cut off.
 _MAX_HEARD_INTERVALS: Final = 1.5
+# Ratio of the peers that are not silent whose reports a gateway needs to renew its
+# share. Some reports are lost in each interval where there are many peers.
+_RENEWAL_RATIO: Final = 0.75
 # Time constant of the exponential decay of recent use.
 _USE_DECAY_S: Final = 1.5
 
@@ -83,15 +87,44 @@
         self._size = math.ceil(size_s / _SLOT_S)
         self.spent = 0.0
         self.updated_s: float | None = None
-        # Value of the sum over silent peers at that time.
+        # Value of the sum over silent peers, and the number of times that a peer
+        # had fallen silent, at that time.
         self.silent_peer_s = 0.0
-        self.spent_since_report = 0.0
+        self.silences = 0
+        # What was left of the quota when the share was last renewed.
+        self.shared = 0.0
+        # Spent here since the share was last renewed, and between that and the
+        # renewal before. The others may not have heard of either.
+        self.current_spent = 0.0
+        self.previous_spent = 0.0
         # Recent use at this gateway and at all gateways, with exponential decay.
         self.local_use = 0.0
         self.total_use = 0.0
         # Fraction of the remaining quota that this gateway may spend until
-        # its next report; None before the first report.
+        # its next report; None before the first report. A larger share applies
+        # only from the next renewal on, when the others know of the use by which
+        # theirs become smaller.
         self.local_share: float | None = None
+        self.next_share: float | None = None
+
+    @property
+    def unheard_spent(self) -> float:
+        """What this gateway has spent that the others may not have heard of."""
+        return self.previous_spent + self.current_spent
+
+    def renew(self, share: float, shared: float) -> None:
+        """Start to spend a new share.
+
+        :param share: fraction of ``shared`` for this gateway.
+
+        :param shared: what is left of the quota for all gateways together,
+            with what the others have not heard of.
+        """
+        self.previous_spent = self.current_spent
+        self.current_spent = 0
+        self.local_share = min(share, self.next_share or share)
+        self.next_share = share
+        self.shared = shared
 
     def add(self, at_s: float, amount: float) -> None:
         """Add usage at a given time; times must not decrease."""
@@ -165,6 +198,12 @@
         # when it was brought up to date.
         self._silent_peer_s = 0.0
         self._silence_updated_s = self._started_s
+        self._silent_peers: set[str] = set()
+        self._silences = 0
+        # Peers that have reported since the shares were last renewed.
+        self._reported: set[str] = set()
+        # Fraction of what is left that peers with overdue reports may have spent.
+        self._overdue_share = 0.0
 
     def apply_excess(self, tolerated_excess: float) -> None:
         """Set the tolerated excess, in the unit of the limits."""
@@ -183,11 +222,13 @@
             self._update_silence(self._clock.monotonic_s())
             self._peer_last_report_s[peer] = float('-inf')
             self._peer_last_report_s.move_to_end(peer, last=False)
+            self._silent_peers.add(peer)
 
     def remove_peer(self, peer: str) -> None:
         """Remove a gateway that has left permanently."""
         self._update_silence(self._clock.monotonic_s())
         self._peer_last_report_s.pop(peer, None)
+        self._silent_peers.discard(peer)
 
     @property
     def gateways(self) -> int:
@@ -249,6 +290,8 @@
         self._update_silence(now_s)
         self._peer_last_report_s[peer] = now_s
         self._peer_last_report_s.move_to_end(peer)
+        self._silent_peers.discard(peer)
+        self._reported.add(peer)
         if self._incarnations.get(peer) != incarnation:
             self._incarnations[peer] = incarnation
             self._peer_spent[peer] = dict(spent)
@@ -268,15 +311,31 @@
             window.total_use += usage
 
     def end_report_interval(self) -> None:
-        """Start a new interval after reporting the local totals."""
+        """Renew the shares after reporting the local totals.
+
+        Until most peers have reported since the last time, this gateway keeps to
+        the share that it has.
+        """
         now_s = self._clock.monotonic_s()
+        self._update_silence(now_s)
         self._update_all(now_s)
+        active = self._peer_last_report_s.keys() - self._silent_peers
+        reported = len(active & self._reported)
+        has_heard_most = reported >= len(active) * _RENEWAL_RATIO
+        if has_heard_most:
+            self._reported.clear()
+        self._overdue_share = self._count_overdue(now_s) / self.gateways
         heard = self._count_heard(now_s)
         for name, window in self._windows.items():
-            window.spent_since_report = 0
             quota = self._quotas.get(name)
-            if quota is not None:
-                window.local_share = self._local_share(window, quota, heard)
+            if quota is None:
+                continue
+            share = self._local_share(window, quota, heard)
+            if has_heard_most:
+                left = self._limit(quota) - window.spent
+                window.renew(share, max(0, left + window.current_spent))
+            elif window.local_share is not None:
+                window.local_share = min(window.local_share, share)
 
     def admit(self, quota: Quota, cost: float) -> QuotaDecision:
         """Charge the cost of a request if the quota allows it.
@@ -319,7 +378,7 @@
         now_s = self._clock.monotonic_s()
         window = self._update(quota, now_s)
         window.add(now_s, cost)
-        window.spent_since_report += cost
+        window.current_spent += cost
         window.local_use += cost
         window.total_use += cost
         self._spent[quota.name] = self._spent.get(quota.name, 0) + cost
@@ -342,9 +401,10 @@
 
     def _available(self, window: _Window, left: float) -> float:
         """Return what this gateway may spend until the next reports."""
-        left_at_report = left + window.spent_since_report
-        share = left_at_report * (window.local_share or 1 / self.gateways)
-        return share - window.spent_since_report
+        shared = left + window.unheard_spent
+        shared *= max(0, 1 - self._overdue_share)
+        share = shared * (window.local_share or 1 / self.gateways)
+        return share - window.unheard_spent
 
     @property
     def _min_retry_after_s(self) -> float:
@@ -378,8 +438,11 @@
         silent_s = self._silent_peer_s
         if window.updated_s is not None:
             share_s = (silent_s - window.silent_peer_s) / self.gateways
-            window.add(now_s, share_s * self._mean_rate(quota))
+            shares = (self._silences - window.silences) / self.gateways
+            used = share_s * self._mean_rate(quota) + shares * window.shared
+            window.add(now_s, used)
         window.silent_peer_s = silent_s
+        window.silences = self._silences
         window.updated_s = max(known_s, now_s)
         window.expire(now_s)
         window.decay(elapsed_s)
@@ -394,10 +457,13 @@
         peers = self._peer_last_report_s
         since_s = now_s - silence_s(len(peers), _MIN_SILENCE_S)
         silent = 0
-        for last_report_s in peers.values():
+        for peer, last_report_s in peers.items():
             if last_report_s >= since_s:
                 break
             silent += 1
+            if peer not in self._silent_peers:
+                self._silent_peers.add(peer)
+                self._silences += 1
         self._silent_peer_s += elapsed_s * silent
 
     def _create_window(self, quota: Quota) -> _Window:
@@ -426,6 +492,21 @@
             heard += 1
         return heard
 
+    def _count_overdue(self, now_s: float) -> float:
+        """Return how many reports of peers that are not silent are overdue.
+
+        With each of them, the peer may have spent its share once more.
+        """
+        interval_s = report_interval_s(len(self._peer_last_report_s))
+        overdue = 0.0
+        for peer, last_report_s in self._peer_last_report_s.items():
+            intervals = (now_s - last_report_s) / interval_s
+            if intervals <= _MAX_HEARD_INTERVALS:
+                break
+            if peer not in self._silent_peers:
+                overdue += intervals - _MAX_HEARD_INTERVALS
+        return overdue
+
     def _local_share(self, window: _Window, quota: Quota, heard: int) -> float:
         """Return the fraction of the remaining quota for this gateway.
 
@@ -453,6 +534,5 @@
     quota suffices and nothing was spent since the last report.
     """
     return available >= cost or (
-        left >= max(2 * cost, quota.burst / 2)
-        and window.spent_since_report <= 0
+        left >= max(2 * cost, quota.burst / 2) and window.unheard_spent <= 0
     )
