End the cold time of targets that several gateways know of

Callers: after engines start, gateways that have all read their records go on to limit them, and most requests wait or are refused. Cause: a report tells the remaining time in all, so that what a gateway was told is sent on as its own knowledge. Each hop adds the age of the report: with 25 gateways and 10 ms, or with two and 0.1 s, the end moves as fast as the clock until a record says 0, and after that again. Fix: a gateway reports the time that follows from its own sources only.

--- a/peridotrill/gateway/cold_targets.py
+++ b/peridotrill/gateway/cold_targets.py
@@ -79,8 +79,8 @@
         self.until_s = now_s
         # When something that happened to the target last showed that it is cold.
         self.event_s = now_s
-        # Whether this gateway knows it from another one only.
-        self.is_hearsay = True
+        # Until when it is cold as far as this gateway knows itself.
+        self.known_until_s = now_s
         # An earlier process of this gateway, or this one while it did not know,
         # may have sent requests within the last second.
         self.bucket = TokenBucket(now_s)
@@ -160,14 +160,14 @@
     def report(self) -> dict[str, int]:
         """Return the remaining cold times that this gateway knows itself.
 
-        Those that it was told are left out, or two gateways would keep them
-        alive by telling each other.
+        What others have reported is left out: it is some time old when it
+        arrives, so gateways would extend the time by telling each other.
         """
         now_s = self._clock.monotonic_s()
         return {
-            target_id: round((row.until_s - now_s) * _MS_PER_S)
+            target_id: round((row.known_until_s - now_s) * _MS_PER_S)
             for target_id, row in self._targets.items()
-            if not row.is_hearsay and row.until_s > now_s
+            if row.known_until_s > now_s
         }
 
     def has_room(self, target_id: str) -> bool:
@@ -213,6 +213,7 @@
             age_s = now_s - row.event_s
             if age_s > _MAX_RECORD_AGE.total_seconds():
                 row.until_s = min(row.until_s, now_s)
+                row.known_until_s = min(row.known_until_s, now_s)
 
     def _extend(
         self,
@@ -231,18 +232,17 @@
             row = _ColdTarget(rule, now_s)
             self._targets[target.target_id] = row
         if now_s >= row.until_s:
-            row.is_hearsay = True
             self._log.write(
                 'target_cold',
                 target=target.target_id,
                 source=source,
                 left_ms=round(left_s * _MS_PER_S),
             )
+        until_s = now_s + min(left_s, _MAX_COLD_TIME.total_seconds())
+        row.until_s = max(row.until_s, until_s)
         if not is_hearsay:
-            row.is_hearsay = False
             row.event_s = now_s
-        left_s = min(left_s, _MAX_COLD_TIME.total_seconds())
-        row.until_s = max(row.until_s, now_s + left_s)
+            row.known_until_s = max(row.known_until_s, until_s)
 
     def _update_share(self, target_id: str, row: _ColdTarget) -> None:
         nodes = (*self._peers(), self._node)
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -193,6 +193,20 @@
     assert not limited(second)
 
 
+@pytest.mark.parametrize(('gateways', 'delay_s'), [(2, 0.1), (25, 0.01)])
+def test_cold_time_ends_although_all_gateways_know_of_it(gateways, delay_s):
+    # Guards against engines that stay cold for as long as gateways report: each
+    # adds the age of the reports that it gets to what it has read itself.
+    fleet = Fleet(gateways)
+    fleet.assume_all()
+    for step in range(round(4 / delay_s)):
+        told = fleet.cold[step % gateways].report()
+        advance(fleet.clock, delay_s)
+        for cold in fleet.cold:
+            cold.observe_peer(told, lambda name: fleet.record)
+    assert not any(limited(cold) for cold in fleet.cold)
+
+
 def test_service_without_warm_up_is_never_limited():
     fleet = Fleet(2, rule=None)
     cold = fleet.cold[0]
