Apply the records of targets again when the configuration is first read

Callers: a gateway that restarts while engines are cold may send them its usual load at once, which crashes them. Cause: configuration and targets are read by two tasks, in any order. While there is no configuration, no service is known to have a cold time, and what the records say is dropped until each target writes its next one. Fix: the first configuration passes all known records on again; they count as those of processes that were there before, as in the first listing. Evidence: test_started_gateway_that_reads_the_configuration_last_knows_cold_targets fails without it.

--- a/peridotrill/gateway/cluster_state.py
+++ b/peridotrill/gateway/cluster_state.py
@@ -164,6 +164,10 @@
             routes=configuration.route_count,
             teams=len(configuration.teams),
         )
+        if current is None:
+            # What records mean may depend on the services of the configuration.
+            for row in self._targets.values():
+                self.on_record(row, False)
         self.on_change()
 
     def update_target(self, record: TargetRecord) -> None:
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -1,20 +1,28 @@
 """Cold targets: the limit on the requests of all gateways; without a network."""
 
 import random
+from datetime import timedelta
 
 import pytest
 
 from peridotrill.clock import ManualClock
 from peridotrill.exceptions import CodecError
+from peridotrill.gateway.cluster_state import ClusterState, FreshnessBounds
 from peridotrill.gateway.cold_targets import (
     ColdTargets,
     WarmUpRule,
     share_limit,
 )
 from peridotrill.gateway.target_connections import ResponseHead
+from peridotrill.platform.configuration import decode_configuration
 from peridotrill.platform.target_records import decode_target
 from peridotrill.platform.wire import decode_response_head
-from tests.gateway_builders import RecordingLog, advance, target
+from tests.gateway_builders import (
+    RecordingLog,
+    advance,
+    configuration_record,
+    target,
+)
 from tests.gateway_site import call, run_site, wait_until
 
 # The users' figures: an engine is cold for 3 s, tolerates 30 requests a second
@@ -223,6 +231,28 @@
     assert share.rate_per_s + share.burst <= RULE.max_per_second
 
 
+def test_started_gateway_that_reads_the_configuration_last_knows_cold_targets():
+    # Guards against a full load of each gateway that restarts, until the next
+    # record of the target: the store's responses arrive in any order.
+    clock = ManualClock()
+    log = RecordingLog()
+    bounds = FreshnessBounds(timedelta(seconds=4), timedelta(seconds=1))
+    state = ClusterState(clock, bounds, log)
+    cold = ColdTargets(
+        'front-1',
+        lambda: [],
+        lambda service: RULE if state.configuration else None,
+        clock,
+        log,
+    )
+    state.on_record = cold.observe_record
+    state.update_target(target('i-1', cold_left_ms=2000))
+    state.update_target(target('i-2', cold_left_ms=0))
+    state.retain_targets(['i-1', 'i-2'])
+    state.update_configuration(decode_configuration(configuration_record()))
+    assert list(cold.report()) == ['i-1']
+
+
 def record(**fields):
     document = (
         b'{"service":"llm","addr":"10.0.0.1:80","zone":"a","version":"v1",'
