Send nothing to cold targets before the other gateways are known

Callers: a cold engine may crash when a gateway restarts while the store is slow, or fails for the topic of the members only; its requests are lost. Cause: the members are read by a task of their own. Until then a gateway took itself for the only one, and the whole limit of each cold target for its share, beside the shares of the others. Fix: PeerExchange.known_members is None until the store has listed the members once, and a target that counts as cold has no room until then. Other targets are used as before. Evidence: test_started_gateway_sends_nothing_before_it_knows_the_others fails with the members as they were (more than 50 requests in a second, with 25 gateways).

--- a/peridotrill/gateway/cold_targets.py
+++ b/peridotrill/gateway/cold_targets.py
@@ -97,12 +97,13 @@
     def __init__(
         self,
         node: str,
-        peers: Callable[[], Iterable[str]],
+        peers: Callable[[], Iterable[str] | None],
         find_rule: Callable[[str], WarmUpRule | None],
         clock: Clock,
         log: EventSink,
     ) -> None:
-        """:param peers: returns all other gateways, also silent ones.
+        """:param peers: returns all other gateways, also silent ones; None while
+            they are not known.
 
         :param find_rule: returns the rule of a service; None if its targets
             are never cold.
@@ -176,14 +177,17 @@
         if row is None:
             return True
         now_s = self._clock.monotonic_s()
-        self._update_share(target_id, row)
-        if now_s < row.until_s:
-            row.bucket.refill(now_s, row.share.rate_per_s, row.share.burst)
-            return row.is_sender and row.bucket.tokens >= 1
         if now_s >= row.until_s + _RAMP.total_seconds():
             self._targets.pop(target_id)
             self._log.write('target_warm', target=target_id)
             return True
+        self._update_share(target_id, row)
+        if not row.gateways:
+            # Its share can't be told from that of all gateways together.
+            return False
+        if now_s < row.until_s:
+            row.bucket.refill(now_s, row.share.rate_per_s, row.share.burst)
+            return row.is_sender and row.bucket.tokens >= 1
         rate_per_s = row.rule.rate_per_s * _RAMP_FACTOR / row.gateways
         row.bucket.refill(now_s, rate_per_s, max(1, row.share.burst))
         return row.bucket.tokens >= 1
@@ -245,7 +249,10 @@
             row.known_until_s = max(row.known_until_s, until_s)
 
     def _update_share(self, target_id: str, row: _ColdTarget) -> None:
-        nodes = (*self._peers(), self._node)
+        peers = self._peers()
+        if peers is None:
+            return
+        nodes = (*peers, self._node)
         if len(nodes) == row.gateways:
             return
         row.gateways = len(nodes)
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -8,7 +8,7 @@
 import asyncio
 import math
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, KeysView
 from itertools import chain
 from typing import Any, Final, NamedTuple, final
 
@@ -213,6 +213,8 @@
         self._log = log
         self._transport: asyncio.DatagramTransport | None = None
         self.members: dict[str, Member] = {}
+        # Whether all members that the store lists have been added.
+        self.are_members_read = False
         self.on_report: Callable[[Report], None] = _ignore
         self.on_new_member: Callable[[str], None] = _ignore
         self.on_parts: Callable[[PartListing], None] = _ignore
@@ -310,6 +312,10 @@
                 'report_not_sent', peer=member.node, error=str(error)
             )
 
+    def known_members(self) -> KeysView[str] | None:
+        """Return all other gateways; None until the store has listed them."""
+        return self.members.keys() if self.are_members_read else None
+
     @property
     def has_heard_all(self) -> bool:
         """Whether all known members have sent a report."""
--- a/peridotrill/gateway_followers.py
+++ b/peridotrill/gateway_followers.py
@@ -161,6 +161,7 @@
         for node, address in page.rows:
             if address:
                 self._add_member(node, address)
+        self._peers.are_members_read = True
         return True
 
     async def _wait_for_peers(self) -> None:
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -224,7 +224,7 @@
             self._log,
             ColdTargets(
                 node.node,
-                self._peers.members.keys,
+                self._peers.known_members,
                 self._find_warm_up,
                 self._clock,
                 self._log,
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -13,6 +13,7 @@
     WarmUpRule,
     share_limit,
 )
+from peridotrill.gateway.peers import PeerExchange
 from peridotrill.gateway.target_connections import ResponseHead
 from peridotrill.platform.configuration import decode_configuration
 from peridotrill.platform.target_records import decode_target
@@ -122,6 +123,22 @@
     assert fleet.most_in_second() <= RULE.max_per_second
 
 
+def test_started_gateway_sends_nothing_before_it_knows_the_others():
+    # Guards against a gateway that starts while the store is slow, and takes
+    # the whole limit for its share.
+    fleet = Fleet(25)
+    peers = PeerExchange('front-0', fleet.clock, fleet.log)
+    fleet.cold[0] = ColdTargets(
+        'front-0', peers.known_members, lambda _: RULE, fleet.clock, fleet.log
+    )
+    fleet.assume_all()
+    fleet.play(2)
+    assert fleet.most_in_second() <= RULE.max_per_second
+    peers.are_members_read = True
+    advance(fleet.clock, 0.1)
+    assert fleet.cold[0].has_room('i-1')
+
+
 def test_warm_target_is_not_limited_and_the_end_is_no_burst():
     # Guards against a queue that empties into a target as soon as it is warm.
     fleet = Fleet(6)
@@ -281,7 +298,7 @@
 def test_gateways_send_little_to_a_cold_target(tmp_path):
     # Guards against a program that does not pass on what records say.
     with run_site(tmp_path) as site:
-        gateway, _ = site.start_gateways('front-a-1', 'front-b-1')
+        gateway, other = site.start_gateways('front-a-1', 'front-b-1')
         site.register('i-till-2', state='draining')
         wait_until(lambda: 'leaving=True' in gateway.read_log(), 5)
         site.publish(2, services=warming_services('till'))
@@ -300,3 +317,6 @@
         ]
         assert answers.count(503) >= 6
         assert len(site.engines['i-till-1'].runs) <= 6
+        # One of the gateways sends to it, as they have read who the others are.
+        answers.append(call(other, '/read/x', 'cold-other').status_code)
+        assert 200 in answers
