Keep evacuations of a restored store at each of its listings

Callers: after the store was restored from a copy that lacks an evacuation, requests go to the evacuated zone again as soon as the records are listed a second time, as after an error of the follower or once records have expired. Cause: the restore was noted for one listing only. Fix: the zones themselves are noted, until a record evacuates them again or takes them back. Evidence: test_each_listing_of_a_restored_store_keeps_an_evacuation fails without it.

--- a/peridotrill/gateway/zone_evacuations.py
+++ b/peridotrill/gateway/zone_evacuations.py
@@ -14,9 +14,9 @@
         """Start without evacuated zones."""
         self._log = log
         self._zones: set[str] = set()
-        # Whether the store was restored since the last listing: the records of
-        # evacuations may have been lost with it.
-        self._is_store_restored = False
+        # Zones that were evacuated when the store was restored, and that it has
+        # not listed since: their records may have been lost.
+        self._unrecorded: set[str] = set()
         self.on_taken_back: Callable[[str], None] = _ignore
 
     def __contains__(self, zone: str) -> bool:
@@ -29,34 +29,34 @@
 
     def evacuate(self, zone: str) -> None:
         """Send nothing new to the targets of a zone."""
+        self._unrecorded.discard(zone)
         if zone not in self._zones:
             self._zones.add(zone)
             self._log.write('zone_evacuated', zone=zone)
 
     def take_back(self, zone: str) -> None:
         """Use the targets of a zone again."""
+        self._unrecorded.discard(zone)
         if zone in self._zones:
             self._zones.remove(zone)
             self._log.write('zone_taken_back', zone=zone)
             self.on_taken_back(zone)
 
     def expect_lost_records(self) -> None:
-        """Keep the known evacuations at the next listing.
+        """Keep the known evacuations although no listing may have them.
 
-        A store that was restored from an older copy may not list them, and
-        the operator has not taken the zones back.
+        A store that was restored from an older copy may have lost their
+        records, and the operator has not taken the zones back.
         """
-        self._is_store_restored = True
+        self._unrecorded = set(self._zones)
 
     def apply_listing(self, zones: Iterable[str]) -> None:
         """Apply a listing of all evacuated zones."""
         listed = set(zones)
         for zone in sorted(listed):
             self.evacuate(zone)
-        if not self._is_store_restored:
-            for zone in sorted(self._zones - listed):
-                self.take_back(zone)
-        self._is_store_restored = False
+        for gone in sorted(self._zones - listed - self._unrecorded):
+            self.take_back(gone)
 
 
 def _ignore(zone: str) -> None:
--- a/tests/test_zone_evacuations.py
+++ b/tests/test_zone_evacuations.py
@@ -131,6 +131,23 @@
     assert follower.zones() == 'abc'
 
 
+def test_each_listing_of_a_restored_store_keeps_an_evacuation():
+    # Guards against requests to an evacuated zone when the records of a restored
+    # store are listed again, as after an error or once they have expired.
+    follower = Follower()
+    follower.read('evacuate/a')
+    follower.read('evacuate/b')
+    follower.state.expect_relisting()
+    follower.read_all('evacuate/b')
+    follower.read_all('evacuate/b')
+    assert follower.zones() == 'c'
+    follower.read_all()
+    assert follower.zones() == 'bc'
+    follower.read('evacuate/a')
+    follower.read_all()
+    assert follower.zones() == 'abc'
+
+
 def test_roles_of_evacuated_engines_are_not_changed():
     # Guards against orders to engines of a zone that is being emptied.
     harness = RoleControllerHarness()
