Fetch nothing from the engines of an evacuated zone

Callers and operator: requests elsewhere name engines of the evacuated zone as those to copy parts of prompts from, for as long as the zone is evacuated, so that these engines go on to serve. Cause: the search for a holder of a part, and the request after a rejected prefilled prompt, take an engine by its id and do not go through usable_targets. Fix: both leave out evacuated zones. X-Peridotrill-Kv-Source still names the engine that keeps a prefilled prompt. Evidence: test_parts_are_not_fetched_from_an_evacuated_zone and test_rejected_prompt_is_not_fetched_from_an_evacuated_zone fail without it.

--- a/peridotrill/gateway/generation.py
+++ b/peridotrill/gateway/generation.py
@@ -285,9 +285,7 @@
         if self._remote_prompt is not None and self._use_handle:
             address = self._remote_prompt.target.address
             source = f'{address}/{self._remote_prompt.handle}'
-        elif self._remote_prompt is not None:
-            fetch = str(self._remote_prompt.target.address)
-        elif context.shared.placement.is_long(context.request.prompt):
+        else:
             fetch = self._find_fetch_address(target)
         exchange = await context.shared.targets.send(
             context.request,
@@ -332,6 +330,13 @@
     def _find_fetch_address(self, target: TargetRecord) -> str | None:
         """Return the address of an engine that likely caches shared parts."""
         context = self._context
+        remote_prompt = self._remote_prompt
+        if remote_prompt is not None:
+            zone = remote_prompt.target.zone
+            if zone not in context.shared.cluster_state.evacuations:
+                return str(remote_prompt.target.address)
+        elif not context.shared.placement.is_long(context.request.prompt):
+            return None
         if context.request.prompt is None:
             return None
         holder = context.shared.placement.find_part_holder(
--- a/peridotrill/gateway/placement.py
+++ b/peridotrill/gateway/placement.py
@@ -271,6 +271,8 @@
     ) -> TargetRecord | None:
         """Return an engine that has the main part of a prompt.
 
+        Nothing is fetched from the engines of an evacuated zone.
+
         :param excluded_id: id of an engine to ignore.
         """
         main = prompt.main_part
@@ -281,6 +283,7 @@
             for target_id in self.parts.holders(main.part_id)
             if target_id != excluded_id
             and (record := self._cluster_state.find_target(target_id))
+            and record.zone not in self._cluster_state.evacuations
             and not self._loads.is_avoided(target_id)
         ]
         return min(
--- a/tests/test_zone_evacuations.py
+++ b/tests/test_zone_evacuations.py
@@ -1,16 +1,28 @@
 """Evacuated zones and allowed regions: which targets may get requests."""
 
+import asyncio
 import time
 from datetime import timedelta
+from unittest.mock import AsyncMock, MagicMock
 
 import pytest
 
 from peridotrill.clock import ManualClock
 from peridotrill.exceptions import CodecError
+from peridotrill.gateway.admission_queue import Reservation
 from peridotrill.gateway.cluster_state import ClusterState, FreshnessBounds
 from peridotrill.gateway.configuration import Team
+from peridotrill.gateway.error_responses import GatewayError
+from peridotrill.gateway.event_sequence import EventNumberings
+from peridotrill.gateway.generation import Generation
+from peridotrill.gateway.load_tracker import LoadTracker
+from peridotrill.gateway.placement import Placement
+from peridotrill.gateway.prefill import RemotePrompt
 from peridotrill.gateway.request_context import RequestContext
 from peridotrill.gateway.store_follower import Decoders, RecordApplier
+from peridotrill.gateway.target_health import TargetHealth
+from peridotrill.gateway.target_limits import TargetLimits
+from peridotrill.gateway.target_messages import RequestOptions
 from peridotrill.gateway.targets import TargetRole
 from peridotrill.platform.configuration import (
     decode_configuration,
@@ -22,6 +34,7 @@
     caller_request,
     configuration_document,
     configuration_record,
+    prompt,
     route_row,
     target,
 )
@@ -160,6 +173,67 @@
     assert not harness.client.orders
 
 
+def placement_with(state):
+    clock = ManualClock()
+    limits = TargetLimits('n', list, clock, RecordingLog())
+    return Placement(
+        state, LoadTracker(clock), TargetHealth(clock), limits, clock, 'a'
+    )
+
+
+def test_parts_are_not_fetched_from_an_evacuated_zone():
+    # Guards against copies that other engines take from engines of a zone that
+    # is being emptied.
+    follower = Follower()
+    placement = placement_with(follower.state)
+    wanted = prompt()
+    placement.record_prefill(wanted, target('i-b'))
+    assert placement.find_part_holder(wanted).zone == 'b'
+    follower.read('evacuate/b')
+    assert placement.find_part_holder(wanted) is None
+    follower.read('evacuate/b', b'')
+    assert placement.find_part_holder(wanted).zone == 'b'
+
+
+def context_with(state, *targets):
+    """Return the context of a request that each of the targets rejects."""
+    context = MagicMock(priority=1)
+    context.request = caller_request(prompt=prompt())
+    context.is_late.return_value = False
+    context.route.is_repeatable = False
+    context.options.return_value = RequestOptions('', None, 9)
+    context.require_target = AsyncMock()
+    context.reserve_target = AsyncMock(
+        side_effect=[*map(Reservation, targets), GatewayError(503, 'no_target')]
+    )
+    context.read_response_head = AsyncMock(return_value=MagicMock(not_run=True))
+    context.shared.targets = AsyncMock()
+    context.shared.targets.send.return_value = MagicMock()
+    context.shared.cluster_state = state
+    context.shared.placement = placement_with(state)
+    context.shared.numberings = EventNumberings()
+    return context
+
+
+def test_rejected_prompt_is_not_fetched_from_an_evacuated_zone():
+    # Guards against a request that lost its prefilled prompt and has the next
+    # engine fetch parts of it from a zone that was evacuated meanwhile.
+    follower = Follower()
+    context = context_with(follower.state, target('i-a'), target('i-c'))
+    remote_prompt = RemotePrompt(target('i-b', zone='b'), 'handle-1')
+    follower.read('evacuate/b')
+    with pytest.raises(GatewayError):
+        asyncio.run(Generation(context, remote_prompt).execute())
+    sent = [
+        sending.args[2]
+        for sending in context.shared.targets.send.await_args_list
+    ]
+    assert [(row.kv_source, row.kv_fetch) for row in sent] == [
+        ('127.0.0.1:9000/handle-1', None),
+        (None, None),
+    ]
+
+
 def test_allowed_regions_restrict_the_targets():
     # Guards against a prompt that leaves the regions that its team allows, and
     # against a zone without a known region that counts as allowed.
