Do not release prompts at engines of an evacuated zone

Operator: an evacuated zone gets requests after the time that is allowed, when streams end whose prompts were prefilled there and not taken. Cause: the release goes to the engine that keeps the prompt, whatever its zone. Fix: it is left out for evacuated zones; engines drop such prompts by themselves after a short time. Evidence: test_prompt_at_an_evacuated_engine_is_not_released fails without it.

--- a/peridotrill/gateway/prefill.py
+++ b/peridotrill/gateway/prefill.py
@@ -44,7 +44,13 @@
 async def release_prompt(
     context: RequestContext, remote_prompt: RemotePrompt
 ) -> None:
-    """Let an engine drop a prompt that is not needed."""
+    """Let an engine drop a prompt that is not needed.
+
+    Engines drop them after a short time anyway. Those of an evacuated zone get
+    no requests.
+    """
+    if remote_prompt.target.zone in context.shared.cluster_state.evacuations:
+        return
     try:
         await context.shared.targets.release_prompt(
             remote_prompt.target,
--- a/tests/test_zone_evacuations.py
+++ b/tests/test_zone_evacuations.py
@@ -17,7 +17,7 @@
 from peridotrill.gateway.generation import Generation
 from peridotrill.gateway.load_tracker import LoadTracker
 from peridotrill.gateway.placement import Placement
-from peridotrill.gateway.prefill import RemotePrompt
+from peridotrill.gateway.prefill import RemotePrompt, release_prompt
 from peridotrill.gateway.request_context import RequestContext
 from peridotrill.gateway.store_follower import Decoders, RecordApplier
 from peridotrill.gateway.target_health import TargetHealth
@@ -234,6 +234,18 @@
     ]
 
 
+def test_prompt_at_an_evacuated_engine_is_not_released():
+    # Guards against requests to an evacuated zone at the end of streams, which
+    # may come long after the zone should be empty.
+    follower = Follower()
+    context = context_with(follower.state)
+    remote_prompt = RemotePrompt(target('i-b', zone='b'), 'handle-1')
+    asyncio.run(release_prompt(context, remote_prompt))
+    follower.read('evacuate/b')
+    asyncio.run(release_prompt(context, remote_prompt))
+    assert context.shared.targets.release_prompt.await_count == 1
+
+
 def test_allowed_regions_restrict_the_targets():
     # Guards against a prompt that leaves the regions that its team allows, and
     # against a zone without a known region that counts as allowed.
