End a cold time only by records that were written after the event

Callers: after an outage of the store, engines that have just restarted may get their full load and crash. Cause: a record that says 0 ended the cold time if it was read 2 s after the last failed connection. It may have been written by the process that crashed, and read late because the store was away, or read again in a listing of all records. Fix: the cluster state passes on since when all earlier records have been read, which a record that is new here was written after, and does not pass on records that are only listed again. Evidence: test_record_from_before_an_event_does_not_end_the_cold_time fails without it.

--- a/peridotrill/gateway/cluster_state.py
+++ b/peridotrill/gateway/cluster_state.py
@@ -76,9 +76,12 @@
         self._targets_confirmed_at_s = -math.inf
         self.configuration: Configuration | None = None
         self.on_target_gone: Callable[[TargetRecord], None] = _ignore
-        # Gets each record that is applied, and whether it names a process that
-        # was not known before; at the first listing, none counts as new.
-        self.on_record: Callable[[TargetRecord, bool], None] = _ignore_record
+        # Gets each record that is applied, whether it names a process that was
+        # not known before, and a monotonic time after which it was written. At
+        # the first listing, no process counts as new.
+        self.on_record: Callable[[TargetRecord, bool, float], None] = (
+            _ignore_record
+        )
         self.on_change: Callable[[], None] = _ignore_change
 
     def apply_bounds(self, bounds: FreshnessBounds) -> None:
@@ -167,7 +170,7 @@
         if current is None:
             # What records mean may depend on the services of the configuration.
             for row in self._targets.values():
-                self.on_record(row, False)
+                self.on_record(row, False, self._targets_confirmed_at_s)
         self.on_change()
 
     def update_target(self, record: TargetRecord) -> None:
@@ -187,7 +190,7 @@
         self._targets[record.target_id] = record
         self._see_versions(current, record)
         if current and not current.differs_from(record):
-            self.on_record(record, is_new)
+            self._pass_on(record, current, is_new)
             return
         self._log_change(record)
         if current is not None and current.role is not record.role:
@@ -199,9 +202,22 @@
             self._leaving.discard(current.process)
             self._suspended_until_s.pop(record.target_id, None)
             self.on_target_gone(current)
-        self.on_record(record, is_new)
+        self._pass_on(record, current, is_new)
         self.on_change()
 
+    def _pass_on(
+        self, record: TargetRecord, known: TargetRecord | None, is_new: bool
+    ) -> None:
+        """Pass on a record unless it was only listed again."""
+        is_repeated = (
+            known is not None
+            and bool(record.sequence)
+            and record.process == known.process
+            and record.sequence == known.sequence
+        )
+        if not is_repeated:
+            self.on_record(record, is_new, self._targets_confirmed_at_s)
+
     def _ignore_outdated(self, record: TargetRecord) -> None:
         self._log.write(
             'target_record_outdated',
@@ -438,7 +454,9 @@
     """Default callback for removed targets."""
 
 
-def _ignore_record(record: TargetRecord, is_new: bool) -> None:
+def _ignore_record(
+    record: TargetRecord, is_new: bool, written_after_s: float
+) -> None:
     """Default callback for records."""
 
 
--- a/peridotrill/gateway/cold_targets.py
+++ b/peridotrill/gateway/cold_targets.py
@@ -25,9 +25,9 @@
 # what has been waiting does not arrive at once.
 _RAMP: Final = timedelta(seconds=1)
 _RAMP_FACTOR: Final = 2
-# Records are read this long after they were written at most, while the store is
-# in order. One that is read later was written after the event.
-_MAX_RECORD_AGE: Final = timedelta(seconds=2)
+# Time in which a record that a target has made reaches the store. One that was
+# written later than this after an event was made after it.
+_MAX_RECORD_DELAY: Final = timedelta(seconds=1)
 # Bounds what a wrong figure can do.
 _MAX_COLD_TIME: Final = timedelta(seconds=60)
 _MS_PER_S: Final = 1000
@@ -115,16 +115,28 @@
         self._log = log
         self._targets: dict[str, _ColdTarget] = {}
 
-    def observe_record(self, record: TargetRecord, is_new: bool) -> None:
+    def observe_record(
+        self,
+        record: TargetRecord,
+        is_new: bool,
+        written_after_s: float | None = None,
+    ) -> None:
         """Apply the record of a target.
 
         :param is_new: whether its process has not been known before. What it
             says of itself then replaces what is known of an earlier process.
+
+        :param written_after_s: a monotonic time after which it was written. It
+            may have been read much later, if the store was slow or away. None
+            if it was written just now.
         """
         if is_new:
             self.forget(record.target_id)
         if record.cold_left_ms is not None:
-            self._apply_record(record, record.cold_left_ms / _MS_PER_S)
+            now_s = self._clock.monotonic_s()
+            self._apply_record(
+                record, now_s if written_after_s is None else written_after_s
+            )
         elif is_new:
             self.assume(record, 'new process')
 
@@ -208,14 +220,16 @@
         now_s = self._clock.monotonic_s()
         return sum(row.until_s > now_s for row in self._targets.values())
 
-    def _apply_record(self, record: TargetRecord, left_s: float) -> None:
+    def _apply_record(
+        self, record: TargetRecord, written_after_s: float
+    ) -> None:
         row = self._targets.get(record.target_id)
         now_s = self._clock.monotonic_s()
-        if left_s > 0:
-            self._extend(record, left_s, 'record')
+        if record.cold_left_ms:
+            self._extend(record, record.cold_left_ms / _MS_PER_S, 'record')
         elif row is not None:
-            age_s = now_s - row.event_s
-            if age_s > _MAX_RECORD_AGE.total_seconds():
+            made_after_s = written_after_s - _MAX_RECORD_DELAY.total_seconds()
+            if made_after_s > row.event_s:
                 row.until_s = min(row.until_s, now_s)
                 row.known_until_s = min(row.known_until_s, now_s)
 
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -270,6 +270,31 @@
     assert list(cold.report()) == ['i-1']
 
 
+def test_record_from_before_an_event_does_not_end_the_cold_time():
+    # Guards against the last records of a process that has crashed: they are
+    # read late if the store was away, and again when all records are listed.
+    clock = ManualClock()
+    bounds = FreshnessBounds(timedelta(seconds=4), timedelta(seconds=1))
+    state = ClusterState(clock, bounds, RecordingLog())
+    rule = RULE._replace(duration_s=20)
+    cold = ColdTargets('n', list, lambda _: rule, clock, RecordingLog())
+    state.on_record = cold.observe_record
+    ready = target('i-1', cold_left_ms=0, sequence=1)
+    state.update_target(ready)
+    state.retain_targets(['i-1'])
+    state.confirm_targets(clock.monotonic_s())
+    advance(clock, 1)
+    cold.assume(ready, 'unreachable')
+    advance(clock, 5)
+    state.update_target(ready._replace(sequence=2))
+    assert limited(cold)
+    state.confirm_targets(clock.monotonic_s())
+    state.update_target(ready._replace(sequence=2))
+    assert limited(cold)
+    state.update_target(ready._replace(sequence=3))
+    assert not limited(cold)
+
+
 def record(**fields):
     document = (
         b'{"service":"llm","addr":"10.0.0.1:80","zone":"a","version":"v1",'
