Let gateways save up requests to cold targets only if they may send them

Callers: with 68 gateways a target gets more than 2.5 times its tolerated rate in the second after its cold time, with 420 gateways 420 requests at once. Cause: the buckets of the gateways that are no senders were filled as well, and all of them may send once the time ends. Fix: their buckets get nothing before. One that becomes a sender as members change starts empty too. Evidence: test_end_of_the_cold_time_is_no_burst_of_all_gateways fails without it for 68 and 420 gateways.

--- a/peridotrill/gateway/cold_targets.py
+++ b/peridotrill/gateway/cold_targets.py
@@ -198,7 +198,9 @@
             # Its share can't be told from that of all gateways together.
             return False
         if now_s < row.until_s:
-            row.bucket.refill(now_s, row.share.rate_per_s, row.share.burst)
+            # The others save up nothing, or all would send as the time ends.
+            rate_per_s = row.share.rate_per_s if row.is_sender else 0
+            row.bucket.refill(now_s, rate_per_s, row.share.burst)
             return row.is_sender and row.bucket.tokens >= 1
         rate_per_s = row.rule.rate_per_s * _RAMP_FACTOR / row.gateways
         row.bucket.refill(now_s, rate_per_s, max(1, row.share.burst))
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -152,6 +152,16 @@
     assert not fleet.cold[0].report()
 
 
+@pytest.mark.parametrize('gateways', [25, 68, 420])
+def test_end_of_the_cold_time_is_no_burst_of_all_gateways(gateways):
+    # Guards against one request of each gateway at the moment that ends it, also
+    # of those that were not to send before.
+    fleet = Fleet(gateways)
+    fleet.assume_all()
+    fleet.play(3.9)
+    assert fleet.most_in_second() <= 2.5 * RULE.rate_per_s
+
+
 def limited(cold):
     """Return whether a target counts as cold."""
     return cold.count > 0
