Limit targets for all of the cold time that their service declares

Callers: engines of a service with more than 60 s of cold time crash after a minute. Cause: the bound for wrong figures of 60 s also cut what the configuration declares. Fix: the bound is the declared time where that is longer. Evidence: test_wrong_figure_is_bounded_but_the_declared_time_applies[120-120] fails without it.

--- a/peridotrill/gateway/cold_targets.py
+++ b/peridotrill/gateway/cold_targets.py
@@ -28,7 +28,7 @@
 # Time in which a record that a target has made reaches the store. One that was
 # written later than this after an event was made after it.
 _MAX_RECORD_DELAY: Final = timedelta(seconds=1)
-# Bounds what a wrong figure can do.
+# Bounds what a wrong figure can do, beyond the time that the service declares.
 _MAX_COLD_TIME: Final = timedelta(seconds=60)
 _MS_PER_S: Final = 1000
 
@@ -258,7 +258,8 @@
                 source=source,
                 left_ms=round(left_s * _MS_PER_S),
             )
-        until_s = now_s + min(left_s, _MAX_COLD_TIME.total_seconds())
+        longest_s = max(_MAX_COLD_TIME.total_seconds(), rule.duration_s)
+        until_s = now_s + min(left_s, longest_s)
         row.until_s = max(row.until_s, until_s)
         if not is_hearsay:
             row.event_s = now_s
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -242,6 +242,21 @@
     assert not any(limited(cold) for cold in fleet.cold)
 
 
+@pytest.mark.parametrize(('declared_s', 'cold_s'), [(3, 60), (120, 120)])
+def test_wrong_figure_is_bounded_but_the_declared_time_applies(
+    declared_s, cold_s
+):
+    # Guards against a full load for the second minute of a slow start, and
+    # against one wrong response that limits a target for hours.
+    fleet = Fleet(1, WarmUpRule(declared_s, 30, 50))
+    cold = fleet.cold[0]
+    cold.observe_response(fleet.record, 10_000_000)
+    advance(fleet.clock, cold_s - 0.1)
+    assert limited(cold)
+    advance(fleet.clock, 0.2)
+    assert not limited(cold)
+
+
 def test_service_without_warm_up_is_never_limited():
     fleet = Fleet(2, rule=None)
     cold = fleet.cold[0]
