Compute the share of a cold target only when members are added

Cause: has_room runs for each target at each dispatch, and listed all members for each cold target to find that their number is the same. Test: test_share_is_only_computed_again_for_new_members fails without it (100 passes).

--- a/peridotrill/gateway/cold_targets.py
+++ b/peridotrill/gateway/cold_targets.py
@@ -5,7 +5,7 @@
 started, so that it can't depend on reports: each gateway has a fixed share.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from datetime import timedelta
 from typing import Final, NamedTuple, final
 
@@ -97,7 +97,7 @@
     def __init__(
         self,
         node: str,
-        peers: Callable[[], Iterable[str] | None],
+        peers: Callable[[], Collection[str] | None],
         find_rule: Callable[[str], WarmUpRule | None],
         clock: Clock,
         log: EventSink,
@@ -267,11 +267,10 @@
 
     def _update_share(self, target_id: str, row: _ColdTarget) -> None:
         peers = self._peers()
-        if peers is None:
+        # Members are added, but never removed.
+        if peers is None or len(peers) + 1 == row.gateways:
             return
         nodes = (*peers, self._node)
-        if len(nodes) == row.gateways:
-            return
         row.gateways = len(nodes)
         row.share = share_limit(row.rule, len(nodes))
         chosen = rank_for_key(nodes, target_id, row.share.senders)
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -257,6 +257,30 @@
     assert not limited(cold)
 
 
+class CountedNames(frozenset):
+    """Names that count how often they are gone through."""
+
+    passes = 0
+
+    def __iter__(self):
+        type(self).passes += 1
+        return super().__iter__()
+
+
+def test_share_is_only_computed_again_for_new_members():
+    # Guards against work that grows with the gateways, for each cold target each
+    # time that a request is placed.
+    fleet = Fleet(1)
+    peers = CountedNames(f'front-{number}' for number in range(420))
+    cold = ColdTargets(
+        'n', lambda: peers, lambda _: RULE, fleet.clock, fleet.log
+    )
+    cold.assume(fleet.record, 'test')
+    for _ in range(100):
+        cold.has_room('i-1')
+    assert CountedNames.passes == 1
+
+
 def test_service_without_warm_up_is_never_limited():
     fleet = Fleet(2, rule=None)
     cold = fleet.cold[0]
