Do not repeat role orders at engines of an evacuated zone

Operator: an engine of an evacuated zone gets orders for up to 4 s more. Cause: the planner leaves such engines out, but an order without a response is sent again without a look at the zone. Fix: it is dropped, as for an engine that drains. Evidence: test_order_is_not_resent_to_an_evacuated_engine fails without it.

--- a/peridotrill/gateway/role_controller.py
+++ b/peridotrill/gateway/role_controller.py
@@ -182,6 +182,8 @@
         known = self._cluster_state.find_target(target_id)
         if known is None or known.is_draining or known.role is change.role:
             return False
+        if known.zone in self._cluster_state.evacuations:
+            return False
         if not has_decode(engines):
             # The engine has become the last one that can decode.
             self._orders.pop(target_id, None)
--- a/tests/test_zone_evacuations.py
+++ b/tests/test_zone_evacuations.py
@@ -173,6 +173,21 @@
     assert not harness.client.orders
 
 
+def test_order_is_not_resent_to_an_evacuated_engine():
+    # Guards against requests to a zone that was evacuated between an order and
+    # its response.
+    harness = RoleControllerHarness('timeout', 'timeout', 'timeout')
+    harness.step()
+    ordered = [name for name, *_ in harness.client.orders]
+    for row in harness.cluster_state.all_targets():
+        if row.target_id in ordered:
+            harness.cluster_state.update_target(row._replace(zone='b'))
+    harness.cluster_state.update_evacuation('b', is_evacuated=True)
+    for _ in range(3):
+        harness.step()
+    assert [name for name, *_ in harness.client.orders].count(ordered[0]) == 1
+
+
 def placement_with(state):
     clock = ManualClock()
     limits = TargetLimits('n', list, clock, RecordingLog())
