Let requests pass those that wait for engines of their regions

Callers: while the engines of one region are full, requests of a team that is restricted to it hold up those of all other teams of the service, although engines elsewhere are idle, until they miss their goal one by one. Cause: the queue of a pool serves its first request or none, which holds only if all requests can go to the same targets. Fix: a restricted request without capacity is skipped together with those that have the same regions; the order among the others is that of the fair queue. Evidence: test_full_region_does_not_hold_up_requests_for_others fails if dispatch ends at the first request without capacity.

--- a/peridotrill/fair_queue.py
+++ b/peridotrill/fair_queue.py
@@ -14,6 +14,7 @@
 
 import itertools
 from collections import deque
+from collections.abc import Callable
 from typing import Any, Final, NamedTuple, final
 
 from expression import Error, Ok, Result
@@ -84,11 +85,22 @@
             return None
         return self._next_team_queue().tickets[0]
 
-    def pop(self) -> Ticket:
-        """Remove the next request to serve; the queue must not be empty."""
-        team_queue = self._next_team_queue()
-        ticket = team_queue.tickets[0]
-        self._virtual_time = team_queue.start_tag
+    def peek_past(self, is_skipped: Callable[[Ticket], bool]) -> Ticket | None:
+        """Return the next request to serve of those that are not skipped."""
+        found = [
+            (team_queue.start_tag, ticket.number, ticket)
+            for team_queue in self.team_queues.values()
+            for ticket in itertools.islice(
+                itertools.filterfalse(is_skipped, team_queue.tickets), 1
+            )
+        ]
+        return min(found)[-1] if found else None
+
+    def pop(self, ticket: Ticket) -> Ticket:
+        """Remove a request to serve it; it must be in the queue."""
+        team_queue = self.team_queues[ticket.team]
+        # Requests that were skipped have lower tags.
+        self._virtual_time = max(self._virtual_time, team_queue.start_tag)
         finish_tag = team_queue.start_tag + ticket.cost_tokens / ticket.weight
         self._finish_tags[ticket.team] = finish_tag
         team_queue.start_tag = finish_tag
@@ -233,20 +245,33 @@
         self._size_bytes += size_bytes
         return Ok(ticket)
 
-    def peek(self) -> Ticket | None:
-        """Return the next request to serve without removing it."""
+    def peek(
+        self, is_skipped: Callable[[Ticket], bool] | None = None
+    ) -> Ticket | None:
+        """Return the next request to serve without removing it.
+
+        :param is_skipped: tells which requests can't be served now.
+        """
         for priority in sorted(self._classes):
-            ticket = self._classes[priority].peek()
+            waiting = self._classes[priority]
+            ticket = (
+                waiting.peek()
+                if is_skipped is None
+                else waiting.peek_past(is_skipped)
+            )
             if ticket is not None:
                 return ticket
         return None
 
-    def pop(self) -> Ticket | None:
-        """Remove and return the next request to serve."""
-        ticket = self.peek()
+    def pop(self, ticket: Ticket | None = None) -> Ticket | None:
+        """Remove and return a request that is served.
+
+        :param ticket: a request in the queue; None for the next one.
+        """
+        ticket = ticket or self.peek()
         if ticket is None:
             return None
-        self._classes[ticket.priority].pop()
+        self._classes[ticket.priority].pop(ticket)
         self._forget(ticket)
         if self._tickets:
             self._rate.served(ticket.cost_tokens, self._clock.monotonic_s())
--- a/peridotrill/gateway/admission_queue.py
+++ b/peridotrill/gateway/admission_queue.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Final, NamedTuple, final
 
 from expression import Result
@@ -65,7 +66,8 @@
     for fair queueing, in a unit common to all requests of the queue.
     ``goal_deadline_s`` and ``queue_deadline_s`` are monotonic times: with a
     reservation by the first the request is expected to meet its latency goal,
-    and at the second it stops waiting.
+    and at the second it stops waiting. ``regions`` are those in which it may be
+    served, None for all.
     """
 
     find: ReservationFinder
@@ -74,6 +76,7 @@
     cost: float
     goal_deadline_s: float
     queue_deadline_s: float
+    regions: frozenset[str] | None = None
 
 
 class _Waiter(NamedTuple):
@@ -148,13 +151,24 @@
             raise
 
     def dispatch(self) -> None:
-        """Refuse expired requests, then grant the available capacity."""
+        """Refuse expired requests, then grant the available capacity.
+
+        A request that must wait for capacity in its regions does not hold up
+        those that may be served in others.
+        """
         for expired in self._queue.expire():
             _resolve(expired.item, None)
-        while True:
-            ticket = self._queue.peek()
-            if ticket is None or not self._process_ticket(ticket):
-                return
+        full: set[frozenset[str]] = set()
+        ticket = self._queue.peek()
+        while ticket is not None:
+            if not self._process_ticket(ticket):
+                regions = ticket.item.request.regions
+                if regions is None:
+                    return
+                full.add(regions)
+            ticket = self._queue.peek(
+                partial(_is_for_any, full) if full else None
+            )
 
     def _process_ticket(self, ticket: Ticket) -> bool:
         """Grant, drop or deprioritize the next request.
@@ -172,7 +186,7 @@
         reservation = waiter.request.find()
         if reservation is None:
             return False
-        self._queue.pop()
+        self._queue.pop(ticket)
         self._on_grant(reservation)
         _resolve(waiter, reservation)
         return True
@@ -223,6 +237,11 @@
         self._start_timer()
 
 
+def _is_for_any(regions: set[frozenset[str]], ticket: Ticket) -> bool:
+    """Tell whether a request is restricted to one of several sets of regions."""
+    return ticket.item.request.regions in regions
+
+
 def _resolve(waiter: _Waiter, reservation: Reservation | None) -> None:
     if not waiter.granted.done():
         waiter.granted.set_result(reservation)
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -275,6 +275,7 @@
                 + self.route.goal_ms / 1000
                 - expected_latency_s,
                 queue_deadline_s,
+                self.allowed_regions,
             ),
         )
         waited_s = shared.clock.monotonic_s() - queued_s
--- a/tests/test_zone_evacuations.py
+++ b/tests/test_zone_evacuations.py
@@ -9,14 +9,14 @@
 
 from peridotrill.clock import ManualClock
 from peridotrill.exceptions import CodecError
-from peridotrill.gateway.admission_queue import Reservation
+from peridotrill.gateway.admission_queue import Reservation, ReservationRequest
 from peridotrill.gateway.cluster_state import ClusterState, FreshnessBounds
 from peridotrill.gateway.configuration import Team
 from peridotrill.gateway.error_responses import GatewayError
 from peridotrill.gateway.event_sequence import EventNumberings
 from peridotrill.gateway.generation import Generation
 from peridotrill.gateway.load_tracker import LoadTracker
-from peridotrill.gateway.placement import Placement
+from peridotrill.gateway.placement import Placement, Pool
 from peridotrill.gateway.prefill import RemotePrompt, release_prompt
 from peridotrill.gateway.request_context import RequestContext
 from peridotrill.gateway.store_follower import Decoders, RecordApplier
@@ -270,6 +270,33 @@
     assert not follower.zones(frozenset())
 
 
+def test_full_region_does_not_hold_up_requests_for_others():
+    # Guards against engines that are idle while requests wait for them behind
+    # one that is restricted to the full engines of another region.
+    follower = Follower()
+    placement = placement_with(follower.state)
+    queue = placement.queue('till', Pool.PLAIN)
+
+    def ask(regions):
+        regions = regions and frozenset({regions})
+        find = placement.plain_finder('till', set(), regions)
+        request = ReservationRequest(find, 'team', 0, 1, 900, 900, regions)
+        return asyncio.create_task(queue.acquire(request))
+
+    async def run():
+        taken = [await ask('south') for _ in range(8)]
+        waiting = [ask('south'), ask('north'), ask('south'), ask(None)]
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert [row.done() for row in waiting] == [False, True, False, True]
+        placement.release(taken[0], 'till')
+        assert (await waiting[0]).target.zone == 'a'
+        assert not waiting[2].done()
+        waiting[2].cancel()
+
+    asyncio.run(run())
+
+
 def route_and_team(route_regions, team_regions):
     document = configuration_document()
     document['routes'] = [
