Drop the state of warm targets also if nothing is sent to them

Operator: the log names targets as cold and never as warm that left the state while their zone was evacuated, or that were replaced; a gateway keeps state for each of those. Cause: only a request that looks for room ended the state. Fix: the reports, some times per second, end it as well. Evidence: test_end_of_the_cold_time_is_noticed_without_requests fails without it.

--- a/peridotrill/gateway/cold_targets.py
+++ b/peridotrill/gateway/cold_targets.py
@@ -177,6 +177,8 @@
         arrives, so gateways would extend the time by telling each other.
         """
         now_s = self._clock.monotonic_s()
+        for known_id, known in list(self._targets.items()):
+            self._end_if_warm(known_id, known, now_s)
         return {
             target_id: round((row.known_until_s - now_s) * _MS_PER_S)
             for target_id, row in self._targets.items()
@@ -189,9 +191,7 @@
         if row is None:
             return True
         now_s = self._clock.monotonic_s()
-        if now_s >= row.until_s + _RAMP.total_seconds():
-            self._targets.pop(target_id)
-            self._log.write('target_warm', target=target_id)
+        if self._end_if_warm(target_id, row, now_s):
             return True
         self._update_share(target_id, row)
         if not row.gateways:
@@ -222,6 +222,16 @@
         now_s = self._clock.monotonic_s()
         return sum(row.until_s > now_s for row in self._targets.values())
 
+    def _end_if_warm(
+        self, target_id: str, row: _ColdTarget, now_s: float
+    ) -> bool:
+        """Drop the state of a target that is no longer limited."""
+        is_warm = now_s >= row.until_s + _RAMP.total_seconds()
+        if is_warm:
+            self._targets.pop(target_id)
+            self._log.write('target_warm', target=target_id)
+        return is_warm
+
     def _apply_record(
         self, record: TargetRecord, written_after_s: float
     ) -> None:
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -257,6 +257,18 @@
     assert not limited(cold)
 
 
+def test_end_of_the_cold_time_is_noticed_without_requests():
+    # Guards against a log that names targets as cold for ever, and against state
+    # that is kept for each target that has been replaced: nothing asks for the
+    # room of one that is gone, or whose zone is evacuated.
+    fleet = Fleet(2)
+    cold = fleet.cold[0]
+    cold.assume(fleet.record, 'unreachable')
+    advance(fleet.clock, 4.1)
+    assert not cold.report()
+    assert fleet.log.events[-1] == ('target_warm', {'target': 'i-1'})
+
+
 class CountedNames(frozenset):
     """Names that count how often they are gone through."""
 
