Do not take targets for restarted for faults that are not theirs

Callers: a gateway that has used up its descriptors or ports makes all gateways limit each target that it tries, for the cold time after each attempt; and a target whose report can't be read counts as cold for as long as requests have to identify it. Cause: whatever kept a request from being sent was taken for a restart of the target, and reported to the other gateways. Fix: errors of the own process have a type of their own; neither they nor a target that answers without naming its process start a cold time. Health and retries are as before. Evidence: test_only_failures_of_the_target_suggest_a_restart (two of four cases) and test_target_that_does_not_name_its_process_is_not_taken_for_restarted fail without it.

--- a/peridotrill/exceptions.py
+++ b/peridotrill/exceptions.py
@@ -83,6 +83,10 @@
     """No connection to the target could be opened; nothing was sent."""
 
 
+class ConnectionsExhausted(TargetUnreachable):
+    """This process can open no more connections, to any target."""
+
+
 class TargetRefused(TargetUnreachable):
     """The address of the target refuses connections: no process listens."""
 
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -10,11 +10,13 @@
 
 from peridotrill.exceptions import (
     CodecError,
+    ConnectionsExhausted,
     ResponseExcessive,
     TargetOutcomeUnknown,
     TargetRefused,
     TargetReplaced,
     TargetTimeout,
+    TargetUnidentified,
     TargetUnreachable,
 )
 from peridotrill.gateway.admission_queue import (
@@ -554,8 +556,10 @@
         self, target: TargetRecord, error: TargetUnreachable
     ) -> None:
         """Record that no connection to a target could be opened."""
-        # The target may have started again, and be cold, without a record yet.
-        self.shared.limits.cold.assume(target, 'unreachable')
+        # The target may have started again, and be cold, without a record yet;
+        # but not if it is running, or if the fault is with this gateway.
+        if not isinstance(error, (ConnectionsExhausted, TargetUnidentified)):
+            self.shared.limits.cold.assume(target, 'unreachable')
         self.record_attempt_failure(target, Failure.UNREACHABLE, str(error))
         if isinstance(error, TargetRefused):
             self.shared.crashes.record_end(target.process, 'connection refused')
--- a/peridotrill/gateway/target_connections.py
+++ b/peridotrill/gateway/target_connections.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import enum
+import errno
 import math
 import re
 import select
@@ -22,6 +23,7 @@
 import httptools
 
 from peridotrill.exceptions import (
+    ConnectionsExhausted,
     ResponseExcessive,
     TargetOutcomeUnknown,
     TargetRefused,
@@ -40,6 +42,16 @@
 from peridotrill.gateway.requests import Headers
 from peridotrill.settings import Address
 
+# Errors of a connection attempt that say nothing about the target.
+_LOCAL_ERRORS: Final = frozenset(
+    (
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EADDRNOTAVAIL,
+    )
+)
 # Body bytes that are buffered for a slow caller before reading is paused.
 _MAX_BUFFERED_BYTES: Final = 65536
 # Limit for bytes in a row that belong to no body of the expected response:
@@ -656,8 +668,16 @@
             )
     except TimeoutError as error:
         raise TargetUnreachable('connect timeout') from error
-    except ConnectionRefusedError as error:
-        raise TargetRefused(f'connect failed: {error}') from error
     except OSError as error:
-        raise TargetUnreachable(f'connect failed: {error}') from error
+        raise _describe_failure(error) from error
     return connection
+
+
+def _describe_failure(error: OSError) -> TargetUnreachable:
+    """Return what a failed connection attempt says about the target."""
+    detail = f'connect failed: {error}'
+    if isinstance(error, ConnectionRefusedError):
+        return TargetRefused(detail)
+    if error.errno in _LOCAL_ERRORS:
+        return ConnectionsExhausted(detail)
+    return TargetUnreachable(detail)
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -1,12 +1,19 @@
 """Cold targets: the limit on the requests of all gateways; without a network."""
 
+import asyncio
+import errno
 import random
 from datetime import timedelta
+from unittest.mock import AsyncMock, MagicMock
 
 import pytest
 
 from peridotrill.clock import ManualClock
-from peridotrill.exceptions import CodecError
+from peridotrill.exceptions import (
+    CodecError,
+    TargetUnidentified,
+    TargetUnreachable,
+)
 from peridotrill.gateway.cluster_state import ClusterState, FreshnessBounds
 from peridotrill.gateway.cold_targets import (
     ColdTargets,
@@ -14,14 +21,21 @@
     share_limit,
 )
 from peridotrill.gateway.peers import PeerExchange
-from peridotrill.gateway.target_connections import ResponseHead
+from peridotrill.gateway.request_context import RequestContext
+from peridotrill.gateway.target_connections import (
+    ResponseHead,
+    open_connection,
+)
 from peridotrill.platform.configuration import decode_configuration
 from peridotrill.platform.target_records import decode_target
 from peridotrill.platform.wire import decode_response_head
+from peridotrill.settings import Address
 from tests.gateway_builders import (
     RecordingLog,
     advance,
+    caller_request,
     configuration_record,
+    receive_limits,
     target,
 )
 from tests.gateway_site import call, run_site, wait_until
@@ -269,6 +283,54 @@
     assert fleet.log.events[-1] == ('target_warm', {'target': 'i-1'})
 
 
+def cold_after(error):
+    """Return whether a target counts as cold after a failed connection."""
+    cold = Fleet(1).cold[0]
+    shared = MagicMock()
+    shared.limits.cold = cold
+    shared.clock.monotonic_s.return_value = 0
+    route = MagicMock(timeout_ms=1000)
+    context = RequestContext(
+        caller_request(), route, None, 'till', None, shared
+    )
+    context.record_unreachable(target('i-1'), error)
+    return limited(cold)
+
+
+async def connect():
+    await open_connection(
+        Address('127.0.0.1', 9), 1, lambda connection: None, receive_limits()
+    )
+
+
+@pytest.mark.parametrize(
+    ('number', 'is_cold'),
+    [
+        (errno.EMFILE, False),
+        (errno.EADDRNOTAVAIL, False),
+        (errno.ECONNREFUSED, True),
+        (errno.EHOSTUNREACH, True),
+    ],
+)
+def test_only_failures_of_the_target_suggest_a_restart(
+    monkeypatch, number, is_cold
+):
+    # Guards against one gateway without descriptors that has all gateways limit
+    # all targets.
+    failure = AsyncMock(side_effect=OSError(number, 'failed'))
+    monkeypatch.setattr(asyncio.SelectorEventLoop, 'create_connection', failure)
+    with pytest.raises(TargetUnreachable) as caught:
+        asyncio.run(connect())
+    assert cold_after(caught.value) is is_cold
+
+
+def test_target_that_does_not_name_its_process_is_not_taken_for_restarted():
+    # Guards against a target that answers without a readable report, and counts
+    # as cold for as long as it is asked.
+    assert not cold_after(TargetUnidentified('not identified'))
+    assert cold_after(TargetUnreachable('connect timeout'))
+
+
 class CountedNames(frozenset):
     """Names that count how often they are gone through."""
 
