Ask engines for their parts only after evacuated zones are known

Operator: engines of an evacuated zone get a call from gateways that start while the store is slow to list the configuration, after the loss of all gateways. Cause: the query starts a fixed time after the process, and evacuations are read together with the configuration. Fix: it waits for the configuration; the next try is after the same time again. Evidence: test_engines_are_not_asked_before_evacuated_zones_are_known fails without it. The builder of the other tests of part sharing now loads a configuration.

--- a/peridotrill/gateway/part_sharing.py
+++ b/peridotrill/gateway/part_sharing.py
@@ -83,7 +83,11 @@
         After a restart of all gateways, each engine is queried by one
         gateway, which sends the result to the others.
         """
-        await anyio.sleep(_ENGINE_QUERY_DELAY.total_seconds())
+        delay_s = _ENGINE_QUERY_DELAY.total_seconds()
+        await anyio.sleep(delay_s)
+        # Evacuated zones are read together with the configuration.
+        while self._cluster_state.configuration is None:
+            await anyio.sleep(delay_s)
         if self.has_received_listing:
             return
         active_nodes = (
--- a/tests/test_gateway_reporting.py
+++ b/tests/test_gateway_reporting.py
@@ -26,8 +26,14 @@
 from peridotrill.gateway.target_limits import TargetLimits
 from peridotrill.gateway.targets import TargetRole
 from peridotrill.gateway.usage_counts import UsageCounts
+from peridotrill.platform.configuration import decode_configuration
 from peridotrill.settings import Address
-from tests.gateway_builders import RecordingLog, advance, target
+from tests.gateway_builders import (
+    RecordingLog,
+    advance,
+    configuration_record,
+    target,
+)
 from tests.test_gateway_coordinator import FakeLog
 
 
@@ -202,6 +208,9 @@
     cluster_state = ClusterState(clock, bounds, log)
     for name in engines:
         cluster_state.update_target(target(name, TargetRole.PREFILL))
+    cluster_state.update_configuration(
+        decode_configuration(configuration_record())
+    )
     exchange = FakePeerExchange(node, _GATEWAYS)
     parts = PartDirectory(500000)
     sharing = PartSharing(
@@ -267,6 +276,28 @@
     assert sorted(asked) == sorted(engines)
 
 
+def test_engines_are_not_asked_before_evacuated_zones_are_known():
+    # Guards against calls to an evacuated zone by a gateway that starts while
+    # the store is slow to list the configuration.
+    lister = FakePartLister()
+    sharing, _, _ = make_sharing('g2', lister, ('i-1', 'i-2'))
+    cluster_state = sharing._cluster_state
+    cluster_state.configuration = None
+
+    async def run():
+        with anyio.move_on_after(1):
+            await sharing.ask_engines()
+        assert not lister.asked
+        cluster_state.update_evacuation('a', is_evacuated=True)
+        cluster_state.update_configuration(
+            decode_configuration(configuration_record())
+        )
+        await sharing.ask_engines()
+
+    anyio.run(run)
+    assert not lister.asked
+
+
 def test_engines_are_not_asked_if_another_gateway_knows():
     lister = FakePartLister()
     sharing, _, _ = make_sharing('g1', lister, ('i-1', 'i-2', 'i-3'))
