Apply a new limit of a service to targets that are cold already

Operator: a lower limit, set because cold engines crash, has no effect on those that are cold. Cause: the limit was read once, when a target turned cold. Fix: each later record, response or report that says that the target is cold compares it. Evidence: test_new_limit_of_a_service_applies_to_targets_that_are_cold fails without it.

--- a/peridotrill/gateway/cold_targets.py
+++ b/peridotrill/gateway/cold_targets.py
@@ -261,6 +261,9 @@
         if row is None:
             row = _ColdTarget(rule, now_s)
             self._targets[target.target_id] = row
+        if row.rule != rule:
+            row.rule = rule
+            row.gateways = 0
         if now_s >= row.until_s:
             self._log.write(
                 'target_cold',
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -331,6 +331,20 @@
     assert cold_after(TargetUnreachable('connect timeout'))
 
 
+def test_new_limit_of_a_service_applies_to_targets_that_are_cold():
+    # Guards against an operator who lowers the limit because engines crash, and
+    # sees no effect before the engines have ended.
+    fleet = Fleet(25, WarmUpRule(20, 30, 50))
+    fleet.assume_all()
+    fleet.play(1)
+    fleet.rule = WarmUpRule(20, 4, 11)
+    fleet.assume_all()
+    fleet.play(1)
+    fleet.sent_s.clear()
+    fleet.play(2)
+    assert 0 < fleet.most_in_second() <= fleet.rule.max_per_second
+
+
 class CountedNames(frozenset):
     """Names that count how often they are gone through."""
 
