--- a/peridotrill/gateway/cluster_state.py
+++ b/peridotrill/gateway/cluster_state.py
@@ -51,7 +51,7 @@
 
         :param zone_regions: region of each availability zone.
         """
-        self.evacuations = ZoneEvacuations(log)
+        self.evacuations = ZoneEvacuations(log, self._count_targets)
         self._zone_regions = zone_regions or {}
         self.versions = VersionHistory(clock, is_complete=is_first_start)
         self._clock = clock
@@ -445,6 +445,9 @@
         self.evacuations.apply_listing(zones)
         self.on_change()
 
+    def _count_targets(self, zone: str) -> int:
+        return sum(row.zone == zone for row in self._targets.values())
+
     def all_targets(self) -> list[TargetRecord]:
         """Return all targets, including draining ones."""
         return list(self._targets.values())
--- a/peridotrill/gateway/zone_evacuations.py
+++ b/peridotrill/gateway/zone_evacuations.py
@@ -10,9 +10,15 @@
 class ZoneEvacuations:
     """The zones whose targets get no new requests."""
 
-    def __init__(self, log: EventSink) -> None:
-        """Start without evacuated zones."""
+    def __init__(
+        self, log: EventSink, count_targets: Callable[[str], int]
+    ) -> None:
+        """Start without evacuated zones.
+
+        :param count_targets: returns the number of targets in a zone.
+        """
         self._log = log
+        self._count_targets = count_targets
         self._zones: set[str] = set()
         # Zones that were evacuated when the store was restored, and that it has
         # not listed since: their records may have been lost.
@@ -32,14 +38,14 @@
         self._unrecorded.discard(zone)
         if zone not in self._zones:
             self._zones.add(zone)
-            self._log.write('zone_evacuated', zone=zone)
+            self._write('zone_evacuated', zone)
 
     def take_back(self, zone: str) -> None:
         """Use the targets of a zone again."""
         self._unrecorded.discard(zone)
         if zone in self._zones:
             self._zones.remove(zone)
-            self._log.write('zone_taken_back', zone=zone)
+            self._write('zone_taken_back', zone)
             self.on_taken_back(zone)
 
     def expect_lost_records(self) -> None:
@@ -58,6 +64,9 @@
         for gone in sorted(self._zones - listed - self._unrecorded):
             self.take_back(gone)
 
+    def _write(self, event: str, zone: str) -> None:
+        self._log.write(event, zone=zone, targets=self._count_targets(zone))
+
 
 def _ignore(zone: str) -> None:
     """Do nothing; used until a callback is set."""
--- a/tests/test_zone_evacuations.py
+++ b/tests/test_zone_evacuations.py
@@ -92,6 +92,24 @@
     assert taken_back == ['b']
 
 
+def test_log_names_the_targets_of_an_evacuated_zone():
+    # Guards against an operator who can't tell a zone without targets, or one
+    # whose name is wrong, from one that is being emptied.
+    follower = Follower()
+    follower.read('evacuate/b')
+    follower.read('evacuate/nowhere')
+    follower.read('evacuate/b', b'')
+    assert [
+        (event, fields['zone'], fields['targets'])
+        for event, fields in follower.log.events
+        if event.startswith('zone_')
+    ] == [
+        ('zone_evacuated', 'b', 1),
+        ('zone_evacuated', 'nowhere', 0),
+        ('zone_taken_back', 'b', 1),
+    ]
+
+
 def test_evacuation_of_an_unknown_zone_has_no_effect():
     follower = Follower()
     follower.read('evacuate/nowhere')
