Read the members also if the own address can't be written

Cause: the list of members was read only after the own address had been written. Fix: it is read in any case; the exchange is still repeated until both have worked. Evidence: test_members_are_read_although_the_own_address_is_not_written fails without it.

--- a/peridotrill/gateway_followers.py
+++ b/peridotrill/gateway_followers.py
@@ -147,21 +147,34 @@
                 await self._exchange_addresses(topic)
 
     async def _exchange_addresses(self, topic: KeyedTopic) -> bool:
-        """Write the own address, then read all; return whether both worked."""
-        own = Address(self._node.ip, self._node.peer_port)
+        """Write the own address, then read all; return whether both worked.
+
+        All are read also if the write failed: a store may accept no records.
+        """
+        has_written = await self._write_address(topic)
         try:
-            if self._joined_generation != topic.generation:
-                self._joined_generation = await topic.put(
-                    self._node.node, str(own).encode()
-                )
             page = await topic.newest()
-        except (AppendOutcomeUnknown, LogUnavailable) as error:
+        except LogUnavailable as error:
             self._log.write('join_failed', error=str(error))
             return False
         for node, address in page.rows:
             if address:
                 self._add_member(node, address)
         self._peers.are_members_read = True
+        return has_written
+
+    async def _write_address(self, topic: KeyedTopic) -> bool:
+        """Write the own address unless the store has it; return success."""
+        if self._joined_generation == topic.generation:
+            return True
+        own = Address(self._node.ip, self._node.peer_port)
+        try:
+            self._joined_generation = await topic.put(
+                self._node.node, str(own).encode()
+            )
+        except (AppendOutcomeUnknown, LogUnavailable) as error:
+            self._log.write('join_failed', error=str(error))
+            return False
         return True
 
     async def _wait_for_peers(self) -> None:
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -11,6 +11,7 @@
 from peridotrill.clock import ManualClock
 from peridotrill.exceptions import (
     CodecError,
+    LogUnavailable,
     TargetUnidentified,
     TargetUnreachable,
 )
@@ -26,8 +27,10 @@
     ResponseHead,
     open_connection,
 )
+from peridotrill.gateway_followers import StoreFollowers
 from peridotrill.platform.configuration import decode_configuration
 from peridotrill.platform.target_records import decode_target
+from peridotrill.platform.topics import KeyedPage
 from peridotrill.platform.wire import decode_response_head
 from peridotrill.settings import Address
 from tests.gateway_builders import (
@@ -153,6 +156,32 @@
     assert fleet.cold[0].has_room('i-1')
 
 
+class ReadOnlyTopic:
+    """Topic of a store that lists its records and accepts none."""
+
+    generation = 1
+
+    async def put(self, key, content):
+        raise LogUnavailable('no appends')
+
+    async def newest(self):
+        return KeyedPage([('front-2', b'127.0.0.1:7500')], 0)
+
+
+def test_members_are_read_although_the_own_address_is_not_written():
+    # Guards against a gateway that sends nothing to cold targets for as long as
+    # the store accepts no records.
+    log = RecordingLog()
+    peers = PeerExchange('front-1', ManualClock(), log)
+    node = MagicMock(node='front-1', ip='127.0.0.1', peer_port=7500)
+    node.bounds.drain_ms = 2000
+    followers = StoreFollowers(
+        node, MagicMock(), MagicMock(), peers, ManualClock(), log
+    )
+    assert not asyncio.run(followers._exchange_addresses(ReadOnlyTopic()))
+    assert list(peers.known_members()) == ['front-2']
+
+
 def test_warm_target_is_not_limited_and_the_end_is_no_burst():
     # Guards against a queue that empties into a target as soon as it is warm.
     fleet = Fleet(6)
