Let a record outweigh older events that other gateways report

Callers: a gateway that reaches neither the store nor an engine has all other gateways limit the engine for the whole cold time after each failure, also after the engine has said in a record that it is ready. Cause: a report named the remaining time only, so that the receiver took each one for a new event. Fix: it names the time since the event as well. A record that was made after that ends the time, and later reports of the event have no effect. Evidence: test_record_outweighs_older_events_that_others_still_report fails without it.

--- a/peridotrill/gateway/cold_targets.py
+++ b/peridotrill/gateway/cold_targets.py
@@ -5,6 +5,7 @@
 started, so that it can't depend on reports: each gateway has a fixed share.
 """
 
+import math
 from collections.abc import Callable, Collection, Mapping
 from datetime import timedelta
 from typing import Final, NamedTuple, final
@@ -78,9 +79,10 @@
         self.rule = rule
         self.until_s = now_s
         # When something that happened to the target last showed that it is cold.
-        self.event_s = now_s
-        # Until when it is cold as far as this gateway knows itself.
+        self.event_s = -math.inf
+        # The same two as far as this gateway knows itself.
         self.known_until_s = now_s
+        self.known_event_s = -math.inf
         # An earlier process of this gateway, or this one while it did not know,
         # may have sent requests within the last second.
         self.bucket = TokenBucket(now_s)
@@ -114,6 +116,8 @@
         self._clock = clock
         self._log = log
         self._targets: dict[str, _ColdTarget] = {}
+        # Times after which targets wrote records that say that they are not cold.
+        self._ready_s: dict[str, float] = {}
 
     def observe_record(
         self,
@@ -158,21 +162,26 @@
 
     def observe_peer(
         self,
-        cold_left_ms: Mapping[str, int],
+        cold_targets: Mapping[str, tuple[int, int]],
         find_target: Callable[[str], TargetRecord | None],
     ) -> None:
         """Apply a report of another gateway.
 
-        :param cold_left_ms: remaining cold time by target.
+        :param cold_targets: by target, the remaining cold time and the time
+            since the event that it follows from, in milliseconds.
         """
-        for target_id, left_ms in cold_left_ms.items():
+        for target_id, (left_ms, age_ms) in cold_targets.items():
             target = find_target(target_id)
             if target is not None:
-                self._extend(target, left_ms / _MS_PER_S, 'peer', True)
+                self._extend(
+                    target, left_ms / _MS_PER_S, 'peer', age_ms / _MS_PER_S
+                )
 
-    def report(self) -> dict[str, int]:
+    def report(self) -> dict[str, tuple[int, int]]:
         """Return the remaining cold times that this gateway knows itself.
 
+        Each is with the time since the event that it follows from.
+
         What others have reported is left out: it is some time old when it
         arrives, so gateways would extend the time by telling each other.
         """
@@ -180,7 +189,10 @@
         for known_id, known in list(self._targets.items()):
             self._end_if_warm(known_id, known, now_s)
         return {
-            target_id: round((row.known_until_s - now_s) * _MS_PER_S)
+            target_id: (
+                round((row.known_until_s - now_s) * _MS_PER_S),
+                round((now_s - row.known_event_s) * _MS_PER_S),
+            )
             for target_id, row in self._targets.items()
             if row.known_until_s > now_s
         }
@@ -215,6 +227,7 @@
     def forget(self, target_id: str) -> None:
         """Drop what is known of a target that was removed or replaced."""
         self._targets.pop(target_id, None)
+        self._ready_s.pop(target_id, None)
 
     @property
     def count(self) -> int:
@@ -235,28 +248,40 @@
     def _apply_record(
         self, record: TargetRecord, written_after_s: float
     ) -> None:
-        row = self._targets.get(record.target_id)
-        now_s = self._clock.monotonic_s()
         if record.cold_left_ms:
             self._extend(record, record.cold_left_ms / _MS_PER_S, 'record')
-        elif row is not None:
-            made_after_s = written_after_s - _MAX_RECORD_DELAY.total_seconds()
-            if made_after_s > row.event_s:
-                row.until_s = min(row.until_s, now_s)
-                row.known_until_s = min(row.known_until_s, now_s)
+            return
+        made_after_s = written_after_s - _MAX_RECORD_DELAY.total_seconds()
+        self._ready_s[record.target_id] = made_after_s
+        row = self._targets.get(record.target_id)
+        if row is None:
+            return
+        now_s = self._clock.monotonic_s()
+        if made_after_s > row.event_s:
+            row.until_s = min(row.until_s, now_s)
+        if made_after_s > row.known_event_s:
+            row.known_until_s = min(row.known_until_s, now_s)
 
     def _extend(
         self,
         target: TargetRecord,
         left_s: float,
         source: str,
-        is_hearsay: bool = False,
+        reported_age_s: float | None = None,
     ) -> None:
-        """Take a target for cold for some time at least."""
+        """Take a target for cold for some time at least.
+
+        :param reported_age_s: time since the event that another gateway reports;
+            None if this gateway knows it itself, and it is new.
+        """
         rule = self._find_rule(target.service)
         if rule is None:
             return
         now_s = self._clock.monotonic_s()
+        event_s = now_s - (reported_age_s or 0)
+        if event_s < self._ready_s.get(target.target_id, -math.inf):
+            # The target was ready after that.
+            return
         row = self._targets.get(target.target_id)
         if row is None:
             row = _ColdTarget(rule, now_s)
@@ -274,8 +299,9 @@
         longest_s = max(_MAX_COLD_TIME.total_seconds(), rule.duration_s)
         until_s = now_s + min(left_s, longest_s)
         row.until_s = max(row.until_s, until_s)
-        if not is_hearsay:
-            row.event_s = now_s
+        row.event_s = max(row.event_s, event_s)
+        if reported_age_s is None:
+            row.known_event_s = event_s
             row.known_until_s = max(row.known_until_s, until_s)
 
     def _update_share(self, target_id: str, row: _ColdTarget) -> None:
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -54,7 +54,7 @@
     sender; each is in two consecutive reports. ``slowdowns`` are the factors by
     which model engines read prompts more slowly than by their model, by service.
     ``cold_targets`` are the milliseconds for which targets are still cold, as far
-    as the sender knows it itself.
+    as the sender knows it itself, and those since it learned of it.
     """
 
     node: str
@@ -78,7 +78,7 @@
     committed: dict[int, dict[str, int]] = {}
     begun_streams: list[BegunStreams] = []
     slowdowns: dict[str, float] = {}
-    cold_targets: dict[str, int] = {}
+    cold_targets: dict[str, tuple[int, int]] = {}
 
 
 class PartListing(
--- a/tests/test_cold_targets.py
+++ b/tests/test_cold_targets.py
@@ -374,6 +374,28 @@
     assert 0 < fleet.most_in_second() <= fleet.rule.max_per_second
 
 
+def test_record_outweighs_older_events_that_others_still_report():
+    # Guards against a gateway that reaches neither a target nor the store, and
+    # has all others limit the target although it says that it is ready.
+    fleet = Fleet(2, RULE._replace(duration_s=20))
+    told, cut_off = fleet.cold
+
+    def hear():
+        told.observe_peer(cut_off.report(), lambda name: fleet.record)
+
+    cut_off.assume(fleet.record, 'unreachable')
+    hear()
+    assert limited(told)
+    advance(fleet.clock, 2)
+    told.observe_record(fleet.record._replace(cold_left_ms=0), is_new=False)
+    hear()
+    assert not limited(told)
+    advance(fleet.clock, 1)
+    cut_off.assume(fleet.record, 'unreachable')
+    hear()
+    assert limited(told)
+
+
 class CountedNames(frozenset):
     """Names that count how often they are gone through."""
 
