--- a/peridotrill/gateway/cold_targets.py
+++ b/peridotrill/gateway/cold_targets.py
@@ -5,7 +5,8 @@
 started, so that it can't depend on reports: each gateway has a fixed share.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+import math
+from collections.abc import Callable, Collection, Mapping
 from datetime import timedelta
 from typing import Final, NamedTuple, final
 
@@ -25,10 +26,10 @@
 # what has been waiting does not arrive at once.
 _RAMP: Final = timedelta(seconds=1)
 _RAMP_FACTOR: Final = 2
-# Records are read this long after they were written at most, while the store is
-# in order. One that is read later was written after the event.
-_MAX_RECORD_AGE: Final = timedelta(seconds=2)
-# Bounds what a wrong figure can do.
+# Time in which a record that a target has made reaches the store. One that was
+# written later than this after an event was made after it.
+_MAX_RECORD_DELAY: Final = timedelta(seconds=1)
+# Bounds what a wrong figure can do, beyond the time that the service declares.
 _MAX_COLD_TIME: Final = timedelta(seconds=60)
 _MS_PER_S: Final = 1000
 
@@ -78,9 +79,10 @@
         self.rule = rule
         self.until_s = now_s
         # When something that happened to the target last showed that it is cold.
-        self.event_s = now_s
-        # Whether this gateway knows it from another one only.
-        self.is_hearsay = True
+        self.event_s = -math.inf
+        # The same two as far as this gateway knows itself.
+        self.known_until_s = now_s
+        self.known_event_s = -math.inf
         # An earlier process of this gateway, or this one while it did not know,
         # may have sent requests within the last second.
         self.bucket = TokenBucket(now_s)
@@ -97,12 +99,13 @@
     def __init__(
         self,
         node: str,
-        peers: Callable[[], Iterable[str]],
+        peers: Callable[[], Collection[str] | None],
         find_rule: Callable[[str], WarmUpRule | None],
         clock: Clock,
         log: EventSink,
     ) -> None:
-        """:param peers: returns all other gateways, also silent ones.
+        """:param peers: returns all other gateways, also silent ones; None while
+            they are not known.
 
         :param find_rule: returns the rule of a service; None if its targets
             are never cold.
@@ -113,17 +116,31 @@
         self._clock = clock
         self._log = log
         self._targets: dict[str, _ColdTarget] = {}
+        # Times after which targets wrote records that say that they are not cold.
+        self._ready_s: dict[str, float] = {}
 
-    def observe_record(self, record: TargetRecord, is_new: bool) -> None:
+    def observe_record(
+        self,
+        record: TargetRecord,
+        is_new: bool,
+        written_after_s: float | None = None,
+    ) -> None:
         """Apply the record of a target.
 
         :param is_new: whether its process has not been known before. What it
             says of itself then replaces what is known of an earlier process.
+
+        :param written_after_s: a monotonic time after which it was written. It
+            may have been read much later, if the store was slow or away. None
+            if it was written just now.
         """
         if is_new:
             self.forget(record.target_id)
         if record.cold_left_ms is not None:
-            self._apply_record(record, record.cold_left_ms / _MS_PER_S)
+            now_s = self._clock.monotonic_s()
+            self._apply_record(
+                record, now_s if written_after_s is None else written_after_s
+            )
         elif is_new:
             self.assume(record, 'new process')
 
@@ -145,29 +162,39 @@
 
     def observe_peer(
         self,
-        cold_left_ms: Mapping[str, int],
+        cold_targets: Mapping[str, tuple[int, int]],
         find_target: Callable[[str], TargetRecord | None],
     ) -> None:
         """Apply a report of another gateway.
 
-        :param cold_left_ms: remaining cold time by target.
+        :param cold_targets: by target, the remaining cold time and the time
+            since the event that it follows from, in milliseconds.
         """
-        for target_id, left_ms in cold_left_ms.items():
+        for target_id, (left_ms, age_ms) in cold_targets.items():
             target = find_target(target_id)
             if target is not None:
-                self._extend(target, left_ms / _MS_PER_S, 'peer', True)
+                self._extend(
+                    target, left_ms / _MS_PER_S, 'peer', age_ms / _MS_PER_S
+                )
 
-    def report(self) -> dict[str, int]:
+    def report(self) -> dict[str, tuple[int, int]]:
         """Return the remaining cold times that this gateway knows itself.
 
-        Those that it was told are left out, or two gateways would keep them
-        alive by telling each other.
+        Each is with the time since the event that it follows from.
+
+        What others have reported is left out: it is some time old when it
+        arrives, so gateways would extend the time by telling each other.
         """
         now_s = self._clock.monotonic_s()
+        for known_id, known in list(self._targets.items()):
+            self._end_if_warm(known_id, known, now_s)
         return {
-            target_id: round((row.until_s - now_s) * _MS_PER_S)
+            target_id: (
+                round((row.known_until_s - now_s) * _MS_PER_S),
+                round((now_s - row.known_event_s) * _MS_PER_S),
+            )
             for target_id, row in self._targets.items()
-            if not row.is_hearsay and row.until_s > now_s
+            if row.known_until_s > now_s
         }
 
     def has_room(self, target_id: str) -> bool:
@@ -176,14 +203,17 @@
         if row is None:
             return True
         now_s = self._clock.monotonic_s()
+        if self._end_if_warm(target_id, row, now_s):
+            return True
         self._update_share(target_id, row)
+        if not row.gateways:
+            # Its share can't be told from that of all gateways together.
+            return False
         if now_s < row.until_s:
-            row.bucket.refill(now_s, row.share.rate_per_s, row.share.burst)
+            # The others save up nothing, or all would send as the time ends.
+            rate_per_s = row.share.rate_per_s if row.is_sender else 0
+            row.bucket.refill(now_s, rate_per_s, row.share.burst)
             return row.is_sender and row.bucket.tokens >= 1
-        if now_s >= row.until_s + _RAMP.total_seconds():
-            self._targets.pop(target_id)
-            self._log.write('target_warm', target=target_id)
-            return True
         rate_per_s = row.rule.rate_per_s * _RAMP_FACTOR / row.gateways
         row.bucket.refill(now_s, rate_per_s, max(1, row.share.burst))
         return row.bucket.tokens >= 1
@@ -197,6 +227,7 @@
     def forget(self, target_id: str) -> None:
         """Drop what is known of a target that was removed or replaced."""
         self._targets.pop(target_id, None)
+        self._ready_s.pop(target_id, None)
 
     @property
     def count(self) -> int:
@@ -204,50 +235,81 @@
         now_s = self._clock.monotonic_s()
         return sum(row.until_s > now_s for row in self._targets.values())
 
-    def _apply_record(self, record: TargetRecord, left_s: float) -> None:
+    def _end_if_warm(
+        self, target_id: str, row: _ColdTarget, now_s: float
+    ) -> bool:
+        """Drop the state of a target that is no longer limited."""
+        is_warm = now_s >= row.until_s + _RAMP.total_seconds()
+        if is_warm:
+            self._targets.pop(target_id)
+            self._log.write('target_warm', target=target_id)
+        return is_warm
+
+    def _apply_record(
+        self, record: TargetRecord, written_after_s: float
+    ) -> None:
+        if record.cold_left_ms:
+            self._extend(record, record.cold_left_ms / _MS_PER_S, 'record')
+            return
+        made_after_s = written_after_s - _MAX_RECORD_DELAY.total_seconds()
+        self._ready_s[record.target_id] = made_after_s
         row = self._targets.get(record.target_id)
+        if row is None:
+            return
         now_s = self._clock.monotonic_s()
-        if left_s > 0:
-            self._extend(record, left_s, 'record')
-        elif row is not None:
-            age_s = now_s - row.event_s
-            if age_s > _MAX_RECORD_AGE.total_seconds():
-                row.until_s = min(row.until_s, now_s)
+        if made_after_s > row.event_s:
+            row.until_s = min(row.until_s, now_s)
+        if made_after_s > row.known_event_s:
+            row.known_until_s = min(row.known_until_s, now_s)
 
     def _extend(
         self,
         target: TargetRecord,
         left_s: float,
         source: str,
-        is_hearsay: bool = False,
+        reported_age_s: float | None = None,
     ) -> None:
-        """Take a target for cold for some time at least."""
+        """Take a target for cold for some time at least.
+
+        :param reported_age_s: time since the event that another gateway reports;
+            None if this gateway knows it itself, and it is new.
+        """
         rule = self._find_rule(target.service)
         if rule is None:
             return
         now_s = self._clock.monotonic_s()
+        event_s = now_s - (reported_age_s or 0)
+        if event_s < self._ready_s.get(target.target_id, -math.inf):
+            # The target was ready after that.
+            return
         row = self._targets.get(target.target_id)
         if row is None:
             row = _ColdTarget(rule, now_s)
             self._targets[target.target_id] = row
+        if row.rule != rule:
+            row.rule = rule
+            row.gateways = 0
         if now_s >= row.until_s:
-            row.is_hearsay = True
             self._log.write(
                 'target_cold',
                 target=target.target_id,
                 source=source,
                 left_ms=round(left_s * _MS_PER_S),
             )
-        if not is_hearsay:
-            row.is_hearsay = False
-            row.event_s = now_s
-        left_s = min(left_s, _MAX_COLD_TIME.total_seconds())
-        row.until_s = max(row.until_s, now_s + left_s)
+        longest_s = max(_MAX_COLD_TIME.total_seconds(), rule.duration_s)
+        until_s = now_s + min(left_s, longest_s)
+        row.until_s = max(row.until_s, until_s)
+        row.event_s = max(row.event_s, event_s)
+        if reported_age_s is None:
+            row.known_event_s = event_s
+            row.known_until_s = max(row.known_until_s, until_s)
 
     def _update_share(self, target_id: str, row: _ColdTarget) -> None:
-        nodes = (*self._peers(), self._node)
-        if len(nodes) == row.gateways:
+        peers = self._peers()
+        # Members are added, but never removed.
+        if peers is None or len(peers) + 1 == row.gateways:
             return
+        nodes = (*peers, self._node)
         row.gateways = len(nodes)
         row.share = share_limit(row.rule, len(nodes))
         chosen = rank_for_key(nodes, target_id, row.share.senders)
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -8,7 +8,7 @@
 import asyncio
 import math
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, KeysView
 from itertools import chain
 from typing import Any, Final, NamedTuple, final
 
@@ -54,7 +54,7 @@
     sender; each is in two consecutive reports. ``slowdowns`` are the factors by
     which model engines read prompts more slowly than by their model, by service.
     ``cold_targets`` are the milliseconds for which targets are still cold, as far
-    as the sender knows it itself.
+    as the sender knows it itself, and those since it learned of it.
     """
 
     node: str
@@ -78,7 +78,7 @@
     committed: dict[int, dict[str, int]] = {}
     begun_streams: list[BegunStreams] = []
     slowdowns: dict[str, float] = {}
-    cold_targets: dict[str, int] = {}
+    cold_targets: dict[str, tuple[int, int]] = {}
 
 
 class PartListing(
@@ -213,6 +213,8 @@
         self._log = log
         self._transport: asyncio.DatagramTransport | None = None
         self.members: dict[str, Member] = {}
+        # Whether all members that the store lists have been added.
+        self.are_members_read = False
         self.on_report: Callable[[Report], None] = _ignore
         self.on_new_member: Callable[[str], None] = _ignore
         self.on_parts: Callable[[PartListing], None] = _ignore
@@ -310,6 +312,10 @@
                 'report_not_sent', peer=member.node, error=str(error)
             )
 
+    def known_members(self) -> KeysView[str] | None:
+        """Return all other gateways; None until the store has listed them."""
+        return self.members.keys() if self.are_members_read else None
+
     @property
     def has_heard_all(self) -> bool:
         """Whether all known members have sent a report."""
