Send reports to other zones through one rotating relay per zone

Cause: each gateway sent its report to every other one, so that a report crossed to a zone once for each gateway there; over half of the bytes between zones of a deployment of 24 gateways were reports. Change: ReportRoutes chooses the recipients: all gateways of the own zone, and of each other zone one relay, which forwards the datagram unchanged. The report names its relay, so that a copy is forwarded by nobody else and once, whatever the address that it came from. Relays rotate over the active members of a zone.

--- a/peridotrill/gateway/metrics.py
+++ b/peridotrill/gateway/metrics.py
@@ -91,3 +91,7 @@
     'Records of the store and reports of gateways that cannot be read',
     ['source'],
 )
+RELAYED_REPORTS: Final = Counter(
+    'peridotrill_relayed_reports',
+    'Reports of other zones that were forwarded within the own zone',
+)
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -1,8 +1,9 @@
 """Exchange of reports between gateways over UDP.
 
-Each gateway sends reports to all others several times per second. Reports
-carry totals instead of differences, so the next report makes up for a lost
-one.
+Each gateway sends reports to all others several times per second, to those of
+other zones through relays (``ReportRoutes``). Reports carry totals instead of
+differences, so the next report makes up for a lost one. A datagram may come from
+a relay, so its address says nothing about the gateway that reports.
 """
 
 import asyncio
@@ -16,14 +17,16 @@
 
 from peridotrill.clock import Clock
 from peridotrill.gateway.event_log import EventLog
-from peridotrill.gateway.metrics import UNREADABLE
+from peridotrill.gateway.metrics import RELAYED_REPORTS, UNREADABLE
 from peridotrill.gateway.part_directory import PartLocation
-from peridotrill.gateway.report_timing import silence_s
+from peridotrill.gateway.report_routes import (
+    Member,
+    ReportId,
+    ReportRoutes,
+)
 from peridotrill.gateway.stream_origins import BegunStreams
 from peridotrill.settings import Address
 
-# Members with a report within this time are active, however often they report.
-_ACTIVE_AGE_S: Final = 1.0
 # Gateways that send a listing to a new process: datagrams may be lost, and one
 # gateway may have little data itself.
 _SENDERS_PER_PROCESS: Final = 2
@@ -54,7 +57,10 @@
     sender; each is in two consecutive reports. ``slowdowns`` are the factors by
     which model engines read prompts more slowly than by their model, by service.
     ``cold_targets`` are the milliseconds for which targets are still cold, as far
-    as the sender knows it itself.
+    as the sender knows it itself. ``zone`` is the availability zone of the sender,
+    and ``hears_zone`` whether it gets what is forwarded within that zone.
+    ``relay`` is the gateway that is asked to forward this copy of the report within
+    its own zone; empty for none.
     """
 
     node: str
@@ -79,6 +85,9 @@
     begun_streams: list[BegunStreams] = []
     slowdowns: dict[str, float] = {}
     cold_targets: dict[str, int] = {}
+    zone: str = ''
+    hears_zone: bool = False
+    relay: str = ''
 
 
 class PartListing(
@@ -190,29 +199,23 @@
     return all(map(math.isfinite, numbers))
 
 
-class Member:
-    """Another gateway and the time and sequence of its latest report."""
-
-    def __init__(self, node: str, address: Address) -> None:
-        """:param address: destination of datagrams."""
-        self.node = node
-        self.address = address
-        self.heard_s: float | None = None
-        self.incarnation = ''
-        self.sequence = 0
-
-
 @final
 class PeerExchange(asyncio.DatagramProtocol):
     """Tracks the other gateways, sends messages and receives theirs."""
 
-    def __init__(self, node: str, clock: Clock, log: EventLog) -> None:
-        """:param node: name of this gateway's machine."""
+    def __init__(
+        self, node: str, clock: Clock, log: EventLog, zone: str = ''
+    ) -> None:
+        """:param node: name of this gateway's machine.
+
+        :param zone: its availability zone; empty to send directly to all.
+        """
         self._node = node
         self._clock = clock
         self._log = log
         self._transport: asyncio.DatagramTransport | None = None
         self.members: dict[str, Member] = {}
+        self.routes = ReportRoutes(node, zone, self.members, clock)
         self.on_report: Callable[[Report], None] = _ignore
         self.on_new_member: Callable[[str], None] = _ignore
         self.on_parts: Callable[[PartListing], None] = _ignore
@@ -234,12 +237,17 @@
                 sender=str(addr),
                 size=len(data),
             )
-        elif message.node != self._node:
+        elif message.node == self._node:
+            return
+        elif isinstance(message, Report):
+            if self._accept(message):
+                self._forward(message, data)
+                self.on_report(message)
+        else:
             self._dispatch(message)
 
     def _dispatch(self, message: Message) -> None:
         handlers: dict[type[Message], Callable[[Any], None]] = {
-            Report: self._handle_report,
             PartListing: self.on_parts,
             StreamListing: self.on_streams,
             StreamQuery: self.on_stream_query,
@@ -247,16 +255,35 @@
         }
         handlers[type(message)](message)
 
-    def _handle_report(self, report: Report) -> None:
+    def _accept(self, report: Report) -> bool:
+        """Update the member; return whether the report is newer than the last."""
         self.add_member(report.node, Address(report.host, report.port))
         member = self.members[report.node]
+        now_s = self._clock.monotonic_s()
         if member.incarnation == report.incarnation:
             if report.sequence <= member.sequence:
-                return
+                return False
+        else:
+            member.process_heard_s = now_s
         member.incarnation = report.incarnation
         member.sequence = report.sequence
-        member.heard_s = self._clock.monotonic_s()
-        self.on_report(report)
+        member.heard_s = now_s
+        member.zone = report.zone
+        member.hears_zone = report.hears_zone
+        return True
+
+    def _forward(self, report: Report, datagram: bytes) -> None:
+        """Forward a report unchanged if this gateway is its relay."""
+        recipients = self.routes.take_recipients(
+            ReportId(report.node, report.incarnation, report.sequence),
+            report.zone,
+            report.relay,
+        )
+        if self._transport is None or not recipients:
+            return
+        RELAYED_REPORTS.inc()
+        for member in recipients:
+            self._send_to(self._transport, member, datagram)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore ICMP errors; they are expected while a peer is down."""
@@ -273,6 +300,14 @@
         elif member.address != address:
             member.address = address
 
+    def send_report(self, report: Report) -> None:
+        """Send a report to all members, to those of other zones by relays."""
+        route = self.routes.route(report.sequence)
+        self.send_each(report, [member.node for member in route.direct])
+        for relay in route.relays:
+            copy = msgspec.structs.replace(report, relay=relay.node)
+            self.send_each(copy, (relay.node,))
+
     def send(self, message: Message, node: str | None = None) -> None:
         """Send a message to all members, or to one of them.
 
@@ -320,16 +355,11 @@
     @property
     def active_age_s(self) -> float:
         """Age of its last report up to which a member counts as active."""
-        return silence_s(len(self.members), _ACTIVE_AGE_S)
+        return self.routes.active_age_s
 
     def active_members(self) -> list[str]:
         """Return the members that have not missed several reports."""
-        since_s = self._clock.monotonic_s() - self.active_age_s
-        return [
-            member.node
-            for member in self.members.values()
-            if member.heard_s is not None and member.heard_s >= since_s
-        ]
+        return [member.node for member in self.routes.active()]
 
 
 def rank_for_key(
--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -20,6 +20,7 @@
     Report,
 )
 from peridotrill.gateway.prefill_speed import PrefillSpeed
+from peridotrill.gateway.report_routes import FULL_REPORT_INTERVAL
 from peridotrill.gateway.report_timing import report_interval_s, silence_s
 from peridotrill.gateway.shared_quotas import SharedQuotas
 from peridotrill.gateway.stream_origins import StreamOrigins
@@ -34,9 +35,6 @@
 # A gateway with an older configuration has lost the store and must not claim
 # the lease. The store holds a read for less than half of this time.
 _MAX_CONFIG_AGE_S: Final = 3.0
-# Usage and demand change slowly and are large, so only every third report
-# carries them. A process that is killed loses what it counted since then.
-_FULL_REPORT_INTERVAL: Final = 3
 # Windows whose commitments are reported: those whose usage may still be due.
 _REPORTED_COMMITMENTS: Final = 3
 # Number of reports that carry quota usage after a new process was seen.
@@ -100,7 +98,7 @@
     async def run(self) -> None:
         """Send reports until cancelled."""
         while True:
-            self._peers.send(self.make_report())
+            self._peers.send_report(self.make_report())
             self._sources.quotas.end_report_interval()
             self._sources.limits.quotas.end_report_interval()
             self._sources.loads.end_report_interval()
@@ -109,7 +107,9 @@
     def send_last(self) -> None:
         """Send the final totals of this process.
 
-        Without them, what was counted since the last full report is lost.
+        Without them, what was counted since the last full report is lost. They
+        go to all gateways directly, as no later report makes up for a relay that
+        fails.
         """
         self._peers.send(self.make_report(is_last=True))
 
@@ -122,7 +122,9 @@
         sources = self._sources
         switching = self.switching()
         self._suspend(switching)
-        is_due = self._sequence % _FULL_REPORT_INTERVAL == 0
+        # Usage and demand change slowly and are large. A process that is killed
+        # loses what it counted since the last full report.
+        is_due = self._sequence % FULL_REPORT_INTERVAL == 0
         is_full_report = is_last or is_due
         return Report(
             self._sender.node,
@@ -147,6 +149,9 @@
             sources.origins.take_report_entries(),
             sources.speed.local_slowdowns() if is_full_report else {},
             sources.limits.cold.report(),
+            zone=self._peers.routes.zone,
+            # A process that ends forwards nothing any more.
+            hears_zone=not is_last and self._peers.routes.hears_zone,
         )
 
     def handle_report(self, report: Report) -> None:
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -211,7 +211,7 @@
         self._usage = UsageCounts(
             node.bounds.usage_window_s, self._cluster_clock
         )
-        self._peers = PeerExchange(node.node, self._clock, self._log)
+        self._peers = PeerExchange(node.node, self._clock, self._log, node.zone)
         self._quarantine = PromptQuarantine(self._clock, self._log)
         self._quarantine_sharing = QuarantineSharing(
             node.node, self._quarantine, self._peers, self._clock
