--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -216,6 +216,8 @@
         self._transport: asyncio.DatagramTransport | None = None
         self.members: dict[str, Member] = {}
         self.routes = ReportRoutes(node, zone, self.members, clock)
+        # Whether the last report said that this gateway hears its zone.
+        self._hears_zone = False
         self.on_report: Callable[[Report], None] = _ignore
         self.on_new_member: Callable[[str], None] = _ignore
         self.on_parts: Callable[[PartListing], None] = _ignore
@@ -302,6 +304,10 @@
 
     def send_report(self, report: Report) -> None:
         """Send a report to all members, to those of other zones by relays."""
+        if report.hears_zone != self._hears_zone:
+            self._hears_zone = report.hears_zone
+            event = 'zone_heard' if report.hears_zone else 'zone_not_heard'
+            self._log.write(event, zone=report.zone)
         route = self.routes.route(report.sequence)
         self.send_each(report, [member.node for member in route.direct])
         for relay in route.relays:
--- a/tests/report_network.py
+++ b/tests/report_network.py
@@ -81,10 +81,11 @@
         self.sequence = 0
         self.heard_s = defaultdict(list)
         self.full = Counter()
+        self.log = RecordingLog()
         self.peers = PeerExchange(
             self.node,
             self.network.clock,
-            RecordingLog(),
+            self.log,
             '' if self.is_earlier else self.zone,
         )
         self.peers.on_report = self._record
@@ -264,6 +265,12 @@
                 silent_s += max(0, after_s - before_s - age_s)
         return silent_s / len(pairs) / (now_s - self.began_s)
 
+    def least_full(self, excluded=()):
+        """Return the fewest full reports that any pair has exchanged."""
+        return min(
+            receiver.full[sender] for receiver, sender in self.pairs(excluded)
+        )
+
     def longest_gap_s(self, excluded=()):
         now_s = self.clock.monotonic_s()
         return max(
--- a/tests/test_report_routes.py
+++ b/tests/test_report_routes.py
@@ -107,6 +107,7 @@
     built.run(10)
     assert built.silent_ratio(0.6, failed) < _MAX_SILENT_RATIO
     assert built.silent_ratio(1.0, failed) < _MAX_SILENT_RATIO
+    assert built.least_full(failed) >= 2
     assert_forwarded_once(built)
 
 
@@ -115,8 +116,12 @@
     built = network(24, 3)
     node = 'front-00'
     built.cut_off(node, built.zone_of(node))
+    log = built.gateways[node].log
+    assert 'zone_heard' in {event for event, _ in log.events}
+    assert 'zone_not_heard' not in {event for event, _ in log.events}
     # Until it counts its zone as silent, only reports that it relays arrive.
     built.run(1.5)
+    assert 'zone_not_heard' in {event for event, _ in log.events}
     built.reset()
     built.run(3)
     gateway = built.gateways[node]
@@ -248,6 +253,24 @@
     }
 
 
+def test_new_process_gets_reports_directly():
+    # Guards against a new process that relays do not know yet, and that misses
+    # the three reports that say what teams have spent.
+    clock = ManualClock()
+    routes = routes_to(clock, {'zone-0': 8, 'zone-1': 9})
+    new = routes._members['zone-1-3']
+    new.process_heard_s = clock.monotonic_s()
+    assert new in routes.route(1).direct
+    advance(clock, routes.active_age_s / 2)
+    for member in routes._members.values():
+        member.heard_s = clock.monotonic_s()
+    assert new in routes.route(2).direct
+    advance(clock, routes.active_age_s / 2 + 0.1)
+    for member in routes._members.values():
+        member.heard_s = clock.monotonic_s()
+    assert new not in routes.route(3).direct
+
+
 def test_gateway_without_a_zone_sends_directly():
     routes = routes_to(ManualClock(), {'zone-1': 30}, own='')
     assert len(routes.route(1).direct) == 30
--- a/tests/test_report_timing.py
+++ b/tests/test_report_timing.py
@@ -23,7 +23,8 @@
 class QuietGateway:
     """One gateway that hears all others, which spend nothing."""
 
-    def __init__(self, size, loss_ratio=0.0):
+    def __init__(self, size, loss_ratio=0.0, relays=0):
+        """:param relays: one of so many relays has failed; 0 without relays."""
         self.clock = ManualClock()
         self.peers = [f'front-{number}' for number in range(size - 1)]
         self.team = team(rate_per_s=1000, burst=1000)
@@ -33,6 +34,8 @@
             self.quotas.add_peer(peer)
         self._random = random.Random(size)
         self._loss_ratio = loss_ratio
+        self._relays = relays
+        self._sent = dict.fromkeys(self.peers, 0)
         self._next_s = {
             peer: self._random.uniform(0, self.interval_s)
             for peer in self.peers
@@ -51,6 +54,9 @@
                 if peer in silent or now_s < self._next_s[peer]:
                     continue
                 self._next_s[peer] += self.interval_s
+                self._sent[peer] += 1
+                if self._relays and self._sent[peer] % self._relays == 0:
+                    continue
                 if self._random.random() >= self._loss_ratio:
                     self.quotas.observe_peer(peer, '1', {})
             self.quotas.end_report_interval()
@@ -72,6 +78,17 @@
     assert gateway.stranded() < 0.01
 
 
+@pytest.mark.parametrize('size', [24, 68, 200, 420])
+def test_quiet_peers_strand_nothing_behind_a_failed_relay(size):
+    # Guards against allowances that are refused while one of the four relays
+    # that a zone needs has failed. A report is lost on two ways.
+    loss_ratio = 1 - (1 - _LOSS_RATIO) ** 2
+    gateway = QuietGateway(size, loss_ratio, relays=4)
+    gateway.run(4 * gateway.interval_s)
+    gateway.run(_WINDOW.total_seconds())
+    assert gateway.stranded() < 0.01
+
+
 @pytest.mark.parametrize('size', _SIZES)
 def test_silent_peers_count_as_spending_their_share(size):
     # Guards against a limit that is exceeded while half of the gateways are cut
