Count what a silent gateway may have spent once, not twice

Cause: since shares are renewed with reports of most peers, a peer that falls silent was charged with its share and with the mean rate from then on, so that half of a limit was refused where a quarter of the gateways was silent (test_silent_peers_count_as_spending_their_share). Change: the share is a reservation that the mean rate uses up, and that ends when the peer reports again.

--- a/peridotrill/gateway/shared_quotas.py
+++ b/peridotrill/gateway/shared_quotas.py
@@ -87,10 +87,12 @@
         self._size = math.ceil(size_s / _SLOT_S)
         self.spent = 0.0
         self.updated_s: float | None = None
-        # Value of the sum over silent peers, and the number of times that a peer
-        # had fallen silent, at that time.
+        # Value of the sum over silent peers, and the number of peers that had
+        # fallen silent, at that time.
         self.silent_peer_s = 0.0
         self.silences = 0
+        # What silent peers may have spent beyond the mean rate.
+        self.reserved = 0.0
         # What was left of the quota when the share was last renewed.
         self.shared = 0.0
         # Spent here since the share was last renewed, and between that and the
@@ -288,6 +290,8 @@
         """
         now_s = self._clock.monotonic_s()
         self._update_silence(now_s)
+        if peer in self._silent_peers and peer in self._incarnations:
+            self._silences -= 1
         self._peer_last_report_s[peer] = now_s
         self._peer_last_report_s.move_to_end(peer)
         self._silent_peers.discard(peer)
@@ -332,7 +336,7 @@
                 continue
             share = self._local_share(window, quota, heard)
             if has_heard_most:
-                left = self._limit(quota) - window.spent
+                left = self._left(window, quota)
                 window.renew(share, max(0, left + window.current_spent))
             elif window.local_share is not None:
                 window.local_share = min(window.local_share, share)
@@ -345,7 +349,7 @@
         if quota.rate_per_s <= 0:
             return QuotaDecision(True, 0)
         window = self._update(quota, self._clock.monotonic_s())
-        left = self._limit(quota) - window.spent
+        left = self._left(window, quota)
         available = self._available(window, left)
         if not _fits(quota, window, cost, left, available):
             lacking = cost - min(available, left)
@@ -370,7 +374,7 @@
         if quota.rate_per_s <= 0:
             return True
         window = self._update(quota, self._clock.monotonic_s())
-        left = self._limit(quota) - window.spent
+        left = self._left(window, quota)
         return _fits(quota, window, cost, left, self._available(window, left))
 
     def charge(self, quota: Quota, cost: float) -> None:
@@ -399,6 +403,10 @@
         for slot in range(slots, 0, -1):
             window.add(until_s - slot * _SLOT_S, share)
 
+    def _left(self, window: _Window, quota: Quota) -> float:
+        """Return what all gateways together may still spend in the window."""
+        return self._limit(quota) - window.spent - window.reserved
+
     def _available(self, window: _Window, left: float) -> float:
         """Return what this gateway may spend until the next reports."""
         shared = left + window.unheard_spent
@@ -439,8 +447,10 @@
         if window.updated_s is not None:
             share_s = (silent_s - window.silent_peer_s) / self.gateways
             shares = (self._silences - window.silences) / self.gateways
-            used = share_s * self._mean_rate(quota) + shares * window.shared
+            used = share_s * self._mean_rate(quota)
             window.add(now_s, used)
+            window.reserved += shares * window.shared - used
+            window.reserved = max(0.0, window.reserved)
         window.silent_peer_s = silent_s
         window.silences = self._silences
         window.updated_s = max(known_s, now_s)
