Read the present slowness that targets state in their load

Callers: with a load of four numbers no load of any target was known, so that placement went by the gateways' own counts only. Cause: the decoder accepted three numbers and dropped anything else without a log line or count. Change: the fourth number is decoded and kept for each target with its age (ReportedSlowness). Nothing uses the figure yet.

--- a/peridotrill/gateway/placement.py
+++ b/peridotrill/gateway/placement.py
@@ -25,6 +25,7 @@
     choose_prefill_engine,
     estimate_prefill_work_ms,
 )
+from peridotrill.gateway.reported_slowness import ReportedSlowness
 from peridotrill.gateway.requests import Prompt
 from peridotrill.gateway.target_health import TargetHealth
 from peridotrill.gateway.target_limits import TargetLimits
@@ -80,6 +81,7 @@
         self._local_zone = local_zone
         self.parts = PartDirectory(_DEFAULT_MEMORY_TOKENS)
         self.speed = PrefillSpeed()
+        self.reported = ReportedSlowness(clock)
         self._health = health
         self._loads = Loads(loads.total, health.is_avoided)
         self._engine_loads = EngineLoads(
@@ -142,6 +144,11 @@
         self._load_tracker.end(reservation)
         self._dispatch_service(service)
 
+    def forget(self, target: TargetRecord) -> None:
+        """Drop what is known of a target that was removed or replaced."""
+        self.parts.forget(target.target_id)
+        self.reported.forget(target.target_id)
+
     def _dispatch_service(self, service: str) -> None:
         for (name, _), queue in self._queues.items():
             if name == service:
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -26,7 +26,12 @@
 from peridotrill.gateway.components import GatewayComponents
 from peridotrill.gateway.configuration import Route, Team
 from peridotrill.gateway.error_responses import GatewayError, send_error
-from peridotrill.gateway.metrics import ATTEMPTS, AVOIDED, QUEUE_TIME_S
+from peridotrill.gateway.metrics import (
+    ATTEMPTS,
+    AVOIDED,
+    QUEUE_TIME_S,
+    UNREADABLE,
+)
 from peridotrill.gateway.placement import Pool
 from peridotrill.gateway.requests import CallerRequest, RequestKind
 from peridotrill.gateway.target_connections import Framing, TargetExchange
@@ -327,12 +332,32 @@
         self.framing = exchange.framing
         self.shared.limits.observe(target.target_id, response.limit_per_s)
         self.shared.limits.cold.observe_response(target, response.cold_left_ms)
+        self._observe_slowness(target, response)
         if response.is_leaving:
             self.shared.cluster_state.mark_leaving(target)
         if response.pause_s is not None:
             self.shared.health.pause(target.target_id, response.pause_s)
         return response
 
+    def _observe_slowness(
+        self, target: TargetRecord, response: TargetResponse
+    ) -> None:
+        """Apply what a target states of the time that work takes there."""
+        reported = self.shared.placement.reported
+        if response.load is not None and response.load.slowness is not None:
+            reported.observe(target.target_id, response.load.slowness)
+        if not response.is_load_malformed:
+            return
+        UNREADABLE.labels('load').inc()
+        malformed = reported.count_malformed()
+        if malformed is not None:
+            self.shared.log.write(
+                'load_unreadable',
+                request=self.request.request_id,
+                target=target.target_id,
+                malformed=malformed,
+            )
+
     async def require_running(
         self,
         target: TargetRecord,
--- a/peridotrill/gateway/target_messages.py
+++ b/peridotrill/gateway/target_messages.py
@@ -30,11 +30,16 @@
 
 
 class TargetLoad(NamedTuple):
-    """Load that a target reported in a response."""
+    """Load that a target reported in a response.
+
+    ``slowness`` is how long work takes on its machine at the moment, relative to
+    the usual time; None if the target does not say.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowness: float | None = None
 
 
 class TargetResponse(NamedTuple):
@@ -48,6 +53,7 @@
     ``is_leaving`` means that the target is about to end. For ``pause_s`` a
     target that has turned a request away wants no others. ``cold_left_ms`` is
     how much longer the target is cold, None if it does not say.
+    ``is_load_malformed`` means that its load cannot be read.
     """
 
     status: int
@@ -60,6 +66,7 @@
     is_leaving: bool = False
     pause_s: float | None = None
     cold_left_ms: float | None = None
+    is_load_malformed: bool = False
 
 
 class PrefilledPrompt(NamedTuple):
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -587,7 +587,7 @@
         self._health.forget(target.target_id)
         self._limits.forget(target.target_id)
         self._crashes.record_end(target.process, 'record replaced or removed')
-        self._placement.parts.forget(target.target_id)
+        self._placement.forget(target)
 
     def _find_warm_up(self, service: str) -> WarmUpRule | None:
         """Return what the targets of a service tolerate while they are cold."""
--- a/peridotrill/platform/wire.py
+++ b/peridotrill/platform/wire.py
@@ -30,6 +30,7 @@
 _REPORT_ERRORS: Final = (AttributeError, TypeError, ValueError)
 # Far above any prompt or queue; small enough that sums of counts are exact.
 _MAX_COUNT: Final = 10**9
+_PERCENT: Final = 100
 # Handles are inserted into request lines and headers, so other characters
 # would allow injection.
 _HANDLE_PATTERN: Final = re.compile(r'[\w.~-]+', re.ASCII)
@@ -125,6 +126,8 @@
     has_not_run = head.get(names.NOT_RUN) is not None
     not_run = is_misdirected or (is_error and has_not_run)
     has_stamp = head.get(names.ENGINE_STAMP) is not None
+    load_field = head.get(names.ENGINE_LOAD)
+    load = _decode_load(load_field)
     return TargetResponse(
         status=head.status,
         headers=[
@@ -137,7 +140,8 @@
         and (is_error or not has_not_run),
         not_run=not_run,
         is_wrong_target=is_misdirected,
-        load=_decode_load(head.get(names.ENGINE_LOAD)),
+        load=load,
+        is_load_malformed=load is None and load_field is not None,
         limit_per_s=_decode_nonnegative(head.get(names.SERVER_LIMIT)),
         is_leaving=head.get(names.SERVER_LEAVING) == b'1',
         cold_left_ms=_decode_nonnegative(head.get(names.COLD_MS)),
@@ -282,12 +286,25 @@
     if value is None:
         return None
     try:
-        running, waiting, slots = (
-            _decode_count(part) for part in value.split(b',')
+        running, waiting, slots, *further = value.split(b',')
+        return TargetLoad(
+            _decode_count(running),
+            _decode_count(waiting),
+            _decode_count(slots),
+            _decode_slowness(*further),
         )
-    except ValueError:
+    except (TypeError, ValueError):
+        return None
+
+
+def _decode_slowness(percent: bytes | None = None) -> float | None:
+    """Decode how long work takes, in percent of the usual time."""
+    if percent is None:
         return None
-    return TargetLoad(running, waiting, slots)
+    slowness = _parse_finite_float(percent) / _PERCENT
+    if slowness <= 0:
+        raise ValueError('work takes no time')
+    return slowness
 
 
 def _decode_nonnegative(value: bytes | None) -> float | None:
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -113,6 +113,8 @@
         self.is_busy = False
         # Requests per second that the responses name as a limit.
         self.limit_per_s: float | None = None
+        # What the responses state of the load; empty if nothing.
+        self.load = b''
         # Time for which a response that turns a request away asks for none.
         self.retry_after_s: float | None = None
         # Whether the report names the start of the process.
@@ -440,6 +442,8 @@
         if self.limit_per_s is not None:
             limit = str(self.limit_per_s).encode()
             headers.append((b'Server-Limit', limit))
+        if self.load:
+            headers.append((b'X-Peridotrill-Engine-Load', self.load))
         if self.is_leaving:
             headers.append((b'Server-Leaving', b'1'))
         return headers
--- a/tests/test_gateway_codecs.py
+++ b/tests/test_gateway_codecs.py
@@ -42,7 +42,7 @@
     ConnectionTimeouts,
     TargetHttpClient,
 )
-from peridotrill.gateway.target_messages import RequestOptions
+from peridotrill.gateway.target_messages import RequestOptions, TargetLoad
 from peridotrill.gateway.targets import TargetRole
 from peridotrill.platform import wire
 from peridotrill.platform.configuration import decode_configuration
@@ -182,12 +182,39 @@
 
 
 @pytest.mark.parametrize(
-    'load', [b'1,2', b'1,-2,3', b'1,2,%d' % 10**400, b'1,%d,3' % 2**64]
+    'load',
+    [
+        b'1,2',
+        b'1,-2,3',
+        b'1,2,%d' % 10**400,
+        b'1,%d,3' % 2**64,
+        b'1,2,3,',
+        b'1,2,3,x',
+        b'1,2,3,0',
+        b'1,2,3,-100',
+        b'1,2,3,nan',
+        b'1,2,3,1e999',
+        b'1,2,3,100,4',
+    ],
 )
 def test_load_out_of_range_is_ignored(load):
     # Guards against a sum of loads that overflows and fails each placement.
     head = ResponseHead(200, [(b'x-peridotrill-engine-load', load)])
-    assert wire.decode_response_head(head).load is None
+    response = wire.decode_response_head(head)
+    assert response.load is None
+    assert response.is_load_malformed
+
+
+@pytest.mark.parametrize(
+    ('load', 'slowness'),
+    [(b'1,2,8', None), (b'1,2,8,100', 1), (b'1, 2, 8, 250', 2.5)],
+)
+def test_load_may_state_the_present_slowness(load, slowness):
+    # Guards against the load of newer targets that is dropped as malformed.
+    head = ResponseHead(200, [(b'x-peridotrill-engine-load', load)])
+    response = wire.decode_response_head(head)
+    assert response.load == TargetLoad(1, 2, 8, slowness)
+    assert not response.is_load_malformed
 
 
 @pytest.mark.parametrize('number', [float('nan'), float('inf')])
