Learn the speed of each target from the requests of all gateways

Callers: machines of one service work at 0.6, 1.0 and 1.6 times the usual speed, and nothing declares it, so that slow engines get as many requests as fast ones. Change: EngineSpeeds compares the times of prefill, between output events and of plain responses between the targets of a service, each kind of work for itself. What a target states of its present slowness is divided out. Reports carry slowness, weight and process of the targets that differ (target_speeds, full reports only). The time to the first event is not used: it depends on the transfer of the prompt more than on the engine. Nothing uses the speeds yet.

--- a/peridotrill/gateway/generation.py
+++ b/peridotrill/gateway/generation.py
@@ -50,6 +50,9 @@
 _IDENTIFICATION_TIMEOUT: Final = _DECODE_TIMEOUT
 # Time within which another engine has to tell that a stream has ended.
 _CONFIRMATION_TIMEOUT: Final = timedelta(seconds=0.5)
+# Intervals between the first events of an attempt from which the speed of the
+# engine is learnt. They pass while what the head states of it still applies.
+_TIMED_STEPS: Final = 16
 # Part of the retry budget for asking another engine whether a stream has ended.
 _CONFIRMATION_SHARE: Final = 0.5
 
@@ -580,8 +583,20 @@
         self._attempt_events += 1
         if self._attempt_events == HARMLESS_EVENTS:
             context.record_harmless(self._first_event_s)
+        if self._attempt_events == _TIMED_STEPS + 1:
+            self._record_step_time()
         self._has_resume_id = event_id is not None
 
+    def _record_step_time(self) -> None:
+        """Record the mean time between the first events of the attempt."""
+        if self._target is None:
+            return
+        context = self._context
+        took_s = context.shared.clock.monotonic_s() - self._first_event_s
+        context.shared.placement.record_step_time(
+            self._target, took_s * 1000 / _TIMED_STEPS
+        )
+
     def _record_early_end(self) -> None:
         """Record which target ended the stream although it goes on."""
         target = self._ended_target
--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -55,6 +55,9 @@
     which model engines read prompts more slowly than by their model, by service.
     ``cold_targets`` are the milliseconds for which targets are still cold, as far
     as the sender knows it itself.
+    ``target_speeds`` are the slowness in percent of targets that differ from the
+    others of their service, by the sender's own requests, each with the number of
+    the process and its weight (``EngineSpeeds``).
     """
 
     node: str
@@ -79,6 +82,7 @@
     begun_streams: list[BegunStreams] = []
     slowdowns: dict[str, float] = {}
     cold_targets: dict[str, int] = {}
+    target_speeds: dict[str, tuple[int, int, int]] = {}
 
 
 class PartListing(
--- a/peridotrill/gateway/placement.py
+++ b/peridotrill/gateway/placement.py
@@ -12,9 +12,10 @@
     ReservationFinder,
 )
 from peridotrill.gateway.cluster_state import ClusterState
+from peridotrill.gateway.engine_speed import EngineSpeeds
 from peridotrill.gateway.load_tracker import LoadTracker, prefill_key
 from peridotrill.gateway.part_directory import PartDirectory, PartLocation
-from peridotrill.gateway.prefill_speed import PrefillSpeed
+from peridotrill.gateway.prefill_speed import CALL_OVERHEAD_MS, PrefillSpeed
 from peridotrill.gateway.prompt_placement import (
     MIN_SPLIT_TOKENS,
     EngineLoads,
@@ -46,6 +47,13 @@
 _DEFAULT_MEMORY_TOKENS: Final = 500000
 # Limits the memory and processing time for waiting requests.
 _QUEUE_BOUNDS: Final = QueueBounds(max_requests=400, max_bytes=1)
+# Prompts with less prefill by the engine model say little about the speed of an
+# engine, since the overhead of a call varies.
+_MIN_COMPARED_MS: Final = 40.0
+# Time between two output events of an engine by the engine model, without other
+# requests and for each running one: 4.5 ms when idle, 11 ms with 64 requests.
+_STEP_MS: Final = 4.5
+_STEP_MS_PER_REQUEST: Final = 0.1
 
 
 class Pool(enum.Enum):
@@ -82,6 +90,7 @@
         self.parts = PartDirectory(_DEFAULT_MEMORY_TOKENS)
         self.speed = PrefillSpeed()
         self.reported = ReportedSlowness(clock)
+        self.target_speeds = EngineSpeeds(clock, self.reported)
         self._health = health
         self._loads = Loads(loads.total, health.is_avoided)
         self._engine_loads = EngineLoads(
@@ -148,6 +157,7 @@
         """Drop what is known of a target that was removed or replaced."""
         self.parts.forget(target.target_id)
         self.reported.forget(target.target_id)
+        self.target_speeds.forget(target.target_id)
 
     def _dispatch_service(self, service: str) -> None:
         for (name, _), queue in self._queues.items():
@@ -301,10 +311,29 @@
     ) -> None:
         """Learn from the time that a prefill engine took for a prompt."""
         work_ms = reservation.prefill_ms + reservation.ahead_ms
-        self.speed.record(
-            reservation.target.service, work_ms / reservation.slowdown, took_ms
+        model_ms = work_ms / reservation.slowdown
+        self.speed.record(reservation.target.service, model_ms, took_ms)
+        if model_ms >= _MIN_COMPARED_MS:
+            self.target_speeds.record(
+                reservation.target,
+                'prefill',
+                max(1.0, took_ms - CALL_OVERHEAD_MS),
+                model_ms,
+            )
+
+    def record_step_time(self, target: TargetRecord, took_ms: float) -> None:
+        """Learn from the time between two output events of a decode engine."""
+        running = self._load_tracker.total(target.target_id)
+        self.target_speeds.record(
+            target, 'step', took_ms, _STEP_MS + running * _STEP_MS_PER_REQUEST
         )
 
+    def record_response_time(
+        self, target: TargetRecord, route: str, took_ms: float
+    ) -> None:
+        """Learn from the time that a plain target took for a response."""
+        self.target_speeds.record(target, f'route {route}', took_ms, 1)
+
     def record_prefill(self, prompt: Prompt, target: TargetRecord) -> None:
         """Record that an engine has computed or received a prompt."""
         main = prompt.main_part
--- a/peridotrill/gateway/plain_requests.py
+++ b/peridotrill/gateway/plain_requests.py
@@ -109,12 +109,25 @@
             context.can_retry_elsewhere(),
         )
         context.record_load(target, response)
+        _record_time(context, target, response)
         body = await exchange.read_body()
     if not response.not_run:
         await context.require_running(target, response)
     return response, body
 
 
+def _record_time(
+    context: RequestContext, target: TargetRecord, response: TargetResponse
+) -> None:
+    """Learn the speed of a target from a response that it has worked for."""
+    is_failure = response.status >= _MIN_SERVER_ERROR_STATUS
+    if response.is_verified and not response.not_run and not is_failure:
+        took_s = context.shared.clock.monotonic_s() - context.sent_s
+        context.shared.placement.record_response_time(
+            target, context.route.name, took_s * 1000
+        )
+
+
 def _check_response(
     context: RequestContext,
     reservation: Reservation,
--- a/peridotrill/gateway/prefill_speed.py
+++ b/peridotrill/gateway/prefill_speed.py
@@ -11,7 +11,7 @@
 
 # Time of a prefill call that does not depend on the prompt: the connection, the
 # step that is in progress, and the response.
-_CALL_OVERHEAD_MS: Final = 30.0
+CALL_OVERHEAD_MS: Final = 30.0
 # Less work says little, since the overhead varies, and so does what other
 # gateways have sent since their last reports.
 _MIN_MODEL_MS: Final = 100.0
@@ -44,7 +44,7 @@
         if model_ms < _MIN_MODEL_MS:
             return
         samples = self._samples.setdefault(service, deque(maxlen=_MAX_SAMPLES))
-        samples.append(max(0.0, took_ms - _CALL_OVERHEAD_MS) / model_ms)
+        samples.append(max(0.0, took_ms - CALL_OVERHEAD_MS) / model_ms)
         if len(samples) >= _MIN_SAMPLES:
             self._local[service] = _bounded(median(samples))
             self._update(service)
--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -12,6 +12,7 @@
 from peridotrill.gateway.cluster_state import ClusterState
 from peridotrill.gateway.coordinator import Coordinator
 from peridotrill.gateway.demand import DemandMeter
+from peridotrill.gateway.engine_speed import EngineSpeeds
 from peridotrill.gateway.load_tracker import LoadTracker
 from peridotrill.gateway.part_directory import PartDirectory
 from peridotrill.gateway.peers import (
@@ -57,6 +58,7 @@
     limits: TargetLimits
     origins: StreamOrigins
     speed: PrefillSpeed
+    target_speeds: EngineSpeeds
 
 
 class Sender(NamedTuple):
@@ -147,6 +149,7 @@
             sources.origins.take_report_entries(),
             sources.speed.local_slowdowns() if is_full_report else {},
             sources.limits.cold.report(),
+            sources.target_speeds.report() if is_full_report else {},
         )
 
     def handle_report(self, report: Report) -> None:
@@ -169,6 +172,11 @@
         sources.usage.observe_peer(process, report.usage)
         if report.slowdowns:
             sources.speed.observe_peer(report.node, report.slowdowns)
+        sources.target_speeds.observe_peer(
+            report.node,
+            report.target_speeds,
+            sources.cluster_state.find_target,
+        )
         if report.demand:
             sources.demand.observe_peer(process, report.demand)
         sources.cluster_clock.observe_peer(report.node, report.unix_s)
--- a/tests/test_gateway_reporting.py
+++ b/tests/test_gateway_reporting.py
@@ -10,6 +10,7 @@
 from peridotrill.gateway.cluster_state import ClusterState, FreshnessBounds
 from peridotrill.gateway.coordinator import Coordinator
 from peridotrill.gateway.demand import DemandMeter
+from peridotrill.gateway.engine_speed import EngineSpeeds
 from peridotrill.gateway.load_tracker import LoadTracker
 from peridotrill.gateway.part_directory import PartDirectory, PartLocation
 from peridotrill.gateway.part_sharing import PartSharing
@@ -20,6 +21,7 @@
     encode_message,
 )
 from peridotrill.gateway.prefill_speed import PrefillSpeed
+from peridotrill.gateway.reported_slowness import ReportedSlowness
 from peridotrill.gateway.reporting import Reporting, ReportSources, Sender
 from peridotrill.gateway.shared_quotas import SharedQuotas
 from peridotrill.gateway.stream_origins import StreamOrigins
@@ -60,6 +62,7 @@
                 TargetLimits(node, list, clock, log),
                 StreamOrigins(clock),
                 PrefillSpeed(),
+                EngineSpeeds(clock, ReportedSlowness(clock)),
             ),
             clock,
         )
