Choose targets by when they would be done, with their speed

Callers: with engines of 0.6, 1.0 and 1.6 times the usual speed the busiest one had twice the work of the mean, and its callers waited for it. Cause: placement counted requests and milliseconds of the engine model as if all targets were equally fast. Change: one estimate (completion_estimate.py) for choose_least_loaded, choose_decode and choose_prefill_engine: the work ahead and the request itself, times the learnt slowness and what the target states of the present. The limit of prefill work at an engine, and the time after which it counts as silent, follow the factor; slots do not, since an engine whose slots are full holds no queue. PrefillSpeed divides the slowness of the engine out. prompt_read has the estimate with it. Equal speeds: the same choices, request by request.

--- a/peridotrill/gateway/engine_speed.py
+++ b/peridotrill/gateway/engine_speed.py
@@ -123,8 +123,10 @@
     def slowness(self, target_id: str) -> float:
         """Return how many times as long as usual work takes at a target now."""
         learnt = self._learnt.get(target_id, 1.0)
-        slowness = learnt * self._reported.slowness(target_id)
-        return min(_MAX_SLOWNESS, max(_MIN_SLOWNESS, slowness))
+        reported = self._reported.slowness(target_id)
+        if reported == 1:
+            return learnt
+        return _bounded(learnt * reported, _MIN_SLOWNESS, _MAX_SLOWNESS)
 
     def learnt(self, target_id: str) -> float:
         """Return the slowness of a target apart from its present state."""
--- a/peridotrill/gateway/generation.py
+++ b/peridotrill/gateway/generation.py
@@ -187,10 +187,10 @@
 
     def _expected_prefill_time(self) -> timedelta:
         """Return the expected prefill time at the decode engine itself."""
-        prefill_ms = (
-            0 if self._reservation is None else self._reservation.prefill_ms
-        )
-        return timedelta(milliseconds=prefill_ms)
+        if self._reservation is None:
+            return timedelta(0)
+        placement = self._context.shared.placement
+        return placement.expected_prefill_time(self._reservation)
 
     async def _reserve_target(self) -> Reservation:
         context = self._context
--- a/peridotrill/gateway/placement.py
+++ b/peridotrill/gateway/placement.py
@@ -2,6 +2,7 @@
 
 import enum
 import math
+from datetime import timedelta
 from typing import Final, final
 
 from peridotrill.clock import Clock
@@ -92,12 +93,15 @@
         self.reported = ReportedSlowness(clock)
         self.target_speeds = EngineSpeeds(clock, self.reported)
         self._health = health
-        self._loads = Loads(loads.total, health.is_avoided)
+        self._loads = Loads(
+            loads.total, health.is_avoided, self.target_speeds.slowness
+        )
         self._engine_loads = EngineLoads(
             self._prefill_ms,
             loads.total,
             health.is_avoided,
             self.parts.has,
+            slowness=self.target_speeds.slowness,
         )
         self._queues: dict[tuple[str, Pool], AdmissionQueue] = {}
 
@@ -312,7 +316,10 @@
         """Learn from the time that a prefill engine took for a prompt."""
         work_ms = reservation.prefill_ms + reservation.ahead_ms
         model_ms = work_ms / reservation.slowdown
-        self.speed.record(reservation.target.service, model_ms, took_ms)
+        slowness = self.target_speeds.slowness(reservation.target.target_id)
+        self.speed.record(
+            reservation.target.service, model_ms, took_ms, slowness
+        )
         if model_ms >= _MIN_COMPARED_MS:
             self.target_speeds.record(
                 reservation.target,
@@ -321,6 +328,11 @@
                 model_ms,
             )
 
+    def expected_prefill_time(self, reservation: Reservation) -> timedelta:
+        """Return the longest expected time for the prompt of a reservation."""
+        slowness = self.target_speeds.slowness(reservation.target.target_id)
+        return timedelta(milliseconds=reservation.prefill_ms * max(1, slowness))
+
     def record_step_time(self, target: TargetRecord, took_ms: float) -> None:
         """Learn from the time between two output events of a decode engine."""
         running = self._load_tracker.total(target.target_id)
--- a/peridotrill/gateway/prefill.py
+++ b/peridotrill/gateway/prefill.py
@@ -145,6 +145,7 @@
     shared = context.shared
     target = reservation.target
     started_s = shared.clock.monotonic_s()
+    slowness = shared.placement.target_speeds.slowness(target.target_id)
     source = shared.placement.find_part_holder(prompt, target.target_id)
     exchange = await shared.targets.send(
         context.request,
@@ -162,7 +163,7 @@
             target,
             exchange,
             _PREFILL_TIMEOUT
-            + timedelta(milliseconds=reservation.prefill_ms)
+            + shared.placement.expected_prefill_time(reservation)
             * PREFILL_TIMEOUT_FACTOR,
             can_retry_elsewhere=True,
         )
@@ -181,10 +182,11 @@
         tokens=prefilled.tokens,
         shared=prompt.shared_tokens,
         part=None if prompt.main_part is None else prompt.main_part.part_id,
-        estimate_ms=round(reservation.prefill_ms),
-        ahead_ms=round(reservation.ahead_ms),
+        estimate_ms=round(reservation.prefill_ms * slowness),
+        ahead_ms=round(reservation.ahead_ms * slowness),
         took_ms=round(took_ms),
         slowdown=round(reservation.slowdown, 2),
+        slowness=round(slowness, 2),
         fetch=None if source is None else source.target_id,
     )
     return prefilled.handle
--- a/peridotrill/gateway/prefill_speed.py
+++ b/peridotrill/gateway/prefill_speed.py
@@ -36,15 +36,25 @@
         self._peers: dict[str, Mapping[str, float]] = {}
         self._medians: dict[str, float] = {}
 
-    def record(self, service: str, model_ms: float, took_ms: float) -> None:
+    def record(
+        self,
+        service: str,
+        model_ms: float,
+        took_ms: float,
+        target_slowness: float = 1,
+    ) -> None:
         """Record how long a prompt took, with the work known to be before it.
 
         :param model_ms: time of both by the engine model, without any slowdown.
+
+        :param target_slowness: factor by which the engine is slower than the
+            others of the service.
         """
         if model_ms < _MIN_MODEL_MS:
             return
         samples = self._samples.setdefault(service, deque(maxlen=_MAX_SAMPLES))
-        samples.append(max(0.0, took_ms - CALL_OVERHEAD_MS) / model_ms)
+        read_ms = max(0.0, took_ms - CALL_OVERHEAD_MS) / target_slowness
+        samples.append(read_ms / model_ms)
         if len(samples) >= _MIN_SAMPLES:
             self._local[service] = _bounded(median(samples))
             self._update(service)
--- a/peridotrill/gateway/prompt_placement.py
+++ b/peridotrill/gateway/prompt_placement.py
@@ -10,6 +10,11 @@
 from collections.abc import Callable, Sequence
 from typing import Final, NamedTuple
 
+from peridotrill.gateway.completion_estimate import (
+    estimate_ms,
+    estimate_requests,
+    usual_slowness,
+)
 from peridotrill.gateway.part_directory import MIN_PART_TOKENS
 from peridotrill.gateway.requests import Prompt
 from peridotrill.gateway.targets import TargetRecord, TargetRole
@@ -44,10 +49,17 @@
 
 
 class Loads(NamedTuple):
-    """Lookup functions for load and health by target."""
+    """Lookup functions for load, health and slowness by target."""
 
     work: Callable[[str], float]
     is_avoided: Callable[[str], bool]
+    slowness: Callable[[str], float] = usual_slowness
+
+    def estimate(self, target: TargetRecord) -> float:
+        """Return the load that a request would meet at a target."""
+        return estimate_requests(
+            self.work(target.target_id), self.slowness(target.target_id)
+        )
 
 
 def estimate_prefill_ms(prompt: Prompt, cached_tokens: int) -> float:
@@ -69,7 +81,7 @@
     loads: Loads,
     local_zone: str,
 ) -> TargetRecord | None:
-    """Return the target with the least load relative to its slots.
+    """Return the target with the least load relative to its slots and speed.
 
     Targets in the local zone are preferred if the loads are equal.
     """
@@ -77,7 +89,7 @@
         targets,
         key=lambda target: (
             loads.is_avoided(target.target_id),
-            loads.work(target.target_id) / target.slots,
+            loads.estimate(target) / target.slots,
             target.zone != local_zone,
             target.target_id,
         ),
@@ -101,12 +113,12 @@
     least_loaded = choose_least_loaded(targets, loads, local_zone)
     if least_loaded is None:
         return None
-    max_work = loads.work(least_loaded.target_id) + _HOLDER_SLACK
+    max_load = loads.estimate(least_loaded) + _HOLDER_SLACK
     holders = [
         target
         for target in targets
         if has_part(target.target_id)
-        and loads.work(target.target_id) <= max_work
+        and loads.estimate(target) <= max_load
         and not loads.is_avoided(target.target_id)
     ]
     return choose_least_loaded(holders, loads, local_zone) or least_loaded
@@ -138,7 +150,8 @@
 class EngineLoads(NamedTuple):
     """Lookups by target: prefill in ms, running requests, health, parts.
 
-    ``slowdown`` is the factor by which the engines are slower than the model.
+    ``slowdown`` is the factor by which the engines are slower than the model,
+    and ``slowness`` that by which one of them is slower than the others.
     """
 
     prefill_ms: Callable[[str], float]
@@ -146,6 +159,7 @@
     is_avoided: Callable[[str], bool]
     has_part: Callable[[str, str], bool]
     slowdown: float = 1
+    slowness: Callable[[str], float] = usual_slowness
 
 
 def estimate_prefill_work_ms(
@@ -241,12 +255,13 @@
     loads: EngineLoads,
     limits: PrefillLimits,
 ) -> bool:
-    waiting_ms = loads.prefill_ms(target.target_id)
+    slowness = loads.slowness(target.target_id)
+    waiting_ms = estimate_ms(loads.prefill_ms(target.target_id), 0, slowness)
     if target.role is TargetRole.PREFILL:
         return waiting_ms < limits.prefill_engine_ms
     if prompt.prompt_tokens < MIN_SPLIT_TOKENS:
         return waiting_ms < limits.decode_short_ms
-    running = loads.running(target.target_id)
+    running = loads.running(target.target_id) * slowness
     return (
         waiting_ms < limits.decode_long_ms
         and running < limits.decode_long_running
@@ -277,8 +292,10 @@
     loads: EngineLoads,
 ) -> float:
     """Return the time to the first output, plus the cost for other requests."""
+    slowness = loads.slowness(target.target_id)
     waiting_ms = loads.prefill_ms(target.target_id)
+    done_ms = estimate_ms(waiting_ms, work_ms, slowness)
     if target.role is TargetRole.PREFILL:
-        return waiting_ms + work_ms + _TRANSFER_MS
-    running = loads.running(target.target_id)
-    return waiting_ms + work_ms + _INTERFERENCE_MS + running
+        return done_ms + _TRANSFER_MS
+    running = loads.running(target.target_id) * slowness
+    return done_ms + _INTERFERENCE_MS + running
--- a/peridotrill/gateway/reported_slowness.py
+++ b/peridotrill/gateway/reported_slowness.py
@@ -17,6 +17,8 @@
 # Bounds what a wrong figure can do to the choice of targets.
 MIN_REPORTED: Final = 0.5
 MAX_REPORTED: Final = 4.0
+# Smaller differences from the usual time are not kept.
+_MIN_DIFFERENCE: Final = 0.05
 # Time between two log lines on malformed figures.
 _LOG_INTERVAL: Final = timedelta(seconds=1)
 
@@ -28,6 +30,7 @@
     def __init__(self, clock: Clock) -> None:
         """Start without figures."""
         self._clock = clock
+        # Slowness and time of the targets that are unusual.
         self._figures: dict[str, tuple[float, float]] = {}
         self._malformed = 0
         self._logged_s = -math.inf
@@ -37,6 +40,9 @@
 
         :param slowness: how long work takes, relative to the usual time.
         """
+        if abs(slowness - 1) < _MIN_DIFFERENCE:
+            self._figures.pop(target_id, None)
+            return
         bounded = min(MAX_REPORTED, max(MIN_REPORTED, slowness))
         self._figures[target_id] = (bounded, self._clock.monotonic_s())
 
@@ -50,7 +56,10 @@
             return 1.0
         age_s = self._clock.monotonic_s() - figure[1]
         validity = 1 - age_s / _LIFETIME.total_seconds()
-        return 1 + (figure[0] - 1) * max(0.0, validity)
+        if validity <= 0:
+            self._figures.pop(target_id)
+            return 1.0
+        return 1 + (figure[0] - 1) * validity
 
     def forget(self, target_id: str) -> None:
         """Drop the figure of a target that was removed or replaced."""
--- a/tests/test_engine_speed.py
+++ b/tests/test_engine_speed.py
@@ -13,6 +13,7 @@
 from peridotrill.gateway.targets import TargetRole
 from tests.gateway_builders import advance, target
 from tests.gateway_site import call, run_site, wait_until
+from tests.speed_simulation import Play
 
 # Speeds of machines in the deployment at hand, relative to the usual one.
 SPEEDS = (0.6, 1.0, 1.6)
@@ -299,3 +300,96 @@
         target_speeds=rows,
     )  # fmt: skip
     assert decode_message(encode_message(sent)).target_speeds == rows
+
+
+# Plain services, decode and prefill engines as they are played.
+KINDS = {
+    'plain': {'slots': 6, 'parallel': 3, 'work_s': 0.06},
+    'decode': {
+        'role': TargetRole.DECODE,
+        'slots': 16,
+        'parallel': 6,
+        'work_s': 0.8,
+    },
+    'prefill': {'role': TargetRole.PREFILL, 'slots': 64, 'work_s': 0.08},
+}
+
+
+def play(kind, rule, speeds, utilisation, **options):
+    return Play(speeds, rule, **KINDS[kind], **options).run(utilisation, 20)
+
+
+@pytest.mark.parametrize('kind', KINDS)
+@pytest.mark.parametrize('utilisation', [0.4, 0.9])
+def test_equally_fast_targets_get_the_same_work_as_without_speeds(
+    kind, utilisation
+):
+    # Guards against a deployment of equal engines that is served otherwise.
+    rows = [
+        play(kind, rule, [1] * 9, utilisation) for rule in ('equal', 'learnt')
+    ]
+    assert rows[0] == rows[1]
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('slow_periods', [False, True])
+@pytest.mark.parametrize('kind', KINDS)
+def test_unequal_targets_are_loaded_alike(kind, slow_periods, seed):
+    # Guards against slow engines that hold twice as much work as the others,
+    # which callers wait for.
+    before, after = (
+        play(
+            kind,
+            rule,
+            SPEEDS * 3,
+            0.6,
+            slow_periods=slow_periods,
+            seed=seed,
+        )
+        for rule in ('equal', 'learnt')
+    )
+    # With this load, prefill engines hold less than one prompt each, and the
+    # fastest do most: that is as it should be.
+    if kind != 'prefill':
+        assert after.busiest < 0.8 * before.busiest
+    assert after.mean_ms < 0.95 * before.mean_ms
+    assert after.p95_ms < 0.95 * before.p95_ms
+    assert min(after.served.values()) > 0
+
+
+@pytest.mark.parametrize('seed', [1, 2, 3])
+@pytest.mark.parametrize('kind', KINDS)
+def test_slow_targets_are_used_near_the_limit_of_all(kind, seed):
+    # Guards against a choice of fast engines that wastes the capacity of slow
+    # ones when all are needed.
+    before, after = (
+        play(kind, rule, SPEEDS * 3, 0.9, seed=seed)
+        for rule in ('equal', 'learnt')
+    )
+    assert after.busiest < 0.8 * before.busiest
+    assert after.mean_ms < 1.15 * before.mean_ms
+    assert after.p95_ms < before.p95_ms
+    slowest = min(after.served.values())
+    assert slowest > 0.2 * max(after.served.values())
+
+
+@pytest.mark.parametrize('stated', [0.01, 2.5, 1000])
+def test_wrong_figure_costs_little(stated):
+    # Guards against a target that attracts all requests, or is left out, by
+    # what it states.
+    right = Play([1] * 6, 'learnt', **KINDS['plain'])
+    wrong = Play([1] * 6, 'learnt', **KINDS['plain'])
+    wrong.wrong = {'i-0': stated}
+    expected, found = right.run(0.7, 20), wrong.run(0.7, 20)
+    assert found.mean_ms < 1.25 * expected.mean_ms
+    assert found.served['i-0'] > 0
+
+
+def test_new_process_of_another_speed_is_learnt():
+    # Guards against a restarted engine on another machine that keeps the name
+    # of a slow one.
+    played = Play(SPEEDS * 3, 'learnt', **KINDS['plain'])
+    slow = played.run(0.7, 10).served['i-0']
+    played.restart('i-0', 1.6)
+    fast = played.run(0.7, 10).served['i-0']
+    assert fast - slow > 2 * slow
