Derive the limits for running requests from the slots of an engine

Callers: an engine of 12 slots with a cached part got up to eight requests more than the others, and a long prompt with eleven requests running, all of which it delayed. Cause: the numbers 8 and 12 were chosen for engines of 48 slots and more. Change: the slack of a holder is a sixth of its slots, and an engine counts as nearly idle below a quarter of its slots, but at least three requests; both as before from 48 slots. The 112 tokens per millisecond stay the start value: neither slots nor the configuration say how fast engines read, and PrefillSpeed learns it from the first prompts of all gateways.

--- a/peridotrill/gateway/prompt_placement.py
+++ b/peridotrill/gateway/prompt_placement.py
@@ -24,7 +24,8 @@
 MIN_SPLIT_TOKENS: Final = 1500
 # Linear and quadratic cost of prefill: tokens per millisecond, and milliseconds
 # per million pairs of tokens, from the published model of the first engines
-# served. ``PrefillSpeed`` learns how much slower or faster others are.
+# served. ``PrefillSpeed`` learns how much slower or faster others are, from the
+# first prompts: neither the configuration nor the slots say it.
 _TOKENS_PER_MS: Final = 112.0
 _MS_PER_MILLION_PAIRS: Final = 0.218
 SETUP_MS: Final = 8.0
@@ -38,8 +39,14 @@
 # Penalty for prefill on a decode engine, which delays other requests' tokens.
 _INTERFERENCE_MS: Final = 40.0
 # Number of running requests by which an engine that has a part may exceed the
-# least loaded engine.
-_HOLDER_SLACK: Final = 8
+# least loaded engine: eight, or a sixth of its slots if that is less. With 12
+# slots, eight requests more would be two thirds of the engine.
+_MAX_HOLDER_SLACK: Final = 8.0
+_HOLDER_SLACK_RATIO: Final = 1 / 6
+# An engine with more running requests than this part of its slots is not nearly
+# idle; with fewer than three, a long prompt delays few.
+_LONG_RUNNING_RATIO: Final = 1 / 4
+_MIN_LONG_RUNNING: Final = 3.0
 # Accepted wait for the preferred engine of an uncached part, so that the part is
 # computed only once if several gateways need it concurrently. It is shorter
 # than the time to compute a part of typical size again.
@@ -113,17 +120,22 @@
     least_loaded = choose_least_loaded(targets, loads, local_zone)
     if least_loaded is None:
         return None
-    max_load = loads.estimate(least_loaded) + _HOLDER_SLACK
+    least_load = loads.estimate(least_loaded)
     holders = [
         target
         for target in targets
         if has_part(target.target_id)
-        and loads.estimate(target) <= max_load
+        and loads.estimate(target) <= least_load + holder_slack(target.slots)
         and not loads.is_avoided(target.target_id)
     ]
     return choose_least_loaded(holders, loads, local_zone) or least_loaded
 
 
+def holder_slack(slots: int) -> float:
+    """Return how many more running requests an engine with a part may have."""
+    return min(_MAX_HOLDER_SLACK, slots * _HOLDER_SLACK_RATIO)
+
+
 class PrefillLimits(NamedTuple):
     """Limits of the work at an engine for it to accept another prompt.
 
@@ -131,7 +143,8 @@
     ``decode_short_ms`` that at decode engines for short prompts. Decode
     engines accept long prompts only with less than ``decode_long_ms`` of
     prefill work and fewer than ``decode_long_running`` running requests,
-    since prefill delays the tokens of these requests.
+    since prefill delays the tokens of these requests. Engines with less than 48
+    slots accept them with fewer running requests (``max_long_running``).
     """
 
     prefill_engine_ms: float
@@ -139,6 +152,13 @@
     decode_long_ms: float
     decode_long_running: float
 
+    def max_long_running(self, slots: int) -> float:
+        """Return the running requests below which long prompts are accepted."""
+        if math.isinf(self.decode_long_running):
+            return math.inf
+        derived = max(_MIN_LONG_RUNNING, slots * _LONG_RUNNING_RATIO)
+        return min(self.decode_long_running, derived)
+
 
 class PrefillChoice(NamedTuple):
     """The engine for the prefill of a prompt, and the work there."""
@@ -264,7 +284,7 @@
     running = loads.running(target.target_id) * slowness
     return (
         waiting_ms < limits.decode_long_ms
-        and running < limits.decode_long_running
+        and running < limits.max_long_running(target.slots)
     )
 
 
