--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -60,7 +60,10 @@
     as the sender knows it itself, and those since it learned of it. ``zone`` is the
     availability zone of the sender, and ``hears_zone`` whether it gets what is
     forwarded within that zone. ``relay`` is the gateway that is asked to forward this
-    copy of the report within its own zone; empty for none.
+    copy of the report within its own zone; empty for none. ``target_speeds`` are the
+    slowness in percent of targets that differ from the others of their service, by
+    the sender's own requests, each with the number of the process and its weight
+    (``EngineSpeeds``).
     """
 
     node: str
@@ -88,6 +91,7 @@
     zone: str = ''
     hears_zone: bool = False
     relay: str = ''
+    target_speeds: dict[str, tuple[int, int, int]] = {}
 
 
 class PartListing(
