Account for the memory that requests of all gateways hold at engines

Callers: an engine crashes if the requests that it holds exceed its memory, and all its streams are lost. Cause: placement knew slots only; kv-tokens was used for the directory of cached parts alone. A prompt in transfer counts at its prefill engine until it is fetched or released.

--- a/peridotrill/gateway/metrics.py
+++ b/peridotrill/gateway/metrics.py
@@ -77,6 +77,11 @@
     'peridotrill_cold_targets',
     'Targets that count as cold and get requests at a limited rate',
 )
+ENGINE_MEMORY: Final = Gauge(
+    'peridotrill_engine_memory_ratio',
+    'Part of the memory of the fullest engine that requests hold, by service',
+    ['service'],
+)
 MODEL_ENGINES: Final = Gauge(
     'peridotrill_model_engines',
     'Model engines that accept requests, by service and role',
--- a/peridotrill/gateway/prefill.py
+++ b/peridotrill/gateway/prefill.py
@@ -35,10 +35,14 @@
 
 
 class RemotePrompt(NamedTuple):
-    """A prompt that was prefilled at ``target``, which keeps its KV cache."""
+    """A prompt that was prefilled at ``target``, which keeps its KV cache.
+
+    ``held`` is the memory that it takes there until it was fetched or released.
+    """
 
     target: TargetRecord
     handle: str
+    held: Reservation
 
 
 async def release_prompt(
@@ -57,6 +61,8 @@
             target=remote_prompt.target.target_id,
             error=str(error),
         )
+    finally:
+        context.shared.placement.release(remote_prompt.held, context.service)
 
 
 async def prefill_prompt(
@@ -118,7 +124,7 @@
     target = reservation.target
     sent_s = context.shared.clock.monotonic_s()
     try:
-        handle = await _send_prefill(context, prompt, reservation)
+        remote_prompt = await _send_prefill(context, prompt, reservation)
     except TargetUnreachable as error:
         context.record_unreachable(target, error)
         return None, False
@@ -129,18 +135,17 @@
         return None, True
     finally:
         context.shared.placement.release(reservation, context.service)
-    if handle is None:
-        return None, True
-    context.shared.health.record_success(target.target_id)
-    return RemotePrompt(target, handle), True
+    if remote_prompt is not None:
+        context.shared.health.record_success(target.target_id)
+    return remote_prompt, True
 
 
 async def _send_prefill(
     context: RequestContext,
     prompt: Prompt,
     reservation: Reservation,
-) -> str | None:
-    """Prefill a prompt; return its handle, or None if it was rejected."""
+) -> RemotePrompt | None:
+    """Prefill a prompt; return None if it was rejected."""
     context.require_no_quarantine()
     shared = context.shared
     target = reservation.target
@@ -189,7 +194,9 @@
         slowness=round(slowness, 2),
         fetch=None if source is None else source.target_id,
     )
-    return prefilled.handle
+    return RemotePrompt(
+        target, prefilled.handle, shared.placement.hold_prompt(reservation)
+    )
 
 
 def _min_output_s(prompt: Prompt) -> float:
