Ignore late reports of processes that have been replaced

Cause: a report of a replaced process that came late counted as one of a new process: its totals became the baseline of quotas again, its address the destination, and others sent listings. Until now only a gateway that was frozen itself read such reports; a relay that was frozen forwards them to its zone. Change: a member remembers the last four processes that were replaced and accepts no reports of them; the address of a member is taken from accepted reports only. As no copy is accepted twice, the relay needs no memory of its own. Result: two new tests, which fail on the code before (frozen relay, late address), pass, as does tests/test_report_routes.py.

--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -21,7 +21,6 @@
 from peridotrill.gateway.part_directory import PartLocation
 from peridotrill.gateway.report_routes import (
     Member,
-    ReportId,
     ReportRoutes,
 )
 from peridotrill.gateway.stream_origins import BegunStreams
@@ -259,27 +258,25 @@
 
     def _accept(self, report: Report) -> bool:
         """Update the member; return whether the report is newer than the last."""
-        self.add_member(report.node, Address(report.host, report.port))
+        address = Address(report.host, report.port)
+        if report.node not in self.members:
+            self.add_member(report.node, address)
         member = self.members[report.node]
-        now_s = self._clock.monotonic_s()
-        if member.incarnation == report.incarnation:
-            if report.sequence <= member.sequence:
-                return False
-        else:
-            member.process_heard_s = now_s
-        member.incarnation = report.incarnation
-        member.sequence = report.sequence
-        member.heard_s = now_s
+        if not member.accept(
+            report.incarnation,
+            report.sequence,
+            self._clock.monotonic_s(),
+        ):
+            return False
+        member.address = address
         member.zone = report.zone
         member.hears_zone = report.hears_zone
         return True
 
     def _forward(self, report: Report, datagram: bytes) -> None:
         """Forward a report unchanged if this gateway is its relay."""
-        recipients = self.routes.take_recipients(
-            ReportId(report.node, report.incarnation, report.sequence),
-            report.zone,
-            report.relay,
+        recipients = self.routes.recipients(
+            report.node, report.zone, report.relay
         )
         if self._transport is None or not recipients:
             return
--- a/peridotrill/gateway/report_routes.py
+++ b/peridotrill/gateway/report_routes.py
@@ -7,6 +7,7 @@
 
 import math
 import zlib
+from collections import deque
 from collections.abc import Mapping
 from typing import Final, NamedTuple, final
 
@@ -29,9 +30,8 @@
 # A gateway of the own zone that is silent for longer is taken for removed, not
 # for cut off from this one only.
 _REMOVED_AGE_S: Final = 30.0
-# Processes of a node whose relayed reports are remembered: the current one, and
-# the one before, whose reports may still arrive.
-_REMEMBERED_PROCESSES: Final = 2
+# Replaced processes of a node whose late reports are recognised.
+_REMEMBERED_PROCESSES: Final = 4
 
 
 class Member:
@@ -49,6 +49,26 @@
         self.hears_zone = False
         # When the first report of its current process came.
         self.process_heard_s = math.inf
+        self._replaced: deque[str] = deque(maxlen=_REMEMBERED_PROCESSES)
+
+    def accept(self, incarnation: str, sequence: int, now_s: float) -> bool:
+        """Record a report, unless it is a copy or older than the last one.
+
+        A relay that was frozen may forward reports of a process long after
+        that has been replaced.
+        """
+        if incarnation in self._replaced:
+            return False
+        if self.incarnation == incarnation:
+            if sequence <= self.sequence:
+                return False
+        else:
+            self._replaced.append(self.incarnation)
+            self.incarnation = incarnation
+            self.process_heard_s = now_s
+        self.sequence = sequence
+        self.heard_s = now_s
+        return True
 
 
 class Route(NamedTuple):
@@ -61,14 +81,6 @@
     relays: list[Member]
 
 
-class ReportId(NamedTuple):
-    """Identifies a report among those of all processes."""
-
-    node: str
-    incarnation: str
-    sequence: int
-
-
 @final
 class ReportRoutes:
     """Recipients of the reports of one gateway, and of those that it relays."""
@@ -86,8 +98,6 @@
         self._clock = clock
         # Different gateways begin with different relays.
         self._offset = zlib.crc32(node.encode())
-        # Latest report relayed, by node and process.
-        self._relayed: dict[str, dict[str, int]] = {}
 
     @property
     def active_age_s(self) -> float:
@@ -128,22 +138,20 @@
                 route.relays.append(relays[self._index(sequence, len(relays))])
         return route
 
-    def take_recipients(
-        self, report: ReportId, zone: str, relay: str
-    ) -> list[Member]:
-        """Return the members to forward a report to; none at its next copy.
+    def recipients(self, node: str, zone: str, relay: str) -> list[Member]:
+        """Return the members to forward a report to.
+
+        It is asked once for each report: ``Member.accept`` takes one copy.
 
-        :param zone: zone of the gateway that has sent the report.
+        :param node: the gateway that has sent the report, and its zone.
         :param relay: the gateway that the sender has asked to forward it.
         """
-        if relay != self._node or zone in {'', self.zone}:
-            return []
-        if not self.zone or not self._is_first_copy(report):
+        if relay != self._node or not self.zone or zone in {'', self.zone}:
             return []
         return [
             member
             for member in self._members.values()
-            if member.zone == self.zone and member.node != report.node
+            if member.zone == self.zone and member.node != node
         ]
 
     def _group(
@@ -175,16 +183,6 @@
             shift = sequence // relays
         return (self._offset + sequence + shift) % relays
 
-    def _is_first_copy(self, report: ReportId) -> bool:
-        """Record a report as relayed, unless it or a later one was."""
-        processes = self._relayed.setdefault(report.node, {})
-        if report.sequence <= processes.get(report.incarnation, 0):
-            return False
-        processes[report.incarnation] = report.sequence
-        if len(processes) > _REMEMBERED_PROCESSES:
-            processes.pop(next(iter(processes)))
-        return True
-
     def _count_zone(self, age_s: float) -> int:
         return sum(
             member.zone == self.zone for member in self._heard_within(age_s)
--- a/tests/report_network.py
+++ b/tests/report_network.py
@@ -81,6 +81,8 @@
         self.sequence = 0
         self.heard_s = defaultdict(list)
         self.full = Counter()
+        # Incarnations of each node whose reports were accepted.
+        self.processes = defaultdict(set)
         self.log = RecordingLog()
         self.peers = PeerExchange(
             self.node,
@@ -132,6 +134,7 @@
     def _record(self, report):
         self.heard_s[report.node].append(self.network.clock.monotonic_s())
         self.full[report.node] += bool(report.usage)
+        self.processes[report.node].add(report.incarnation)
 
 
 class ReportNetwork:
@@ -147,6 +150,8 @@
         self.loss_ratio = loss_ratio
         self.copy_ratio = copy_ratio
         self.dead = set()
+        # What gateways that are frozen will read.
+        self._frozen = {}
         # Pairs (sender, recipient) whose datagrams are lost.
         self.cut = set()
         self.gateways = {}
@@ -182,7 +187,7 @@
     def _send_reports(self, gateway, run_id):
         if gateway.run_id is not run_id:
             return
-        if gateway.node not in self.dead:
+        if gateway.node not in self.dead | self._frozen.keys():
             gateway.send_report()
             self.sent[gateway.node] += 1
         self._plan(gateway.interval_s, self._send_reports, gateway, run_id)
@@ -197,7 +202,9 @@
             self._plan(latency_s, self._deliver, sender.node, datagram, node)
 
     def _deliver(self, sender, datagram, node):
-        if node not in self.dead:
+        if node in self._frozen:
+            self._frozen[node].append((sender, datagram))
+        elif node not in self.dead:
             receiver = self.gateways[node].peers
             receiver.datagram_received(datagram, (sender, 7500))
 
@@ -225,6 +232,13 @@
             action(*arguments)
         advance(self.clock, max(0, end_s - self.clock.monotonic_s()))
 
+    def freeze(self, node):
+        self._frozen[node] = []
+
+    def resume(self, node):
+        for sender, datagram in self._frozen.pop(node):
+            self._deliver(sender, datagram, node)
+
     def cut_off(self, node, others):
         """Cut one gateway off from others in both directions."""
         for other in others:
--- a/tests/test_report_routes.py
+++ b/tests/test_report_routes.py
@@ -16,7 +16,6 @@
 from peridotrill.gateway.report_routes import (
     FULL_REPORT_INTERVAL,
     Member,
-    ReportId,
     ReportRoutes,
 )
 from peridotrill.gateway.report_timing import report_interval_s
@@ -186,6 +185,26 @@
             assert gateway.peers.members[moved.node].zone == 'zone-2'
 
 
+def test_frozen_relay_does_not_bring_back_ended_processes():
+    # Guards against late reports of a process that has been replaced, which
+    # look like those of a new one: its totals become the baseline again.
+    built = network(24, 3)
+    relay = built.gateways['front-00']
+    restarted = built.gateways['front-01']
+    built.freeze(relay.node)
+    built.run(2)
+    restarted.restart(restarted.zone)
+    built.run(2)
+    for gateway in built.gateways.values():
+        gateway.processes.clear()
+    built.resume(relay.node)
+    built.run(2)
+    assert_forwarded_once(built)
+    for gateway in built.gateways.values():
+        if gateway not in {relay, restarted}:
+            assert gateway.processes[restarted.node] == {'11'}
+
+
 def test_gateways_of_the_earlier_version_hear_all_during_an_update():
     # Guards against gateways that lose each other during a rolling restart.
     built = ReportNetwork(24, 3)
@@ -303,29 +322,14 @@
     assert len(routes.route(1).direct) == 23
 
 
-def test_copies_of_two_processes_are_forwarded_once():
-    # Guards against late copies from before a restart that count as new.
-    routes = routes_to(ManualClock(), {'zone-0': 8, 'zone-1': 8})
-    order = [('1', 5), ('2', 1), ('1', 5), ('2', 1), ('1', 4), ('2', 2)]
-    counts = [
-        len(
-            routes.take_recipients(
-                ReportId('zone-1-0', process, sequence), 'zone-1', 'own'
-            )
-        )
-        for process, sequence in order
-    ]
-    assert counts == [8, 8, 0, 0, 0, 8]
-
-
 @pytest.mark.parametrize(
     ('zone', 'relay'),
     [('zone-1', ''), ('zone-1', 'other'), ('zone-0', 'own'), ('', 'own')],
 )
 def test_only_the_named_relay_of_another_zone_forwards(zone, relay):
     routes = routes_to(ManualClock(), {'zone-0': 8, 'zone-1': 8})
-    report = ReportId('zone-1-0', '1', 1)
-    assert not routes.take_recipients(report, zone, relay)
+    assert len(routes.recipients('zone-1-0', 'zone-1', 'own')) == 8
+    assert not routes.recipients('zone-1-0', zone, relay)
 
 
 class ListTransport:
@@ -361,6 +365,36 @@
     assert RELAYED_REPORTS._value.get() == before + 1
 
 
+def test_late_report_does_not_bring_back_an_address():
+    # Guards against reports that go to the address of a replaced process.
+    peers = PeerExchange('own', ManualClock(), RecordingLog(), 'zone-0')
+    for incarnation, host in (('1', 'old'), ('2', 'new'), ('1', 'old')):
+        report = report_of('far', incarnation, 1)
+        report = msgspec.structs.replace(report, host=host)
+        peers.datagram_received(encode_message(report), None)
+    assert peers.members['far'].address == Address('new', 7500)
+
+
+def test_copies_of_two_processes_are_forwarded_once():
+    # Guards against late copies from before a restart that count as new.
+    transport = ListTransport()
+    peers = PeerExchange('own', ManualClock(), RecordingLog(), 'zone-0')
+    peers.connection_made(transport)
+    near = report_of('near', '1', 1, zone='zone-0')
+    peers.datagram_received(encode_message(near), None)
+    order = [('1', 5), ('2', 1), ('1', 5), ('1', 6), ('2', 1), ('2', 2)]
+    forwarded = []
+    for incarnation, sequence in order:
+        transport.sent.clear()
+        report = report_of(
+            'far', incarnation, sequence, zone='zone-1', relay='own'
+        )
+        peers.datagram_received(encode_message(report), None)
+        forwarded.append(len(transport.sent))
+    assert forwarded == [1, 1, 0, 0, 0, 1]
+    assert peers.members['far'].incarnation == '2'
+
+
 def test_last_report_goes_to_all_directly():
     # Guards against counts of a process that are lost with the relay of its
     # last report, and against a relay that has ended.
