--- a/tests/gateway_site.py
+++ b/tests/gateway_site.py
@@ -168,7 +168,7 @@
             },
             'port-range': [self._peer_port, self._peer_port + 15],
             'bootstrap': self._is_first_start,
-            'limits': {'memory-limit-mb': 300, 'max-fds': 1000},
+            'limits': self._site.limits,
             'bounds': {'revoke-ms': 5000, 'grace-s': 6, **self._bounds},
             'platform': {'addr': '{}:{}'.format(*self._site.store_address)},
             'cloud': {
@@ -191,6 +191,8 @@
         self.engines = {engine.target_id: engine for engine in engines}
         self.addresses = {}
         self.gateways = {}
+        # Limits of the machine in the settings of gateways that start later.
+        self.limits = {'memory-limit-mb': 300, 'max-fds': 1000}
         # Event log for the exceptions of the store; None prints them.
         self.stand_in_log = None
         # Time from the restart of an engine to its record.
@@ -325,6 +327,7 @@
     key='key-g',
     method='POST',
     client=httpx,
+    body=b'body',
     **headers,
 ):
     """Send one request and return the response.
@@ -344,7 +347,7 @@
         method,
         gateway.url + path,
         headers=sent,
-        content=b'body',
+        content=body,
         timeout=8,
     )
 
