Keep nothing of a response that broke off

Callers saw: nothing yet; a gateway exceeded the memory of its machine while targets sent more than their share of the budget for responses, as when many callers ask for long responses at once.

Cause: the error that breaks a connection was kept by the connection, with a traceback whose frames refer to the last pieces read (up to 0.5 MB). Connection and parser refer to each other, so that all of it stayed until the next full garbage collection.

Change: the error is dropped by the connection and loses its traceback.

--- a/peridotrill/gateway/target_connections.py
+++ b/peridotrill/gateway/target_connections.py
@@ -326,7 +326,9 @@
                 # A bug in a parser callback: the event loop logs the exception
                 # and closes the connection.
                 raise
-            self._break(self._parse_error)
+            error = self._parse_error
+            self._parse_error = None
+            self._break(error)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.abort('malformed response')
         except TargetOutcomeUnknown as error:
@@ -440,6 +442,9 @@
         self._break(TargetOutcomeUnknown(reason))
 
     def _break(self, error: TargetOutcomeUnknown) -> None:
+        # The traceback would keep the pieces of the response that its frames refer
+        # to until the next full garbage collection.
+        error.__traceback__ = None
         self.is_open = False
         if self._transport is not None:
             peer = self._transport.get_extra_info('socket')
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -1,6 +1,7 @@
 """Servers that send bytes without end until their client closes."""
 
 import asyncio
+import gc
 import time
 import tracemalloc
 from contextlib import asynccontextmanager, closing
@@ -179,6 +180,8 @@
     def abort(self):
         """Close nothing."""
 
+    pause_reading = abort
+
     def get_extra_info(self, name):
         return None
 
@@ -321,3 +324,28 @@
             meter.charge(1)
             charged += 1
     assert charged < CONNECTION_RATE.burst * 2
+
+
+def test_broken_connections_keep_nothing_of_their_responses():
+    # Guards against pieces of responses that a process keeps until the next full
+    # garbage collection, by far more than its budget for responses.
+    budget = ReceiveBudget(MIB)
+    piece = b'x' * 262144
+    tracemalloc.start()
+    gc.disable()
+    try:
+        for _ in range(40):
+            connection = TargetConnection(
+                lambda _: None, receive_limits(budget)
+            )
+            connection.connection_made(DiscardingTransport())
+            exchange = connection.start(b'GET / HTTP/1.1', [], b'')
+            connection.data_received(HEAD + b'\r\n')
+            while connection.is_open:
+                connection.data_received(bytes(piece))
+            exchange.close()
+        kept_bytes = tracemalloc.get_traced_memory()[0]
+    finally:
+        gc.enable()
+        tracemalloc.stop()
+    assert kept_bytes < MIB
