Name the zone for which a relay is asked to forward a report

Change: the relay field of a report names zone and gateway; a gateway forwards only for its own zone.

--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -22,6 +22,7 @@
 from peridotrill.gateway.report_routes import (
     Member,
     ReportRoutes,
+    relay_name,
 )
 from peridotrill.gateway.stream_origins import BegunStreams
 from peridotrill.settings import Address
@@ -58,8 +59,8 @@
     ``cold_targets`` are the milliseconds for which targets are still cold, as far
     as the sender knows it itself. ``zone`` is the availability zone of the sender,
     and ``hears_zone`` whether it gets what is forwarded within that zone.
-    ``relay`` is the gateway that is asked to forward this copy of the report within
-    its own zone; empty for none.
+    ``relay`` names the gateway that is asked to forward this copy of the report, and
+    the zone in which it forwards it (``relay_name``); empty for none.
     """
 
     node: str
@@ -308,7 +309,8 @@
         route = self.routes.route(report.sequence)
         self.send_each(report, [member.node for member in route.direct])
         for relay in route.relays:
-            copy = msgspec.structs.replace(report, relay=relay.node)
+            name = relay_name(relay.zone, relay.node)
+            copy = msgspec.structs.replace(report, relay=name)
             self.send_each(copy, (relay.node,))
 
     def send(self, message: Message, node: str | None = None) -> None:
--- a/peridotrill/gateway/report_routes.py
+++ b/peridotrill/gateway/report_routes.py
@@ -144,9 +144,11 @@
         It is asked once for each report: ``Member.accept`` takes one copy.
 
         :param node: the gateway that has sent the report, and its zone.
-        :param relay: the gateway that the sender has asked to forward it.
+        :param relay: the relay that the sender has asked to forward it.
         """
-        if relay != self._node or not self.zone or zone in {'', self.zone}:
+        if not self.zone or zone in {'', self.zone}:
+            return []
+        if relay != relay_name(self.zone, self._node):
             return []
         return [
             member
@@ -199,3 +201,12 @@
 
 def _is_heard(member: Member, since_s: float) -> bool:
     return member.heard_s is not None and member.heard_s >= since_s
+
+
+def relay_name(zone: str, node: str) -> str:
+    """Return what asks a gateway to forward a report within a zone.
+
+    With the zone, a gateway that has moved does not forward what was meant for
+    its former zone.
+    """
+    return f'{zone}/{node}'
--- a/tests/report_traffic.py
+++ b/tests/report_traffic.py
@@ -77,7 +77,7 @@
 async def _print_relay_work():
     for members in (7, 11, 69):
         plain_us = await measure_relay_us(members, '')
-        relayed_us = await measure_relay_us(members, 'own')
+        relayed_us = await measure_relay_us(members, 'zone-0/own')
         print(
             f'{members} gateways in the zone: {plain_us:.1f} us to receive a '
             f'report, {relayed_us - plain_us:.1f} us more to forward it',
--- a/tests/test_report_routes.py
+++ b/tests/test_report_routes.py
@@ -166,9 +166,12 @@
     } == {1}
 
 
-def test_member_that_changes_its_zone_gets_all_reports():
-    # Guards against reports that go to the relays of the former zone.
-    built = network(24, 3, loss_ratio=_LOSS_RATIO)
+@pytest.mark.parametrize('seed', range(1, 9))
+def test_member_that_changes_its_zone_gets_all_reports(seed):
+    # Guards against reports that go to the relays of the former zone, and
+    # against a second relay: gateways that missed the first report of the moved
+    # process still take it for a relay of its former zone.
+    built = network(24, 3, loss_ratio=_LOSS_RATIO, seed=seed)
     moved = built.gateways['front-00']
     built.dead = {moved.node}
     built.run(0.5)
@@ -324,11 +327,17 @@
 
 @pytest.mark.parametrize(
     ('zone', 'relay'),
-    [('zone-1', ''), ('zone-1', 'other'), ('zone-0', 'own'), ('', 'own')],
+    [
+        ('zone-1', ''),
+        ('zone-1', 'zone-0/other'),
+        ('zone-1', 'zone-2/own'),
+        ('zone-0', 'zone-0/own'),
+        ('', 'zone-0/own'),
+    ],
 )
 def test_only_the_named_relay_of_another_zone_forwards(zone, relay):
     routes = routes_to(ManualClock(), {'zone-0': 8, 'zone-1': 8})
-    assert len(routes.recipients('zone-1-0', 'zone-1', 'own')) == 8
+    assert len(routes.recipients('zone-1-0', 'zone-1', 'zone-0/own')) == 8
     assert not routes.recipients('zone-1-0', zone, relay)
 
 
@@ -356,7 +365,7 @@
         report = msgspec.structs.replace(report, host=host)
         peers.datagram_received(encode_message(report), None)
     before = RELAYED_REPORTS._value.get()
-    far = report_of('far', '1', 1, zone='zone-1', relay='own')
+    far = report_of('far', '1', 1, zone='zone-1', relay='zone-0/own')
     datagram = encode_message(far)
     for _ in range(2):
         peers.datagram_received(datagram, ('somewhere', 1))
@@ -387,7 +396,7 @@
     for incarnation, sequence in order:
         transport.sent.clear()
         report = report_of(
-            'far', incarnation, sequence, zone='zone-1', relay='own'
+            'far', incarnation, sequence, zone='zone-1', relay='zone-0/own'
         )
         peers.datagram_received(encode_message(report), None)
         forwarded.append(len(transport.sent))
@@ -408,7 +417,7 @@
     assert len(transport.sent) == 8 + 1
     report = decode_message(transport.sent[-1][0])
     assert (report.zone, report.hears_zone) == ('zone-0', True)
-    assert report.relay.startswith('zone-1')
+    assert report.relay.startswith('zone-1/zone-1-')
     transport.sent.clear()
     gateway.reporting.send_last()
     assert len(transport.sent) == 16
