--- a/tests/test_zone_evacuations.py
+++ b/tests/test_zone_evacuations.py
@@ -248,12 +248,16 @@
     return context
 
 
+def remote_prompt_at(record):
+    return RemotePrompt(record, 'handle-1', Reservation(record))
+
+
 def test_rejected_prompt_is_not_fetched_from_an_evacuated_zone():
     # Guards against a request that lost its prefilled prompt and has the next
     # engine fetch parts of it from a zone that was evacuated meanwhile.
     follower = Follower()
     context = context_with(follower.state, target('i-a'), target('i-c'))
-    remote_prompt = RemotePrompt(target('i-b', zone='b'), 'handle-1')
+    remote_prompt = remote_prompt_at(target('i-b', zone='b'))
     follower.read('evacuate/b')
     with pytest.raises(GatewayError):
         asyncio.run(Generation(context, remote_prompt).execute())
@@ -272,7 +276,7 @@
     # may come long after the zone should be empty.
     follower = Follower()
     context = context_with(follower.state)
-    remote_prompt = RemotePrompt(target('i-b', zone='b'), 'handle-1')
+    remote_prompt = remote_prompt_at(target('i-b', zone='b'))
     asyncio.run(release_prompt(context, remote_prompt))
     follower.read('evacuate/b')
     asyncio.run(release_prompt(context, remote_prompt))
