--- a/peridotrill/gateway/engine_speed.py
+++ b/peridotrill/gateway/engine_speed.py
@@ -119,6 +119,8 @@
         self._learnt: dict[str, float] = {}
         self._refreshed_s = -math.inf
         self._last_reported: frozenset[str] = frozenset()
+        # Gets a target that begins or ceases to differ, and its slowness.
+        self.on_change: Callable[[str, float], None] = _ignore
 
     def slowness(self, target_id: str) -> float:
         """Return how many times as long as usual work takes at a target now."""
@@ -128,6 +130,11 @@
             return learnt
         return _bounded(learnt * reported, _MIN_SLOWNESS, _MAX_SLOWNESS)
 
+    @property
+    def differing(self) -> int:
+        """Number of targets that differ from the others of their service."""
+        return len(self._learnt)
+
     def learnt(self, target_id: str) -> float:
         """Return the slowness of a target apart from its present state."""
         return self._learnt.get(target_id, 1.0)
@@ -225,7 +232,6 @@
         sums: dict[str, tuple[float, float]] = {}
         for key, means in list(self._samples.items()):
             self._add_deviations(key, means, sums)
-        self._learnt.clear()
         for target_id, known in list(self._known.items()):
             weight, total = sums.get(target_id, (0.0, 0.0))
             known.own_weight = weight
@@ -236,7 +242,15 @@
                 continue
             total += known.peers.mean * peers_weight
             known.combined = total / (weight + peers_weight + _PRIOR_WEIGHT)
+        self._update_learnt()
+
+    def _update_learnt(self) -> None:
+        """Find the targets that differ; tell which begin or cease to."""
+        before = frozenset(self._learnt)
+        self._learnt.clear()
         self._normalise()
+        for target_id in before.symmetric_difference(self._learnt):
+            self.on_change(target_id, self.learnt(target_id))
 
     def _normalise(self) -> None:
         """Let the typical target of each service have a slowness of 1."""
@@ -317,6 +331,10 @@
         return 0.0 if known is None else known.combined
 
 
+def _ignore(target_id: str, slowness: float) -> None:
+    """Default callback for changes."""
+
+
 def _is_clear(known: _TargetKnowledge) -> bool:
     """Whether a target differs from the others by own samples alone."""
     shrunk = known.own * known.own_weight / (known.own_weight + _PRIOR_WEIGHT)
--- a/peridotrill/gateway/metrics.py
+++ b/peridotrill/gateway/metrics.py
@@ -77,6 +77,10 @@
     'peridotrill_cold_targets',
     'Targets that count as cold and get requests at a limited rate',
 )
+UNUSUAL_TARGETS: Final = Gauge(
+    'peridotrill_unusual_targets',
+    'Targets that are faster or slower than the others of their service',
+)
 ENGINE_MEMORY: Final = Gauge(
     'peridotrill_engine_memory_ratio',
     'Part of the memory of the fullest engine that requests hold, by service',
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -54,6 +54,7 @@
     STORE_CALLS,
     STORE_GENERATION,
     TARGET_CRASHES,
+    UNUSUAL_TARGETS,
 )
 from peridotrill.gateway.part_sharing import PartSharing
 from peridotrill.gateway.peers import PeerExchange
@@ -246,6 +247,7 @@
             self._clock,
             node.zone,
         )
+        self._placement.target_speeds.on_change = self._log_speed
         self._placement.memory.rotation = SenderRotation(
             node.node,
             self._peers.members.keys,
@@ -569,6 +571,7 @@
         STORE_GENERATION.set(self._store.generation)
         LOST_LOG_LINES.set(self._log.lost_lines)
         LIMITED_TARGETS.set(self._limits.limited_targets)
+        UNUSUAL_TARGETS.set(self._placement.target_speeds.differing)
         COLD_TARGETS.set(self._limits.cold.count)
         EVACUATED_ZONES.set(len(self._cluster_state.evacuations))
         TARGET_CRASHES.set(self._crashes.crashes)
@@ -617,6 +620,12 @@
             spec.cold_per_s * bounds.cold_over + bounds.cold_slack,
         )
 
+    def _log_speed(self, target_id: str, slowness: float) -> None:
+        """Log that a target begins or ceases to differ from the others."""
+        self._log.write(
+            'target_speed', target=target_id, slowness=round(slowness, 2)
+        )
+
     def _warm_up_zone(self, zone: str) -> None:
         """Warm up the targets of a zone that was taken back."""
         for target in self._cluster_state.all_targets():
--- a/tests/test_engine_speed.py
+++ b/tests/test_engine_speed.py
@@ -287,9 +287,13 @@
     fleet.play(5, 20)
     (speeds,) = fleet.speeds
     assert list(speeds.report()) == ['i-3']
+    assert speeds.differing == 1
+    changes = []
+    speeds.on_change = lambda name, slowness: changes.append((name, slowness))
     fleet.slowness['i-3'] = 1
     fleet.play(40, 20)
     assert speeds.report() == {}
+    assert changes == [('i-3', 1)]
 
 
 def test_speeds_are_carried_by_the_report():
