Play unequal targets with the reports of 24 gateways

Gateways hear of each other's requests every 0.1 s at best, so that all could send to the target that is the fastest for all of them. Machines of equal speed serve as without speeds, within 5% of the mean time.

--- a/tests/speed_simulation.py
+++ b/tests/speed_simulation.py
@@ -5,8 +5,10 @@
 from typing import NamedTuple
 
 from peridotrill.clock import ManualClock
+from peridotrill.gateway.admission_queue import Reservation
 from peridotrill.gateway.completion_estimate import usual_slowness
 from peridotrill.gateway.engine_speed import EngineSpeeds
+from peridotrill.gateway.load_tracker import LoadTracker
 from peridotrill.gateway.prompt_placement import (
     EngineLoads,
     Loads,
@@ -15,6 +17,7 @@
     choose_least_loaded,
     choose_prefill_engine,
 )
+from peridotrill.gateway.report_timing import report_interval_s
 from peridotrill.gateway.reported_slowness import ReportedSlowness
 from peridotrill.gateway.targets import TargetRole
 from tests.gateway_builders import advance, prompt, target
@@ -241,3 +244,70 @@
             {name: row.served for name, row in self.machines.items()},
             max(backlogs) / (sum(backlogs) / len(backlogs)),
         )
+
+
+class FleetPlay(Play):
+    """Requests of several gateways, which know each other's from reports."""
+
+    def __init__(self, gateways, speeds, rule, **options):
+        """:param gateways: their number, in three zones like the machines."""
+        super().__init__(speeds, rule, **options)
+        self.trackers = [LoadTracker(self.clock) for _ in range(gateways)]
+        self.queues = [deque() for _ in range(gateways)]
+        self.interval_s = report_interval_s(gateways - 1)
+        begin_s = self.clock.monotonic_s()
+        self.due_s = [
+            begin_s + self.random.uniform(0, self.interval_s)
+            for _ in range(gateways)
+        ]
+        for number, machine in enumerate(self.machines.values()):
+            machine.record = machine.record._replace(zone=f'z{number % 3}')
+        # Requests, and those that met a machine without a free slot.
+        self.sent = 0
+        self.shed = 0
+
+    def step(self, now_s, per_step, is_counted):
+        arrivals = int(per_step) + (self.random.random() < per_step % 1)
+        for _ in range(arrivals):
+            work_s = self.work_s * self.random.uniform(0.5, 1.5)
+            self.random.choice(self.queues).append(_Job(now_s, work_s))
+        for number, queue in enumerate(self.queues):
+            while queue and self.send(number, queue[0], now_s):
+                queue.popleft()
+            if now_s >= self.due_s[number]:
+                self.due_s[number] += self.interval_s
+                self.report(number)
+        for machine in self.machines.values():
+            self.serve(machine, now_s, is_counted)
+
+    def send(self, number, job, now_s):
+        tracker = self.trackers[number]
+        free = [
+            row.record
+            for name, row in self.machines.items()
+            if tracker.total(name) < row.record.slots
+        ]
+        loads = Loads(tracker.total, lambda name: False, self.slowness)
+        chosen = choose_least_loaded(free, loads, f'z{number % 3}')
+        if chosen is None:
+            return False
+        machine = self.machines[chosen.target_id]
+        job.sent_s, job.ahead_s = now_s, 0
+        job.tracker, job.reservation = tracker, Reservation(chosen, 1)
+        tracker.begin(job.reservation)
+        self.sent += 1
+        self.shed += len(machine.jobs) >= chosen.slots
+        machine.jobs.append(job)
+        return True
+
+    def report(self, number):
+        work = dict(self.trackers[number].local_totals())
+        for other, tracker in enumerate(self.trackers):
+            if other != number:
+                tracker.observe_peer(str(number), work)
+        self.trackers[number].end_report_interval()
+
+    def learn(self, machine, job, ended_s):
+        job.tracker.end(job.reservation)
+        job.tracker.observe_target(machine.record.target_id, len(machine.jobs))
+        super().learn(machine, job, ended_s)
--- a/tests/test_engine_speed.py
+++ b/tests/test_engine_speed.py
@@ -13,7 +13,7 @@
 from peridotrill.gateway.targets import TargetRole
 from tests.gateway_builders import advance, target
 from tests.gateway_site import call, run_site, wait_until
-from tests.speed_simulation import Play
+from tests.speed_simulation import FleetPlay, Play
 
 # Speeds of machines in the deployment at hand, relative to the usual one.
 SPEEDS = (0.6, 1.0, 1.6)
@@ -397,3 +397,39 @@
     played.restart('i-0', 1.6)
     fast = played.run(0.7, 10).served['i-0']
     assert fast - slow > 2 * slow
+
+
+def play_fleet(kind, rule, speeds, utilisation, seed):
+    played = FleetPlay(24, speeds, rule, seed=seed, **KINDS[kind])
+    return played.run(utilisation, 15), played.shed / played.sent
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+@pytest.mark.parametrize('utilisation', [0.2, 0.5, 0.8])
+@pytest.mark.parametrize('kind', ['plain', 'decode'])
+def test_gateways_do_not_all_send_to_the_fastest_target(
+    kind, utilisation, seed
+):
+    # Guards against gateways that hear of each other's requests only with the
+    # reports, and overfill the target that looks best to all of them.
+    before, shed_before = play_fleet(
+        kind, 'equal', SPEEDS * 2, utilisation, seed
+    )
+    after, shed_after = play_fleet(
+        kind, 'learnt', SPEEDS * 2, utilisation, seed
+    )
+    assert after.mean_ms < before.mean_ms
+    assert after.p95_ms < 1.05 * before.p95_ms
+    assert shed_after < shed_before + 0.05
+
+
+@pytest.mark.parametrize('utilisation', [0.2, 0.5, 0.8])
+@pytest.mark.parametrize('kind', ['plain', 'decode'])
+def test_equal_targets_of_several_gateways_serve_as_without_speeds(
+    kind, utilisation
+):
+    # Guards against queues at single targets that are taken for slowness.
+    before, shed_before = play_fleet(kind, 'equal', [1] * 6, utilisation, 1)
+    after, shed_after = play_fleet(kind, 'learnt', [1] * 6, utilisation, 1)
+    assert after.mean_ms < 1.05 * before.mean_ms
+    assert shed_after < shed_before + 0.05
