--- a/tests/test_engine_speed.py
+++ b/tests/test_engine_speed.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from concurrent.futures import ThreadPoolExecutor
 from statistics import median
 
 import pytest
@@ -11,7 +12,7 @@
 from peridotrill.gateway.peers import Report, decode_message, encode_message
 from peridotrill.gateway.reported_slowness import ReportedSlowness
 from peridotrill.gateway.targets import TargetRole
-from tests.gateway_builders import advance, target
+from tests.gateway_builders import advance, prompt_headers, target
 from tests.gateway_site import call, run_site, wait_until
 from tests.speed_simulation import FleetPlay, Play
 
@@ -433,3 +434,32 @@
     after, shed_after = play_fleet(kind, 'learnt', [1] * 6, utilisation, 1)
     assert after.mean_ms < 1.05 * before.mean_ms
     assert shed_after < shed_before + 0.05
+
+
+def test_gateway_learns_from_its_responses_and_streams(tmp_path):
+    # Guards against times that are not recorded, so that slow machines are
+    # never found.
+    with run_site(tmp_path) as site:
+        (gateway,) = site.start_gateways('front-a-1')
+        for name, engine in site.engines.items():
+            engine.event_count = 20
+            is_slow = name in {'i-till-1', 'i-dec-1'}
+            engine.processing_s = 0.12 if is_slow else 0.03
+            engine.event_interval_s = 0.02 if is_slow else 0.005
+
+        def send(number):
+            call(gateway, '/read/x', f'plain-{number}')
+            headers = prompt_headers(shared=50, output=40)
+            call(gateway, '/quick/x', f'stream-{number}', **headers)
+
+        with ThreadPoolExecutor(6) as pool:
+            list(pool.map(send, range(48)))
+        log = gateway.read_log()
+        for name in ('i-till-1', 'i-dec-1'):
+            rows = [
+                line
+                for line in log.splitlines()
+                if 'event=target_speed' in line and f'target={name}' in line
+            ]
+            assert rows, name
+            assert float(rows[0].split('slowness=')[1].split()[0]) > 1
--- a/tests/test_prefill_speed.py
+++ b/tests/test_prefill_speed.py
@@ -6,6 +6,7 @@
 import pytest
 
 from peridotrill.clock import ManualClock
+from peridotrill.gateway.admission_queue import Reservation
 from peridotrill.gateway.cluster_state import ClusterState, FreshnessBounds
 from peridotrill.gateway.load_tracker import LoadTracker
 from peridotrill.gateway.peers import (
@@ -193,3 +194,33 @@
     started = PrefillSpeed()
     started.observe_peer(received.node, received.slowdowns)
     assert started.slowdown('llm') == pytest.approx(2.3, rel=0.1)
+
+
+def test_slow_engine_gets_less_prefill_and_does_not_slow_the_forecasts():
+    # Guards against one slow engine that holds as many prompts as the others,
+    # and makes the prompts at all of them look slow.
+    site = Site()
+    engines = [
+        target(name, TargetRole.PREFILL, slots=64) for name in ('a', 'b', 'c')
+    ]
+    for row in engines:
+        site.placement._cluster_state.update_target(row)
+    for _ in range(20):
+        for row in engines:
+            took_ms = 200 if row.target_id == 'a' else 100
+            site.placement.record_prefill_time(
+                Reservation(row, prefill_ms=100), _OVERHEAD_MS + took_ms
+            )
+        advance(site.clock, 0.3)
+    # The samples of one gateway do not outweigh the prior altogether.
+    learnt = site.placement.target_speeds.learnt('a')
+    assert 1.5 < learnt <= 2
+    assert site.placement.speed.slowdown('llm') == pytest.approx(1, rel=0.05)
+    granted = [found for _ in range(50) if (found := site.reserve(3_000))]
+    counts = [
+        sum(row.target.target_id == name for row in granted)
+        for name in ('a', 'b', 'c')
+    ]
+    # The same time of work, but for one prompt with which each exceeds it.
+    assert 0 < counts[0] < min(counts[1:])
+    assert (counts[0] - 1) * learnt <= min(counts[1:])
