--- a/tests/test_engine_speed.py
+++ b/tests/test_engine_speed.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from concurrent.futures import ThreadPoolExecutor
 from statistics import median
 
 import pytest
@@ -11,9 +12,9 @@
 from peridotrill.gateway.peers import Report, decode_message, encode_message
 from peridotrill.gateway.reported_slowness import ReportedSlowness
 from peridotrill.gateway.targets import TargetRole
-from tests.gateway_builders import advance, target
+from tests.gateway_builders import advance, prompt_headers, target
 from tests.gateway_site import call, run_site, wait_until
-from tests.speed_simulation import Play
+from tests.speed_simulation import FleetPlay, Play
 
 # Speeds of machines in the deployment at hand, relative to the usual one.
 SPEEDS = (0.6, 1.0, 1.6)
@@ -287,9 +288,13 @@
     fleet.play(5, 20)
     (speeds,) = fleet.speeds
     assert list(speeds.report()) == ['i-3']
+    assert speeds.differing == 1
+    changes = []
+    speeds.on_change = lambda name, slowness: changes.append((name, slowness))
     fleet.slowness['i-3'] = 1
     fleet.play(40, 20)
     assert speeds.report() == {}
+    assert changes == [('i-3', 1)]
 
 
 def test_speeds_are_carried_by_the_report():
@@ -393,3 +398,68 @@
     played.restart('i-0', 1.6)
     fast = played.run(0.7, 10).served['i-0']
     assert fast - slow > 2 * slow
+
+
+def play_fleet(kind, rule, speeds, utilisation, seed):
+    played = FleetPlay(24, speeds, rule, seed=seed, **KINDS[kind])
+    return played.run(utilisation, 15), played.shed / played.sent
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+@pytest.mark.parametrize('utilisation', [0.2, 0.5, 0.8])
+@pytest.mark.parametrize('kind', ['plain', 'decode'])
+def test_gateways_do_not_all_send_to_the_fastest_target(
+    kind, utilisation, seed
+):
+    # Guards against gateways that hear of each other's requests only with the
+    # reports, and overfill the target that looks best to all of them.
+    before, shed_before = play_fleet(
+        kind, 'equal', SPEEDS * 2, utilisation, seed
+    )
+    after, shed_after = play_fleet(
+        kind, 'learnt', SPEEDS * 2, utilisation, seed
+    )
+    assert after.mean_ms < before.mean_ms
+    assert after.p95_ms < 1.05 * before.p95_ms
+    assert shed_after < shed_before + 0.05
+
+
+@pytest.mark.parametrize('utilisation', [0.2, 0.5, 0.8])
+@pytest.mark.parametrize('kind', ['plain', 'decode'])
+def test_equal_targets_of_several_gateways_serve_as_without_speeds(
+    kind, utilisation
+):
+    # Guards against queues at single targets that are taken for slowness.
+    before, shed_before = play_fleet(kind, 'equal', [1] * 6, utilisation, 1)
+    after, shed_after = play_fleet(kind, 'learnt', [1] * 6, utilisation, 1)
+    assert after.mean_ms < 1.05 * before.mean_ms
+    assert shed_after < shed_before + 0.05
+
+
+def test_gateway_learns_from_its_responses_and_streams(tmp_path):
+    # Guards against times that are not recorded, so that slow machines are
+    # never found.
+    with run_site(tmp_path) as site:
+        (gateway,) = site.start_gateways('front-a-1')
+        for name, engine in site.engines.items():
+            engine.event_count = 20
+            is_slow = name in {'i-till-1', 'i-dec-1'}
+            engine.processing_s = 0.12 if is_slow else 0.03
+            engine.event_interval_s = 0.02 if is_slow else 0.005
+
+        def send(number):
+            call(gateway, '/read/x', f'plain-{number}')
+            headers = prompt_headers(shared=50, output=40)
+            call(gateway, '/quick/x', f'stream-{number}', **headers)
+
+        with ThreadPoolExecutor(6) as pool:
+            list(pool.map(send, range(48)))
+        log = gateway.read_log()
+        for name in ('i-till-1', 'i-dec-1'):
+            rows = [
+                line
+                for line in log.splitlines()
+                if 'event=target_speed' in line and f'target={name}' in line
+            ]
+            assert rows, name
+            assert float(rows[0].split('slowness=')[1].split()[0]) > 1
