--- a/peridotrill/gateway/engine_memory.py
+++ b/peridotrill/gateway/engine_memory.py
@@ -67,10 +67,7 @@
         """:param find_capacity: returns the memory of the engines of a service
         in tokens; 0 if it is not limited.
         """
-        self._clock = clock
         self._find_capacity = find_capacity
-        # When a request of this gateway last found no memory, by service.
-        self._exhausted_s: dict[str, float] = {}
         # Average of what this gateway begins at all engines between two reports.
         self._begun_per_interval = 0.0
         # None while there is no other gateway.
@@ -105,39 +102,37 @@
         need = self.need(service, prompt)
         return need is None or need.expected_tokens <= need.capacity
 
-    def has_room(self, target: TargetRecord, need: MemoryNeed | None) -> bool:
-        """Return whether an engine can take a request of this gateway now."""
-        return bool(self.with_room([target], need))
+    def has_room(
+        self,
+        target: TargetRecord,
+        need: MemoryNeed | None,
+        is_waiting: bool = False,
+    ) -> bool:
+        """Return whether an engine can take a request of this gateway now.
+
+        :param is_waiting: see ``with_room``.
+        """
+        return bool(self.with_room([target], need, is_waiting))
 
     def with_room(
-        self, targets: list[TargetRecord], need: MemoryNeed | None
+        self,
+        targets: list[TargetRecord],
+        need: MemoryNeed | None,
+        is_waiting: bool,
     ) -> list[TargetRecord]:
-        """Return the engines that can take a request of this gateway now."""
-        if need is None or not targets:
-            return targets
-        service = targets[0].service
-        elsewhere_tokens = math.inf
-        if not self._was_exhausted(service):
-            elsewhere_tokens = self._expected_elsewhere(need)
-        found = [
-            row
-            for row in targets
-            if self._has_room(row, need, elsewhere_tokens)
-        ]
-        if not found:
-            self._exhausted_s[service] = self._clock.monotonic_s()
-        return found
+        """Return the engines that can take a request of this gateway now.
 
-    def _was_exhausted(self, service: str) -> bool:
-        """Return whether a request found no memory a short time ago.
-
-        Then others probably wait for it as well, and would all begin at once.
+        :param is_waiting: whether requests of the service wait here. Then others
+            probably wait as well, and would all begin at once.
         """
-        exhausted_s = self._exhausted_s.get(service)
-        if exhausted_s is None or self.rotation is None:
-            return False
-        age_s = self._clock.monotonic_s() - exhausted_s
-        return age_s < self.rotation.turn_s
+        if need is None:
+            return targets
+        free_tokens = math.inf
+        if not is_waiting:
+            free_tokens = self._expected_elsewhere(need)
+        return [
+            row for row in targets if self._has_room(row, need, free_tokens)
+        ]
 
     def _expected_elsewhere(self, need: MemoryNeed) -> float:
         """Return what others may begin at the same engine until they report."""
--- a/peridotrill/gateway/placement.py
+++ b/peridotrill/gateway/placement.py
@@ -14,7 +14,7 @@
 )
 from peridotrill.gateway.cluster_state import ClusterState
 from peridotrill.gateway.configuration import Configuration
-from peridotrill.gateway.engine_memory import EngineMemory
+from peridotrill.gateway.engine_memory import EngineMemory, MemoryNeed
 from peridotrill.gateway.engine_speed import EngineSpeeds
 from peridotrill.gateway.load_tracker import LoadTracker, prefill_key
 from peridotrill.gateway.part_directory import PartDirectory, PartLocation
@@ -68,6 +68,9 @@
     LONG_READING = 3
 
 
+_MODEL_POOLS: Final = (Pool.DECODE, Pool.SHORT_READING, Pool.LONG_READING)
+
+
 @final
 class Placement:
     """Reserves capacity for requests, and queues those that must wait."""
@@ -246,7 +249,7 @@
                 regions,
             )
             target = choose_decode(
-                self.memory.with_room(targets, need),
+                self._with_memory(service, targets, need),
                 self._loads,
                 self._local_zone,
                 lambda target_id: self._has_main_part(target_id, prompt),
@@ -283,7 +286,7 @@
             )
             found = choose_prefill_engine(
                 prompt,
-                self.memory.with_room(targets, need),
+                self._with_memory(service, targets, need),
                 self._engine_loads._replace(
                     slowdown=self.speed.slowdown(service)
                 ),
@@ -422,6 +425,20 @@
             default=0,
         )
 
+    def _with_memory(
+        self,
+        service: str,
+        targets: list[TargetRecord],
+        need: MemoryNeed | None,
+    ) -> list[TargetRecord]:
+        """Return the engines whose memory has room for a request."""
+        if need is None:
+            return targets
+        is_waiting = any(
+            self._queues.get((service, pool)) for pool in _MODEL_POOLS
+        )
+        return self.memory.with_room(targets, need, is_waiting)
+
     def _targets_with_capacity(
         self,
         service: str,
--- a/peridotrill/gateway/sender_rotation.py
+++ b/peridotrill/gateway/sender_rotation.py
@@ -63,11 +63,6 @@
         self._read_time()
         return len(self._nodes)
 
-    @property
-    def turn_s(self) -> float:
-        """Length of a turn."""
-        return report_interval_s(self.gateways - 1) * _TURN_INTERVALS
-
     def share(self, key: str) -> float:
         """Return the part of what is left that this gateway may use now."""
         self._read_time()
--- a/tests/test_engine_memory.py
+++ b/tests/test_engine_memory.py
@@ -82,13 +82,17 @@
         wanted = long_prompt(
             self.random.randint(1000, 16000), self.random.randint(50, 400)
         )
-        if self.waiting[node] or not self.begin(node, wanted):
+        if self.waiting[node] or not self.begin(node, wanted, False):
             self.waiting[node].append(wanted)
 
-    def begin(self, node, wanted):
+    def begin(self, node, wanted, is_waiting):
         memory = self.memory[node]
         need = memory.need('llm', wanted)
-        free = memory.with_room(self.engines, need)
+        free = [
+            row
+            for row in self.engines
+            if memory.has_room(row, need, is_waiting)
+        ]
         if not free:
             return False
         # All gateways choose alike, as they know nearly the same.
@@ -121,7 +125,7 @@
                 if self.random.random() < per_step:
                     self.arrive(node)
                 waiting = self.waiting[node]
-                while waiting and self.begin(node, waiting[0]):
+                while waiting and self.begin(node, waiting[0], True):
                     waiting.popleft()
                 if now_s >= self.due_s[node]:
                     self.due_s[node] += self.interval_s
