--- a/peridotrill/gateway/admission_queue.py
+++ b/peridotrill/gateway/admission_queue.py
@@ -44,8 +44,7 @@
     target, and ``prefill_ms`` to the prefill work there. ``running`` is 0 if
     the target only processes the prompt. ``ahead_ms`` is the prefill work that
     was known there before, and ``slowdown`` the factor by which the engines were
-    taken to be slower than their model. ``memory_tokens`` is what it holds in the
-    memory of the target, 0 if that is not limited.
+    taken to be slower than their model.
     """
 
     target: TargetRecord
@@ -53,7 +52,6 @@
     prefill_ms: float = 0
     ahead_ms: float = 0
     slowdown: float = 1
-    memory_tokens: float = 0
 
 
 # Finds capacity for a request, but does not allocate it; returns None while
--- a/peridotrill/gateway/configuration.py
+++ b/peridotrill/gateway/configuration.py
@@ -1,6 +1,5 @@
 """The configuration in force: routes, services, teams and limits."""
 
-from datetime import timedelta
 from typing import Final, NamedTuple, final
 
 from peridotrill.gateway.requests import RequestKind
@@ -113,10 +112,6 @@
         self.teams = {team.name: team for team in teams}
         self.limits = limits
         self.route_count = len(routes)
-        # Time after which each request has ended.
-        self.longest_timeout = timedelta(
-            milliseconds=max((row.timeout_ms for row in routes), default=0)
-        )
         self._team_by_key = {
             key: team for team in teams for key in team.api_keys
         }
--- a/peridotrill/gateway/generation.py
+++ b/peridotrill/gateway/generation.py
@@ -268,7 +268,8 @@
                 self._is_asked = False
                 context.handle_rejection(target, response)
                 return False
-            self._take_prompt()
+            self.is_prompt_taken = self._use_handle
+            self._use_handle = False
             if not response.is_verified:
                 raise TargetOutcomeUnknown('response not verified')
             if response.status >= _MIN_ERROR_STATUS:
@@ -279,16 +280,6 @@
         context.outcome = 'answered'
         return True
 
-    def _take_prompt(self) -> None:
-        """Record that the engine has fetched the prompt, if there is one."""
-        if self._remote_prompt is None or not self._use_handle:
-            return
-        self.is_prompt_taken = True
-        self._use_handle = False
-        self._context.shared.placement.release(
-            self._remote_prompt.held, self._context.service
-        )
-
     async def _send(self, target: TargetRecord) -> TargetExchange:
         context = self._context
         context.require_no_quarantine()
--- a/peridotrill/gateway/load_tracker.py
+++ b/peridotrill/gateway/load_tracker.py
@@ -2,7 +2,6 @@
 
 from collections import OrderedDict
 from collections.abc import Mapping
-from datetime import timedelta
 from typing import Final, final
 
 from peridotrill.clock import Clock
@@ -10,7 +9,7 @@
 from peridotrill.gateway.report_timing import silence_s
 
 # Least time after which the report of a peer is dropped, as it may have stopped.
-_MIN_REPORT_LIFETIME: Final = timedelta(seconds=1)
+_MIN_REPORT_LIFETIME_S: Final = 1.0
 # Floating-point sums do not return to exactly zero.
 _EPSILON: Final = 1e-6
 _NO_WORK: Final = 0.0
@@ -36,14 +35,9 @@
     under its ``prefill_key``.
     """
 
-    def __init__(
-        self, clock: Clock, report_lifetime: timedelta = _MIN_REPORT_LIFETIME
-    ) -> None:
-        """:param report_lifetime: least time after which the report of a peer is
-        dropped.
-        """
+    def __init__(self, clock: Clock) -> None:
+        """Start without work in progress."""
         self._clock = clock
-        self._least_lifetime_s = report_lifetime.total_seconds()
         self._local: dict[str, float] = {}
         # Last reports, the oldest first, and their sums.
         self._peers: OrderedDict[str, tuple[float, Mapping[str, float]]] = (
@@ -58,10 +52,6 @@
         self._average_local_work = 0.0
         self._average_peer_work = 0.0
 
-    def set_report_lifetime(self, lifetime: timedelta) -> None:
-        """:param lifetime: see the constructor."""
-        self._least_lifetime_s = lifetime.total_seconds()
-
     def begin(self, reservation: Reservation) -> None:
         """Add the work of a reservation."""
         target_id = reservation.target.target_id
@@ -100,14 +90,6 @@
             peers - self._average_peer_work
         ) * _AVERAGE_WEIGHT
 
-    def unreported(self, key: str) -> float:
-        """Return the work at a target that was started since the last report."""
-        return self._started.get(key, 0)
-
-    def all_unreported(self) -> float:
-        """Return the work at all targets started since the last report."""
-        return sum(self._started.values())
-
     def expected_total(self, key: str) -> float:
         """Return the work at a target, including likely unreported work.
 
@@ -143,7 +125,7 @@
 
     @property
     def _report_lifetime_s(self) -> float:
-        return silence_s(len(self._peers), self._least_lifetime_s)
+        return silence_s(len(self._peers), _MIN_REPORT_LIFETIME_S)
 
     def drop_stale_peers(self) -> None:
         """Drop the reports of peers that may have stopped."""
--- a/peridotrill/gateway/metrics.py
+++ b/peridotrill/gateway/metrics.py
@@ -81,11 +81,6 @@
     'peridotrill_unusual_targets',
     'Targets that are faster or slower than the others of their service',
 )
-ENGINE_MEMORY: Final = Gauge(
-    'peridotrill_engine_memory_ratio',
-    'Part of the memory of the fullest engine that requests hold, by service',
-    ['service'],
-)
 MODEL_ENGINES: Final = Gauge(
     'peridotrill_model_engines',
     'Model engines that accept requests, by service and role',
--- a/peridotrill/gateway/placement.py
+++ b/peridotrill/gateway/placement.py
@@ -13,8 +13,6 @@
     ReservationFinder,
 )
 from peridotrill.gateway.cluster_state import ClusterState
-from peridotrill.gateway.configuration import Configuration
-from peridotrill.gateway.engine_memory import EngineMemory, MemoryNeed
 from peridotrill.gateway.engine_speed import EngineSpeeds
 from peridotrill.gateway.load_tracker import LoadTracker, prefill_key
 from peridotrill.gateway.part_directory import PartDirectory, PartLocation
@@ -68,9 +66,6 @@
     LONG_READING = 3
 
 
-_MODEL_POOLS: Final = (Pool.DECODE, Pool.SHORT_READING, Pool.LONG_READING)
-
-
 @final
 class Placement:
     """Reserves capacity for requests, and queues those that must wait."""
@@ -97,7 +92,6 @@
         self.speed = PrefillSpeed()
         self.reported = ReportedSlowness(clock)
         self.target_speeds = EngineSpeeds(clock, self.reported)
-        self.memory = EngineMemory(clock, self._find_memory_tokens)
         self._health = health
         self._loads = Loads(
             loads.total, health.is_avoided, self.target_speeds.slowness
@@ -119,7 +113,7 @@
                 self._clock,
                 _QUEUE_BOUNDS,
                 self._begin,
-                self._end,
+                self._load_tracker.end,
             )
             # Queues are dispatched in the order of the pools.
             self._queues = dict(
@@ -129,26 +123,8 @@
 
     def _begin(self, reservation: Reservation) -> None:
         self._load_tracker.begin(reservation)
-        self.memory.begin(reservation)
         self._limits.charge(reservation.target.target_id)
 
-    def _end(self, reservation: Reservation) -> None:
-        self._load_tracker.end(reservation)
-        self.memory.end(reservation)
-
-    def apply_configuration(self, configuration: Configuration) -> None:
-        """Apply what the configuration says of engines and requests."""
-        self.parts.memory_tokens = configuration.engine_memory_tokens
-        self.memory.set_request_lifetime(configuration.longest_timeout)
-
-    def _find_memory_tokens(self, service: str) -> int:
-        """Return the memory of the engines of a service; 0 if not limited."""
-        current = self._cluster_state.configuration
-        spec = None if current is None else current.services.get(service)
-        if spec is None or spec.engine is None:
-            return 0
-        return spec.engine.kv_tokens
-
     def has_target(
         self,
         service: str,
@@ -178,7 +154,7 @@
 
     def release(self, reservation: Reservation, service: str) -> None:
         """Release a reservation and dispatch waiting requests."""
-        self._end(reservation)
+        self._load_tracker.end(reservation)
         self._dispatch_service(service)
 
     def forget(self, target: TargetRecord) -> None:
@@ -195,7 +171,6 @@
     def dispatch(self) -> None:
         """Dispatch waiting requests after changes of targets or loads."""
         self._load_tracker.drop_stale_peers()
-        self.memory.drop_stale_peers()
         for queue in self._queues.values():
             queue.dispatch()
 
@@ -238,8 +213,6 @@
         :param regions: regions in which the engine may be; None for all.
         """
 
-        need = self.memory.need(service, prompt)
-
         def find() -> Reservation | None:  # noqa: WPS430
             targets = self._targets_with_capacity(
                 service,
@@ -249,15 +222,12 @@
                 regions,
             )
             target = choose_decode(
-                self._with_memory(service, targets, need),
+                targets,
                 self._loads,
                 self._local_zone,
                 lambda target_id: self._has_main_part(target_id, prompt),
             )
-            if target is None:
-                return None
-            tokens = 0 if need is None else need.tokens_at(target)
-            return Reservation(target, running=1, memory_tokens=tokens)
+            return None if target is None else Reservation(target, running=1)
 
         return find
 
@@ -278,15 +248,13 @@
         :param regions: regions in which the engine may be; None for all.
         """
 
-        need = self.memory.need(service, prompt)
-
         def find() -> Reservation | None:  # noqa: WPS430
             targets = self._targets_with_capacity(
                 service, None, excluded, version, regions
             )
             found = choose_prefill_engine(
                 prompt,
-                self._with_memory(service, targets, need),
+                targets,
                 self._engine_loads._replace(
                     slowdown=self.speed.slowdown(service)
                 ),
@@ -302,7 +270,6 @@
                 found.work_ms,
                 self._prefill_ms(found.target.target_id),
                 self.speed.slowdown(service),
-                0 if need is None else need.tokens_at(found.target),
             )
 
         return find
@@ -398,46 +365,9 @@
         self, reservation: Reservation, service: str
     ) -> Reservation:
         """Release the prefill work of a reservation; return the rest."""
-        rest = Reservation(
-            reservation.target,
-            reservation.running,
-            memory_tokens=reservation.memory_tokens,
-        )
-        self._end(reservation._replace(running=0, memory_tokens=0))
+        self._load_tracker.end(reservation._replace(running=0))
         self._dispatch_service(service)
-        return rest
-
-    def hold_prompt(self, reservation: Reservation) -> Reservation:
-        """Return what a prompt holds until it is fetched from its engine."""
-        held = Reservation(
-            reservation.target, memory_tokens=reservation.memory_tokens
-        )
-        self.memory.begin(held)
-        return held
-
-    def fullest_memory_tokens(self, service: str) -> float:
-        """Return what requests hold at the engine that holds most."""
-        return max(
-            (
-                self.memory.held_tokens(row.target_id)
-                for row in self._cluster_state.usable_targets(service)
-            ),
-            default=0,
-        )
-
-    def _with_memory(
-        self,
-        service: str,
-        targets: list[TargetRecord],
-        need: MemoryNeed | None,
-    ) -> list[TargetRecord]:
-        """Return the engines whose memory has room for a request."""
-        if need is None:
-            return targets
-        is_waiting = any(
-            self._queues.get((service, pool)) for pool in _MODEL_POOLS
-        )
-        return self.memory.with_room(targets, need, is_waiting)
+        return Reservation(reservation.target, reservation.running)
 
     def _targets_with_capacity(
         self,
--- a/peridotrill/gateway/prefill.py
+++ b/peridotrill/gateway/prefill.py
@@ -35,14 +35,10 @@
 
 
 class RemotePrompt(NamedTuple):
-    """A prompt that was prefilled at ``target``, which keeps its KV cache.
-
-    ``held`` is the memory that it takes there until it was fetched or released.
-    """
+    """A prompt that was prefilled at ``target``, which keeps its KV cache."""
 
     target: TargetRecord
     handle: str
-    held: Reservation
 
 
 async def release_prompt(
@@ -67,8 +63,6 @@
             target=remote_prompt.target.target_id,
             error=str(error),
         )
-    finally:
-        context.shared.placement.release(remote_prompt.held, context.service)
 
 
 async def prefill_prompt(
@@ -130,7 +124,7 @@
     target = reservation.target
     sent_s = context.shared.clock.monotonic_s()
     try:
-        remote_prompt = await _send_prefill(context, prompt, reservation)
+        handle = await _send_prefill(context, prompt, reservation)
     except TargetUnreachable as error:
         context.record_unreachable(target, error)
         return None, False
@@ -141,17 +135,18 @@
         return None, True
     finally:
         context.shared.placement.release(reservation, context.service)
-    if remote_prompt is not None:
-        context.shared.health.record_success(target.target_id)
-    return remote_prompt, True
+    if handle is None:
+        return None, True
+    context.shared.health.record_success(target.target_id)
+    return RemotePrompt(target, handle), True
 
 
 async def _send_prefill(
     context: RequestContext,
     prompt: Prompt,
     reservation: Reservation,
-) -> RemotePrompt | None:
-    """Prefill a prompt; return None if it was rejected."""
+) -> str | None:
+    """Prefill a prompt; return its handle, or None if it was rejected."""
     context.require_no_quarantine()
     shared = context.shared
     target = reservation.target
@@ -200,9 +195,7 @@
         slowness=round(slowness, 2),
         fetch=None if source is None else source.target_id,
     )
-    return RemotePrompt(
-        target, prefilled.handle, shared.placement.hold_prompt(reservation)
-    )
+    return prefilled.handle
 
 
 def _min_output_s(prompt: Prompt) -> float:
--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -12,7 +12,6 @@
 from peridotrill.gateway.cluster_state import ClusterState
 from peridotrill.gateway.coordinator import Coordinator
 from peridotrill.gateway.demand import DemandMeter
-from peridotrill.gateway.engine_memory import EngineMemory
 from peridotrill.gateway.engine_speed import EngineSpeeds
 from peridotrill.gateway.load_tracker import LoadTracker
 from peridotrill.gateway.part_directory import PartDirectory
@@ -58,7 +57,6 @@
     origins: StreamOrigins
     speed: PrefillSpeed
     target_speeds: EngineSpeeds
-    memory: EngineMemory
 
 
 class Sender(NamedTuple):
@@ -106,7 +104,6 @@
             self._sources.quotas.end_report_interval()
             self._sources.limits.quotas.end_report_interval()
             self._sources.loads.end_report_interval()
-            self._sources.memory.end_report_interval()
             await anyio.sleep(report_interval_s(len(self._peers.members)))
 
     def send_last(self) -> None:
@@ -140,12 +137,7 @@
             sources.cluster_clock.local_unix_s(),
             self.can_claim,
             _round_up_nonzero(sources.quotas.spent()),
-            _round_up_nonzero(
-                {
-                    **sources.loads.local_totals(),
-                    **sources.memory.local_totals(),
-                }
-            ),
+            _round_up_nonzero(sources.loads.local_totals()),
             sources.usage.local_totals() if is_full_report else {},
             sources.parts.take_report_entries(),
             sources.demand.local_totals() if is_full_report else {},
@@ -183,9 +175,7 @@
         )
         self._apply_facts(report)
         self._apply_limits(report)
-        sources.loads.observe_peer(
-            report.node, sources.memory.observe_peer(report.node, report.work)
-        )
+        sources.loads.observe_peer(report.node, report.work)
         sources.usage.observe_peer(process, report.usage)
         if report.slowdowns:
             sources.speed.observe_peer(report.node, report.slowdowns)
--- a/peridotrill/gateway/stream_requests.py
+++ b/peridotrill/gateway/stream_requests.py
@@ -16,7 +16,6 @@
 )
 from peridotrill.gateway.report_timing import report_interval_s
 from peridotrill.gateway.request_context import RequestContext
-from peridotrill.gateway.requests import Prompt
 from peridotrill.gateway.stream_origins import (
     UNKNOWN_VERSION,
     StreamOrigin,
@@ -39,7 +38,6 @@
         context.stream_version = await _find_stream_version(context)
     prompt = context.request.prompt
     if prompt is not None:
-        _require_fitting(context, prompt)
         context.shared.demand.record(
             context.service,
             context.shared.placement.prefill_work_ms(context.service, prompt),
@@ -60,14 +58,6 @@
             context.shared.start_task(release_prompt, context, prefill_result)
 
 
-def _require_fitting(context: RequestContext, prompt: Prompt) -> None:
-    """Raise GatewayError if no engine can hold a request."""
-    if not context.shared.placement.memory.fits(context.service, prompt):
-        raise context.build_error(
-            'exceeds_engine_memory', context.retry_after_s()
-        )
-
-
 async def _find_stream_version(context: RequestContext) -> str:
     """Return the software version that began a stream.
 
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -47,7 +47,6 @@
     CALLER_BYTES,
     CALLER_CONNECTIONS,
     COLD_TARGETS,
-    ENGINE_MEMORY,
     CONFIG_AGE_S,
     EVACUATED_ZONES,
     LEASE_HELD,
@@ -76,7 +75,6 @@
 )
 from peridotrill.gateway.request_handler import RequestHandler
 from peridotrill.gateway.retry_budget import RetryBudget
-from peridotrill.gateway.sender_rotation import SenderRotation
 from peridotrill.gateway.settings_watcher import SettingsWatcher
 from peridotrill.gateway.shared_quotas import SharedQuotas
 from peridotrill.gateway.stream_archive import (
@@ -251,12 +249,6 @@
             node.zone,
         )
         self._placement.target_speeds.on_change = self._log_speed
-        self._placement.memory.rotation = SenderRotation(
-            node.node,
-            self._peers.members.keys,
-            self._cluster_clock.unix_s,
-            self._clock,
-        )
         self._coordinator = Coordinator(
             node.node,
             CoordinationTopic(self._store),
@@ -286,7 +278,6 @@
                 self._origins,
                 self._placement.speed,
                 self._placement.target_speeds,
-                self._placement.memory,
             ),
             self._clock,
         )
@@ -602,17 +593,12 @@
                 MODEL_ENGINES.labels(service.name, role.value).set(
                     len(self._cluster_state.usable_targets(service.name, role))
                 )
-            if service.engine is not None and service.engine.kv_tokens:
-                ENGINE_MEMORY.labels(service.name).set(
-                    self._placement.fullest_memory_tokens(service.name)
-                    / service.engine.kv_tokens
-                )
 
     def _on_cluster_state_changed(self) -> None:
         current = self._cluster_state.configuration
         if current is not None:
             self._quotas.configure(current.teams)
-            self._placement.apply_configuration(current)
+            self._placement.parts.memory_tokens = current.engine_memory_tokens
         self._placement.dispatch()
 
     def _on_target_gone(self, target: TargetRecord) -> None:
--- a/tests/test_gateway_reporting.py
+++ b/tests/test_gateway_reporting.py
@@ -10,7 +10,6 @@
 from peridotrill.gateway.cluster_state import ClusterState, FreshnessBounds
 from peridotrill.gateway.coordinator import Coordinator
 from peridotrill.gateway.demand import DemandMeter
-from peridotrill.gateway.engine_memory import EngineMemory
 from peridotrill.gateway.engine_speed import EngineSpeeds
 from peridotrill.gateway.load_tracker import LoadTracker
 from peridotrill.gateway.part_directory import PartDirectory, PartLocation
@@ -52,7 +51,6 @@
         )
         cluster_clock = ClusterClock(clock)
         self.loads = LoadTracker(clock)
-        self.memory = EngineMemory(clock, lambda service: 1000)
         self.demand = DemandMeter(clock)
         self.peers = PeerExchange(node, clock, log)
         self.reporting = Reporting(
@@ -71,7 +69,6 @@
                 StreamOrigins(clock),
                 PrefillSpeed(),
                 EngineSpeeds(clock, ReportedSlowness(clock)),
-                self.memory,
             ),
             clock,
         )
--- a/tests/test_zone_evacuations.py
+++ b/tests/test_zone_evacuations.py
@@ -249,7 +249,7 @@
 
 
 def remote_prompt_at(record):
-    return RemotePrompt(record, 'handle-1', Reservation(record))
+    return RemotePrompt(record, 'handle-1')
 
 
 def test_rejected_prompt_is_not_fetched_from_an_evacuated_zone():
