Turn away what costs callers least when capacity is short

Cause: a full queue refused whichever request arrived, also an urgent one that would have been served next, and requests of a kind with little work missed their goals behind a few that need several times as much. A request that could not be served any more waited until its deadline.

A newcomer that meets a full queue may displace a request that costs callers half as much per unit of work, of the same or a less urgent priority, of which nothing was sent to an engine and whose caller has time to go elsewhere. Requests of a kind give way to others of their priority with half its mean work or less while those miss their goals. What surely misses its deadline, also with a forecast that is wrong by two, is refused at once. A fifth of the capacity is for priorities, teams, kinds and sizes that are hardly served. The fair queue of peridotrill-entry behaves as before; its search for expired requests no longer scans while none has expired.

--- a/peridotrill/fair_queue.py
+++ b/peridotrill/fair_queue.py
@@ -13,6 +13,7 @@
 """
 
 import itertools
+import math
 from collections import deque
 from typing import Any, Final, NamedTuple, final
 
@@ -96,6 +97,13 @@
         self._forget_idle_teams()
         return ticket
 
+    def take(self, ticket: Ticket) -> None:
+        """Remove a request that is served out of turn; charge its team."""
+        team_queue = self.team_queues[ticket.team]
+        team_queue.start_tag += ticket.cost_tokens / ticket.weight
+        self._finish_tags[ticket.team] = team_queue.start_tag
+        self.remove(ticket)
+
     def remove(self, ticket: Ticket) -> None:
         """Remove a request, which must be in the queue."""
         team_queue = self.team_queues[ticket.team]
@@ -160,6 +168,15 @@
             self.tokens_per_s = self._tokens / elapsed_s
             self._window_start_s, self._tokens = now_s, 0
 
+    def current(self, now_s: float) -> float | None:
+        """Return the rate; it falls while nothing is served for long."""
+        if self._window_start_s is None or self.tokens_per_s is None:
+            return self.tokens_per_s
+        elapsed_s = now_s - self._window_start_s
+        if elapsed_s <= self._window_s:
+            return self.tokens_per_s
+        return min(self.tokens_per_s, self._tokens / elapsed_s)
+
     def idle(self) -> None:
         """Discard the current window and the last measured rate."""
         self.tokens_per_s, self._window_start_s, self._tokens = None, None, 0
@@ -188,6 +205,8 @@
         self._classes: dict[int, _PriorityClass] = {}
         self._tickets: dict[int, Ticket] = {}
         self._size_bytes = 0
+        # No request expires before this time.
+        self._first_deadline_s = math.inf
         self._rate = _ServiceRate(rate_window_s)
 
     def __len__(self) -> int:
@@ -231,6 +250,7 @@
         self._classes.setdefault(priority, _PriorityClass()).push(ticket)
         self._tickets[ticket.number] = ticket
         self._size_bytes += size_bytes
+        self._first_deadline_s = min(self._first_deadline_s, deadline_s)
         return Ok(ticket)
 
     def peek(self) -> Ticket | None:
@@ -248,12 +268,18 @@
             return None
         self._classes[ticket.priority].pop()
         self._forget(ticket)
-        if self._tickets:
-            self._rate.served(ticket.cost_tokens, self._clock.monotonic_s())
-        else:
-            self._rate.idle()
+        self._count_served(ticket)
         return ticket
 
+    def take(self, ticket: Ticket) -> None:
+        """Remove a request that is served out of turn.
+
+        It counts in the share of its team. It must be in the queue.
+        """
+        self._classes[ticket.priority].take(ticket)
+        self._forget(ticket)
+        self._count_served(ticket)
+
     def remove(self, ticket: Ticket) -> bool:
         """Remove a request without serving it.
 
@@ -268,6 +294,8 @@
     def expire(self) -> list[Ticket]:
         """Remove and return the requests whose deadline has passed."""
         now_s = self._clock.monotonic_s()
+        if now_s < self._first_deadline_s:
+            return []
         expired = [
             ticket
             for ticket in self._tickets.values()
@@ -275,8 +303,16 @@
         ]
         for ticket in expired:
             self.remove(ticket)
+        self._first_deadline_s = min(
+            (waiting.deadline_s for waiting in self._tickets.values()),
+            default=math.inf,
+        )
         return expired
 
+    def service_rate(self) -> float | None:
+        """Return the tokens served per second; None if not known."""
+        return self._rate.current(self._clock.monotonic_s())
+
     def estimate_wait_s(
         self,
         team: str,
@@ -300,6 +336,12 @@
                 cost_tokens += waiting.estimate_cost_ahead(team, weight)
         return cost_tokens / self._rate.tokens_per_s
 
+    def _count_served(self, ticket: Ticket) -> None:
+        if self._tickets:
+            self._rate.served(ticket.cost_tokens, self._clock.monotonic_s())
+        else:
+            self._rate.idle()
+
     def _forget(self, ticket: Ticket) -> None:
         self._tickets.pop(ticket.number)
         self._size_bytes -= ticket.size_bytes
--- a/peridotrill/gateway/admission_queue.py
+++ b/peridotrill/gateway/admission_queue.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import itertools
 from collections.abc import Callable
 from typing import Final, NamedTuple, final
 
@@ -16,21 +17,31 @@
 
 from peridotrill.clock import Clock
 from peridotrill.fair_queue import FairQueue, QueueBounds, Ticket
+from peridotrill.gateway.load_shedding import (
+    Displacement,
+    LoadShedder,
+    WaitingRequest,
+    WaitingTotal,
+)
+from peridotrill.gateway.metrics import DELAYED, PROTECTED, YIELDED
 from peridotrill.gateway.targets import TargetRecord
 
 # Queues are also dispatched periodically: requests of other gateways end too,
 # but their reports do not trigger a dispatch.
 _POLL_INTERVAL_S: Final = 0.02
-# Added to the priority of requests that missed their goal while queued; higher
-# numbers are served later. Requests with at least this priority number count as
-# deprioritized already.
-_LATE_PRIORITY_OFFSET: Final = 100
+# Each priority has a class, and one behind it for requests that are delayed.
+_CLASSES_PER_PRIORITY: Final = 2
+# Added to the class of requests that missed their goal while queued; higher
+# numbers are served later.
+_LATE_CLASS_OFFSET: Final = 200
 # A request that missed its goal keeps waiting for this fraction of the time to
 # its queue deadline. The rest is left for a retry by the caller.
 _LATE_WAIT_RATIO: Final = 0.6
 # Averaging window of the service rate. It is short, since bursts last only a
 # few seconds.
 _RATE_WINDOW_S: Final = 0.6
+# A request with less time until its latency goal leaves no capacity to others.
+_MIN_YIELD_SLACK_S: Final = 0.1
 # Weight in fair queueing. The configuration defines none, so all teams have
 # the same.
 _TEAM_WEIGHT: Final = 1.0
@@ -58,6 +69,15 @@
 ReservationFinder = Callable[[], Reservation | None]
 
 
+def _never_yield(priority: int) -> bool:
+    """Use all capacity; for a gateway without others."""
+    return False
+
+
+def _ignore(displacement: Displacement) -> None:
+    """Do nothing; used if nobody is told why a request is turned away."""
+
+
 class ReservationRequest(NamedTuple):
     """A request for capacity at a target.
 
@@ -65,7 +85,9 @@
     for fair queueing, in a unit common to all requests of the queue.
     ``goal_deadline_s`` and ``queue_deadline_s`` are monotonic times: with a
     reservation by the first the request is expected to meet its latency goal,
-    and at the second it stops waiting.
+    and at the second it stops waiting. ``kind`` is the route. Only a request of
+    which nothing was sent to an engine ``is_displaceable``: it may be refused
+    before its queue deadline, and ``on_displaced`` gets the reason.
     """
 
     find: ReservationFinder
@@ -74,6 +96,9 @@
     cost: float
     goal_deadline_s: float
     queue_deadline_s: float
+    kind: str = ''
+    is_displaceable: bool = False
+    on_displaced: Callable[[Displacement], None] = _ignore
 
 
 class _Waiter(NamedTuple):
@@ -84,6 +109,7 @@
 
     request: ReservationRequest
     granted: asyncio.Future[Reservation | None]
+    row: WaitingRequest
 
 
 @final
@@ -96,6 +122,8 @@
         bounds: QueueBounds,
         on_grant: Callable[[Reservation], None],
         on_release: Callable[[Reservation], None],
+        must_yield: Callable[[int], bool] = _never_yield,
+        shedder: LoadShedder | None = None,
     ) -> None:
         """:param on_grant: allocates the capacity of a reservation that is
             about to be granted, so that the next finder takes it into account.
@@ -103,11 +131,22 @@
         :param on_release: releases a granted reservation whose request was
             cancelled before it could use it. Others are released by the user
             of the reservation.
+
+        :param must_yield: tells whether requests of a priority leave free
+            capacity to other gateways for now.
+
+        :param shedder: decides what is turned away; None for a new one.
         """
         self._clock = clock
+        self._bounds = bounds
         self._on_grant = on_grant
         self._on_release = on_release
+        self._must_yield = must_yield
         self._queue = FairQueue(clock, bounds, _RATE_WINDOW_S)
+        self._shedder = shedder or LoadShedder(clock)
+        self._numbers = itertools.count()
+        # Tickets by the number of their ``WaitingRequest``, in order of arrival.
+        self._tickets: dict[int, Ticket] = {}
         self._timer: asyncio.TimerHandle | None = None
 
     def __len__(self) -> int:
@@ -116,7 +155,9 @@
 
     def estimate_wait_s(self, team: str, priority: int) -> float:
         """Estimate how long a new request would wait."""
-        return self._queue.estimate_wait_s(team, _TEAM_WEIGHT, priority)
+        return self._queue.estimate_wait_s(
+            team, _TEAM_WEIGHT, priority * _CLASSES_PER_PRIORITY
+        )
 
     async def acquire(self, request: ReservationRequest) -> Reservation | None:
         """Wait for a reservation.
@@ -125,15 +166,14 @@
             full or the estimated wait exceeds the deadline. Requests that
             missed their latency goal may get None before the queue deadline.
         """
-        if not self._queue:
+        if not self._queue and not self._yields(request):
             reservation = request.find()
             if reservation is not None:
                 self._on_grant(reservation)
                 return reservation
-        waiter = _Waiter(request, asyncio.get_running_loop().create_future())
-        if self._push(
-            waiter, request.priority, request.queue_deadline_s
-        ).is_error():
+        waiter = self._create_waiter(request)
+        if not self._admit(waiter):
+            self._shedder.record_outcome(waiter.row, is_served=False)
             return None
         self.dispatch()
         self._start_timer()
@@ -150,11 +190,73 @@
     def dispatch(self) -> None:
         """Refuse expired requests, then grant the available capacity."""
         for expired in self._queue.expire():
-            _resolve(expired.item, None)
-        while True:
-            ticket = self._queue.peek()
-            if ticket is None or not self._process_ticket(ticket):
-                return
+            self._tickets.pop(expired.item.row.number, None)
+            self._refuse(expired.item)
+        if self._queue and self._shedder.is_review_due(len(self._queue)):
+            self._review()
+        is_granted = True
+        while is_granted:
+            is_granted = self._grant_next()
+        if not self._queue:
+            self._shedder.reset()
+
+    def waiting_totals(self) -> dict[int, WaitingTotal]:
+        """Return what waits by priority, as of the last review."""
+        return self._shedder.totals
+
+    def _create_waiter(self, request: ReservationRequest) -> _Waiter:
+        row = WaitingRequest(
+            next(self._numbers),
+            request.priority,
+            request.team,
+            request.kind,
+            max(1, request.cost),
+            request.goal_deadline_s,
+            request.queue_deadline_s,
+            request.is_displaceable,
+        )
+        granted = asyncio.get_running_loop().create_future()
+        return _Waiter(request, granted, row)
+
+    def _admit(self, waiter: _Waiter) -> bool:
+        """Add a request to the queue, if need be in place of others."""
+        row = waiter.row
+        self._shedder.record_arrival(row)
+        if len(self._queue) >= self._bounds.max_requests:
+            self._displace(self._shedder.make_place(row, self._tickets))
+        return self._push(waiter, row.deadline_s).is_ok()
+
+    def _review(self) -> None:
+        waiting = (
+            ticket.item.row
+            for ticket in self._tickets.values()
+            if not ticket.item.granted.done()
+        )
+        review = self._shedder.review(waiting, self._queue.service_rate())
+        self._displace(review.hopeless)
+        for number in review.delayed:
+            self._delay(self._tickets[number])
+
+    def _displace(self, displacements: list[Displacement]) -> None:
+        """Refuse requests before their queue deadline."""
+        for displacement in displacements:
+            ticket = self._tickets.pop(displacement.number)
+            self._queue.remove(ticket)
+            waiter: _Waiter = ticket.item
+            if not waiter.granted.done():
+                waiter.request.on_displaced(displacement)
+                self._refuse(waiter)
+
+    def _grant_next(self) -> bool:
+        """Process one request; return False if no other can be granted."""
+        protected = self._shedder.next_protected(self._tickets)
+        if protected is not None:
+            ticket = self._tickets[protected]
+            if self._try_grant(ticket, is_protected=True):
+                return True
+            self._shedder.skip_protected()
+        next_ticket = self._queue.peek()
+        return next_ticket is not None and self._process_ticket(next_ticket)
 
     def _process_ticket(self, ticket: Ticket) -> bool:
         """Grant, drop or deprioritize the next request.
@@ -164,19 +266,55 @@
         waiter: _Waiter = ticket.item
         is_in_time = self._clock.monotonic_s() <= waiter.request.goal_deadline_s
         if waiter.granted.done():
-            self._queue.remove(ticket)
+            self._remove(ticket)
             return True
-        if ticket.priority < _LATE_PRIORITY_OFFSET and not is_in_time:
+        if not (waiter.row.is_late or is_in_time):
             self._deprioritize(ticket)
             return True
-        reservation = waiter.request.find()
+        return self._try_grant(ticket, is_protected=False)
+
+    def _try_grant(self, ticket: Ticket, is_protected: bool) -> bool:
+        """Serve a request if it can be placed, or drop a cancelled one."""
+        waiter: _Waiter = ticket.item
+        if waiter.granted.done():
+            self._remove(ticket)
+            return True
+        reservation = None
+        if not self._yields(waiter.request):
+            reservation = waiter.request.find()
         if reservation is None:
             return False
-        self._queue.pop()
+        if is_protected:
+            PROTECTED.inc()
+            self._queue.take(ticket)
+        else:
+            self._queue.pop()
+        self._tickets.pop(waiter.row.number)
+        self._shedder.record_outcome(waiter.row, is_served=True)
+        self._shedder.record_grant(waiter.row.work, is_protected)
         self._on_grant(reservation)
         _resolve(waiter, reservation)
         return True
 
+    def _yields(self, request: ReservationRequest) -> bool:
+        """Tell whether a request leaves free capacity to other gateways."""
+        if not self._must_yield(request.priority):
+            return False
+        left_s = request.goal_deadline_s - self._clock.monotonic_s()
+        if 0 <= left_s < _MIN_YIELD_SLACK_S:
+            return False
+        YIELDED.inc()
+        return True
+
+    def _remove(self, ticket: Ticket) -> None:
+        self._queue.remove(ticket)
+        self._tickets.pop(ticket.item.row.number, None)
+
+    def _refuse(self, waiter: _Waiter) -> None:
+        if not waiter.granted.done():
+            self._shedder.record_outcome(waiter.row, is_served=False)
+        _resolve(waiter, None)
+
     def _release(self, reservation: Reservation | None) -> None:
         if reservation is not None:
             self._on_release(reservation)
@@ -185,32 +323,47 @@
     def _push(
         self,
         waiter: _Waiter,
-        priority: int,
         queue_deadline_s: float,
     ) -> Result[Ticket, str]:
         request = waiter.request
-        return self._queue.push(
+        pushed = self._queue.push(
             waiter,
             request.team,
             _TEAM_WEIGHT,
             request.cost,
-            priority,
+            _class_number(waiter.row),
             queue_deadline_s,
         )
+        if pushed.is_ok():
+            self._tickets[waiter.row.number] = pushed.ok
+        return pushed
+
+    def _delay(self, ticket: Ticket) -> None:
+        """Requeue a request behind the others of its priority."""
+        DELAYED.inc()
+        waiter: _Waiter = ticket.item
+        self._requeue(
+            ticket, waiter.row._replace(is_delayed=True), ticket.deadline_s
+        )
 
     def _deprioritize(self, ticket: Ticket) -> None:
         """Requeue a request that missed its goal behind those in time."""
-        self._queue.remove(ticket)
         waiter: _Waiter = ticket.item
         now_s = self._clock.monotonic_s()
         remaining_s = waiter.request.queue_deadline_s - now_s
-        pushed = self._push(
-            waiter,
-            ticket.priority + _LATE_PRIORITY_OFFSET,
+        self._requeue(
+            ticket,
+            self._shedder.mark_late(waiter.row),
             now_s + remaining_s * _LATE_WAIT_RATIO,
         )
-        if pushed.is_error():
-            _resolve(waiter, None)
+
+    def _requeue(
+        self, ticket: Ticket, row: WaitingRequest, queue_deadline_s: float
+    ) -> None:
+        self._remove(ticket)
+        waiter = ticket.item._replace(row=row)
+        if self._push(waiter, queue_deadline_s).is_error():
+            self._refuse(waiter)
 
     def _start_timer(self) -> None:
         if self._timer is None and self._queue:
@@ -223,6 +376,12 @@
         self._start_timer()
 
 
+def _class_number(row: WaitingRequest) -> int:
+    """Return the class of a request in fair queueing."""
+    offset = _LATE_CLASS_OFFSET if row.is_behind_all else 0
+    return row.priority * _CLASSES_PER_PRIORITY + row.is_delayed + offset
+
+
 def _resolve(waiter: _Waiter, reservation: Reservation | None) -> None:
     if not waiter.granted.done():
         waiter.granted.set_result(reservation)
--- a/peridotrill/gateway/metrics.py
+++ b/peridotrill/gateway/metrics.py
@@ -36,6 +36,23 @@
     'Requests sent to targets by outcome',
     ['service', 'outcome'],
 )
+DISPLACED: Final = Counter(
+    'peridotrill_displaced_requests',
+    'Requests that were refused while they waited, before their deadline',
+    ['pool', 'reason'],
+)
+DELAYED: Final = Counter(
+    'peridotrill_delayed_requests',
+    'Requests that wait behind others of their priority with less work',
+)
+PROTECTED: Final = Counter(
+    'peridotrill_protected_requests',
+    'Requests that were served out of turn as their like is hardly served',
+)
+YIELDED: Final = Counter(
+    'peridotrill_yielded_dispatches',
+    'Times that free capacity was left to more urgent requests elsewhere',
+)
 AVOIDED: Final = Counter(
     'peridotrill_avoided_targets',
     'Failures of targets that are avoided for over a second although ready',
--- a/peridotrill/gateway/prefill.py
+++ b/peridotrill/gateway/prefill.py
@@ -145,6 +145,7 @@
     shared = context.shared
     target = reservation.target
     started_s = shared.clock.monotonic_s()
+    context.is_prompt_sent = True
     source = shared.placement.find_part_holder(prompt, target.target_id)
     exchange = await shared.targets.send(
         context.request,
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -26,7 +26,13 @@
 from peridotrill.gateway.components import GatewayComponents
 from peridotrill.gateway.configuration import Route, Team
 from peridotrill.gateway.error_responses import GatewayError, send_error
-from peridotrill.gateway.metrics import ATTEMPTS, AVOIDED, QUEUE_TIME_S
+from peridotrill.gateway.load_shedding import Displacement
+from peridotrill.gateway.metrics import (
+    ATTEMPTS,
+    AVOIDED,
+    DISPLACED,
+    QUEUE_TIME_S,
+)
 from peridotrill.gateway.placement import Pool
 from peridotrill.gateway.requests import CallerRequest, RequestKind
 from peridotrill.gateway.target_connections import Framing, TargetExchange
@@ -53,6 +59,11 @@
 HARMLESS_EVENTS: Final = 2
 
 
+def _round_cost(cost: float | None) -> float | None:
+    """Keep three digits, as costs differ by orders of magnitude."""
+    return None if cost is None else float(f'{cost:.3g}')
+
+
 @final
 class RequestContext:
     """One admitted request and the state of its attempts."""
@@ -85,6 +96,8 @@
         self.targets_used: list[str] = []
         # Ids of targets that are not tried again.
         self.excluded: set[str] = set()
+        # Whether an engine was sent the prompt.
+        self.is_prompt_sent = False
         # Total time spent in admission queues.
         self.queue_s = 0.0
         # The last queue that the request has waited in.
@@ -275,6 +288,9 @@
                 + self.route.goal_ms / 1000
                 - expected_latency_s,
                 queue_deadline_s,
+                self.route.name,
+                not (self.may_have_run or self.is_prompt_sent),
+                self._record_displaced,
             ),
         )
         waited_s = shared.clock.monotonic_s() - queued_s
@@ -284,6 +300,27 @@
             raise self.build_error('no_place_in_time', self.retry_after_s())
         return reservation
 
+    def _record_displaced(self, displacement: Displacement) -> None:
+        """Log why the request is refused while it waits."""
+        pool = '' if self.pool is None else self.pool.name.lower()
+        DISPLACED.labels(pool, displacement.reason).inc()
+        self.shared.log.write(
+            'request_displaced',
+            request=self.request.request_id,
+            reason=displacement.reason,
+            service=self.service,
+            route=self.route.name,
+            team=self.team_name,
+            priority=self.priority,
+            pool=pool,
+            forecast_ms=round(displacement.wait_s * 1000),
+            left_ms=round(self.remaining_s() * 1000),
+            late=displacement.is_late,
+            cost=_round_cost(displacement.cost),
+            newcomer_cost=_round_cost(displacement.newcomer_cost),
+            newcomer_priority=displacement.newcomer_priority,
+        )
+
     def retry_after_s(self) -> float:
         """Return the Retry-After time for a request that was not served.
 
