--- a/tests/test_load_shedding.py
+++ b/tests/test_load_shedding.py
@@ -3,6 +3,7 @@
 import asyncio
 from datetime import timedelta
 from functools import cache
+from types import SimpleNamespace
 
 import pytest
 from hypothesis import given, settings
@@ -10,12 +11,21 @@
 
 from peridotrill.clock import ManualClock
 from peridotrill.fair_queue import FairQueue, QueueBounds
+from peridotrill.gateway.error_responses import GatewayError
 from peridotrill.gateway.load_shedding import (
+    Displacement,
     LoadShedder,
     WaitingRequest,
 )
+from peridotrill.gateway.placement import Pool
+from peridotrill.gateway.request_context import RequestContext
 from peridotrill.gateway.served_shares import PartKey, ServedShares
-from tests.gateway_builders import advance
+from tests.gateway_builders import (
+    RecordingLog,
+    advance,
+    caller_request,
+    target,
+)
 from tests.overload_simulation import (
     KINDS,
     LOADS,
@@ -176,6 +186,42 @@
         assert row.newcomer_cost >= 2 * row.cost
 
 
+@pytest.mark.parametrize('sent', [None, 'prompt', 'request'])
+def test_request_is_displaced_only_before_it_was_sent(sent):
+    # Guards against a refusal that says not run for a request that may have run,
+    # against wasted prefill, and against decisions without a line in the log.
+    clock, log = ManualClock(), RecordingLog()
+    requests = []
+
+    async def acquire(request):
+        requests.append(request)
+        request.on_displaced(
+            Displacement(0, 'displaced', 1.25, True, 0.01, 0.1, 0)
+        )
+
+    queue = SimpleNamespace(acquire=acquire)
+    shared = SimpleNamespace(
+        clock=clock, log=log, placement=SimpleNamespace(queue=lambda *_: queue)
+    )
+    route = SimpleNamespace(name='r', timeout_ms=5000, goal_ms=800, priority=1)
+    context = RequestContext(
+        caller_request(received_s=0), route, None, 'till', None, shared
+    )
+    if sent == 'request':
+        context.record_sent(target())
+    context.is_prompt_sent = sent == 'prompt'
+    with pytest.raises(GatewayError) as raised:
+        asyncio.run(context.reserve_target(Pool.PLAIN, print, 1, 0.1, 4.9))
+    assert requests[0].is_displaceable == (sent is None)
+    assert requests[0].kind == 'r'
+    assert raised.value.status == (502 if sent == 'request' else 503)
+    assert sent == 'request' or raised.value.retry_after_s == 1.5
+    event, fields = log.events[-1]
+    assert event == 'request_displaced'
+    assert fields['forecast_ms'] == 1250
+    assert fields['newcomer_cost'] == 0.1
+
+
 def test_request_that_surely_misses_its_deadline_is_refused_at_once():
     # Load: engines that stand still after a short queue has formed. Guards
     # against callers that wait for a refusal until their deadline.
