Displace nothing for a newcomer that is refused anyhow

Cause: a newcomer that met a full queue displaced a waiting request, and was then refused itself if the forecast said that its deadline is out of reach: two callers were turned away where one was enough.

Change: the forecast is checked before a request is displaced.

Result: the new test fails on the earlier code with one displaced request, and passes now.

--- a/peridotrill/gateway/admission_queue.py
+++ b/peridotrill/gateway/admission_queue.py
@@ -222,10 +222,16 @@
         """Add a request to the queue, if need be in place of others."""
         row = waiter.row
         self._shedder.record_arrival(row)
-        if len(self._queue) >= self._bounds.max_requests:
+        is_full = len(self._queue) >= self._bounds.max_requests
+        if is_full and self._is_reachable(row):
             self._displace(self._shedder.make_place(row, self._tickets))
         return self._push(waiter, row.deadline_s).is_ok()
 
+    def _is_reachable(self, row: WaitingRequest) -> bool:
+        """Tell whether a newcomer can be served before its deadline."""
+        wait_s = self.estimate_wait_s(row.team, row.priority)
+        return self._clock.monotonic_s() + wait_s < row.deadline_s
+
     def _review(self) -> None:
         waiting = (
             ticket.item.row
--- a/tests/test_load_shedding.py
+++ b/tests/test_load_shedding.py
@@ -29,6 +29,7 @@
 from tests.overload_simulation import (
     KINDS,
     LOADS,
+    SLOTS,
     Kind,
     Phase,
     Simulation,
@@ -173,6 +174,39 @@
     assert shedding['batch'].served >= strict['batch'].served - 0.02
 
 
+@pytest.mark.parametrize(('deadline_s', 'displaced'), [(1, 0), (100, 1)])
+def test_newcomer_that_is_refused_anyhow_displaces_nothing(
+    deadline_s, displaced
+):
+    # Load: a full queue, and an urgent newcomer that may not be served before
+    # its deadline. Guards against two refusals where one is enough.
+    async def run():
+        simulation = Simulation(max_requests=3)
+        simulation.left_s = [1e6] * SLOTS
+        urgent = Kind('urgent', 0, 90, 1000, 0.1)
+        batch = Kind('batch', 2, 90, 1000, 0.1)
+        tasks = [
+            asyncio.create_task(simulation._send(kind, 'a', 0.1))
+            for kind in (urgent, urgent, batch)
+        ]
+        await asyncio.sleep(0)
+        # 200 units of urgent work are served in 2 s.
+        simulation.queue._queue._rate = SimpleNamespace(
+            tokens_per_s=100, current=lambda now_s: 100
+        )
+        for _ in range(20):
+            await simulation._step()
+        newcomer = urgent._replace(deadline_s=deadline_s)
+        tasks.append(asyncio.create_task(simulation._send(newcomer, 'a', 0.1)))
+        await simulation._step()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return simulation.displacements
+
+    assert len(asyncio.run(run())) == displaced
+
+
 def test_displaced_request_is_refused_at_once_and_with_its_reason():
     # Guards against displaced requests that wait on, and against decisions that
     # nobody can explain.
