Displace any less urgent request, whatever the numbers of priorities

Cause: the cost of a request followed from the number of its priority, so that 10 and 50 counted as the same, and an urgent newcomer with more work could be refused while less urgent requests had places that they would not use before it.

Change: the cost halves with each priority in use, and a full queue makes place for a more urgent newcomer whatever the work is.

--- a/peridotrill/gateway/load_shedding.py
+++ b/peridotrill/gateway/load_shedding.py
@@ -14,6 +14,7 @@
 Between two reviews, each decision looks only at what the last one has found.
 """
 
+import bisect
 import math
 from collections.abc import Container, Iterable
 from operator import itemgetter
@@ -36,7 +37,7 @@
 # What it costs to turn a request away that misses its goal, as a part of that of
 # one in time.
 _LATE_VALUE: Final = 0.1
-# The cost of a request halves with each step to a less urgent priority.
+# The cost of a request falls by this factor with each less urgent priority in use.
 _PRIORITY_BASE: Final = 0.5
 _MAX_PRIORITY_STEPS: Final = 10
 # A request gives way to others that cost this multiple per unit of work.
@@ -137,6 +138,7 @@
     """
 
     candidates: tuple[_Candidate, ...] = ()
+    least_urgent: float = -math.inf
     starved: frozenset[PartKey] = frozenset()
     team_share: float = 0
     team_work: dict[str, float] = {}
@@ -189,6 +191,9 @@
         self._clock = clock
         self._shares = ServedShares(clock)
         self._mean_work: dict[str, float] = {}
+        # The priorities in use, the most urgent first. Their numbers may have any
+        # distance.
+        self._priorities: list[int] = []
         self._reviewed_s = clock.monotonic_s()
         self._reviewed = _Reviewed()
         self._protected: list[int] = []
@@ -197,7 +202,9 @@
         self.totals: dict[int, WaitingTotal] = {}
 
     def record_arrival(self, request: WaitingRequest) -> None:
-        """Learn the work of a kind from a request that has to wait."""
+        """Learn kinds and priorities from a request that has to wait."""
+        if request.priority not in self._priorities:
+            bisect.insort(self._priorities, request.priority)
         mean = self._mean_work.get(request.kind, request.work)
         mean += (request.work - mean) * _MEAN_WEIGHT
         self._mean_work[request.kind] = mean
@@ -263,13 +270,19 @@
 
         :param waiting: numbers of the requests that still wait.
 
+        Any less urgent request may be displaced, since it would be served after
+        the newcomer.
+
         :return: empty if the newcomer is to be refused.
         """
         cost = self._cost_of(newcomer, is_late=False)
+        has_less_urgent = newcomer.priority < self._reviewed.least_urgent
         for row in self._reviewed.candidates:
-            if row.cost * _MIN_GAIN > cost:
+            is_cheaper = row.cost * _MIN_GAIN <= cost
+            if not (is_cheaper or has_less_urgent):
                 break
-            if self._may_displace(row, newcomer, waiting):
+            is_cheaper |= row.request.priority > newcomer.priority
+            if is_cheaper and self._may_displace(row, newcomer, waiting):
                 return [_displace(row, 'displaced', newcomer, cost)]
         return []
 
@@ -310,7 +323,11 @@
         # As if one more team waited, which may be that of the newcomer.
         share = sum(team_work.values()) / (len(team_work) + 1)
         share *= _TEAM_SHARE
-        return _Reviewed((), self._shares.starved(), share, team_work)
+        return _Reviewed(
+            starved=self._shares.starved(),
+            team_share=share,
+            team_work=team_work,
+        )
 
     def _protect(self, ordered: list[WaitingRequest]) -> None:
         """Choose the requests that are served out of turn, the last one first.
@@ -344,7 +361,12 @@
             elif not self._is_starved(request):
                 candidates.append(row)
         candidates.sort(key=itemgetter(0, 1))
-        self._reviewed = self._reviewed._replace(candidates=tuple(candidates))
+        self._reviewed = self._reviewed._replace(
+            candidates=tuple(candidates),
+            least_urgent=max(
+                (row.request.priority for row in candidates), default=-math.inf
+            ),
+        )
         return hopeless
 
     def _find_delayed(
@@ -387,10 +409,10 @@
         work is the mean of the kind, so that large requests do not
         cost less than others.
         """
-        steps = min(max(0, request.priority), _MAX_PRIORITY_STEPS)
-        cost = _PRIORITY_BASE**steps / self._mean_work.get(
-            request.kind, request.work
-        )
+        steps = bisect.bisect_left(self._priorities, request.priority)
+        cost = _PRIORITY_BASE ** min(
+            steps, _MAX_PRIORITY_STEPS
+        ) / self._mean_work.get(request.kind, request.work)
         work = self._reviewed.team_work.get(request.team, 0)
         if work > self._reviewed.team_share:
             cost *= self._reviewed.team_share / work
