Check a configuration of the gateways before it is sent

Cause: a fault of a configuration showed only once it was in force: a route that never matches, a service that is not there, a key of two teams, or a record that gateways reject as a whole.

It uses the decoders of the gateways.

Not checked: the attempts against the retry budget, which is not in the file.

--- a/peridotrill/cli.py
+++ b/peridotrill/cli.py
@@ -14,6 +14,7 @@
 from cleo.io.outputs.output import Output, Type
 
 from peridotrill import __version__, command_results, key_changes, publishing
+from peridotrill.check_command import CheckCommand
 from peridotrill.log_poller import LogPoller
 from peridotrill.operator_command import (
     AUTHOR,
@@ -307,6 +308,7 @@
     application.auto_exits(False)
     application.catch_exceptions(False)
     for command in (
+        CheckCommand,
         ValidateCommand,
         PublishCommand,
         DiffCommand,
--- a/peridotrill/platform/configuration.py
+++ b/peridotrill/platform/configuration.py
@@ -1,6 +1,6 @@
 """Decoding of the operator's configuration record."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Final
 
 from peridotrill.codec import check_integer, check_text, decode_json
@@ -18,7 +18,7 @@
 from peridotrill.platform import names
 
 # Raised while decoding a malformed document.
-_DECODE_ERRORS: Final = (
+DECODE_ERRORS: Final = (
     KeyError,
     TypeError,
     ValueError,
@@ -38,7 +38,7 @@
             tuple(_decode_team(row) for row in document.get('tenants') or ()),
             _decode_limits(document.get('limits') or {}),
         )
-    except _DECODE_ERRORS as error:
+    except DECODE_ERRORS as error:
         raise CodecError(f'invalid configuration: {error!r}') from error
 
 
@@ -128,3 +128,13 @@
         float(row.get('header-timeout-ms') or defaults.header_timeout_ms),
         float(row.get('idle-timeout-ms') or defaults.idle_timeout_ms),
     )
+
+
+_RowDecoder = Callable[[Mapping[str, Any]], Any]
+
+# Decoders of the rows of each section, for checks of single rows.
+ROW_DECODERS: Final[Mapping[str, _RowDecoder]] = {
+    'routes': _decode_route,
+    'services': _decode_service,
+    'tenants': _decode_team,
+}
