--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -24,6 +24,7 @@
     ReportRoutes,
 )
 from peridotrill.gateway.stream_origins import BegunStreams
+from peridotrill.gateway.waiting_work import WaitingRow
 from peridotrill.settings import Address
 
 # Gateways that send a listing to a new process: datagrams may be lost, and one
@@ -62,7 +63,8 @@
     copy of the report within its own zone; empty for none. ``target_speeds`` are the
     slowness in percent of targets that differ from the others of their service, by
     the sender's own requests, each with the number of the process and its weight
-    (``EngineSpeeds``).
+    (``EngineSpeeds``). ``waiting`` is what waits there for capacity, by service,
+    pool and priority (``waiting_work``).
     """
 
     node: str
@@ -91,6 +93,7 @@
     hears_zone: bool = False
     relay: str = ''
     target_speeds: dict[str, tuple[int, int, int]] = {}
+    waiting: dict[str, WaitingRow] = {}
 
 
 class PartListing(
--- a/peridotrill/gateway/placement.py
+++ b/peridotrill/gateway/placement.py
@@ -3,6 +3,7 @@
 import enum
 import math
 from datetime import timedelta
+from functools import partial
 from typing import Final, final
 
 from peridotrill.clock import Clock
@@ -34,6 +35,7 @@
 from peridotrill.gateway.target_health import TargetHealth
 from peridotrill.gateway.target_limits import TargetLimits
 from peridotrill.gateway.targets import TargetRecord, TargetRole
+from peridotrill.gateway.waiting_work import WaitingWork, choose_cycle_s
 
 # Large enough to keep an engine busy between two reports of the gateways, and
 # small enough that the queue determines the order. Decode engines get less,
@@ -106,18 +108,23 @@
             self.parts.has,
             slowness=self.target_speeds.slowness,
         )
+        self.waiting = WaitingWork(clock, choose_cycle_s())
         self._queues: dict[tuple[str, Pool], AdmissionQueue] = {}
 
     def queue(self, service: str, pool: Pool) -> AdmissionQueue:
         """Return the queue of a service for a pool."""
         key = (service, pool)
         if key not in self._queues:
-            self._queues[key] = AdmissionQueue(
+            queue_name = f'{service}/{pool.value}'
+            queue = AdmissionQueue(
                 self._clock,
                 _QUEUE_BOUNDS,
                 self._begin,
                 self._end,
+                partial(self.waiting.must_yield, queue_name),
             )
+            self._queues[key] = queue
+            self.waiting.add_queue(queue_name, queue.waiting_totals)
             # Queues are dispatched in the order of the pools.
             self._queues = dict(
                 sorted(self._queues.items(), key=lambda row: row[0][1].value),
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -285,6 +285,7 @@
                 self._placement.speed,
                 self._placement.target_speeds,
                 self._placement.memory,
+                self._placement.waiting,
             ),
             self._clock,
         )
