--- a/peridotrill/gateway/admission_queue.py
+++ b/peridotrill/gateway/admission_queue.py
@@ -100,10 +100,10 @@
     cost: float
     goal_deadline_s: float
     queue_deadline_s: float
-    regions: frozenset[str] | None = None
     kind: str = ''
     is_displaceable: bool = False
     on_displaced: Callable[[Displacement], None] = _ignore
+    regions: frozenset[str] | None = None
 
 
 class _Waiter(NamedTuple):
--- a/peridotrill/gateway/request_context.py
+++ b/peridotrill/gateway/request_context.py
@@ -291,10 +291,10 @@
                 + self.route.goal_ms / 1000
                 - expected_latency_s,
                 queue_deadline_s,
-                self.allowed_regions,
                 self.route.name,
                 not (self.may_have_run or self.is_prompt_sent),
                 self._record_displaced,
+                self.allowed_regions,
             ),
         )
         waited_s = shared.clock.monotonic_s() - queued_s
--- a/tests/test_zone_evacuations.py
+++ b/tests/test_zone_evacuations.py
@@ -302,7 +302,7 @@
     def ask(regions):
         regions = regions and frozenset({regions})
         find = placement.plain_finder('till', set(), regions)
-        request = ReservationRequest(find, 'team', 0, 1, 900, 900, regions)
+        request = ReservationRequest(find, 'team', 0, 1, 900, 900, regions=regions)
         return asyncio.create_task(queue.acquire(request))
 
     async def run():
