--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -12,7 +12,6 @@
 from peridotrill.gateway.cluster_state import ClusterState
 from peridotrill.gateway.coordinator import Coordinator
 from peridotrill.gateway.demand import DemandMeter
-from peridotrill.gateway.engine_memory import EngineMemory
 from peridotrill.gateway.engine_speed import EngineSpeeds
 from peridotrill.gateway.load_tracker import LoadTracker
 from peridotrill.gateway.part_directory import PartDirectory
@@ -59,7 +58,6 @@
     origins: StreamOrigins
     speed: PrefillSpeed
     target_speeds: EngineSpeeds
-    memory: EngineMemory
     waiting: WaitingWork
 
 
@@ -108,7 +106,6 @@
             self._sources.quotas.end_report_interval()
             self._sources.limits.quotas.end_report_interval()
             self._sources.loads.end_report_interval()
-            self._sources.memory.end_report_interval()
             await anyio.sleep(report_interval_s(len(self._peers.members)))
 
     def send_last(self) -> None:
@@ -142,12 +139,7 @@
             sources.cluster_clock.local_unix_s(),
             self.can_claim,
             _round_up_nonzero(sources.quotas.spent()),
-            _round_up_nonzero(
-                {
-                    **sources.loads.local_totals(),
-                    **sources.memory.local_totals(),
-                }
-            ),
+            _round_up_nonzero(sources.loads.local_totals()),
             sources.usage.local_totals() if is_full_report else {},
             sources.parts.take_report_entries(),
             sources.demand.local_totals() if is_full_report else {},
@@ -209,9 +201,7 @@
     def _apply_work(self, report: Report) -> None:
         """Apply what a gateway has in progress, and what waits there."""
         sources = self._sources
-        sources.loads.observe_peer(
-            report.node, sources.memory.observe_peer(report.node, report.work)
-        )
+        sources.loads.observe_peer(report.node, report.work)
         sources.waiting.observe_peer(report.node, report.waiting)
 
     def _apply_limits(self, report: Report) -> None:
--- a/tests/test_zone_evacuations.py
+++ b/tests/test_zone_evacuations.py
@@ -249,7 +249,7 @@
 
 
 def remote_prompt_at(record):
-    return RemotePrompt(record, 'handle-1', Reservation(record))
+    return RemotePrompt(record, 'handle-1')
 
 
 def test_rejected_prompt_is_not_fetched_from_an_evacuated_zone():
@@ -302,7 +302,9 @@
     def ask(regions):
         regions = regions and frozenset({regions})
         find = placement.plain_finder('till', set(), regions)
-        request = ReservationRequest(find, 'team', 0, 1, 900, 900, regions=regions)
+        request = ReservationRequest(
+            find, 'team', 0, 1, 900, 900, regions=regions
+        )
         return asyncio.create_task(queue.acquire(request))
 
     async def run():
