Share the time of parsing between callers, and reset slow readers only

A slow reader that still read was reset after the idle timeout. A response that was cut off by closing went on arriving from the socket's buffer.

Cause: one read of 256 KB may hold 37,000 chunks, each of which takes a callback of the parser. The progress of a reader was only seen in what the process had not handed to the socket, which takes more only when a third of its buffer is free. The connection was closed without SO_LINGER.

Change: a read is parsed in slices of 8 KiB. After 500 callbacks, a connection waits for its turn; if several wait, they get a quarter of the time together.

--- a/peridotrill/gateway/caller_server.py
+++ b/peridotrill/gateway/caller_server.py
@@ -6,6 +6,11 @@
 """
 
 import asyncio
+import fcntl
+import socket
+import struct
+import sys
+import termios
 from collections import deque
 from collections.abc import Callable, Coroutine
 from http import HTTPStatus
@@ -47,8 +52,20 @@
 _MAX_UNSENT_BYTES: Final = 4096
 # A larger body is written apart from its head, so that it is not copied.
 _MAX_JOINED_BYTES: Final = 65536
+# Bytes that are parsed at once.
+_SLICE_BYTES: Final = 8192
+# Callbacks of the parser after which a connection waits for its turn; an ordinary
+# read causes less than fifty.
+_TURN_WORK: Final = 500
+# Time that a callback takes about.
+_WORK_S: Final = 0.000001
+# While several connections wait, parsing for them takes one part of the time, and
+# this many parts are left for everything else.
+_TURN_PAUSE: Final = 3
 # Retry-After of a request that was refused before it was read whole.
 _RETRY_AFTER: Final = b'0.50'
+# SO_LINGER with a zero timeout: closing resets the connection.
+_LINGER_RESET: Final = struct.pack('ii', 1, 0)
 # Weights of connections that may be given up. One whose caller has never sent
 # anything, or does not finish what it sends or reads, goes before an idle one,
 # and one that only waits to be closed goes first.
@@ -151,11 +168,24 @@
         self.closes_idle = False
         self.connections: set[CallerConnection] = set()
         self._sampling: asyncio.TimerHandle | None = None
+        # When the next connection with many small pieces may be parsed, and how
+        # many wait for that.
+        self._turn_s = 0.0
+        self.waiting_connections = 0
 
     def create_connection(self) -> 'CallerConnection':
         """Return the protocol for a new connection."""
         return CallerConnection(self)
 
+    def take_turn(self, used_s: float) -> float:
+        """Return how long a connection with many small pieces waits.
+
+        :param used_s: time that it has just taken.
+        """
+        now_s = self.now_s()
+        self._turn_s = max(self._turn_s, now_s) + used_s * _TURN_PAUSE
+        return self._turn_s - now_s if self.waiting_connections else 0
+
     def start_sampling(self) -> None:
         """Sample what callers transfer while there are connections."""
         if self._sampling is None:
@@ -194,9 +224,9 @@
 
     def _sample(self) -> None:
         self._sampling = None
-        self.account.sample()
         for connection in list(self.connections):
             connection.check_progress()
+        self.account.sample()
         if self.connections:
             self.start_sampling()
 
@@ -229,9 +259,16 @@
         self._incoming_bytes = 0
         self._whole_bytes = 0
         self._unsent_bytes = 0
+        # The same with what the socket has buffered, at the last sample.
+        self._queued_bytes = 0
         # The transport keeps what is written until the last byte of it is sent.
         self._largest_write_bytes = 0
         self._collected_bytes = 0
+        # Bytes that wait to be parsed, and whether they, or what follows, wait for
+        # other connections; callbacks of the parser in the current read.
+        self._rest = b''
+        self._is_waiting = False
+        self._work = 0
         # When the caller last read something of a response.
         self._read_s = 0.0
         self._body_bytes = 0
@@ -258,6 +295,69 @@
             return
         self._has_received = True
         self._transferred_bytes += len(data)
+        if self._rest:
+            self._rest += data
+        elif len(data) <= _SLICE_BYTES:
+            self._work = 0
+            self._parse(data)
+            if self._work > _TURN_WORK:
+                self._wait_for_turn(self._work * _WORK_S)
+        else:
+            self._parse_slices(data)
+        self._count_received()
+
+    def _parse_slices(self, data: bytes) -> None:
+        """Parse a part at a time; leave the rest if it takes much work."""
+        began_s = self._server.now_s()
+        self._work = 0
+        for start in range(0, len(data), _SLICE_BYTES):
+            if self._is_closing or self._is_rejected:
+                return
+            if self._work > _TURN_WORK:
+                self._rest = data[start:]
+                self._wait_for_turn(self._server.now_s() - began_s)
+                return
+            self._parse(data[start : start + _SLICE_BYTES])
+
+    def _wait_for_turn(self, used_s: float) -> None:
+        """Let other connections go first."""
+        if self._transport is None or self._is_waiting:
+            return
+        self._transport.pause_reading()
+        delay_s = self._server.take_turn(used_s)
+        self._is_waiting = True
+        self._server.waiting_connections += 1
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self._resume_turn)
+
+    def _resume_turn(self) -> None:
+        self._is_waiting = False
+        self._server.waiting_connections -= 1
+        if self._is_closing or self._is_rejected:
+            self._rest = b''
+            return
+        rest = self._rest
+        self._rest = b''
+        if rest:
+            self._parse_slices(rest)
+            self._count_received()
+        self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        """Read on unless requests or unparsed bytes wait."""
+        is_full = len(self._pipelined) > _MAX_PIPELINED_REQUESTS
+        is_held = is_full or self._is_waiting or self._is_rejected
+        if self._transport is not None and not is_held:
+            if not self._transport.is_closing():
+                self._transport.resume_reading()
+
+    def _count_received(self) -> None:
+        """Count what was received; give it up if there is no room."""
+        is_counted = self._is_in_message or self._incoming_bytes or self._rest
+        if is_counted and not self._count_incoming():
+            self.shed(MEMORY)
+
+    def _parse(self, data: bytes) -> None:
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserCallbackError:
@@ -268,8 +368,6 @@
             self._reject(self._error_status)
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._reject(HTTPStatus.BAD_REQUEST)
-        if self._is_in_message and not self._count_incoming():
-            self.shed(MEMORY)
 
     def eof_received(self) -> bool:
         """Close the connection; half-closed connections are not served."""
@@ -300,6 +398,7 @@
         """Let ``drain`` return."""
         self._can_write.set()
         self._unsent_bytes = 0
+        self._queued_bytes = 0
         self._largest_write_bytes = 0
         self._recount()
 
@@ -318,6 +417,7 @@
 
     def on_header(self, name: bytes, header: bytes) -> None:
         """Collect a header; trailers are ignored."""
+        self._work += 1
         if self._is_in_body:
             return
         # Size on the wire, including the separator and the line end.
@@ -343,6 +443,7 @@
 
         Chunks are joined at once, since each would take an object of its own.
         """
+        self._work += 1
         self._body_bytes += len(body)
         if self._body_bytes > self._max_body_bytes:
             self._abort_parsing(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
@@ -392,7 +493,7 @@
     @property
     def has_next_request(self) -> bool:
         """Whether a request follows the one in progress."""
-        return bool(self._pipelined) or self._is_in_message
+        return bool(self._pipelined) or self._is_in_message or bool(self._rest)
 
     @property
     def has_unsent(self) -> bool:
@@ -409,7 +510,8 @@
             return _CLOSING_WEIGHT
         if self._unsent_bytes or self._collected_bytes:
             return _HOLDING_WEIGHT
-        if self._is_in_message and not self._is_rejected:
+        is_incomplete = self._is_in_message or self._rest
+        if is_incomplete and not self._is_rejected:
             return _HOLDING_WEIGHT
         if self._exchange is not None or self._pipelined:
             return 0
@@ -417,7 +519,7 @@
 
     def measure_transfer(self) -> int:
         """Return the bytes that were received and sent so far."""
-        return self._transferred_bytes - self._unsent_bytes
+        return self._transferred_bytes - self._queued_bytes
 
     def shed(self, reason: ShedReason) -> None:
         """Give the connection up, and release what it holds.
@@ -436,7 +538,7 @@
         elif state == 'idle':
             self._close()
         else:
-            self.abort()
+            self._reset()
             self._unsent_bytes = 0
             self._collected_bytes = 0
             self._drop_incoming()
@@ -445,10 +547,11 @@
         """Reset the connection if its caller has stopped reading."""
         if not self._unsent_bytes:
             return
-        before_bytes = self._unsent_bytes
+        before_bytes = self._queued_bytes
         self._count_unsent()
+        self._queued_bytes = self._unsent_bytes + self._count_in_socket()
         now_s = self._server.now_s()
-        if self._unsent_bytes != before_bytes:
+        if self._queued_bytes != before_bytes:
             self._read_s = now_s
         idle_s = self._server.limits().idle_timeout_ms / 1000
         if now_s - self._read_s > idle_s:
@@ -546,8 +649,8 @@
 
     def _start_next(self) -> None:
         received = self._pipelined.popleft()
-        if self._transport is not None and not self._pipelined:
-            self._transport.resume_reading()
+        if not self._pipelined:
+            self._resume_reading()
         self._cancel_timer()
         self._exchange = _Exchange(self, self._server, received)
         self._server.task_group.start_soon(self._exchange.run)
@@ -563,12 +666,19 @@
         self._is_in_body = False
         self._error_status = 0
 
+    def _reset(self) -> None:
+        """Close without sending what the kernel has buffered."""
+        if self._transport is not None and not self._transport.is_closing():
+            peer = self._transport.get_extra_info('socket')
+            peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
+        self.abort()
+
     def _shed_state(self) -> str:
         if self._is_closing:
             return 'closing'
         if self._unsent_bytes or self._collected_bytes:
             return 'unread'
-        if self._is_in_message:
+        if self._is_in_message or self._rest:
             return 'incomplete'
         return 'idle'
 
@@ -579,7 +689,10 @@
 
     def _count_incoming(self) -> bool:
         """Count the message that is being received; tell whether it fits."""
-        self._incoming_bytes = self._message_bytes(self._body.__sizeof__())
+        self._incoming_bytes = len(self._rest)
+        if self._is_in_message:
+            body_bytes = self._body.__sizeof__()
+            self._incoming_bytes += self._message_bytes(body_bytes)
         return self._recount()
 
     def _count_unsent(self) -> bool:
@@ -588,11 +701,24 @@
             self._unsent_bytes = self._transport.get_write_buffer_size()
         return self._recount()
 
+    def _count_in_socket(self) -> int:
+        """Return what the socket has buffered and its reader not received.
+
+        The socket takes more only when a third of its buffer is free, so that
+        a slow reader seems to stop if only unsent bytes are compared.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return 0
+        peer = self._transport.get_extra_info('socket')
+        answer = fcntl.ioctl(peer.fileno(), termios.TIOCOUTQ, bytes(4))
+        return int.from_bytes(answer, sys.byteorder)
+
     def _drop_incoming(self) -> None:
         """Release the message that is being received."""
         self._headers = []
         self._body = b''
         self._body_bytes = 0
+        self._rest = b''
         self._incoming_bytes = 0
         self._recount()
 
