--- a/peridotrill/gateway/caller_account.py
+++ b/peridotrill/gateway/caller_account.py
@@ -33,9 +33,10 @@
 _CONNECTION_BATCH: Final = 1 / 64
 # Largest part of the memory for callers that one response may take.
 _RESPONSE_SHARE: Final = 0.5
-# Bytes that a caller counts as having transferred, so that a small transfer is
-# not compared with none, and those of one that has just connected.
-_LEAST_TRANSFER_BYTES: Final = 4096
+# Bytes that a caller counts as having transferred, and those of one that has just
+# connected. With 4 KiB, callers of small requests went before large bodies that
+# had just arrived.
+_LEAST_TRANSFER_BYTES: Final = 64 * 1024
 _FIRST_TRANSFER_BYTES: Final = 64 * 1024
 # What remains of the bytes that were transferred earlier, at each sample.
 _DECAY: Final = 0.5
--- a/tests/test_caller_account.py
+++ b/tests/test_caller_account.py
@@ -262,6 +262,22 @@
     assert (active.reasons, stalled.reasons) == ([], ['memory'])
 
 
+def test_small_request_stays_beside_large_bodies_that_just_arrived():
+    # Guards against kept connections of ordinary callers, which transfer little,
+    # that are given up before a crowd that has just sent its bodies.
+    account = CallerAccount(AccountLimits(MIB, 10))
+    ordinary = Holder(account, 2)
+    ordinary.transferred_bytes = 3000
+    for _ in range(6):
+        account.sample()
+    assert ordinary.entry.resize(5000)
+    for _ in range(4):
+        large = Holder(account, 2)
+        large.transferred_bytes = 400_000
+        large.entry.resize(400_000)
+    assert not ordinary.reasons
+
+
 def test_small_holder_has_room_beside_large_ones_that_stay():
     # Guards against whole requests that keep small ones out.
     account = CallerAccount(AccountLimits(MIB, 10))
