--- a/peridotrill/gateway/peers.py
+++ b/peridotrill/gateway/peers.py
@@ -25,6 +25,7 @@
     relay_name,
 )
 from peridotrill.gateway.stream_origins import BegunStreams
+from peridotrill.gateway.waiting_work import WaitingRow
 from peridotrill.settings import Address
 
 # Gateways that send a listing to a new process: datagrams may be lost, and one
@@ -63,7 +64,8 @@
     this copy of the report, and the zone in which it forwards it (``relay_name``);
     empty for none. ``target_speeds`` are the slowness in percent of targets that
     differ from the others of their service, by the sender's own requests, each with
-    the number of the process and its weight (``EngineSpeeds``).
+    the number of the process and its weight (``EngineSpeeds``). ``waiting`` is what
+    waits there for capacity, by service, pool and priority (``waiting_work``).
     """
 
     node: str
@@ -92,6 +94,7 @@
     hears_zone: bool = False
     relay: str = ''
     target_speeds: dict[str, tuple[int, int, int]] = {}
+    waiting: dict[str, WaitingRow] = {}
 
 
 class PartListing(
--- a/peridotrill/gateway/prefill.py
+++ b/peridotrill/gateway/prefill.py
@@ -152,6 +152,7 @@
     target = reservation.target
     started_s = shared.clock.monotonic_s()
     slowness = shared.placement.target_speeds.slowness(target.target_id)
+    context.is_prompt_sent = True
     source = shared.placement.find_part_holder(prompt, target.target_id)
     exchange = await shared.targets.send(
         context.request,
--- a/peridotrill/gateway/reporting.py
+++ b/peridotrill/gateway/reporting.py
@@ -27,6 +27,7 @@
 from peridotrill.gateway.stream_origins import StreamOrigins
 from peridotrill.gateway.target_limits import TargetLimits
 from peridotrill.gateway.usage_counts import UsageCounts
+from peridotrill.gateway.waiting_work import WaitingWork
 from peridotrill.settings import Address
 
 # Least time for which a report suspends an engine that is changing its role,
@@ -57,6 +58,7 @@
     origins: StreamOrigins
     speed: PrefillSpeed
     target_speeds: EngineSpeeds
+    waiting: WaitingWork
 
 
 class Sender(NamedTuple):
@@ -157,6 +159,7 @@
             target_speeds=(
                 sources.target_speeds.report() if is_full_report else {}
             ),
+            waiting=sources.waiting.report(),
         )
 
     def handle_report(self, report: Report) -> None:
@@ -175,7 +178,7 @@
         )
         self._apply_facts(report)
         self._apply_limits(report)
-        sources.loads.observe_peer(report.node, report.work)
+        self._apply_work(report)
         sources.usage.observe_peer(process, report.usage)
         if report.slowdowns:
             sources.speed.observe_peer(report.node, report.slowdowns)
@@ -195,6 +198,12 @@
             # Valid unless several reports of the holder are lost in a row.
             self._notice_until_s = now_s + self._peers.active_age_s
 
+    def _apply_work(self, report: Report) -> None:
+        """Apply what a gateway has in progress, and what waits there."""
+        sources = self._sources
+        sources.loads.observe_peer(report.node, report.work)
+        sources.waiting.observe_peer(report.node, report.waiting)
+
     def _apply_limits(self, report: Report) -> None:
         """Apply what a gateway knows of the limits of targets."""
         limits = self._sources.limits
--- a/peridotrill/gateway_program.py
+++ b/peridotrill/gateway_program.py
@@ -278,6 +278,7 @@
                 self._origins,
                 self._placement.speed,
                 self._placement.target_speeds,
+                self._placement.waiting,
             ),
             self._clock,
         )
--- a/tests/test_gateway_reporting.py
+++ b/tests/test_gateway_reporting.py
@@ -29,6 +29,7 @@
 from peridotrill.gateway.targets import TargetRole
 from peridotrill.gateway.usage_counts import UsageCounts
 from peridotrill.platform.configuration import decode_configuration
+from peridotrill.gateway.waiting_work import WaitingWork
 from peridotrill.settings import Address
 from tests.gateway_builders import (
     RecordingLog,
@@ -69,6 +70,7 @@
                 StreamOrigins(clock),
                 PrefillSpeed(),
                 EngineSpeeds(clock, ReportedSlowness(clock)),
+                WaitingWork(clock),
             ),
             clock,
         )
