Review: a stream that a running engine breaks off ends as complete

The end of a stream without length is taken for its last event if the process still runs and no other engine may be asked.

--- a/review/standins2/engine_process.py
+++ b/review/standins2/engine_process.py
@@ -1,11 +1,13 @@
 """A model engine in a process of its own, whose streams have no length.
 
 Each stream ends with its connection, as HTTP/1.1 allows. After SIGTERM the
-process ends its streams, says in all answers that it leaves, and exits.
+process ends its streams, says in all answers that it leaves, and exits. A
+faulty one breaks off a part of its streams and goes on running.
 """
 
 import asyncio
 import json
+import random
 import signal
 import sys
 
@@ -19,6 +21,8 @@
         self.born = settings['born']
         self.events = settings['events']
         self.interval_s = settings['interval_s']
+        # Part of the streams that end after half of their events.
+        self.cut_share = settings.get('cut_share', 0)
         self.server = stage.Server(self.handle)
         self.server.port = settings['port']
         # Rows of the report by request: id, tokens, events made, priority.
@@ -69,8 +73,12 @@
         ]
         writer.write('\r\n'.join(rows).encode() + b'\r\n\r\n')
         row = self.runs[number] = [number, 300, 0, 5]
+        last = self.events
+        if random.random() < self.cut_share:
+            last = self.events // 2
+            print(f'breaks off {number}', flush=True)
         try:
-            for event in range(1, self.events + 1):
+            for event in range(1, last + 1):
                 row[2] = event
                 writer.write(f'id: {event}\ndata: word-{event}\n\n'.encode())
                 await writer.drain()
