--- a/review/standins2/stage.py
+++ b/review/standins2/stage.py
@@ -145,14 +145,12 @@
     """The platform's store: topics with one partition."""
 
     def __init__(self):
-        # Rows of append time and record, and the offset of the first one.
+        # Records by topic, and the offset of the first one.
         self.topics = defaultdict(list)
         self.first = defaultdict(int)
         self.newest = defaultdict(dict)
         self._changed = asyncio.Event()
         self.server = Server(self.handle)
-        # Called with topic and record before an append; may return an answer.
-        self.on_append = None
 
     async def start(self):
         await self.server.start()
